--- /dev/null
+++ b/entry/answerer/answerer.go
@@ -0,0 +1,104 @@
+// Package answerer answers the calls of other entries. It translates between
+// the link protocol and the duties.
+package answerer
+
+import (
+	"context"
+	"time"
+
+	"samphiremux/entry/beater"
+	"samphiremux/entry/granter"
+	"samphiremux/entry/sharer"
+	"samphiremux/entry/suspector"
+	"samphiremux/entry/tracker"
+	"samphiremux/pkg/linker/linkpb"
+	"samphiremux/pkg/publisher"
+)
+
+// Answerer implements the link's service.
+type Answerer struct {
+	linkpb.DRPCLinkUnimplementedServer
+
+	node  *sharer.Node
+	owner *granter.Client
+	fetch func(linkAddress string)
+}
+
+// New returns an answerer. Fetch asks a peer for its newer document.
+func New(n *sharer.Node, owner *granter.Client, fetch func(linkAddress string)) *Answerer {
+	return &Answerer{node: n, owner: owner, fetch: fetch}
+}
+
+// Beat implements linkpb.DRPCLinkServer.
+func (a *Answerer) Beat(_ context.Context, r *linkpb.BeatRequest) (*linkpb.BeatResponse, error) {
+	a.node.Tracker(func(now time.Time, t *tracker.Tracker) bool {
+		t.Heard(now, r.GetEntryId(), r.GetStoreReached(), r.GetStopping(), r.GetDocumentRevision())
+		for _, id := range r.GetUnreachable() {
+			t.HearUnreachable(now, id)
+		}
+		return false
+	})
+	if r.GetDocumentRevision() > uint64(a.node.Envelope().Revision) {
+		if m, ok := a.node.Member(r.GetEntryId()); ok {
+			a.fetch(m.LinkAddress)
+		}
+	}
+	own := beater.Request(a.node)
+	return &linkpb.BeatResponse{
+		EntryId: own.GetEntryId(), DocumentRevision: own.GetDocumentRevision(),
+		StoreReached: own.GetStoreReached(), Stopping: own.GetStopping(),
+	}, nil
+}
+
+// Report implements linkpb.DRPCLinkServer.
+func (a *Answerer) Report(ctx context.Context, r *linkpb.ReportRequest) (*linkpb.ReportResponse, error) {
+	return a.owner.Report(ctx, r)
+}
+
+// Tell implements linkpb.DRPCLinkServer.
+func (a *Answerer) Tell(_ context.Context, r *linkpb.TellRequest) (*linkpb.TellResponse, error) {
+	switch n := r.GetNotice().(type) {
+	case *linkpb.TellRequest_Suspect:
+		a.suspect(n.Suspect)
+	case *linkpb.TellRequest_Verdict:
+		a.node.TakeBack(n.Verdict.GetService(), n.Verdict.GetMove(), n.Verdict.GetReason())
+	}
+	return &linkpb.TellResponse{}, nil
+}
+
+func (a *Answerer) suspect(n *linkpb.SuspectNotice) {
+	snapshot := a.node.Snapshot()
+	if snapshot == nil {
+		return
+	}
+	sv, ok := snapshot.Services[n.GetService()]
+	if !ok || sv.Dispatcher == nil {
+		return
+	}
+	sv.Dispatcher.Suspects(func(now time.Time, s *suspector.Suspects) {
+		s.Hear(now, suspector.Fingerprint(n.GetFingerprint()), int(n.GetDeaths()),
+			now.Add(time.Duration(n.GetTtlMs())*time.Millisecond))
+		a.node.Counters().Suspects.WithLabelValues(n.GetService()).Set(float64(s.Len()))
+	})
+}
+
+// Fetch implements linkpb.DRPCLinkServer.
+func (a *Answerer) Fetch(_ context.Context, r *linkpb.FetchRequest) (resp *linkpb.FetchResponse, err error) {
+	resp = &linkpb.FetchResponse{}
+	e := a.node.Envelope()
+	if e.Revision > publisher.Revision(r.GetAboveRevision()) {
+		resp.Envelope, err = e.Encode()
+		if err != nil {
+			return nil, err
+		}
+	}
+	a.node.Tracker(func(_ time.Time, t *tracker.Tracker) bool {
+		for _, m := range t.Members() {
+			resp.Members = append(resp.Members, &linkpb.Member{
+				Id: m.ID, FailureDomain: m.Domain, Address: m.Address, LinkAddress: m.LinkAddress, Incarnation: m.Incarnation,
+			})
+		}
+		return false
+	})
+	return resp, nil
+}
--- /dev/null
+++ b/entry/dispatcher/control.go
@@ -0,0 +1,144 @@
+package dispatcher
+
+import (
+	"time"
+
+	"samphiremux/entry/limiter"
+	"samphiremux/entry/retrier"
+	"samphiremux/entry/suspector"
+)
+
+// OwnerReport is a report for the owner of a server.
+type OwnerReport struct {
+	Owner  string
+	Server string
+	Report limiter.Report
+}
+
+// Reports returns what was seen of each server since the last call.
+func (d *Dispatcher) Reports() (reports []OwnerReport) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	waiting := 0
+	for _, q := range d.queues {
+		waiting += q.Len()
+	}
+	if n := len(d.servers); n > 0 {
+		waiting = (waiting + n - 1) / n
+	}
+	mean := d.mean.Value()
+	for _, s := range d.servers {
+		if s.place.Owner == "" {
+			continue
+		}
+		reports = append(reports, OwnerReport{
+			Owner: s.place.Owner, Server: s.place.Server.Name, Report: s.report(now, d.id, waiting, mean),
+		})
+	}
+	return reports
+}
+
+// Grant takes in a grant for a server. Its deadline must count from when the
+// report was sent.
+func (d *Dispatcher) Grant(serverName string, g limiter.Grant) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.byName[serverName]
+	if !ok {
+		return
+	}
+	if s.coldSign && !g.Cold {
+		// The sign came after the report that this grant answers.
+		return
+	}
+	s.allotment = s.allotment.WithGrant(g)
+	if !s.drainSign {
+		s.draining = g.Draining
+	}
+	d.drain(d.now())
+}
+
+// SetListLeaving follows the platform's list of VMs. Leaving holds addresses.
+func (d *Dispatcher) SetListLeaving(leaving func(address string) bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.servers {
+		s.listLeaving = leaving(s.place.Server.Address.Addr().String())
+	}
+}
+
+// NoteDraining takes in a server's own word that it is leaving.
+func (t *Ticket) NoteDraining() {
+	d := t.owner
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t.state.draining = true
+	t.state.drainSign = true
+}
+
+// Earn notes a first attempt for the retry budget.
+func (d *Dispatcher) Earn() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget.Earn()
+}
+
+// Decide returns what follows an attempt.
+func (d *Dispatcher) Decide(r retrier.Request, o retrier.Outcome) retrier.Decision {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return retrier.Decide(d.now(), r, o, d.budget)
+}
+
+// Suspects runs f with the suspects of the service.
+func (d *Dispatcher) Suspects(f func(now time.Time, s *suspector.Suspects)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f(d.now(), d.suspects)
+}
+
+// Mean returns the mean latency of the service.
+func (d *Dispatcher) Mean() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mean.Value()
+}
+
+// Status is a snapshot of one server for operators.
+type Status struct {
+	Server   string  `json:"server"`
+	InFlight int     `json:"in-flight"`
+	Quota    int     `json:"quota"`
+	Slowness float64 `json:"slowness"`
+	Cold     bool    `json:"cold"`
+	Leaving  bool    `json:"leaving"`
+	Ejected  bool    `json:"ejected"`
+	Owner    string  `json:"owner"`
+}
+
+// Status returns a snapshot of all servers.
+func (d *Dispatcher) Status() (all []Status) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	mean := d.mean.Value()
+	for _, s := range d.servers {
+		slowness := s.speed.Ratio(now, mean, s.starts)
+		all = append(all, Status{
+			Server: s.place.Server.Name, InFlight: len(s.starts), Quota: s.quota(now, slowness), Slowness: slowness,
+			Cold: s.allotment.Cold(), Leaving: s.leaving(), Ejected: s.ejected(now), Owner: s.place.Owner,
+		})
+	}
+	return all
+}
+
+// Waiting returns the number of queued requests.
+func (d *Dispatcher) Waiting() (n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, q := range d.queues {
+		n += q.Len()
+	}
+	return n
+}
--- /dev/null
+++ b/entry/dispatcher/server.go
@@ -0,0 +1,172 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"samphiremux/entry/chooser"
+	"samphiremux/entry/estimator"
+	"samphiremux/entry/limiter"
+	"samphiremux/entry/retrier"
+	"samphiremux/pkg/parser"
+)
+
+const (
+	// ejectAfter is the number of failures in a row from which a server gets
+	// no work for a while.
+	ejectAfter = 3
+	// firstEjection is the length of a first ejection. It doubles each time up
+	// to maxEjection.
+	firstEjection = 500 * time.Millisecond
+	maxEjection   = 8 * time.Second
+	// doubtCap is the time for which a holder uses one request at most at a
+	// server that may have turned cold.
+	doubtCap = time.Second
+	// slowRatio is the slowness from which a server gets one request at a time.
+	slowRatio = 3.0
+	// slowReport is the slowness from which an owner does not raise a limit.
+	slowReport = 2.5
+	// crossDomain is the time that another failure domain adds to a request.
+	crossDomain = time.Millisecond
+)
+
+// Placement is a backend server as one entry uses it.
+type Placement struct {
+	Server parser.Server
+	// Out tells that the server's failure domain is out.
+	Out bool
+	// Near tells that the server is in the entry's failure domain.
+	Near bool
+	// Holders is the number of entries that share the server.
+	Holders int
+	// Rank is the place of this entry among the holders.
+	Rank int
+	// Owner is the id of the entry that grants parts of the server's limit.
+	Owner string
+}
+
+// server is the state of one backend server at one entry.
+type server struct {
+	place     Placement
+	allotment limiter.Allotment
+	speed     estimator.Speed
+	starts    []time.Time
+
+	draining     bool // said by the server itself or its owner
+	listLeaving  bool // said by the platform's list of VMs
+	failures     int
+	ejections    int
+	ejectedUntil time.Time
+
+	peak      int
+	completed int
+	refused   int
+	failed    int
+	coldSign  bool
+	drainSign bool
+}
+
+func (s *server) leaving() bool {
+	return s.place.Out || s.place.Server.Leaving || s.draining || s.listLeaving
+}
+
+func (s *server) ejected(now time.Time) bool { return now.Before(s.ejectedUntil) }
+
+// quota returns the requests that this entry may have at the server now.
+func (s *server) quota(now time.Time, slowness float64) int {
+	q := s.allotment.Quota(now, s.place.Server.Slots, s.place.Holders, s.place.Rank)
+	if slowness > slowRatio || s.ejections > 0 {
+		q = min(q, 1)
+	}
+	return q
+}
+
+func (s *server) candidate(now time.Time, index int, mean time.Duration) chooser.Candidate {
+	slowness := s.speed.Ratio(now, mean, s.starts)
+	quota := s.quota(now, slowness)
+	c := chooser.Candidate{
+		Server:   index,
+		InFlight: len(s.starts),
+		Quota:    quota,
+		Share:    float64(s.place.Server.Slots*quota) / float64(limiter.FullLimit(s.place.Server.Slots)),
+		Slowness: slowness,
+		Mean:     mean,
+	}
+	if !s.place.Near {
+		c.Distance = crossDomain
+	}
+	return c
+}
+
+func (s *server) begin(now time.Time) {
+	s.starts = append(s.starts, now)
+	s.peak = max(s.peak, len(s.starts))
+}
+
+func (s *server) end(start time.Time) {
+	if i := slices.Index(s.starts, start); i >= 0 {
+		s.starts = slices.Delete(s.starts, i, i+1)
+	}
+}
+
+// learn takes in how an attempt ended.
+func (s *server) learn(now time.Time, start time.Time, o retrier.Outcome, failedAnswer bool, mean time.Duration) {
+	switch o.(type) {
+	case retrier.Answered:
+		s.completed++
+		if failedAnswer {
+			s.speed.Fail(now, mean)
+			s.fail(now)
+			return
+		}
+		s.speed.Add(now, now.Sub(start), mean)
+		s.failures, s.ejections = 0, 0
+	case retrier.Shed:
+		s.refused++
+		s.speed.Fail(now, mean)
+	case retrier.NotSent, retrier.Lost:
+		s.doubt(now)
+		s.speed.Fail(now, mean)
+		s.fail(now)
+	case retrier.Late, retrier.Unconfirmed, retrier.Cut, retrier.Crossed:
+		s.speed.Fail(now, mean)
+		s.fail(now)
+	case retrier.Oversized:
+	}
+}
+
+// doubt reacts to a broken connection: the server may have restarted cold.
+func (s *server) doubt(now time.Time) {
+	s.coldSign = true
+	s.allotment = s.allotment.WithDoubt().WithCap(now.Add(doubtCap))
+}
+
+func (s *server) fail(now time.Time) {
+	s.failed++
+	s.failures++
+	if s.failures < ejectAfter {
+		return
+	}
+	s.failures = 0
+	s.ejectedUntil = now.Add(min(firstEjection<<s.ejections, maxEjection))
+	s.ejections = min(s.ejections+1, 10)
+}
+
+// report returns what was seen since the last report, and starts anew.
+func (s *server) report(now time.Time, holder string, waiting int, mean time.Duration) limiter.Report {
+	r := limiter.Report{
+		Holder:      holder,
+		InFlight:    len(s.starts),
+		Demand:      s.peak + waiting,
+		Completed:   s.completed,
+		Refused:     s.refused,
+		Failed:      s.failed,
+		SuspectCold: s.coldSign,
+		Draining:    s.drainSign,
+		Warm:        s.allotment.Warm() && !s.coldSign,
+		Slow:        s.speed.Ratio(now, mean, s.starts) > slowReport,
+	}
+	s.peak, s.completed, s.refused, s.failed = len(s.starts), 0, 0, 0
+	s.coldSign, s.drainSign = false, false
+	return r
+}
--- /dev/null
+++ b/entry/forwarder/peer.go
@@ -0,0 +1,112 @@
+package forwarder
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"samphiremux/entry/refuser"
+	"samphiremux/entry/rememberer"
+	"samphiremux/entry/retrier"
+	"samphiremux/entry/sender"
+	"samphiremux/entry/sharer"
+	"samphiremux/entry/tracker"
+)
+
+// peerConnections bounds the connections to another entry.
+const peerConnections = 256
+
+// usable orders the members that may take a request, without this entry.
+func (f *Forwarder) usable(members []tracker.Member) (ok []tracker.Member) {
+	f.node.Tracker(func(now time.Time, t *tracker.Tracker) bool {
+		for _, m := range members {
+			if m.ID != f.node.Self().ID && t.Usable(now, m.ID) {
+				ok = append(ok, m)
+			}
+		}
+		return false
+	})
+	return ok
+}
+
+func (f *Forwarder) sendToPeer(ctx context.Context, c *call, m tracker.Member) (*sender.Answer, retrier.Outcome) {
+	address, err := netip.ParseAddrPort(m.Address)
+	if err != nil {
+		return nil, retrier.NotSent{Cause: err}
+	}
+	msg := f.message(c, c.outer)
+	msg.Header.Set(HopHeader, f.node.Self().ID)
+	msg.Address = address
+	msg.EchoRequired = true
+	msg.Connections = peerConnections
+	return f.peers.Send(ctx, msg)
+}
+
+// serveKeyed runs a request with an idempotency key at the key's home, which
+// remembers its outcome.
+func (f *Forwarder) serveKeyed(ctx context.Context, c *call) (answer *sender.Answer, refusal *refuser.Refusal) {
+	var home tracker.Member
+	var since time.Time
+	found, authority := false, false
+	f.node.Tracker(func(now time.Time, t *tracker.Tracker) bool {
+		home, since, found = t.Home(c.service.Declared.Name, c.key, sharer.SubsetSize(c.service.Declared))
+		authority = t.Authority(now)
+		return false
+	})
+	switch {
+	case !found:
+		return nil, notRun(refuser.EntryUnreachable)
+	case home.ID != f.node.Self().ID && c.hop:
+		return nil, notRun(refuser.Misdirected)
+	case home.ID != f.node.Self().ID:
+		return f.passToHome(ctx, c, home)
+	case !authority:
+		return nil, unknown(refuser.KeyNotKnown)
+	}
+	var result rememberer.Result
+	f.node.Keys(func(now time.Time, k *rememberer.Keys) { result = k.Begin(now, c.key, since) })
+	switch r := result.(type) {
+	case rememberer.Replay:
+		f.node.Counters().KeysReplayed.Inc()
+		return &sender.Answer{Status: r.Answer.Status, Header: r.Answer.Header, Body: r.Answer.Body}, nil
+	case rememberer.Refused:
+		return nil, &r.Refusal
+	}
+	return f.runKeyed(ctx, c)
+}
+
+// runKeyed runs the first request with a key. It goes on when the caller leaves,
+// so that the outcome is known when the caller sends it again.
+func (f *Forwarder) runKeyed(ctx context.Context, c *call) (answer *sender.Answer, refusal *refuser.Refusal) {
+	var remembered *rememberer.Answer
+	notRun := false
+	defer func() {
+		f.node.Keys(func(now time.Time, k *rememberer.Keys) { k.Finish(now, c.key, remembered, notRun) })
+	}()
+	runCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.deadline.Sub(f.node.Now()))
+	defer cancel()
+	answer, refusal = f.run(runCtx, c)
+	switch {
+	case refusal != nil:
+		notRun = refusal.Kind == refuser.NotRun
+	case answer.Rest == nil:
+		remembered = &rememberer.Answer{Status: answer.Status, Header: answer.Header, Body: answer.Body}
+	}
+	return answer, refusal
+}
+
+func (f *Forwarder) passToHome(ctx context.Context, c *call, home tracker.Member) (*sender.Answer, *refuser.Refusal) {
+	answer, o := f.sendToPeer(ctx, c, home)
+	switch {
+	case retrier.MayHaveRun(o) && !isAnswered(o):
+		return nil, unknown(refuser.PeerLost)
+	case !isAnswered(o):
+		return nil, notRun(refuser.EntryUnreachable)
+	}
+	return answer, nil
+}
+
+func isAnswered(o retrier.Outcome) bool {
+	_, ok := o.(retrier.Answered)
+	return ok
+}
--- /dev/null
+++ b/entry/granter/client.go
@@ -0,0 +1,45 @@
+package granter
+
+import (
+	"context"
+	"errors"
+
+	"samphiremux/entry/mover"
+	"samphiremux/pkg/linker/linkpb"
+)
+
+// errBusy says that the duty's mailbox is full.
+var errBusy = errors.New("the owner duty is busy")
+
+// Client asks the granter duty from other goroutines.
+type Client struct {
+	// Send passes a message to the duty, or reports false if it is full.
+	Send func(msg any) bool
+}
+
+// Report hands a holder's report to the duty and returns its grants.
+func (c *Client) Report(ctx context.Context, r *linkpb.ReportRequest) (resp *linkpb.ReportResponse, err error) {
+	reply := make(chan *linkpb.ReportResponse, 1)
+	if !c.Send(reportMessage{request: r, reply: reply}) {
+		return nil, errBusy
+	}
+	return await(ctx, reply)
+}
+
+// Evidence returns the evidence of all holders on a move.
+func (c *Client) Evidence(ctx context.Context, service, move string) (evidence map[string]mover.Evidence, err error) {
+	reply := make(chan map[string]mover.Evidence, 1)
+	if !c.Send(evidenceMessage{service: service, move: move, reply: reply}) {
+		return nil, errBusy
+	}
+	return await(ctx, reply)
+}
+
+func await[T any](ctx context.Context, reply <-chan T) (v T, err error) {
+	select {
+	case v = <-reply:
+		return v, nil
+	case <-ctx.Done():
+		return v, ctx.Err()
+	}
+}
--- /dev/null
+++ b/entry/limiter/holder.go
@@ -0,0 +1,114 @@
+// Package limiter keeps the requests in flight at a backend server within what
+// it bears, over all entries that use it. One entry owns each server: it learns
+// the limit and grants parts of it with deadlines. The others hold the grants.
+package limiter
+
+import "time"
+
+const (
+	// GrantLife is the time for which a grant holds, counted by its holder
+	// from when it sent the report that the grant answers.
+	GrantLife = time.Second
+	// ReportInterval is the time between two reports of a holder.
+	ReportInterval = 200 * time.Millisecond
+	// overcommit is the number of requests beyond a server's slots that hide
+	// the way between entry and server.
+	overcommit = 1
+)
+
+// FullLimit returns the most requests that a warm server gets at a time.
+func FullLimit(slots int) int { return slots + overcommit }
+
+// Floor returns what each of k holders may use at a warm server without a
+// grant. The owner reserves as much for each of them, so the sum stays within
+// the limit whatever the entries know of each other.
+func Floor(slots, k, rank int) int {
+	if k <= 0 || rank < 0 {
+		return 0
+	}
+	limit := FullLimit(slots)
+	if limit >= k {
+		return limit / k
+	}
+	if rank < limit {
+		return 1
+	}
+	return 0
+}
+
+// Grant is a right to keep requests in flight at a server until a deadline.
+// It is immutable.
+type Grant struct {
+	Slots    int
+	Deadline time.Time
+	Cold     bool
+	Draining bool
+}
+
+// Allotment is what one holder may use of one server.
+type Allotment struct {
+	grant Grant
+	// warmSeen tells that the last grant was for a warm server, which is what
+	// the floor relies on.
+	warmSeen bool
+	// floorFrom is when the floor becomes valid: the holder has then been in
+	// the subset for longer than any grant to its predecessor holds.
+	floorFrom time.Time
+	// cappedUntil is when a cap that the holder set on itself ends.
+	cappedUntil time.Time
+}
+
+// NewAllotment returns the allotment of a holder that joined the subset at now.
+// Its floor becomes valid when the grants of earlier holders have lapsed.
+func NewAllotment(now time.Time) Allotment {
+	return Allotment{floorFrom: now.Add(GrantLife)}
+}
+
+// WithGrant returns a copy that holds a newer grant.
+func (a Allotment) WithGrant(g Grant) Allotment {
+	a.grant = g
+	a.warmSeen = !g.Cold
+	return a
+}
+
+// WithDoubt returns a copy without its floor: the server may have turned cold.
+func (a Allotment) WithDoubt() Allotment {
+	a.warmSeen = false
+	return a
+}
+
+// WithCap returns a copy that uses at most one request until a deadline.
+func (a Allotment) WithCap(until time.Time) Allotment {
+	a.cappedUntil = until
+	return a
+}
+
+// Joined returns a copy for a holder whose subset changed at now.
+func (a Allotment) Joined(now time.Time) Allotment {
+	a.floorFrom = now.Add(GrantLife)
+	return a
+}
+
+// Warm tells whether the holder knows the server as a warm one.
+func (a Allotment) Warm() bool { return a.warmSeen }
+
+// Cold tells whether the last grant was for a cold server.
+func (a Allotment) Cold() bool { return a.grant.Cold }
+
+// Granted tells whether a grant is valid.
+func (a Allotment) Granted(now time.Time) bool { return now.Before(a.grant.Deadline) }
+
+// Quota returns the requests that the holder may have in flight now.
+func (a Allotment) Quota(now time.Time, slots, k, rank int) int {
+	quota := 0
+	switch {
+	case a.Granted(now):
+		quota = a.grant.Slots
+	case a.warmSeen && !now.Before(a.floorFrom):
+		quota = Floor(slots, k, rank)
+	}
+	if now.Before(a.cappedUntil) {
+		quota = min(quota, 1)
+	}
+	return quota
+}
--- /dev/null
+++ b/entry/refuser/refuser.go
@@ -0,0 +1,134 @@
+// Package refuser holds the refusals that callers get. A refusal is either
+// not-run, which is always true, or outcome-unknown. Each has a reason from a
+// closed list.
+package refuser
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// RefusalHeader carries the kind and reason of a refusal, such as
+// "not-run; reason=queue-full".
+const RefusalHeader = "Samphire-Refusal"
+
+// Kind tells whether the refused request may have run.
+type Kind string
+
+// Kinds of refusals.
+const (
+	NotRun         Kind = "not-run"
+	OutcomeUnknown Kind = "outcome-unknown"
+)
+
+// Reason says why a request was refused.
+type Reason string
+
+// Reasons for not-run.
+const (
+	NoDocument       Reason = "no-document"
+	NoSuchService    Reason = "no-such-service"
+	NoSuchRoute      Reason = "no-such-route"
+	BadRequest       Reason = "bad-request"
+	BodyTooLarge     Reason = "body-too-large"
+	QueueFull        Reason = "queue-full"
+	CallerOverShare  Reason = "caller-over-share"
+	RouteShed        Reason = "route-shed"
+	DeadlineTooNear  Reason = "deadline-too-near"
+	DeadlinePassed   Reason = "deadline-passed"
+	NoBackendServer  Reason = "no-backend-server"
+	BackendShedding  Reason = "backend-shedding"
+	BackendNotTried  Reason = "backend-unreachable"
+	RetryBudgetSpent Reason = "retry-budget-spent"
+	Suspect          Reason = "suspect"
+	CallerGone       Reason = "caller-gone"
+	Misdirected      Reason = "misdirected"
+	Stopping         Reason = "stopping"
+	KeyBusy          Reason = "key-busy"
+	KeyFromFuture    Reason = "key-from-future"
+	EntryUnreachable Reason = "entry-unreachable"
+)
+
+// Reasons for outcome-unknown.
+const (
+	ConnectionLost Reason = "connection-lost"
+	NoAnswerInTime Reason = "no-answer-in-time"
+	CutAnswer      Reason = "cut-answer"
+	CrossedAnswer  Reason = "crossed-answer"
+	KeyNotKnown    Reason = "key-not-known"
+	KeyOutcome     Reason = "key-outcome-unknown"
+	PeerLost       Reason = "peer-lost"
+	AnswerTooLarge Reason = "answer-too-large"
+)
+
+// NotRunReasons lists the reasons of not-run in alphabetical order.
+func NotRunReasons() []Reason {
+	return []Reason{
+		BackendNotTried, BackendShedding, BadRequest, BodyTooLarge, CallerGone, CallerOverShare, DeadlinePassed,
+		DeadlineTooNear, EntryUnreachable, KeyBusy, KeyFromFuture, Misdirected, NoBackendServer, NoDocument,
+		NoSuchRoute, NoSuchService, QueueFull, RetryBudgetSpent, RouteShed, Stopping, Suspect,
+	}
+}
+
+// OutcomeUnknownReasons lists the reasons of outcome-unknown in alphabetical order.
+func OutcomeUnknownReasons() []Reason {
+	return []Reason{
+		AnswerTooLarge, ConnectionLost, CrossedAnswer, CutAnswer, KeyNotKnown, KeyOutcome, NoAnswerInTime, PeerLost,
+	}
+}
+
+// Refusal is the answer to a request that gets no answer of a backend server.
+// It is immutable.
+type Refusal struct {
+	Kind   Kind
+	Reason Reason
+	Detail string
+}
+
+// NewNotRun returns a refusal that certainly did not run.
+func NewNotRun(reason Reason) Refusal { return Refusal{Kind: NotRun, Reason: reason} }
+
+// NewUnknown returns a refusal whose outcome is unknown.
+func NewUnknown(reason Reason) Refusal { return Refusal{Kind: OutcomeUnknown, Reason: reason} }
+
+// WithDetail returns a copy with a detail for the caller.
+func (r Refusal) WithDetail(format string, args ...any) Refusal {
+	r.Detail = fmt.Sprintf(format, args...)
+	return r
+}
+
+func (r Refusal) Error() string {
+	if r.Detail == "" {
+		return fmt.Sprintf("%s: %s", r.Kind, r.Reason)
+	}
+	return fmt.Sprintf("%s: %s: %s", r.Kind, r.Reason, r.Detail)
+}
+
+// Header returns the value of RefusalHeader.
+func (r Refusal) Header() string { return fmt.Sprintf("%s; reason=%s", r.Kind, r.Reason) }
+
+// Status returns the HTTP status that fits the refusal.
+func (r Refusal) Status() int {
+	switch r.Reason {
+	case NoSuchService, NoSuchRoute:
+		return http.StatusNotFound
+	case BadRequest, KeyFromFuture:
+		return http.StatusBadRequest
+	case BodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case KeyBusy:
+		return http.StatusConflict
+	}
+	if r.Kind == OutcomeUnknown {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusServiceUnavailable
+}
+
+// Write answers a caller with the refusal.
+func (r Refusal) Write(w http.ResponseWriter) {
+	w.Header().Set(RefusalHeader, r.Header())
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(r.Status())
+	_, _ = fmt.Fprintln(w, r.Error())
+}
--- /dev/null
+++ b/entry/registrar/registrar.go
@@ -0,0 +1,133 @@
+// Package registrar keeps the entry's registration in the platform's store
+// under a lease.
+package registrar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"samphiremux/entry/counter"
+	"samphiremux/entry/sharer"
+	"samphiremux/entry/tracker"
+	"samphiremux/pkg/publisher"
+	"samphiremux/pkg/storer"
+)
+
+// callLimit bounds one call of the store.
+const callLimit = 2 * time.Second
+
+// Registrar is the duty that keeps the registration.
+type Registrar struct {
+	node        *sharer.Node
+	store       storer.Store
+	environment string
+	log         hclog.Logger
+	lease       storer.LeaseID
+	stopped     bool
+}
+
+// New returns a registrar without a lease.
+func New(n *sharer.Node, s storer.Store, environment string, log hclog.Logger) *Registrar {
+	return &Registrar{node: n, store: s, environment: environment, log: log}
+}
+
+// Leave asks the registrar to end the registration. Done is closed after it.
+type Leave struct{ Done chan<- struct{} }
+
+// Receive handles a message of the duty.
+func (r *Registrar) Receive(ctx context.Context, msg any) {
+	if leave, ok := msg.(Leave); ok {
+		r.leave(ctx)
+		close(leave.Done)
+		return
+	}
+	if r.stopped {
+		return
+	}
+	if err := r.keep(ctx); err != nil {
+		r.log.Warn("Registration not renewed.", "error", err)
+	}
+}
+
+func (r *Registrar) keep(ctx context.Context) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	if r.lease == 0 {
+		return r.register(ctx)
+	}
+	sent := r.node.Now()
+	err = r.store.Renew(ctx, r.lease)
+	r.node.Counters().StoreCalls.WithLabelValues("renew", counter.Result(err)).Inc()
+	var lapsed storer.ErrLeaseLapsed
+	if errors.As(err, &lapsed) {
+		r.lease = 0
+		r.node.Tracker(func(_ time.Time, t *tracker.Tracker) bool { t.LeaseLost(); return false })
+		r.log.Warn("Lease lapsed; registering again.")
+		return r.register(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	r.node.Tracker(func(_ time.Time, t *tracker.Tracker) bool { t.Renewed(sent); return false })
+	return nil
+}
+
+func (r *Registrar) key() string {
+	return publisher.EntryPrefix(r.environment) + r.node.Self().ID
+}
+
+func (r *Registrar) register(ctx context.Context) (err error) {
+	defer func() {
+		r.node.Counters().StoreCalls.WithLabelValues("register", counter.Result(err)).Inc()
+		if err != nil {
+			err = fmt.Errorf("registering entry %q: %w", r.node.Self().ID, err)
+		}
+	}()
+	sent := r.node.Now()
+	id, err := r.store.Grant(ctx, tracker.LeaseLife)
+	if err != nil {
+		return err
+	}
+	guard := storer.Guard{Key: r.key()}
+	pair, err := r.store.Get(ctx, r.key())
+	var absent storer.ErrNoSuchKey
+	switch {
+	case errors.As(err, &absent):
+	case err != nil:
+		return err
+	default:
+		guard.Modified = pair.Modified
+	}
+	value, err := json.Marshal(r.node.Self())
+	if err != nil {
+		return err
+	}
+	outcome := r.store.Swap(ctx, guard, storer.Put{Key: r.key(), Value: value, Lease: id})
+	if unknown, ok := outcome.(storer.Unknown); ok {
+		return unknown.Cause
+	}
+	if refused, ok := outcome.(storer.NotDone); ok {
+		return refused.Cause
+	}
+	r.lease = id
+	r.node.Tracker(func(_ time.Time, t *tracker.Tracker) bool { t.Renewed(sent); return false })
+	r.log.Info("Registered.", "entry", r.node.Self().ID)
+	return nil
+}
+
+func (r *Registrar) leave(ctx context.Context) {
+	r.stopped = true
+	if r.lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	if err := r.store.Revoke(ctx, r.lease); err != nil {
+		r.log.Warn("Registration not removed; its lease will lapse.", "error", err)
+	}
+}
--- /dev/null
+++ b/entry/suspector/suspector.go
@@ -0,0 +1,180 @@
+// Package suspector finds requests that kill the servers that run them. A
+// request whose server dies under it becomes a suspect by its fingerprint, and
+// after two deaths over all entries it is refused until a deadline.
+package suspector
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// FatalDeaths is the number of deaths from which a request is refused.
+	FatalDeaths = 2
+	// SuspectLife is the time for which a single death is remembered.
+	SuspectLife = 30 * time.Second
+	// QuarantineLife is the time for which a request is refused.
+	QuarantineLife = 10 * time.Minute
+
+	maxSuspects   = 4096
+	recentSlots   = 4096
+	recentSuccess = 10 * time.Second
+)
+
+// Fingerprint identifies requests that are the same to a server.
+type Fingerprint uint64
+
+// Of returns the fingerprint of a request.
+func Of(service, method, uri string, body []byte) Fingerprint {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{service, method, uri} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(body)
+	return Fingerprint(d.Sum64())
+}
+
+type suspect struct {
+	deaths   int
+	deadline time.Time
+	// elsewhere tells that another entry runs the trial.
+	elsewhere bool
+	running   int
+}
+
+type success struct {
+	fingerprint Fingerprint
+	at          time.Time
+}
+
+// Suspects is the state of one service at one entry. It is not safe for
+// concurrent use.
+type Suspects struct {
+	all    map[Fingerprint]*suspect
+	recent []success
+}
+
+// New returns an empty state.
+func New() *Suspects {
+	return &Suspects{all: map[Fingerprint]*suspect{}, recent: make([]success, recentSlots)}
+}
+
+func (s *Suspects) get(now time.Time, f Fingerprint) *suspect {
+	sp, ok := s.all[f]
+	if ok && !now.Before(sp.deadline) {
+		delete(s.all, f)
+		return nil
+	}
+	return sp
+}
+
+// Start admits a request. Suspects run one at a time, and only at the entry that
+// saw the death. Each admitted request must be ended by Succeeded, Died or Ended.
+func (s *Suspects) Start(now time.Time, f Fingerprint) bool {
+	sp := s.get(now, f)
+	if sp == nil {
+		return true
+	}
+	if sp.deaths >= FatalDeaths || sp.elsewhere || sp.running > 0 {
+		return false
+	}
+	sp.running++
+	return true
+}
+
+// Retry tells whether a request that is already admitted may be sent again.
+func (s *Suspects) Retry(now time.Time, f Fingerprint) bool {
+	sp := s.get(now, f)
+	return sp == nil || sp.deaths < FatalDeaths
+}
+
+// Succeeded notes an answer. It reports true if that cleared a suspicion that
+// other entries must hear of.
+func (s *Suspects) Succeeded(now time.Time, f Fingerprint) (cleared bool) {
+	s.recent[uint64(f)%recentSlots] = success{f, now}
+	sp := s.get(now, f)
+	if sp == nil || sp.deaths >= FatalDeaths {
+		return false
+	}
+	delete(s.all, f)
+	return true
+}
+
+// Ended notes that a request ended in some other way than an answer or a death.
+func (s *Suspects) Ended(now time.Time, f Fingerprint) {
+	if sp := s.get(now, f); sp != nil && sp.running > 0 {
+		sp.running--
+	}
+}
+
+// Died notes that a server died while it ran a request, and returns the deaths
+// so far. A request that succeeded a short time ago is not suspected: zero.
+func (s *Suspects) Died(now time.Time, f Fingerprint) (deaths int) {
+	last := s.recent[uint64(f)%recentSlots]
+	if last.fingerprint == f && now.Sub(last.at) < recentSuccess {
+		return 0
+	}
+	sp := s.get(now, f)
+	if sp == nil {
+		s.makeRoom(now)
+		sp = &suspect{running: 1}
+		s.all[f] = sp
+	}
+	sp.deaths++
+	sp.deadline = now.Add(Life(sp.deaths))
+	return sp.deaths
+}
+
+// Life returns how long a number of deaths is remembered.
+func Life(deaths int) time.Duration {
+	if deaths >= FatalDeaths {
+		return QuarantineLife
+	}
+	return SuspectLife
+}
+
+// Hear takes in what another entry found. Zero deaths clears the suspicion.
+func (s *Suspects) Hear(now time.Time, f Fingerprint, deaths int, deadline time.Time) {
+	if deaths == 0 {
+		if sp := s.get(now, f); sp != nil && sp.deaths < FatalDeaths {
+			delete(s.all, f)
+		}
+		return
+	}
+	sp := s.get(now, f)
+	if sp == nil {
+		s.makeRoom(now)
+		sp = &suspect{}
+		s.all[f] = sp
+	}
+	sp.deaths = max(sp.deaths, deaths)
+	sp.elsewhere = true
+	sp.deadline = deadline
+}
+
+// makeRoom keeps the state bounded. It forgets lapsed suspects first.
+func (s *Suspects) makeRoom(now time.Time) {
+	if len(s.all) < maxSuspects {
+		return
+	}
+	var oldest Fingerprint
+	var at time.Time
+	for f, sp := range s.all {
+		if !now.Before(sp.deadline) {
+			delete(s.all, f)
+			continue
+		}
+		if at.IsZero() || sp.deadline.Before(at) {
+			oldest, at = f, sp.deadline
+		}
+	}
+	if len(s.all) >= maxSuspects {
+		delete(s.all, oldest)
+	}
+}
+
+// Len returns the number of suspects.
+func (s *Suspects) Len() int { return len(s.all) }
--- /dev/null
+++ b/entry/teller/teller.go
@@ -0,0 +1,90 @@
+// Package teller passes notices that must act at once to the other entries of a
+// service.
+package teller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"samphiremux/entry/counter"
+	"samphiremux/entry/sharer"
+	"samphiremux/entry/suspector"
+	"samphiremux/pkg/linker"
+	"samphiremux/pkg/linker/linkpb"
+)
+
+const (
+	tellLimit = 500 * time.Millisecond
+	tellTries = 3
+)
+
+// Teller is the duty that sends notices.
+type Teller struct {
+	node *sharer.Node
+	pool *linker.Pool
+	// Send passes a message to the duty.
+	Send func(msg any)
+}
+
+// New returns a teller.
+func New(n *sharer.Node, p *linker.Pool) *Teller { return &Teller{node: n, pool: p} }
+
+// notice is a request for the other entries of a service.
+type notice struct {
+	service string
+	request *linkpb.TellRequest
+}
+
+// TellSuspect passes on how many servers died under a request.
+func (t *Teller) TellSuspect(service string, f suspector.Fingerprint, deaths int) {
+	t.Send(notice{service, &linkpb.TellRequest{
+		EntryId: t.node.Self().ID,
+		Notice: &linkpb.TellRequest_Suspect{Suspect: &linkpb.SuspectNotice{
+			Service: service, Fingerprint: uint64(f), Deaths: uint32(deaths),
+			TtlMs: uint32(suspector.Life(deaths).Milliseconds()),
+		}},
+	}})
+}
+
+// TellVerdict passes on that a move was taken back.
+func (t *Teller) TellVerdict(service, move, reason string) {
+	t.Send(notice{service, &linkpb.TellRequest{
+		EntryId: t.node.Self().ID,
+		Notice:  &linkpb.TellRequest_Verdict{Verdict: &linkpb.VerdictNotice{Service: service, Move: move, Reason: reason}},
+	}})
+}
+
+// Receive handles a message of the duty.
+func (t *Teller) Receive(ctx context.Context, msg any) {
+	n, ok := msg.(notice)
+	if !ok {
+		return
+	}
+	snapshot := t.node.Snapshot()
+	if snapshot == nil || snapshot.Services[n.service] == nil {
+		return
+	}
+	var all sync.WaitGroup
+	for _, m := range snapshot.Services[n.service].Subset {
+		if m.ID != t.node.Self().ID {
+			all.Go(func() { t.tell(ctx, m.LinkAddress, n.request) })
+		}
+	}
+	all.Wait()
+}
+
+func (t *Teller) tell(ctx context.Context, address string, r *linkpb.TellRequest) {
+	for range tellTries {
+		callCtx, cancel := context.WithTimeout(ctx, tellLimit)
+		err := t.pool.Call(callCtx, address, func(ctx context.Context, c linkpb.DRPCLinkClient) error {
+			_, err := c.Tell(ctx, r)
+			return err
+		})
+		cancel()
+		t.node.Counters().LinkCalls.WithLabelValues("tell", counter.Result(err)).Inc()
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/parser/node.go
@@ -0,0 +1,291 @@
+package parser
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
+)
+
+// Problem is one broken rule with its place in the file. Line and column count
+// from 1.
+type Problem struct {
+	File   string
+	Line   int
+	Column int
+	Rule   string
+}
+
+func (p Problem) Error() string {
+	return fmt.Sprintf("%s:%d:%d: %s", p.File, p.Line, p.Column, p.Rule)
+}
+
+// Problems lists every broken rule of one file, in the order of the file.
+type Problems []Problem
+
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// reader collects the problems of one file while its nodes are decoded.
+type reader struct {
+	file     string
+	problems Problems
+}
+
+func (r *reader) fail(n node, format string, args ...any) {
+	p := Problem{File: r.file, Line: 1, Column: 1, Rule: fmt.Sprintf(format, args...)}
+	if tk := n.token(); tk != nil && tk.Position != nil {
+		p.Line, p.Column = tk.Position.Line, tk.Position.Column
+	}
+	r.problems = append(r.problems, p)
+}
+
+func (r *reader) err() error {
+	if len(r.problems) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(r.problems, func(a, b Problem) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+	return r.problems
+}
+
+// node is a YAML value, or the key that lacks one.
+type node struct {
+	value ast.Node
+	key   ast.Node
+	path  string
+}
+
+func (n node) present() bool { return n.value != nil }
+
+func (n node) token() *token.Token {
+	if n.value != nil {
+		if m, ok := n.value.(*ast.MappingNode); ok && len(m.Values) > 0 {
+			return m.Values[0].Key.GetToken()
+		}
+		return n.value.GetToken()
+	}
+	if n.key != nil {
+		return n.key.GetToken()
+	}
+	return nil
+}
+
+// mapping is a decoded YAML mapping with its keys in file order.
+type mapping struct {
+	node   node
+	fields map[string]node
+	keys   []string
+}
+
+// mapping decodes a mapping. Fields outside known are refused; a nil known
+// admits any key.
+func (r *reader) mapping(n node, known ...string) (m mapping) {
+	m = mapping{node: n, fields: map[string]node{}}
+	var values []*ast.MappingValueNode
+	switch v := n.value.(type) {
+	case *ast.MappingNode:
+		values = v.Values
+	case *ast.MappingValueNode:
+		values = []*ast.MappingValueNode{v}
+	default:
+		r.fail(n, "%s must be a mapping", n.path)
+		return m
+	}
+	for _, mv := range values {
+		key := mv.Key.GetToken().Value
+		child := node{value: mv.Value, key: mv.Key, path: strings.TrimPrefix(n.path+"."+key, ".")}
+		if _, twice := m.fields[key]; twice {
+			r.fail(node{value: mv.Key}, "field %q is given twice", child.path)
+			continue
+		}
+		if known != nil && !slices.Contains(known, key) {
+			r.fail(node{value: mv.Key}, "unknown field %q; known fields are %s", child.path, strings.Join(known, ", "))
+			continue
+		}
+		m.fields[key] = child
+		m.keys = append(m.keys, key)
+	}
+	return m
+}
+
+// field returns the named field, or an absent node placed at its mapping.
+func (m mapping) field(name string) node {
+	if n, ok := m.fields[name]; ok {
+		return n
+	}
+	return node{key: keyAt(m.node), path: strings.TrimPrefix(m.node.path+"."+name, ".")}
+}
+
+func keyAt(n node) ast.Node {
+	switch v := n.value.(type) {
+	case *ast.MappingNode:
+		if len(v.Values) > 0 {
+			return v.Values[0].Key
+		}
+	case *ast.MappingValueNode:
+		return v.Key
+	}
+	return n.key
+}
+
+// list decodes a sequence. An absent list is empty.
+func (r *reader) list(n node) (items []node) {
+	if !n.present() {
+		return nil
+	}
+	seq, ok := n.value.(*ast.SequenceNode)
+	if !ok {
+		r.fail(n, "%s must be a list", n.path)
+		return nil
+	}
+	for i, v := range seq.Values {
+		items = append(items, node{value: v, path: fmt.Sprintf("%s[%d]", n.path, i)})
+	}
+	return items
+}
+
+// text decodes a required string.
+func (r *reader) text(n node) string {
+	if !n.present() {
+		r.fail(n, "%s is missing", n.path)
+		return ""
+	}
+	s, ok := n.value.(*ast.StringNode)
+	if !ok {
+		r.fail(n, "%s must be a string", n.path)
+		return ""
+	}
+	if s.Value == "" {
+		r.fail(n, "%s must not be empty", n.path)
+	}
+	return s.Value
+}
+
+// name decodes a required kebab-case name.
+func (r *reader) name(n node) string {
+	s := r.text(n)
+	if s != "" && !isKebab(s) {
+		r.fail(n, "%s %q must be in kebab case: small letters, digits and single hyphens", n.path, s)
+	}
+	return s
+}
+
+func isKebab(s string) bool {
+	for _, part := range strings.Split(s, "-") {
+		if part == "" {
+			return false
+		}
+		for _, c := range part {
+			if (c < 'a' || c > 'z') && (c < '0' || c > '9') {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// integer decodes a whole number between low and high, or takes the default.
+func (r *reader) integer(n node, low, high, def int) int {
+	if !n.present() {
+		return def
+	}
+	in, ok := n.value.(*ast.IntegerNode)
+	if !ok {
+		r.fail(n, "%s must be a whole number", n.path)
+		return def
+	}
+	v, err := strconv.Atoi(in.GetToken().Value)
+	if err != nil || v < low || v > high {
+		r.fail(n, "%s is %s but must be between %d and %d", n.path, in.GetToken().Value, low, high)
+		return def
+	}
+	return v
+}
+
+// fraction decodes a number between low and high, or takes the default.
+func (r *reader) fraction(n node, low, high, def float64) float64 {
+	if !n.present() {
+		return def
+	}
+	switch n.value.(type) {
+	case *ast.FloatNode, *ast.IntegerNode:
+	default:
+		r.fail(n, "%s must be a number", n.path)
+		return def
+	}
+	v, err := strconv.ParseFloat(n.value.GetToken().Value, 64)
+	if err != nil || v < low || v > high {
+		r.fail(n, "%s is %s but must be between %g and %g", n.path, n.value.GetToken().Value, low, high)
+		return def
+	}
+	return v
+}
+
+// flag decodes a boolean, or takes the default.
+func (r *reader) flag(n node, def bool) bool {
+	if !n.present() {
+		return def
+	}
+	b, ok := n.value.(*ast.BoolNode)
+	if !ok {
+		r.fail(n, "%s must be true or false", n.path)
+		return def
+	}
+	return b.Value
+}
+
+// duration decodes a required positive duration.
+func (r *reader) duration(n node) time.Duration {
+	s := r.text(n)
+	if s == "" {
+		return 0
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		r.fail(n, "%s %q is not a duration such as 250ms or 2s", n.path, s)
+		return 0
+	}
+	if d <= 0 {
+		r.fail(n, "%s %q must be positive", n.path, s)
+	}
+	return d
+}
+
+// instant decodes a required RFC 3339 time.
+func (r *reader) instant(n node) time.Time {
+	s := r.text(n)
+	if s == "" {
+		return time.Time{}
+	}
+	t, err := time.Parse(time.RFC3339, s)
+	if err != nil {
+		r.fail(n, "%s %q is not an RFC 3339 time such as 2026-12-04T12:00:00Z", n.path, s)
+	}
+	return t
+}
+
+// address decodes a required IP number with a port.
+func (r *reader) address(n node) netip.AddrPort {
+	s := r.text(n)
+	if s == "" {
+		return netip.AddrPort{}
+	}
+	addr, err := netip.ParseAddrPort(s)
+	if err != nil || addr.Port() == 0 {
+		r.fail(n, "%s %q is not an IP number with a port such as 10.0.0.1:8080", n.path, s)
+	}
+	return addr
+}
--- /dev/null
+++ b/pkg/publisher/publisher.go
@@ -0,0 +1,223 @@
+// Package publisher writes environment documents to the platform's store and
+// reads them back. Document revisions only grow: each publication is a
+// compare-and-swap on the one before.
+package publisher
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/google/uuid"
+
+	"samphiremux/pkg/storer"
+)
+
+// maxEnvelopeBytes bounds an envelope before compression.
+const maxEnvelopeBytes = 8 << 20
+
+// Revision counts the documents of one environment.
+type Revision uint64
+
+// Envelope is a published document with the facts of its publication.
+type Envelope struct {
+	Environment string    `json:"environment"`
+	Revision    Revision  `json:"revision"`
+	ChangeID    string    `json:"change-id"`
+	Digest      string    `json:"digest"`
+	Author      string    `json:"author"`
+	PublishedAt time.Time `json:"published-at"`
+	// Source names the environment and revision that the document was
+	// promoted from.
+	Source   string `json:"source,omitempty"`
+	Document string `json:"document"`
+}
+
+// Digest returns the SHA-256 of a document in hexadecimal.
+func Digest(document []byte) string {
+	sum := sha256.Sum256(document)
+	return hex.EncodeToString(sum[:])
+}
+
+// Encode returns the stored form of an envelope: JSON, compressed by gzip since
+// every entry reads every change.
+func (e Envelope) Encode() (data []byte, err error) {
+	var buf bytes.Buffer
+	zw := gzip.NewWriter(&buf)
+	if err := json.NewEncoder(zw).Encode(e); err != nil {
+		return nil, fmt.Errorf("published document: %w", err)
+	}
+	if err := zw.Close(); err != nil {
+		return nil, fmt.Errorf("published document: %w", err)
+	}
+	return buf.Bytes(), nil
+}
+
+// Decode reads an envelope and checks its digest.
+func Decode(data []byte) (e Envelope, err error) {
+	zr, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return Envelope{}, fmt.Errorf("published document: %w", err)
+	}
+	if err := json.NewDecoder(io.LimitReader(zr, maxEnvelopeBytes)).Decode(&e); err != nil {
+		return Envelope{}, fmt.Errorf("published document: %w", err)
+	}
+	if got := Digest([]byte(e.Document)); got != e.Digest {
+		return Envelope{}, fmt.Errorf("published document at revision %d has digest %s but declares %s", e.Revision, got, e.Digest)
+	}
+	return e, nil
+}
+
+// DocumentKey is the key of the document in force.
+func DocumentKey(environment string) string { return "samphiremux/" + environment + "/document" }
+
+// Prefix is the prefix of all keys that entries watch.
+func Prefix(environment string) string { return "samphiremux/" + environment + "/" }
+
+// HistoryPrefix is the prefix of the keys of past documents. It lies outside
+// Prefix, so that watches do not carry each document twice.
+func HistoryPrefix(environment string) string { return "samphiremux-history/" + environment + "/" }
+
+func historyKey(environment string, r Revision) string {
+	return fmt.Sprintf("%s%010d", HistoryPrefix(environment), r)
+}
+
+// EntryPrefix is the prefix of the registrations of entries.
+func EntryPrefix(environment string) string { return "samphiremux/" + environment + "/entries/" }
+
+// MoveKey is the key of the record of a service's version move.
+func MoveKey(environment, service string) string {
+	return "samphiremux/" + environment + "/moves/" + service
+}
+
+// Current reads the document in force and the store revision that guards it.
+// A zero envelope and guard mean that none was published.
+func Current(ctx context.Context, s storer.Store, environment string) (e Envelope, guard storer.Revision, err error) {
+	pair, err := s.Get(ctx, DocumentKey(environment))
+	var absent storer.ErrNoSuchKey
+	if errors.As(err, &absent) {
+		return Envelope{Environment: environment}, 0, nil
+	}
+	if err != nil {
+		return Envelope{}, 0, err
+	}
+	e, err = Decode(pair.Value)
+	return e, pair.Modified, err
+}
+
+// Change is a document to publish.
+type Change struct {
+	Environment string
+	Document    []byte
+	Author      string
+	Source      string
+	At          time.Time
+}
+
+// ErrStale says that another operator published since the base revision.
+type ErrStale struct {
+	Base    Revision
+	Current Envelope
+}
+
+func (e ErrStale) Error() string {
+	return fmt.Sprintf("the change is based on revision %d but revision %d by %s is in force", e.Base, e.Current.Revision, e.Current.Author)
+}
+
+// ErrNotKnown says that the store's answer was lost and could not be settled.
+type ErrNotKnown struct{ Cause error }
+
+func (e ErrNotKnown) Error() string {
+	return fmt.Sprintf("whether the change was applied is not known: %v", e.Cause)
+}
+func (e ErrNotKnown) Unwrap() error { return e.Cause }
+
+// Publish stores a document if base is still the revision in force. An unknown
+// outcome is settled by reading back.
+func Publish(ctx context.Context, s storer.Store, base Revision, c Change) (e Envelope, err error) {
+	current, guard, err := Current(ctx, s, c.Environment)
+	if err != nil {
+		return Envelope{}, err
+	}
+	if current.Revision != base {
+		return Envelope{}, ErrStale{Base: base, Current: current}
+	}
+	e = Envelope{
+		Environment: c.Environment,
+		Revision:    base + 1,
+		ChangeID:    uuid.NewString(),
+		Digest:      Digest(c.Document),
+		Author:      c.Author,
+		PublishedAt: c.At,
+		Source:      c.Source,
+		Document:    string(c.Document),
+	}
+	data, err := e.Encode()
+	if err != nil {
+		return Envelope{}, err
+	}
+	key := DocumentKey(c.Environment)
+	outcome := s.Swap(ctx, storer.Guard{Key: key, Modified: guard},
+		storer.Put{Key: key, Value: data}, storer.Put{Key: historyKey(c.Environment, e.Revision), Value: data})
+	if unknown, ok := outcome.(storer.Unknown); ok {
+		outcome = settle(ctx, s, e, unknown)
+	}
+	switch o := outcome.(type) {
+	case storer.Done:
+		return e, nil
+	case storer.NotDone:
+		return Envelope{}, refusal(ctx, s, base, c.Environment, o.Cause)
+	case storer.Unknown:
+		return e, ErrNotKnown{Cause: o.Cause}
+	default:
+		return Envelope{}, fmt.Errorf("unexpected outcome %T", outcome)
+	}
+}
+
+// settle reads the history entry of the change, which stays even if a later
+// document has replaced it.
+func settle(ctx context.Context, s storer.Store, e Envelope, unknown storer.Unknown) storer.Outcome {
+	outcome := storer.SettleUnknown(ctx, s, historyKey(e.Environment, e.Revision), func(data []byte) bool {
+		got, err := Decode(data)
+		return err == nil && got.ChangeID == e.ChangeID
+	})
+	if _, ok := outcome.(storer.Unknown); ok {
+		return unknown
+	}
+	return outcome
+}
+
+func refusal(ctx context.Context, s storer.Store, base Revision, environment string, cause error) error {
+	var conflict storer.ErrConflict
+	if !errors.As(cause, &conflict) {
+		return cause
+	}
+	now, _, err := Current(ctx, s, environment)
+	if err != nil {
+		return err
+	}
+	return ErrStale{Base: base, Current: now}
+}
+
+// History lists past documents, oldest first.
+func History(ctx context.Context, s storer.Store, environment string) (all []Envelope, err error) {
+	pairs, _, err := s.List(ctx, HistoryPrefix(environment))
+	if err != nil {
+		return nil, err
+	}
+	for _, p := range pairs {
+		e, err := Decode(p.Value)
+		if err != nil {
+			return nil, fmt.Errorf("history key %q: %w", p.Key, err)
+		}
+		all = append(all, e)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/pkg/storer/storer.go
@@ -0,0 +1,117 @@
+// Package storer reaches the platform's key-value store through one narrow
+// interface: read, compare-and-swap, lease and watch.
+package storer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Revision counts the changes of the whole store. It grows by one with each
+// change.
+type Revision int64
+
+// LeaseID names a lease. Zero means no lease.
+type LeaseID int64
+
+// Pair is a key with its value and the revision of its last change.
+type Pair struct {
+	Key      string
+	Value    []byte
+	Modified Revision
+}
+
+// Put is one write of a swap. A lease other than zero removes the key when the
+// lease lapses.
+type Put struct {
+	Key   string
+	Value []byte
+	Lease LeaseID
+}
+
+// Guard is the condition of a swap: the key was last changed at Modified, or
+// does not exist if Modified is zero.
+type Guard struct {
+	Key      string
+	Modified Revision
+}
+
+// Store is what the project needs of the platform's store. Each call ends by
+// the deadline of its context.
+type Store interface {
+	// Get reads one key. It returns ErrNoSuchKey if the key does not exist.
+	Get(ctx context.Context, key string) (Pair, error)
+	// List reads all keys with a prefix and the revision of the answer.
+	List(ctx context.Context, prefix string) ([]Pair, Revision, error)
+	// Swap writes the puts if the guard holds.
+	Swap(ctx context.Context, guard Guard, puts ...Put) Outcome
+	// Grant creates a lease that lapses ttl after its last renewal.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// Renew extends a lease. It returns ErrLeaseLapsed if it has lapsed.
+	Renew(ctx context.Context, id LeaseID) error
+	// Revoke ends a lease and removes its keys.
+	Revoke(ctx context.Context, id LeaseID) error
+	// Watch calls f for each batch of changes below a prefix that come after
+	// a revision. It returns when the watch breaks or ctx ends, with
+	// ErrCompacted if the changes are no longer kept.
+	Watch(ctx context.Context, prefix string, after Revision, f func([]Event)) error
+}
+
+// Event is one change seen by a watch.
+type Event struct {
+	Pair    Pair
+	Deleted bool
+}
+
+// Outcome is the answer to a swap: Done, NotDone or Unknown.
+type Outcome interface{ outcome() }
+
+// Done says that the swap took effect at a revision.
+type Done struct{ Revision Revision }
+
+// NotDone says that the guard did not hold or the store refused the swap.
+type NotDone struct{ Cause error }
+
+// Unknown says that no answer came: the swap may have taken effect.
+type Unknown struct{ Cause error }
+
+func (Done) outcome()    {}
+func (NotDone) outcome() {}
+func (Unknown) outcome() {}
+
+// ErrConflict says that the guard of a swap did not hold.
+type ErrConflict struct{ Key string }
+
+func (e ErrConflict) Error() string { return fmt.Sprintf("key %q has changed", e.Key) }
+
+// ErrNoSuchKey says that a key does not exist.
+type ErrNoSuchKey struct{ Key string }
+
+func (e ErrNoSuchKey) Error() string { return fmt.Sprintf("key %q does not exist", e.Key) }
+
+// ErrLeaseLapsed says that a lease no longer exists.
+type ErrLeaseLapsed struct{ ID LeaseID }
+
+func (e ErrLeaseLapsed) Error() string { return fmt.Sprintf("lease %x has lapsed", int64(e.ID)) }
+
+// ErrCompacted says that a watch asked for changes that are no longer kept.
+var ErrCompacted = errors.New("the changes asked for are no longer kept")
+
+// SettleUnknown decides an unknown outcome by reading the key back. Matches
+// tells whether a value is the one that was written.
+func SettleUnknown(ctx context.Context, s Store, key string, matches func([]byte) bool) Outcome {
+	pair, err := s.Get(ctx, key)
+	var absent ErrNoSuchKey
+	switch {
+	case errors.As(err, &absent):
+		return NotDone{Cause: err}
+	case err != nil:
+		return Unknown{Cause: err}
+	case matches(pair.Value):
+		return Done{Revision: pair.Modified}
+	default:
+		return NotDone{Cause: ErrConflict{Key: key}}
+	}
+}
--- /dev/null
+++ b/standin/demonstrator/demonstrator.go
@@ -0,0 +1,113 @@
+// Package demonstrator shows the main job: both deployments at today's size in
+// one process, with callers that check every answer.
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"samphiremux/entry/chooser"
+	"samphiremux/standin/caller"
+	"samphiremux/standin/generator"
+	"samphiremux/standin/hoster"
+	"samphiremux/standin/loader"
+)
+
+const (
+	callers    = 8
+	settleTime = 4 * time.Second
+	rate       = 150 // calls per second to each service
+	writes     = 0.3
+)
+
+// Options describe a demonstration.
+type Options struct {
+	Entries int
+	Length  time.Duration
+	Seed    uint64
+	Log     hclog.Logger
+}
+
+// Verdict is what a demonstration found.
+type Verdict struct {
+	Calls   int
+	Whole   int
+	Refused int
+	Wrong   int
+	Cut     int
+	Doubled int
+}
+
+// Good tells whether no answer was wrong, cut or doubled.
+func (v Verdict) Good() bool { return v.Calls > 0 && v.Wrong == 0 && v.Cut == 0 && v.Doubled == 0 }
+
+// Run shows both deployments one after the other and prints what callers saw.
+func Run(ctx context.Context, o Options, out io.Writer) (total Verdict, err error) {
+	for _, d := range []hoster.Deployment{hoster.Trust(), hoster.Association()} {
+		v, err := runOne(ctx, o, d.WithLoopback(), out)
+		if err != nil {
+			return total, err
+		}
+		total = Verdict{
+			total.Calls + v.Calls, total.Whole + v.Whole, total.Refused + v.Refused, total.Wrong + v.Wrong,
+			total.Cut + v.Cut, total.Doubled + v.Doubled,
+		}
+	}
+	_, _ = fmt.Fprintf(out, "calls %d, whole answers %d, refused %d, wrong %d, cut %d, doubled %d\n",
+		total.Calls, total.Whole, total.Refused, total.Wrong, total.Cut, total.Doubled)
+	return total, nil
+}
+
+func runOne(ctx context.Context, o Options, d hoster.Deployment, out io.Writer) (v Verdict, err error) {
+	w, err := hoster.New(hoster.Options{
+		Deployment: d, Ground: hoster.Loopback{}, Entries: o.Entries, Policy: chooser.ExpectedCompletion{},
+		Seed: o.Seed, WarmUp: time.Second, Log: o.Log,
+	}, d.Document("trial"))
+	if err != nil {
+		return v, err
+	}
+	defer w.Close()
+	if err := w.StartEntries(); err != nil {
+		return v, err
+	}
+	select {
+	case <-time.After(settleTime):
+	case <-ctx.Done():
+		return v, ctx.Err()
+	}
+	run := loader.Run{Callers: callers, Length: o.Length, Seed: o.Seed}
+	for _, s := range d.Services {
+		p := loader.Plan{
+			Service: s.Name, Path: s.Routes[0].PathPrefix, Keyed: true, Arrivals: generator.Arrivals{PerSecond: rate},
+			Work: generator.NewLognormal(12*time.Millisecond, 60*time.Millisecond),
+		}
+		if len(s.Routes) > 1 {
+			p.Writes = writes
+		}
+		run.Plans = append(run.Plans, p)
+	}
+	summary := loader.Drive(ctx, w, run)
+	v = Judge(w, summary)
+	_, err = fmt.Fprintf(out, "%s: %d backend servers, %d entries: %s; p50 %v, p99 %v\n",
+		d.Name, len(w.Servers), o.Entries, summary.Line(), summary.Quantile(50), summary.Quantile(99))
+	return v, err
+}
+
+// Judge holds what callers saw against what backend servers ran.
+func Judge(w *hoster.World, s *loader.Summary) (v Verdict) {
+	v.Calls = s.Total()
+	v.Whole = s.Counts[loader.Name(caller.Whole{})]
+	v.Refused = s.Counts[loader.Name(caller.Refused{})]
+	v.Wrong = s.Counts[loader.Name(caller.Wrong{})]
+	v.Cut = s.Counts[loader.Name(caller.Broken{})]
+	for id := range s.Writes {
+		if w.Ledger.Runs(id) > 1 {
+			v.Doubled++
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/standin/hoster/ground.go
@@ -0,0 +1,36 @@
+package hoster
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"samphiremux/standin/networker"
+)
+
+// Ground is the network that a world stands on: real loopback sockets or an
+// in-memory network.
+type Ground interface {
+	Listen(address netip.AddrPort) (net.Listener, error)
+	Dial(ctx context.Context, from netip.Addr, to netip.AddrPort) (net.Conn, error)
+	Place(host netip.Addr, location string)
+}
+
+var _ Ground = (*networker.Network)(nil)
+
+// Loopback is a ground of real sockets in 127.0.0.0/8.
+type Loopback struct{}
+
+// Listen implements Ground.
+func (Loopback) Listen(address netip.AddrPort) (net.Listener, error) {
+	return net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
+}
+
+// Dial implements Ground. The connection comes from the host's own address.
+func (Loopback) Dial(ctx context.Context, from netip.Addr, to netip.AddrPort) (net.Conn, error) {
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: from.AsSlice()}}
+	return d.DialContext(ctx, "tcp", to.String())
+}
+
+// Place implements Ground. Loopback has no locations.
+func (Loopback) Place(netip.Addr, string) {}
--- /dev/null
+++ b/standin/platformer/store.go
@@ -0,0 +1,358 @@
+// Package platformer stands in for the platform: its key-value store behind
+// the etcd v3 JSON gateway, and its lagging list of VMs. It makes faults on
+// demand.
+package platformer
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"samphiremux/pkg/storer"
+)
+
+const maxEvents = 4096
+
+// errDown says that the store does not answer.
+var errDown = errors.New("store is down")
+
+// Store keeps keys in memory. It implements storer.Store and is also served
+// over HTTP by Handler.
+type Store struct {
+	mu        sync.Mutex
+	revision  storer.Revision
+	data      map[string]storer.Pair
+	leaseOf   map[string]storer.LeaseID
+	leases    map[storer.LeaseID]*lease
+	nextLease storer.LeaseID
+	events    []storer.Event
+	compacted storer.Revision
+	changed   chan struct{}
+	faults    Faults
+	broken    chan struct{} // closed to break watches
+	calls     map[string]int64
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+	timer   *time.Timer
+}
+
+// Faults are the store's faults in force.
+type Faults struct {
+	// Down makes every call wait for its context.
+	Down bool
+	// Slow delays every answer by SlowBy.
+	SlowBy time.Duration
+	// LoseAnswers drops the answers of this many writes after their effect.
+	LoseAnswers int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		data:    map[string]storer.Pair{},
+		leaseOf: map[string]storer.LeaseID{},
+		leases:  map[storer.LeaseID]*lease{},
+		changed: make(chan struct{}),
+		broken:  make(chan struct{}),
+		calls:   map[string]int64{},
+	}
+}
+
+// SetFaults replaces the faults in force. Down breaks all watches.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	if f.Down {
+		s.breakWatches()
+	}
+}
+
+// BreakWatches ends all watches.
+func (s *Store) BreakWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.breakWatches()
+}
+
+func (s *Store) breakWatches() {
+	close(s.broken)
+	s.broken = make(chan struct{})
+}
+
+// Compact forgets the events kept for watches.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = nil
+	s.compacted = s.revision
+}
+
+// Calls returns the calls made so far, by kind.
+func (s *Store) Calls() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls := map[string]int64{}
+	for k, v := range s.calls {
+		calls[k] = v
+	}
+	return calls
+}
+
+// Force writes a key without a guard, as a store restored from a backup would.
+func (s *Store) Force(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.write(storer.Put{Key: key, Value: value})
+	s.wake()
+}
+
+// enter counts a call and waits out its faults.
+func (s *Store) enter(ctx context.Context, kind string) error {
+	s.mu.Lock()
+	s.calls[kind]++
+	f := s.faults
+	s.mu.Unlock()
+	if f.Down {
+		<-ctx.Done()
+		return errDown
+	}
+	if f.SlowBy > 0 {
+		select {
+		case <-time.After(f.SlowBy):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return ctx.Err()
+}
+
+// leave waits for the context if the answer of a write is to be lost.
+func (s *Store) leave(ctx context.Context) error {
+	s.mu.Lock()
+	lost := s.faults.LoseAnswers > 0
+	if lost {
+		s.faults.LoseAnswers--
+	}
+	s.mu.Unlock()
+	if !lost {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Get implements storer.Store.
+func (s *Store) Get(ctx context.Context, key string) (storer.Pair, error) {
+	if err := s.enter(ctx, "range"); err != nil {
+		return storer.Pair{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.data[key]
+	if !ok {
+		return storer.Pair{}, storer.ErrNoSuchKey{Key: key}
+	}
+	return p, nil
+}
+
+// List implements storer.Store.
+func (s *Store) List(ctx context.Context, prefix string) (pairs []storer.Pair, at storer.Revision, err error) {
+	if err := s.enter(ctx, "range"); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, p := range s.data {
+		if strings.HasPrefix(key, prefix) {
+			pairs = append(pairs, p)
+		}
+	}
+	slices.SortFunc(pairs, func(a, b storer.Pair) int { return strings.Compare(a.Key, b.Key) })
+	return pairs, s.revision, nil
+}
+
+// Swap implements storer.Store.
+func (s *Store) Swap(ctx context.Context, guard storer.Guard, puts ...storer.Put) storer.Outcome {
+	if err := s.enter(ctx, "txn"); err != nil {
+		return storer.Unknown{Cause: err}
+	}
+	outcome := s.swap(guard, puts)
+	if err := s.leave(ctx); err != nil {
+		return storer.Unknown{Cause: err}
+	}
+	return outcome
+}
+
+func (s *Store) swap(guard storer.Guard, puts []storer.Put) storer.Outcome {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.data[guard.Key].Modified != guard.Modified {
+		return storer.NotDone{Cause: storer.ErrConflict{Key: guard.Key}}
+	}
+	for _, p := range puts {
+		if _, ok := s.leases[p.Lease]; p.Lease != 0 && !ok {
+			return storer.NotDone{Cause: storer.ErrLeaseLapsed{ID: p.Lease}}
+		}
+	}
+	s.revision++
+	for _, p := range puts {
+		s.write(p)
+	}
+	s.wake()
+	return storer.Done{Revision: s.revision}
+}
+
+func (s *Store) write(p storer.Put) {
+	pair := storer.Pair{Key: p.Key, Value: p.Value, Modified: s.revision}
+	s.data[p.Key] = pair
+	s.leaseOf[p.Key] = p.Lease
+	s.record(storer.Event{Pair: pair})
+}
+
+func (s *Store) record(e storer.Event) {
+	s.events = append(s.events, e)
+	if len(s.events) > maxEvents {
+		s.compacted = s.events[0].Pair.Modified
+		s.events = s.events[1:]
+	}
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Grant implements storer.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (storer.LeaseID, error) {
+	if err := s.enter(ctx, "lease"); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextLease++
+	id := s.nextLease
+	l := &lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	l.timer = time.AfterFunc(ttl, func() { s.lapse(id) })
+	s.leases[id] = l
+	return id, nil
+}
+
+// lapse ends a lease at its time. A lease does not lapse while the store is
+// down, but as soon as it is back.
+func (s *Store) lapse(id storer.LeaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leases[id]
+	if !ok {
+		return
+	}
+	if wait := time.Until(l.expires); wait > 0 {
+		l.timer.Reset(wait)
+		return
+	}
+	if s.faults.Down {
+		l.timer.Reset(time.Second)
+		return
+	}
+	s.end(id)
+}
+
+func (s *Store) end(id storer.LeaseID) {
+	s.leases[id].timer.Stop()
+	delete(s.leases, id)
+	s.revision++
+	for key, owner := range s.leaseOf {
+		if owner == id {
+			delete(s.data, key)
+			delete(s.leaseOf, key)
+			s.record(storer.Event{Pair: storer.Pair{Key: key, Modified: s.revision}, Deleted: true})
+		}
+	}
+	s.wake()
+}
+
+// LapseAll ends every lease now, as after a pause of all holders.
+func (s *Store) LapseAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.end(id)
+	}
+}
+
+// Renew implements storer.Store.
+func (s *Store) Renew(ctx context.Context, id storer.LeaseID) error {
+	if err := s.enter(ctx, "lease"); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leases[id]
+	if !ok {
+		return storer.ErrLeaseLapsed{ID: id}
+	}
+	l.expires = time.Now().Add(l.ttl)
+	return nil
+}
+
+// Revoke implements storer.Store.
+func (s *Store) Revoke(ctx context.Context, id storer.LeaseID) error {
+	if err := s.enter(ctx, "lease"); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.leases[id]; ok {
+		s.end(id)
+	}
+	return nil
+}
+
+// Watch implements storer.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after storer.Revision, f func([]storer.Event)) error {
+	if err := s.enter(ctx, "watch"); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	broken := s.broken
+	s.mu.Unlock()
+	for {
+		events, next, changed, err := s.eventsAfter(prefix, after)
+		if err != nil {
+			return err
+		}
+		if len(events) > 0 {
+			f(events)
+		}
+		after = next
+		select {
+		case <-changed:
+		case <-broken:
+			return errDown
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (s *Store) eventsAfter(prefix string, after storer.Revision) (events []storer.Event, next storer.Revision, changed <-chan struct{}, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < s.compacted {
+		return nil, 0, nil, storer.ErrCompacted
+	}
+	for _, e := range s.events {
+		if e.Pair.Modified > after && strings.HasPrefix(e.Pair.Key, prefix) {
+			events = append(events, e)
+		}
+	}
+	return events, s.revision, s.changed, nil
+}
