dispatcher: hedge on evidence and try again

Cause: calls on a server that turned slow waited out its slowness: a hedge that found no free server or no budget at its one moment was never sent. Change: hedges are tried again every 4 ms; other slow requests at the server are evidence, without which a hedge waits for 1.6 times the delay.

--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -21,9 +21,13 @@
 )
 
 const (
-	// hedgeQuantile is the latency quantile after which a request is sent to a
-	// second server.
-	hedgeQuantile = 90
+	// hedgeQuantile is the latency quantile after which a request may be sent to
+	// a second server, if the first shows other signs of slowness.
+	hedgeQuantile = 80
+	// hedgeSlowness is the slowness, by other requests, that is such a sign.
+	hedgeSlowness = 1.5
+	// hedgeAnyway is the age, in hedge delays, from which no other sign is needed.
+	hedgeAnyway = 1.6
 	// hedgeSamples is the number of answers needed before hedges start.
 	hedgeSamples = 100
 	// hedgeRefresh is the time between two readings of the quantile.
@@ -382,6 +386,9 @@
 		return nil, false
 	}
 	now := d.now()
+	if !d.overdue(now, t) {
+		return nil, false
+	}
 	var spare []chooser.Candidate
 	for _, c := range d.candidates(now, t.Server.Server.Version, t.Server.Server.Name) {
 		if float64(c.InFlight) < c.Share && c.InFlight < c.Quota && d.servers[c.Server] != t.state {
@@ -395,6 +402,21 @@
 	return d.issue(now, d.servers[spare[i].Server], t.Request), true
 }
 
+// overdue tells whether a request is late enough for a hedge. The older it is,
+// the less other evidence of a slow server is needed.
+func (d *Dispatcher) overdue(now time.Time, t *Ticket) bool {
+	if float64(now.Sub(t.start)) >= hedgeAnyway*float64(d.hedgeAt) {
+		return true
+	}
+	others := make([]time.Time, 0, len(t.state.starts))
+	for _, start := range t.state.starts {
+		if !start.Equal(t.start) {
+			others = append(others, start)
+		}
+	}
+	return t.state.speed.Ratio(now, d.mean.Value(), others) >= hedgeSlowness
+}
+
 // HedgeDelay returns the time after which an unanswered request may be sent to
 // a second server, or false if too little is known.
 func (d *Dispatcher) HedgeDelay() (time.Duration, bool) {
--- a/entry/forwarder/attempt.go
+++ b/entry/forwarder/attempt.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// hedgeRetry is the time after which a hedge that found no free server or
+	// no budget is tried again.
+	hedgeRetry = 4 * time.Millisecond
 	// deathCheck bounds the check whether a server that lost a request is down.
 	deathCheck = 100 * time.Millisecond
 	// silenceRatio is the age of an unanswered attempt, in mean latencies, from
@@ -90,7 +93,9 @@
 				f.node.Counters().Retried(retrier.CauseHedge)
 				running, hedges = running+1, hedges+1
 				go func() { ends <- f.send(ctx, c, second, number+1) }()
+				continue
 			}
+			timer.Reset(hedgeRetry)
 		case end := <-ends:
 			running--
 			end.died = end.died || failed.died
