--- a/pkg/publisher/publisher.go
+++ b/pkg/publisher/publisher.go
@@ -23,6 +23,10 @@
 // maxEnvelopeBytes bounds an envelope before compression.
 const maxEnvelopeBytes = 8 << 20
 
+// swapLimit bounds the wait for the answer to a publication, so that time is
+// left to read it back.
+const swapLimit = 2 * time.Second
+
 // Revision counts the documents of one environment.
 type Revision uint64
 
@@ -164,7 +168,9 @@
 		return Envelope{}, err
 	}
 	key := DocumentKey(c.Environment)
-	outcome := s.Swap(ctx, storer.Guard{Key: key, Modified: guard},
+	swapCtx, cancel := context.WithTimeout(ctx, swapLimit)
+	defer cancel()
+	outcome := s.Swap(swapCtx, storer.Guard{Key: key, Modified: guard},
 		storer.Put{Key: key, Value: data}, storer.Put{Key: historyKey(c.Environment, e.Revision), Value: data})
 	if unknown, ok := outcome.(storer.Unknown); ok {
 		outcome = settle(ctx, s, e, unknown)
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -228,10 +228,6 @@
 	req.Header.Set(responder.WorkHeader, call.Work.String())
 	if call.Key != "" {
 		req.Header.Set("Idempotency-Key", call.Key)
-		if len(call.Body) == 0 {
-			// A body without GetBody keeps the transport from sending it twice.
-			req.Body = io.NopCloser(strings.NewReader(""))
-		}
 	}
 	if call.Poison {
 		req.Header.Set(responder.PoisonHeader, "1")
--- /dev/null
+++ b/standin/fuzzer/draw.go
@@ -0,0 +1,71 @@
+package fuzzer
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+)
+
+// Shards is the number of leanings of drawn scripts.
+const Shards = 8
+
+// leanings lists the verbs that each shard draws more often than others.
+var leanings = [Shards][]string{
+	{"store-down", "store-up", "store-slow", "store-forget", "lapse-all", "break-watches", "compact", "apply", "race"},
+	{"kill", "start", "stop", "start", "kill", "start", "store-down", "store-up"},
+	{"cut", "mend", "cut-store", "mend-store", "pause", "resume", "kill", "start"},
+	{"crash", "turn-cold", "slow", "drain", "undrain", "poison"},
+	{"cut-answers", "cross-answers", "silence", "poison", "crash"},
+	{"domain-out", "domain-in", "leave", "apply", "stop", "start"},
+	{"pause", "resume", "lapse-all", "cut-store", "mend-store", "kill", "start"},
+	{"move", "slow", "domain-out", "domain-in", "store-down", "store-up", "kill", "start"},
+}
+
+// allVerbs are drawn by every shard now and then.
+var allVerbs = []string{
+	"crash", "turn-cold", "slow", "drain", "undrain", "cut-answers", "cross-answers", "silence", "poison", "kill",
+	"stop", "start", "pause", "resume", "cut", "mend", "cut-store", "mend-store", "store-down", "store-up",
+	"store-slow", "store-forget", "lapse-all", "break-watches", "compact", "domain-out", "domain-in", "apply", "race",
+	"leave", "move",
+}
+
+// leanPercent is the part of steps that follow the shard's leaning.
+const leanPercent = 70
+
+// DrawStep draws a step with choose, which returns a number between two bounds.
+func DrawStep(shard int, at time.Duration, choose func(low, high int) int, entries int) Step {
+	from := allVerbs
+	if choose(1, 100) <= leanPercent {
+		from = leanings[shard%Shards]
+	}
+	st := Step{At: at, Verb: from[choose(0, len(from)-1)]}
+	for i := range verbs[st.Verb].args {
+		st.Args = append(st.Args, drawArg(st.Verb, i, choose, entries))
+	}
+	return st
+}
+
+func drawArg(verb string, index int, choose func(low, high int) int, entries int) string {
+	switch verb {
+	case "crash", "turn-cold", "drain", "undrain", "leave":
+		return drawServer(choose)
+	case "slow", "cut-answers", "cross-answers":
+		if index == 0 {
+			return drawServer(choose)
+		}
+		return strconv.Itoa(choose(1, 10))
+	case "poison", "move":
+		return []string{"catalogue", "booking"}[choose(0, 1)]
+	case "domain-out", "domain-in":
+		return deployment().Domains[choose(0, 2)]
+	case "store-forget":
+		return strconv.Itoa(choose(1, 4))
+	default:
+		return strconv.Itoa(choose(1, entries))
+	}
+}
+
+func drawServer(choose func(low, high int) int) string {
+	names := []string{"catalogue", "booking"}
+	return fmt.Sprintf("%s-%d", names[choose(0, 1)], choose(1, 4))
+}
--- /dev/null
+++ b/standin/fuzzer/oracle.go
@@ -0,0 +1,253 @@
+package fuzzer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"samphiremux/entry/mover"
+	"samphiremux/standin/caller"
+	"samphiremux/standin/loader"
+)
+
+// Bounds of the brief's promises.
+const (
+	// leaveLimit is the time after which a server that leaves, or whose failure
+	// domain is out, gets no new work.
+	leaveLimit = 3 * time.Second
+	// verdictLimit is the time after which a version that was taken back gets
+	// no new work.
+	verdictLimit = 2 * time.Second
+	// probeCost is the slot time of a probe with its connection.
+	probeCost   = 7 * time.Millisecond
+	probeBudget = 0.01
+	// fatalRuns is the most servers that one request may take down.
+	fatalRuns = 2
+	// finalWhole is the part of calls that must be answered after healing.
+	finalWhole = 0.97
+
+	watchInterval = 100 * time.Millisecond
+)
+
+// Names of invariants, one for each line of what must always hold.
+const (
+	invProbes   = "probe-budget"
+	invCold     = "cold-start"
+	invOut      = "no-new-work"
+	invVersion  = "bad-version"
+	invAnswer   = "own-whole-answer"
+	invNotRun   = "true-refusal"
+	invOnce     = "at-most-once"
+	invGraceful = "graceful-shutdown"
+	invConfig   = "accepted-configuration"
+	invPoison   = "poison"
+	invService  = "service-returns"
+)
+
+// oracle holds what happened against what must always hold.
+type oracle struct {
+	run *run
+
+	mu        sync.Mutex
+	findings  []Finding
+	leaving   map[string]time.Time
+	revisions map[string]uint64
+	takenBack map[string]time.Time
+	finals    int
+	wholes    int
+	finalSeen map[string]int
+	harsh     bool
+}
+
+func newOracle(r *run) *oracle {
+	o := &oracle{
+		run: r, leaving: map[string]time.Time{}, revisions: map[string]uint64{}, takenBack: map[string]time.Time{},
+		finalSeen: map[string]int{},
+	}
+	for _, st := range r.script.Steps {
+		switch st.Verb {
+		case "kill", "pause":
+			o.harsh = true
+		}
+	}
+	return o
+}
+
+func (o *oracle) report(invariant, format string, args ...any) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.add(invariant, format, args...)
+}
+
+// add notes a finding, the first of each invariant only. The lock is held.
+func (o *oracle) add(invariant, format string, args ...any) {
+	if slices.ContainsFunc(o.findings, func(f Finding) bool { return f.Invariant == invariant }) {
+		return
+	}
+	text := fmt.Sprintf("at %v: ", o.run.clock().Round(time.Millisecond)) + fmt.Sprintf(format, args...)
+	o.findings = append(o.findings, Finding{Invariant: invariant, Text: text})
+}
+
+// left notes that a server must get no new work a short time from now.
+func (o *oracle) left(server string, at time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, ok := o.leaving[server]; !ok {
+		o.leaving[server] = at
+	}
+}
+
+// back notes that a server may get work again.
+func (o *oracle) back(server string) {
+	o.checkLeaving()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.leaving, server)
+}
+
+func (o *oracle) checkLeaving() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for name, at := range o.leaving {
+		last := o.run.world.Servers[name].Stats().LastStart
+		if late := last.Sub(at); late > leaveLimit {
+			o.add(invOut, "server %s got work %v after it left", name, late.Round(time.Millisecond))
+		}
+	}
+}
+
+// called notes the results of a call and its resends.
+func (o *oracle) called(c caller.Call, final bool, results []caller.Result) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	allNotRun := true
+	for _, result := range results {
+		switch r := result.(type) {
+		case caller.Wrong:
+			o.add(invAnswer, "call %s got %s", c.ID, r.Got)
+			allNotRun = false
+		case caller.Broken:
+			if !o.harsh {
+				o.add(invGraceful, "call %s was cut: %v", c.ID, r.Cause)
+			}
+			allNotRun = false
+		case caller.NoEntry:
+			if !o.harsh {
+				o.add(invGraceful, "call %s reached no entry: %v", c.ID, r.Cause)
+			}
+			// The caller's own library may have sent the call before it gave up.
+			allNotRun = false
+		case caller.Refused:
+			allNotRun = allNotRun && r.Kind == "not-run"
+		default:
+			allNotRun = false
+		}
+	}
+	runs := o.run.world.Ledger.Runs(c.ID)
+	if allNotRun && runs > 0 {
+		o.add(invNotRun, "call %s was refused as not run by %+v but ran %d times", c.ID, results, runs)
+	}
+	if c.Method != http.MethodGet && runs > 1 {
+		o.add(invOnce, "call %s (key %q) ran %d times, on %v: %+v", c.ID, c.Key, runs, o.run.world.Ledger.Servers(c.ID), results)
+	}
+	if final {
+		o.finals++
+		last := results[len(results)-1]
+		if _, ok := last.(caller.Whole); ok {
+			o.wholes++
+		} else {
+			o.finalSeen[fmt.Sprintf("%s %s %+v", c.Service, loader.Name(last), last)]++
+		}
+	}
+}
+
+// poisoned checks how many servers a crashing request took down.
+func (o *oracle) poisoned(service string) {
+	if runs := o.run.world.Ledger.Runs("poison-" + service); runs > fatalRuns {
+		o.report(invPoison, "one request to %s crashed %d servers", service, runs)
+	}
+}
+
+// watch follows the revisions and verdicts of entries until ctx ends.
+func (o *oracle) watch(ctx context.Context) {
+	for {
+		select {
+		case <-time.After(watchInterval):
+		case <-ctx.Done():
+			return
+		}
+		o.look()
+		o.checkLeaving()
+		o.checkVersions()
+	}
+}
+
+func (o *oracle) look() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, h := range o.run.world.Entries {
+		if h.Entry == nil {
+			continue
+		}
+		node := h.Entry.Node()
+		id := node.Self().ID
+		revision := uint64(node.Envelope().Revision)
+		if revision > 0 && revision < o.revisions[id] {
+			o.add(invConfig, "%s went from revision %d back to %d", id, o.revisions[id], revision)
+		}
+		o.revisions[id] = max(o.revisions[id], revision)
+		for _, s := range o.run.world.Document().Services {
+			r, ok := node.Record(s.Name)
+			if !ok || r.Phase != mover.TakenBack || s.Move == nil || r.Move != mover.ID(*s.Move) {
+				continue
+			}
+			for _, srv := range s.Servers {
+				if _, known := o.takenBack[srv.Name]; !known && srv.Version == s.Move.To {
+					o.takenBack[srv.Name] = time.Now()
+				}
+			}
+		}
+	}
+}
+
+func (o *oracle) checkVersions() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for name, at := range o.takenBack {
+		last := o.run.world.Servers[name].Stats().LastStart
+		if late := last.Sub(at); late > verdictLimit {
+			o.add(invVersion, "server %s got work %v after its version was taken back", name, late.Round(time.Millisecond))
+		}
+	}
+}
+
+// finish checks what can be told at the end only.
+func (o *oracle) finish() {
+	o.checkLeaving()
+	o.checkVersions()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	elapsed := time.Since(o.run.began) + settleTime
+	for _, b := range o.run.world.Servers {
+		stats := b.Stats()
+		if stats.Falls > 0 {
+			o.add(invCold, "server %s fell over %d times; at most %d beyond what it bore", b.Name(), stats.Falls, stats.MostOver)
+		}
+		allowed := probeBudget*float64(b.Declared.Slots)*float64(elapsed) + float64(probeCost)
+		if used := float64(stats.Probes) * float64(probeCost); used > allowed {
+			o.add(invProbes, "server %s spent %v on probes of %v allowed", b.Name(), time.Duration(used), time.Duration(allowed))
+		}
+	}
+	want := uint64(o.run.world.Revision())
+	for _, h := range o.run.world.Entries {
+		if got := uint64(h.Entry.Node().Envelope().Revision); got != want && !o.run.restored {
+			o.add(invConfig, "%s has revision %d at the end but %d was accepted", h.Entry.Node().Self().ID, got, want)
+		}
+	}
+	if float64(o.wholes) < finalWhole*float64(o.finals) {
+		o.add(invService, "after healing %d of %d calls were answered: %v", o.wholes, o.finals, o.finalSeen)
+	}
+}
--- /dev/null
+++ b/standin/fuzzer/plant.go
@@ -0,0 +1,103 @@
+package fuzzer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"samphiremux/pkg/parser"
+	"samphiremux/standin/hoster"
+	"samphiremux/standin/platformer"
+	"samphiremux/standin/responder"
+)
+
+var noFaults platformer.Faults
+
+// Plants names the planted faults, each with the invariant that must find it.
+func Plants() map[string]string {
+	return map[string]string{
+		"probe-often":    invProbes,
+		"fall-early":     invCold,
+		"wrong-domain":   invOut,
+		"ignore-verdict": invVersion,
+		"no-echo":        invAnswer,
+		"shed-after-run": invNotRun,
+		"run-twice":      invOnce,
+		"stop-cuts":      invGraceful,
+		"forget-all":     invConfig,
+		"hide-crash":     invPoison,
+		"never-heal":     invService,
+	}
+}
+
+// plant builds the planted fault of the script into the world. It stands in the
+// stand-ins and the document, so that the entries' code has no switch for it.
+func (r *run) plant(doc parser.Document, o hoster.Options) (parser.Document, hoster.Options) {
+	switch r.script.Plant {
+	case "probe-often":
+		for _, s := range doc.Services {
+			s.ProbeBudget = 0.3
+			doc = doc.WithService(s)
+		}
+	case "fall-early":
+		o.WarmUp = time.Hour
+		o.FallAfter = time.Nanosecond
+		o.ColdBears = -10
+	case "no-echo":
+		for _, s := range doc.Services {
+			s.EchoesRequestID = false
+			doc = doc.WithService(s)
+		}
+		o.CrossQuietly = true
+	case "hide-crash":
+		o.StayUp = true
+	case "ignore-verdict":
+		o.Fault = func(srv parser.Server) func(*http.Request, float64) responder.Misbehaviour {
+			return func(*http.Request, float64) responder.Misbehaviour {
+				return responder.Misbehaviour{Fail: srv.Version == "v2"}
+			}
+		}
+	case "shed-after-run", "run-twice", "never-heal":
+		o.Fault = func(parser.Server) func(*http.Request, float64) responder.Misbehaviour {
+			return func(req *http.Request, _ float64) (m responder.Misbehaviour) {
+				m.ShedAfterRun = r.script.Plant == "shed-after-run"
+				m.RunTwice = r.script.Plant == "run-twice"
+				m.Fail = r.script.Plant == "never-heal" && r.clock() > r.script.Length
+				return m
+			}
+		}
+	}
+	return doc, o
+}
+
+// rogue sends requests around the entries, as a planted fault: to one server of
+// the new version, or to a health endpoint.
+func (r *run) rogue(ctx context.Context) {
+	target, path := "", ""
+	switch r.script.Plant {
+	case "ignore-verdict":
+		target, path = "catalogue-new-1", "/catalogue/rogue"
+	case "probe-often":
+		target, path = "catalogue-1", "/healthz"
+	default:
+		return
+	}
+	address := r.world.Servers[target].Declared.Address
+	client := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return r.net.Dial(ctx, r.world.Entries[0].Address, address)
+	}}
+	defer client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		time.Sleep(rogueInterval)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+path, nil)
+		if err != nil {
+			return
+		}
+		if resp, err := client.RoundTrip(req); err == nil {
+			_ = resp.Body.Close()
+		}
+	}
+}
+
+const rogueInterval = 50 * time.Millisecond
--- /dev/null
+++ b/standin/fuzzer/verbs.go
@@ -0,0 +1,281 @@
+package fuzzer
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"samphiremux/pkg/parser"
+	"samphiremux/pkg/publisher"
+	"samphiremux/standin/hoster"
+	"samphiremux/standin/platformer"
+)
+
+// verb is a kind of step.
+type verb struct {
+	args int
+	run  func(r *run, args []string)
+}
+
+// verbs lists every kind of step by its name.
+var verbs = map[string]verb{
+	"crash":         {1, onServer(func(b *hoster.Backend) { b.Crash() })},
+	"turn-cold":     {1, onServer(func(b *hoster.Backend) { b.TurnCold() })},
+	"slow":          {2, (*run).slow},
+	"drain":         {1, (*run).drain},
+	"undrain":       {1, (*run).undrain},
+	"cut-answers":   {2, (*run).cutAnswers},
+	"cross-answers": {2, (*run).crossAnswers},
+	"silence":       {1, (*run).silence},
+	"poison":        {1, (*run).poison},
+	"kill":          {1, onEntry((*run).kill)},
+	"stop":          {1, onEntry((*run).stop)},
+	"start":         {1, onEntry((*run).start)},
+	"pause":         {1, onEntry(func(r *run, h *hoster.Host) { r.net.Pause(h.Address) })},
+	"resume":        {1, onEntry(func(r *run, h *hoster.Host) { r.net.Resume(h.Address) })},
+	"cut":           {2, onEntries(func(r *run, a, b netip.Addr) { r.net.Cut(a, b) })},
+	"mend":          {2, onEntries(func(r *run, a, b netip.Addr) { r.net.Mend(a, b) })},
+	"cut-store":     {1, onEntry(func(_ *run, h *hoster.Host) { h.SetStoreCut(true) })},
+	"mend-store":    {1, onEntry(func(_ *run, h *hoster.Host) { h.SetStoreCut(false) })},
+	"store-down":    {0, func(r *run, _ []string) { r.setStoreFaults(platformer.Faults{Down: true}) }},
+	"store-up":      {0, func(r *run, _ []string) { r.setStoreFaults(platformer.Faults{}) }},
+	"store-slow":    {0, func(r *run, _ []string) { r.setStoreFaults(platformer.Faults{SlowBy: 400 * time.Millisecond}) }},
+	"store-forget":  {1, (*run).loseAnswers},
+	"lapse-all":     {0, func(r *run, _ []string) { r.world.Store.LapseAll() }},
+	"break-watches": {0, func(r *run, _ []string) { r.world.Store.BreakWatches() }},
+	"compact":       {0, func(r *run, _ []string) { r.world.Store.Compact() }},
+	"restore-older": {0, (*run).restoreOlder},
+	"domain-out":    {1, func(r *run, args []string) { r.setDomain(args[0], true) }},
+	"domain-in":     {1, func(r *run, args []string) { r.setDomain(args[0], false) }},
+	"apply":         {0, (*run).apply},
+	"race":          {0, (*run).race},
+	"leave":         {1, (*run).leave},
+	"move":          {1, (*run).move},
+}
+
+func onServer(f func(b *hoster.Backend)) func(*run, []string) {
+	return func(r *run, args []string) {
+		if b, ok := r.world.Servers[args[0]]; ok {
+			f(b)
+		}
+	}
+}
+
+func onEntry(f func(r *run, h *hoster.Host)) func(*run, []string) {
+	return func(r *run, args []string) {
+		if i, err := strconv.Atoi(args[0]); err == nil && i >= 1 && i <= len(r.world.Entries) {
+			f(r, r.world.Entries[i-1])
+		}
+	}
+}
+
+func onEntries(f func(r *run, a, b netip.Addr)) func(*run, []string) {
+	return func(r *run, args []string) {
+		i, errI := strconv.Atoi(args[0])
+		j, errJ := strconv.Atoi(args[1])
+		if errI != nil || errJ != nil || i == j || i < 1 || j < 1 || i > len(r.world.Entries) || j > len(r.world.Entries) {
+			return
+		}
+		f(r, r.world.Entries[i-1].Address, r.world.Entries[j-1].Address)
+	}
+}
+
+func (r *run) server(args []string, f func(b *hoster.Backend, n float64)) {
+	b, ok := r.world.Servers[args[0]]
+	n, err := strconv.ParseFloat(args[1], 64)
+	if ok && err == nil {
+		f(b, n)
+	}
+}
+
+func (r *run) slow(args []string) {
+	r.server(args, func(b *hoster.Backend, n float64) { b.SetSlow(max(1, n)) })
+}
+
+func (r *run) cutAnswers(args []string) {
+	r.server(args, func(b *hoster.Backend, n float64) { b.CutNext(int(n)) })
+}
+
+func (r *run) crossAnswers(args []string) {
+	r.server(args, func(b *hoster.Backend, n float64) { b.CrossNext(int(n)) })
+}
+
+func (r *run) drain(args []string) {
+	if b, ok := r.world.Servers[args[0]]; ok {
+		b.SetDraining(true)
+		r.oracle.left(args[0], time.Now())
+	}
+}
+
+func (r *run) undrain(args []string) {
+	if b, ok := r.world.Servers[args[0]]; ok {
+		b.SetDraining(false)
+		r.oracle.back(args[0])
+	}
+}
+
+// silence makes the open connections between an entry and all servers lose
+// their data.
+func (r *run) silence(args []string) {
+	i, err := strconv.Atoi(args[0])
+	if err != nil || i < 1 || i > len(r.world.Entries) {
+		return
+	}
+	host := r.world.Entries[i-1].Address
+	r.net.Silence(func(local, remote netip.AddrPort) bool {
+		return (local.Addr() == host && remote.Port() == hoster.ServerPort) ||
+			(remote.Addr() == host && local.Port() == hoster.ServerPort)
+	})
+}
+
+func (r *run) setStoreFaults(f platformer.Faults) { r.world.Store.SetFaults(f) }
+
+func (r *run) loseAnswers(args []string) {
+	if n, err := strconv.Atoi(args[0]); err == nil {
+		r.setStoreFaults(platformer.Faults{LoseAnswers: n})
+	}
+}
+
+func (r *run) kill(h *hoster.Host) {
+	if h.Entry == nil {
+		return
+	}
+	e := h.Entry
+	h.Entry = nil
+	r.background(e.Kill)
+}
+
+// stop ends an entry gracefully. The last one that runs is never stopped, since
+// no entry would be left to name to callers.
+func (r *run) stop(h *hoster.Host) {
+	if h.Entry == nil || r.running() < 2 {
+		return
+	}
+	e := h.Entry
+	h.Entry = nil
+	if r.script.Plant == "stop-cuts" {
+		r.background(e.Kill)
+		return
+	}
+	r.background(func() { e.Stop(context.Background()) })
+}
+
+func (r *run) start(h *hoster.Host) {
+	if h.Entry == nil {
+		// The listeners of an entry that is still stopping are taken.
+		_ = r.world.StartEntry(h.Index)
+	}
+}
+
+// running counts the entries that are not stopping.
+func (r *run) running() (n int) {
+	for _, h := range r.world.Entries {
+		if h.Entry != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// publish applies a document. An operator who is told that the outcome is not
+// known looks again.
+func (r *run) publish(doc parser.Document) bool {
+	err := r.world.Publish(doc)
+	if err != nil {
+		r.world.Reread()
+	}
+	return err == nil
+}
+
+func (r *run) apply([]string) { r.background(func() { r.publish(r.world.Document()) }) }
+
+// race lets two operators apply at the same time. At most one may win.
+func (r *run) race([]string) {
+	r.background(func() {
+		results := make(chan bool, 2)
+		base := r.world.Revision()
+		for i := range 2 {
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				_, err := publisher.Publish(ctx, r.world.Store, base, publisher.Change{
+					Environment: r.world.Document().Environment, Document: r.world.Encoded(), Author: fmt.Sprintf("operator-%d", i), At: time.Now(),
+				})
+				results <- err == nil
+			}()
+		}
+		if <-results && <-results {
+			r.oracle.report("accepted-configuration", "two operators applied revision %d", base+1)
+		}
+		r.world.Reread()
+	})
+}
+
+// restoreOlder puts the first document back, as a store restored from a backup
+// would.
+func (r *run) restoreOlder([]string) {
+	r.world.Store.Force(publisher.DocumentKey(r.world.Document().Environment), r.firstEnvelope)
+	r.restored = true
+}
+
+func (r *run) setDomain(name string, out bool) {
+	r.background(func() {
+		doc := r.world.Document().WithDomainOut(name, out)
+		published := doc
+		if r.script.Plant == "wrong-domain" {
+			published = r.world.Document()
+		}
+		if r.restored || !r.publish(published) {
+			return
+		}
+		for _, s := range doc.Services {
+			for _, srv := range s.Servers {
+				if srv.Domain != name {
+					continue
+				}
+				if out {
+					r.oracle.left(srv.Name, time.Now())
+				} else {
+					r.oracle.back(srv.Name)
+				}
+			}
+		}
+	})
+}
+
+// leave marks a server as leaving in the document.
+func (r *run) leave(args []string) {
+	r.background(func() {
+		doc := r.world.Document()
+		for _, s := range doc.Services {
+			for i := range s.Servers {
+				if s.Servers[i].Name != args[0] {
+					continue
+				}
+				servers := append([]parser.Server(nil), s.Servers...)
+				servers[i].Leaving = true
+				s.Servers = servers
+				if !r.restored && r.publish(doc.WithService(s)) {
+					r.oracle.left(args[0], time.Now())
+				}
+				return
+			}
+		}
+	})
+}
+
+// move starts a version move of the service with two versions. Its new version
+// does not fail before the step "slow" or the plan's fault makes it.
+func (r *run) move(args []string) {
+	r.background(func() {
+		doc := r.world.Document()
+		s, ok := doc.Service(args[0])
+		if !ok || len(s.Versions) < 2 {
+			return
+		}
+		s.Move = &parser.Move{From: s.Versions[0].Name, To: s.Versions[1].Name, Deadline: time.Now().Add(20 * time.Second).Truncate(time.Second)}
+		r.publish(doc.WithService(s))
+	})
+}
--- a/standin/hoster/deployment.go
+++ b/standin/hoster/deployment.go
@@ -96,10 +96,12 @@
 	return d
 }
 
-const serverPort = 8000
+// ServerPort is the port of backend servers.
+const ServerPort = 8000
 
-func (d Deployment) serverAddress(service, index int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, d.net, byte(10 + service), byte(1 + index)}), serverPort)
+// ServerAddress returns the address of a service's server by their indexes.
+func (d Deployment) ServerAddress(service, index int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, d.net, byte(10 + service), byte(1 + index)}), ServerPort)
 }
 
 func (d Deployment) entryHost(index int) netip.Addr {
@@ -123,7 +125,7 @@
 		}
 		for i := range size.Servers {
 			s.Servers = append(s.Servers, parser.Server{
-				Name: fmt.Sprintf("%s-%d", size.Name, i+1), Address: d.serverAddress(si, i),
+				Name: fmt.Sprintf("%s-%d", size.Name, i+1), Address: d.ServerAddress(si, i),
 				Domain: d.Domains[i%len(d.Domains)], Version: "v1", Slots: d.Slots, ConnectionLimit: d.Connections,
 			})
 		}
--- a/standin/hoster/hoster.go
+++ b/standin/hoster/hoster.go
@@ -35,6 +35,7 @@
 	serverQueue  = 64
 	restartDelay = time.Second
 	reportLag    = 300 * time.Millisecond
+	closeGrace   = 500 * time.Millisecond
 )
 
 // Options describe a world.
@@ -51,6 +52,12 @@
 	Fault func(server parser.Server) func(*http.Request, float64) responder.Misbehaviour
 	Next  func(w *World, server parser.Server) func(*http.Request) (int, http.Header)
 	Log   hclog.Logger
+	// FallAfter, ColdBears and CrossQuietly go to the backend servers.
+	FallAfter    time.Duration
+	ColdBears    int
+	CrossQuietly bool
+	// StayUp keeps the listeners of crashed servers open.
+	StayUp bool
 	// Announce receives the ends of moves.
 	Announce coordinator.Announce
 }
@@ -64,8 +71,10 @@
 	Servers map[string]*Backend
 	Entries []*Host
 
-	ctx      context.Context
-	cancel   context.CancelFunc
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
 	document parser.Document
 	revision publisher.Revision
 }
@@ -118,7 +127,8 @@
 	b := &Backend{Declared: srv, world: w}
 	o := responder.Options{
 		Name: srv.Name, Version: srv.Version, Slots: srv.Slots, QueueLimit: serverQueue, WarmUp: w.options.WarmUp,
-		ReportLag: reportLag, Ledger: w.Ledger, Crash: b.crash,
+		ReportLag: reportLag, Ledger: w.Ledger, Crash: b.crash, FallAfter: w.options.FallAfter,
+		ColdBears: w.options.ColdBears, CrossQuietly: w.options.CrossQuietly,
 	}
 	if w.options.Fault != nil {
 		o.Fault = w.options.Fault(srv)
@@ -150,6 +160,10 @@
 
 // crash closes the server's connections and brings it back, cold, after a while.
 func (b *Backend) crash() {
+	if b.world.options.StayUp {
+		b.Restart()
+		return
+	}
 	b.mu.Lock()
 	server := b.http
 	b.mu.Unlock()
@@ -173,22 +187,32 @@
 	}
 	ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
 	defer cancel()
-	e, err := publisher.Publish(ctx, w.Store, w.revision, publisher.Change{
+	e, err := publisher.Publish(ctx, w.Store, w.Revision(), publisher.Change{
 		Environment: doc.Environment, Document: data, Author: "operator", At: time.Now(),
 	})
 	if err != nil {
 		return err
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.revision = e.Revision
 	w.document = doc
 	return nil
 }
 
 // Document returns the document that was last applied.
-func (w *World) Document() parser.Document { return w.document }
+func (w *World) Document() parser.Document {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.document
+}
 
 // Revision returns the revision of that document.
-func (w *World) Revision() publisher.Revision { return w.revision }
+func (w *World) Revision() publisher.Revision {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.revision
+}
 
 // StartEntries starts the entries of the world's options.
 func (w *World) StartEntries() error {
@@ -232,7 +256,7 @@
 		}
 	}
 	h.Entry = assembler.Start(w.ctx, assembler.Identity{
-		ID: fmt.Sprintf("entry-%02d", h.Index+1), Domain: h.Domain, Environment: w.document.Environment,
+		ID: fmt.Sprintf("entry-%02d", h.Index+1), Domain: h.Domain, Environment: w.Document().Environment,
 		Address: address, LinkAddress: link, Seeds: seeds, Policy: w.options.Policy,
 		Seed: w.options.Seed + uint64(h.Index)*1000 + h.starts,
 	}, assembler.Seams{
@@ -299,7 +323,35 @@
 		b.mu.Unlock()
 	}
 	w.Store.LapseAll()
+	// Handlers that were in work end by themselves.
+	time.Sleep(closeGrace)
 }
 
 // errCut says that a host cannot reach the store.
 var errCut = errors.New("the store cannot be reached")
+
+// Crash takes the server down at once. It comes back cold after a while.
+func (b *Backend) Crash() { b.crash() }
+
+// Encoded returns the document that was last applied in its normal form.
+func (w *World) Encoded() []byte {
+	data, err := encoder.Encode(w.Document())
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// Reread follows the store to the revision in force there, as an operator does
+// after a conflict.
+func (w *World) Reread() {
+	ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
+	defer cancel()
+	e, _, err := publisher.Current(ctx, w.Store, w.Document().Environment)
+	if err != nil || e.Revision <= w.Revision() {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.revision = e.Revision
+}
--- a/standin/networker/conn.go
+++ b/standin/networker/conn.go
@@ -1,6 +1,7 @@
 package networker
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/netip"
@@ -20,10 +21,17 @@
 }
 
 // Read implements net.Conn.
-func (c *Conn) Read(b []byte) (int, error) { return c.in.read(b) }
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.in.read(b)
+	_ = c.network.awaitResume(context.Background(), c.local.Addr())
+	return n, err
+}
 
-// Write implements net.Conn. It never waits.
-func (c *Conn) Write(b []byte) (int, error) { return c.out.write(b) }
+// Write implements net.Conn. It waits only while its host is paused.
+func (c *Conn) Write(b []byte) (int, error) {
+	_ = c.network.awaitResume(context.Background(), c.local.Addr())
+	return c.out.write(b)
+}
 
 // Close implements net.Conn. The other end reads what was sent, then io.EOF.
 func (c *Conn) Close() error {
@@ -137,7 +145,7 @@
 
 func (p *pipe) read(b []byte) (int, error) {
 	for {
-		n, err, wake, changed := p.tryRead(b)
+		n, wake, changed, err := p.tryRead(b)
 		if n > 0 || err != nil || len(b) == 0 {
 			return n, err
 		}
@@ -161,21 +169,21 @@
 }
 
 // tryRead reads what has arrived. If nothing has, it returns when to look again.
-func (p *pipe) tryRead(b []byte) (n int, err error, wake time.Time, changed <-chan struct{}) {
+func (p *pipe) tryRead(b []byte) (n int, wake time.Time, changed <-chan struct{}, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	switch {
 	case p.failed != nil:
-		return 0, p.failed, wake, nil
+		return 0, wake, nil, p.failed
 	case !p.deadline.IsZero() && !p.deadline.After(now):
-		return 0, os.ErrDeadlineExceeded, wake, nil
+		return 0, wake, nil, os.ErrDeadlineExceeded
 	}
 	for len(p.chunks) > 0 && !p.chunks[0].arrives.After(now) {
 		c := &p.chunks[0]
 		if len(c.data) == 0 {
 			if len(p.chunks) == 1 && p.ended != nil {
-				return 0, p.ended, wake, nil
+				return 0, wake, nil, p.ended
 			}
 			p.chunks = p.chunks[1:]
 			continue
@@ -185,11 +193,11 @@
 		if len(c.data) == 0 && (len(p.chunks) > 1 || p.ended == nil) {
 			p.chunks = p.chunks[1:]
 		}
-		return n, nil, wake, nil
+		return n, wake, nil, nil
 	}
 	wake = p.deadline
 	if len(p.chunks) > 0 && (wake.IsZero() || p.chunks[0].arrives.Before(wake)) {
 		wake = p.chunks[0].arrives
 	}
-	return 0, nil, wake, p.changed
+	return 0, wake, p.changed, nil
 }
--- a/standin/networker/networker.go
+++ b/standin/networker/networker.go
@@ -25,6 +25,7 @@
 	listeners map[netip.AddrPort]*listener
 	conns     map[*Conn]struct{}
 	cut       map[[2]netip.Addr]bool
+	paused    map[netip.Addr]chan struct{}
 	ports     uint16
 }
 
@@ -36,6 +37,7 @@
 		listeners: map[netip.AddrPort]*listener{},
 		conns:     map[*Conn]struct{}{},
 		cut:       map[[2]netip.Addr]bool{},
+		paused:    map[netip.Addr]chan struct{}{},
 	}
 }
 
@@ -60,6 +62,12 @@
 
 // Dial connects a host to an address. A dial over a cut waits for its context.
 func (n *Network) Dial(ctx context.Context, from netip.Addr, to netip.AddrPort) (net.Conn, error) {
+	if err := n.awaitResume(ctx, from); err != nil {
+		return nil, fmt.Errorf("dial %s: %w", to, err)
+	}
+	if err := n.awaitResume(ctx, to.Addr()); err != nil {
+		return nil, fmt.Errorf("dial %s: %w", to, err)
+	}
 	n.mu.Lock()
 	l := n.listeners[to]
 	cut := n.isCut(from, to.Addr())
@@ -137,6 +145,41 @@
 	}
 }
 
+// Pause stops a host from sending and receiving. What is sent to it waits.
+func (n *Network) Pause(host netip.Addr) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.paused[host] == nil {
+		n.paused[host] = make(chan struct{})
+	}
+}
+
+// Resume lets a paused host go on.
+func (n *Network) Resume(host netip.Addr) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if resumed := n.paused[host]; resumed != nil {
+		close(resumed)
+		delete(n.paused, host)
+	}
+}
+
+// awaitResume waits while a host is paused, at most until ctx ends.
+func (n *Network) awaitResume(ctx context.Context, host netip.Addr) error {
+	n.mu.Lock()
+	resumed := n.paused[host]
+	n.mu.Unlock()
+	if resumed == nil {
+		return nil
+	}
+	select {
+	case <-resumed:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Silence makes open connections that match lose all data from now on. New
 // connections work.
 func (n *Network) Silence(match func(local, remote netip.AddrPort) bool) {
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -29,8 +29,9 @@
 const (
 	// coldSlowdown is the factor by which a cold server is slower at first.
 	coldSlowdown = 4.0
-	// fallAfter is the time for which a cold server stands more than it bears.
-	fallAfter = 150 * time.Millisecond
+	// defaultFallAfter is the time for which a cold server stands more than it
+	// bears.
+	defaultFallAfter = 150 * time.Millisecond
 	// poisonDelay is the time that a crashing request runs.
 	poisonDelay = 3 * time.Millisecond
 	defaultWork = 12 * time.Millisecond
@@ -48,6 +49,12 @@
 	// ReportLag is the age of what the load report says.
 	ReportLag time.Duration
 	Ledger    *Ledger
+	// FallAfter is the time for which it stands too much work when cold.
+	FallAfter time.Duration
+	// ColdBears changes the work that it bears when cold.
+	ColdBears int
+	// CrossQuietly gives crossed answers the id of the request.
+	CrossQuietly bool
 	// Crash takes the server off the network. It is brought back by its owner.
 	Crash func()
 	// Fault decides how the server's version misbehaves. Nil means not at all.
@@ -60,6 +67,10 @@
 type Misbehaviour struct {
 	Fail bool
 	Slow float64
+	// ShedAfterRun says of a request that ran that it did not.
+	ShedAfterRun bool
+	// RunTwice runs the request twice.
+	RunTwice bool
 }
 
 // Server is one backend server. It is an http.Handler.
@@ -100,6 +111,9 @@
 
 // New returns a warm server.
 func New(o Options) *Server {
+	if o.FallAfter == 0 {
+		o.FallAfter = defaultFallAfter
+	}
 	return &Server{options: o, slow: 1, changed: make(chan struct{})}
 }
 
@@ -192,7 +206,7 @@
 	if w >= 1 {
 		return s.options.Slots + s.options.QueueLimit
 	}
-	return 1 + int(w*float64(s.options.Slots))
+	return 1 + int(w*float64(s.options.Slots)) + s.options.ColdBears
 }
 
 // watchCold makes a cold server fall over that has held too much for too long.
@@ -209,7 +223,7 @@
 	if s.overSince.IsZero() {
 		s.overSince = now
 	}
-	if now.Sub(s.overSince) < fallAfter {
+	if now.Sub(s.overSince) < s.options.FallAfter {
 		return false
 	}
 	s.stats.Falls++
@@ -353,6 +367,9 @@
 	if s.options.Fault != nil {
 		m = s.options.Fault(r, load)
 	}
+	if m.RunTwice {
+		s.options.Ledger.ran(r.Header.Get(requestIDHeader), s.options.Name)
+	}
 	s.run(r.Context(), time.Duration(float64(workOf(r))*max(m.Slow, 1)))
 	return m
 }
@@ -423,13 +440,17 @@
 	s.mu.Unlock()
 	switch {
 	case cross:
-		w.Header().Set(attemptIDHeader, "another")
+		if !s.options.CrossQuietly {
+			w.Header().Set(attemptIDHeader, "another")
+		}
 		_, _ = io.WriteString(w, Body(previous))
 	case cut:
 		body := Body(id)
 		w.Header().Set("Content-Length", fmt.Sprint(len(body)))
 		_, _ = io.WriteString(w, body[:len(body)/2])
 		panic(http.ErrAbortHandler)
+	case m.ShedAfterRun:
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case m.Fail:
 		w.WriteHeader(http.StatusInternalServerError)
 	case s.options.Next != nil:
