entry: refuse work while cut off, and bound suspects and cold servers over all entries

Change: suspects are checked at each sending; deaths are summed by entry; an entry that has had no answer of the store or a peer, counted from the sending, for 2.5 s refuses (isolated) and then trusts only new grants; hedges start without a known quantile; a holder that sees a slow server leaves it to the holder of rank 0; a rush needs some answers on each route. Open: a cold server still falls in two scripts.

--- a/entry/answerer/answerer.go
+++ b/entry/answerer/answerer.go
@@ -59,14 +59,14 @@
 func (a *Answerer) Tell(_ context.Context, r *linkpb.TellRequest) (*linkpb.TellResponse, error) {
 	switch n := r.GetNotice().(type) {
 	case *linkpb.TellRequest_Suspect:
-		a.suspect(n.Suspect)
+		a.suspect(r.GetEntryId(), n.Suspect)
 	case *linkpb.TellRequest_Verdict:
 		a.node.TakeBack(n.Verdict.GetService(), n.Verdict.GetMove(), n.Verdict.GetReason())
 	}
 	return &linkpb.TellResponse{}, nil
 }
 
-func (a *Answerer) suspect(n *linkpb.SuspectNotice) {
+func (a *Answerer) suspect(entry string, n *linkpb.SuspectNotice) {
 	snapshot := a.node.Snapshot()
 	if snapshot == nil {
 		return
@@ -76,8 +76,7 @@
 		return
 	}
 	sv.Dispatcher.Suspects(func(now time.Time, s *suspector.Suspects) {
-		s.Hear(now, suspector.Fingerprint(n.GetFingerprint()), int(n.GetDeaths()),
-			now.Add(time.Duration(n.GetTtlMs())*time.Millisecond))
+		s.Hear(now, suspector.Fingerprint(n.GetFingerprint()), entry, int(n.GetDeaths()))
 		a.node.Counters().Suspects.WithLabelValues(n.GetService()).Set(float64(s.Len()))
 	})
 }
--- a/entry/assembler/assembler.go
+++ b/entry/assembler/assembler.go
@@ -173,7 +173,7 @@
 	e.every(ctx, beatDuty, tracker.BeatInterval, rng)
 	e.every(ctx, reportDuty, limiter.ReportInterval, rng)
 	e.every(ctx, grantDuty, granter.ProbeInterval, rng)
-	e.every(ctx, e.registrar, tracker.RenewInterval, rng)
+	e.every(ctx, e.registrar, registrar.Interval, rng)
 	e.every(ctx, leadDuty, coordinator.Interval, rng)
 	e.work.Go(func() { fol.Follow(ctx, followDuty.Hard) })
 	e.work.Go(func() { _ = linker.Serve(ctx, e.seams.LinkListener, answerer.New(e.node, owner, fetch)) })
--- a/entry/beater/beater.go
+++ b/entry/beater/beater.go
@@ -80,6 +80,7 @@
 	ctx, cancel := context.WithTimeout(ctx, beatLimit)
 	defer cancel()
 	request := Request(b.node)
+	sent := b.node.Now()
 	b.node.Tracker(func(now time.Time, t *tracker.Tracker) bool { t.Asked(now, m.ID); return false })
 	var resp *linkpb.BeatResponse
 	err := b.pool.Call(ctx, m.LinkAddress, func(ctx context.Context, c linkpb.DRPCLinkClient) (err error) {
@@ -92,6 +93,7 @@
 	}
 	b.node.Tracker(func(now time.Time, t *tracker.Tracker) bool {
 		t.Heard(now, m.ID, resp.GetStoreReached(), resp.GetStopping(), resp.GetDocumentRevision())
+		t.Answered(sent)
 		return false
 	})
 	if resp.GetDocumentRevision() > uint64(b.node.Envelope().Revision) {
--- a/entry/dispatcher/control.go
+++ b/entry/dispatcher/control.go
@@ -59,6 +59,16 @@
 	d.drain(d.now())
 }
 
+// Doubt drops all grants and floors, as after a time without contact to other
+// entries. Only new grants give work to servers again.
+func (d *Dispatcher) Doubt() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.servers {
+		s.allotment = s.allotment.WithGrant(limiter.Grant{}).WithDoubt()
+	}
+}
+
 // SetListLeaving follows the platform's list of VMs. Leaving holds addresses.
 func (d *Dispatcher) SetListLeaving(leaving func(address string) bool) {
 	d.mu.Lock()
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -28,8 +28,11 @@
 	hedgeSlowness = 1.5
 	// hedgeAnyway is the age, in hedge delays, from which no other sign is needed.
 	hedgeAnyway = 1.6
-	// hedgeSamples is the number of answers needed before hedges start.
+	// hedgeSamples is the number of answers needed to know the quantile.
 	hedgeSamples = 100
+	// hedgeUnknown is the hedge delay, in mean latencies, while the quantile is
+	// not known.
+	hedgeUnknown = 8
 	// hedgeRefresh is the time between two readings of the quantile.
 	hedgeRefresh = 100 * time.Millisecond
 	// histogramLife is the time that one of the two histogram windows covers.
@@ -418,19 +421,19 @@
 }
 
 // HedgeDelay returns the time after which an unanswered request may be sent to
-// a second server, or false if too little is known.
-func (d *Dispatcher) HedgeDelay() (time.Duration, bool) {
+// a second server.
+func (d *Dispatcher) HedgeDelay() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
 	if d.answers < hedgeSamples {
-		return 0, false
+		return hedgeUnknown * d.mean.Value()
 	}
 	if now.Sub(d.hedgeRead) >= hedgeRefresh {
 		d.hedgeRead = now
 		d.hedgeAt = time.Duration(d.latencies.Merge().ValueAtQuantile(hedgeQuantile)) * time.Microsecond
 	}
-	return d.hedgeAt, d.hedgeAt > 0
+	return d.hedgeAt
 }
 
 // Done ends the attempt. FailedAnswer tells that the answer was an error of the
--- a/entry/dispatcher/server.go
+++ b/entry/dispatcher/server.go
@@ -22,8 +22,9 @@
 	// doubtCap is the time for which a holder uses one request at most at a
 	// server that may have turned cold.
 	doubtCap = time.Second
-	// slowRatio is the slowness from which a server gets one request at a time.
-	slowRatio = 3.0
+	// slowRatio is the slowness from which a server may have turned cold and gets
+	// one request at a time over all entries.
+	slowRatio = 2.0
 	// slowReport is the slowness from which an owner does not raise a limit.
 	slowReport = 2.5
 	// crossDomain is the time that another failure domain adds to a request.
@@ -75,7 +76,10 @@
 // quota returns the requests that this entry may have at the server now.
 func (s *server) quota(now time.Time, slowness float64) int {
 	q := s.allotment.Quota(now, s.place.Server.Slots, s.place.Holders, s.place.Rank)
-	if slowness > slowRatio || s.ejections > 0 {
+	if slowness > slowRatio {
+		q = min(q, limiter.Least(s.place.Rank))
+	}
+	if s.ejections > 0 {
 		q = min(q, 1)
 	}
 	return q
--- a/entry/forwarder/attempt.go
+++ b/entry/forwarder/attempt.go
@@ -26,11 +26,10 @@
 // run sends the request to backend servers until it is answered or refused.
 func (f *Forwarder) run(ctx context.Context, c *call) (answer *sender.Answer, refusal *refuser.Refusal) {
 	d := c.service.Dispatcher
-	if !f.startSuspect(c) {
+	if !f.admitted(c) {
 		return nil, notRun(refuser.Suspect)
 	}
-	died := false
-	defer func() { f.endSuspect(c, answer != nil && answer.Status < 500, died) }()
+	defer func() { f.clear(c, answer != nil && answer.Status < 500) }()
 	d.Earn()
 	state := retrier.Request{Idempotent: c.route.Idempotent, Deadline: c.deadline, OuterAttempt: c.outer}
 	want := dispatcher.Request{Route: c.route.Name, Caller: c.caller, Importance: c.route.Importance, Deadline: c.deadline}
@@ -40,22 +39,22 @@
 			r := state.Refusal(none.Reason)
 			return nil, &r
 		}
+		if reason, ok := f.mayBegin(c); !ok {
+			ticket.Abandon()
+			r := state.Refusal(reason)
+			return nil, &r
+		}
 		end := f.attempt(ctx, c, ticket, attempt)
 		for range end.hedges {
 			state = state.WithHedge()
 		}
 		state = state.WithAttempt(end.outcome)
-		died = died || end.died
 		switch dec := d.Decide(state, end.outcome).(type) {
 		case retrier.Pass:
 			return end.answer, nil
 		case retrier.Refuse:
 			return nil, &dec.Refusal
 		case retrier.Retry:
-			if end.died && !f.retrySuspect(c) {
-				r := state.Refusal(refuser.Suspect)
-				return nil, &r
-			}
 			f.node.Counters().Retried(dec.Cause)
 			want.Avoid = end.server
 		}
@@ -68,28 +67,25 @@
 	outcome retrier.Outcome
 	server  string
 	hedges  int
-	died    bool
 }
 
 // attempt sends the request to one server, and to a second one if the first is
 // slow and the route allows it.
 func (f *Forwarder) attempt(ctx context.Context, c *call, t *dispatcher.Ticket, number int) ending {
-	delay, known := c.service.Dispatcher.HedgeDelay()
-	if !c.route.Idempotent || !known || c.outer > 1 {
+	if !c.route.Idempotent || c.outer > 1 {
 		return f.send(ctx, c, t, number)
 	}
 	ends := make(chan ending, 2)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() { ends <- f.send(ctx, c, t, number) }()
-	timer := time.NewTimer(delay)
+	timer := time.NewTimer(c.service.Dispatcher.HedgeDelay())
 	defer timer.Stop()
 	running, hedges := 1, 0
-	var failed ending
 	for {
 		select {
 		case <-timer.C:
-			if second, ok := c.service.Dispatcher.Hedge(t); ok {
+			if second, ok := f.hedge(c, t); ok {
 				f.node.Counters().Retried(retrier.CauseHedge)
 				running, hedges = running+1, hedges+1
 				go func() { ends <- f.send(ctx, c, second, number+1) }()
@@ -98,18 +94,28 @@
 			timer.Reset(hedgeRetry)
 		case end := <-ends:
 			running--
-			end.died = end.died || failed.died
 			if isAnswered(end.outcome) || running == 0 {
 				end.hedges = hedges
 				return end
 			}
-			failed = end
 		}
 	}
 }
 
-// send sends one attempt and tells the dispatcher how it ended.
+// hedge returns a ticket for a second server, if the request is no suspect.
+func (f *Forwarder) hedge(c *call, t *dispatcher.Ticket) (second *dispatcher.Ticket, ok bool) {
+	second, ok = c.service.Dispatcher.Hedge(t)
+	if ok && !f.begin(c) {
+		second.Abandon()
+		return nil, false
+	}
+	return second, ok
+}
+
+// send sends one attempt and tells the dispatcher how it ended. The attempt must
+// have begun.
 func (f *Forwarder) send(ctx context.Context, c *call, t *dispatcher.Ticket, number int) (end ending) {
+	defer c.suspects(func(now time.Time, s *suspector.Suspects) { s.End(now, c.print) })
 	declared := c.service.Declared
 	srv := t.Server.Server
 	msg := f.message(c, number)
@@ -137,7 +143,7 @@
 		f.servers.CloseIdle(srv.Address)
 	}
 	t.Done(end.outcome, isFailure(end.answer))
-	end.died = f.checkDeath(c, srv.Address, end.outcome)
+	f.checkDeath(c, srv.Address, end.outcome)
 	return end
 }
 
@@ -147,50 +153,64 @@
 	return a != nil && a.Status >= 500 && a.Header.Get(refuser.RefusalHeader) == ""
 }
 
-func (f *Forwarder) startSuspect(c *call) (ok bool) {
-	c.service.Dispatcher.Suspects(func(now time.Time, s *suspector.Suspects) { ok = s.Start(now, c.print) })
+func (c *call) suspects(f func(now time.Time, s *suspector.Suspects)) {
+	c.service.Dispatcher.Suspects(f)
+}
+
+// admitted tells whether the request is no suspect, or may be tried as one.
+func (f *Forwarder) admitted(c *call) (ok bool) {
+	c.suspects(func(now time.Time, s *suspector.Suspects) { ok = s.Admit(now, c.print) })
 	return ok
 }
 
-func (f *Forwarder) retrySuspect(c *call) (ok bool) {
-	c.service.Dispatcher.Suspects(func(now time.Time, s *suspector.Suspects) { ok = s.Retry(now, c.print) })
+// mayBegin checks what may have changed while the request waited for a server.
+func (f *Forwarder) mayBegin(c *call) (reason refuser.Reason, ok bool) {
+	switch {
+	case f.node.Isolated():
+		return refuser.Isolated, false
+	case !f.begin(c):
+		return refuser.Suspect, false
+	default:
+		return "", true
+	}
+}
+
+// begin tells whether the request may be sent to a server now.
+func (f *Forwarder) begin(c *call) (ok bool) {
+	c.suspects(func(now time.Time, s *suspector.Suspects) { ok = s.Begin(now, c.print) })
 	return ok
 }
 
-// endSuspect notes the end of a request, and clears a suspicion that its answer
+// clear notes the end of a request, and clears a suspicion that its answer
 // disproves.
-func (f *Forwarder) endSuspect(c *call, succeeded, died bool) {
+func (f *Forwarder) clear(c *call, succeeded bool) {
+	if !succeeded {
+		return
+	}
 	cleared := false
-	c.service.Dispatcher.Suspects(func(now time.Time, s *suspector.Suspects) {
-		if succeeded {
-			cleared = s.Succeeded(now, c.print)
-			return
-		}
-		s.Ended(now, c.print)
-	})
-	if cleared && (died || succeeded) {
+	c.suspects(func(now time.Time, s *suspector.Suspects) { cleared = s.Succeeded(now, c.print) })
+	if cleared {
 		f.teller.TellSuspect(c.service.Declared.Name, c.print, 0)
 	}
 }
 
 // checkDeath finds whether the server died while it ran the request.
-func (f *Forwarder) checkDeath(c *call, address netip.AddrPort, o retrier.Outcome) (died bool) {
+func (f *Forwarder) checkDeath(c *call, address netip.AddrPort, o retrier.Outcome) {
 	switch o.(type) {
 	case retrier.Lost, retrier.Cut:
 	default:
-		return false
+		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), deathCheck)
 	defer cancel()
 	if f.servers.Reachable(ctx, address) {
-		return false
+		return
 	}
 	deaths := 0
-	c.service.Dispatcher.Suspects(func(now time.Time, s *suspector.Suspects) { deaths = s.Died(now, c.print) })
+	c.suspects(func(now time.Time, s *suspector.Suspects) { deaths = s.Died(now, c.print) })
 	if deaths == 0 {
-		return false
+		return
 	}
 	f.log.Warn("Backend server died under a request.", "service", c.service.Declared.Name, "server", address, "deaths", deaths)
 	f.teller.TellSuspect(c.service.Declared.Name, c.print, deaths)
-	return true
 }
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -312,4 +312,3 @@
 func isMisdirected(a *sender.Answer) bool {
 	return a.Header.Get(refuser.RefusalHeader) == refuser.NewNotRun(refuser.Misdirected).Header()
 }
-
--- a/entry/limiter/holder.go
+++ b/entry/limiter/holder.go
@@ -77,7 +77,7 @@
 	return a
 }
 
-// WithCap returns a copy that uses at most one request until a deadline.
+// WithCap returns a copy that uses the least until a deadline.
 func (a Allotment) WithCap(until time.Time) Allotment {
 	a.cappedUntil = until
 	return a
@@ -108,7 +108,16 @@
 		quota = Floor(slots, k, rank)
 	}
 	if now.Before(a.cappedUntil) {
-		quota = min(quota, 1)
+		quota = min(quota, Least(rank))
 	}
 	return quota
 }
+
+// Least returns what a holder may use of a server that seems overloaded or cold:
+// one request over all holders, without a word between them.
+func Least(rank int) int {
+	if rank == 0 {
+		return 1
+	}
+	return 0
+}
--- a/entry/limiter/owner.go
+++ b/entry/limiter/owner.go
@@ -41,9 +41,9 @@
 
 // Owner learns the limit of one server and shares it out.
 type Owner struct {
-	slots     int
-	limit     int
-	cold      bool
+	slots int
+	limit int
+	cold  bool
 	// proven tells that the owner knows whether the server is cold.
 	proven    bool
 	draining  bool
--- a/entry/mover/plan.go
+++ b/entry/mover/plan.go
@@ -12,6 +12,9 @@
 	// wantedAnswers is the number of answers of the new version on each route
 	// without which it keeps a small share.
 	wantedAnswers = 30
+	// fewAnswers is the number without which not even a near deadline moves a
+	// route.
+	fewAnswers = 4
 	// smallStep is the last step with a small share.
 	smallStep = 1
 	// planFraction is the part of the time to the deadline that the steps use.
@@ -48,7 +51,7 @@
 	}
 	lacking := lackingRoutes(routes, evidence)
 	rush := now.Sub(r.Started) >= time.Duration(rushFraction*float64(total))
-	if len(lacking) > 0 && r.Step >= smallStep && !rush {
+	if len(lacking) > 0 && r.Step >= smallStep && !(rush && shownSome(lacking, evidence)) {
 		return hold(now, r, total, lacking, evidence)
 	}
 	if r.Step+1 < len(steps) {
@@ -80,6 +83,15 @@
 	return lacking
 }
 
+// shownSome tells whether the new version answered on each lacking route as
+// often as the route's little traffic lets it.
+func shownSome(lacking []string, evidence map[string]Evidence) bool {
+	return !slices.ContainsFunc(lacking, func(route string) bool {
+		e := evidence[route]
+		return e.NewAnswers < min(fewAnswers, (e.OldAnswers+e.NewAnswers+fewAnswers-1)/fewAnswers)
+	})
+}
+
 func hold(now time.Time, r Record, total time.Duration, lacking []string, evidence map[string]Evidence) (Record, bool) {
 	next := r.WithHold(fmt.Sprintf("routes %v have too few answers of the new version", lacking)).
 		WithRouteShares(quietShares(now, r, total, lacking, evidence))
--- a/entry/refuser/refuser.go
+++ b/entry/refuser/refuser.go
@@ -47,6 +47,7 @@
 	KeyBusy          Reason = "key-busy"
 	KeyFromFuture    Reason = "key-from-future"
 	EntryUnreachable Reason = "entry-unreachable"
+	Isolated         Reason = "isolated"
 )
 
 // Reasons for outcome-unknown.
@@ -65,7 +66,7 @@
 func NotRunReasons() []Reason {
 	return []Reason{
 		BackendNotTried, BackendShedding, BadRequest, BodyTooLarge, CallerGone, CallerOverShare, DeadlinePassed,
-		DeadlineTooNear, EntryUnreachable, KeyBusy, KeyFromFuture, Misdirected, NoBackendServer, NoDocument,
+		DeadlineTooNear, EntryUnreachable, Isolated, KeyBusy, KeyFromFuture, Misdirected, NoBackendServer, NoDocument,
 		NoSuchRoute, NoSuchService, QueueFull, RetryBudgetSpent, RouteShed, Stopping, Suspect,
 	}
 }
--- a/entry/registrar/registrar.go
+++ b/entry/registrar/registrar.go
@@ -18,6 +18,9 @@
 	"samphiremux/pkg/storer"
 )
 
+// Interval is the time between two looks at the registration.
+const Interval = time.Second
+
 // callLimit bounds one call of the store.
 const callLimit = 2 * time.Second
 
@@ -28,6 +31,7 @@
 	environment string
 	log         hclog.Logger
 	lease       storer.LeaseID
+	next        time.Time
 	stopped     bool
 }
 
@@ -46,14 +50,28 @@
 		close(leave.Done)
 		return
 	}
-	if r.stopped {
+	if r.stopped || !r.due() {
 		return
 	}
 	if err := r.keep(ctx); err != nil {
+		r.next = time.Time{}
 		r.log.Warn("Registration not renewed.", "error", err)
 	}
 }
 
+// due tells whether it is time to renew. An entry that hears of no peer renews
+// at each tick, since the store alone can show that it is not cut off.
+func (r *Registrar) due() (due bool) {
+	r.node.Tracker(func(now time.Time, t *tracker.Tracker) bool {
+		due = !now.Before(r.next) || t.Lonely(now)
+		if due {
+			r.next = now.Add(tracker.RenewInterval - Interval/2)
+		}
+		return false
+	})
+	return due
+}
+
 func (r *Registrar) keep(ctx context.Context) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
--- a/entry/sender/sender.go
+++ b/entry/sender/sender.go
@@ -33,8 +33,10 @@
 	MaxHeldBytes = 1 << 20
 
 	maxHeaderBytes = 64 << 10
-	// idleLife is the time for which an unused connection is kept.
-	idleLife = 30 * time.Second
+	// idleLife is the time for which an unused connection is kept. A connection
+	// that has been unused for longer may have gone silent, and a new one costs a
+	// millisecond.
+	idleLife = 5 * time.Second
 	// freshLife is the time for which a connection counts as proven for
 	// requests that must not be sent twice.
 	freshLife = time.Second
--- a/entry/sharer/sharer.go
+++ b/entry/sharer/sharer.go
@@ -51,6 +51,8 @@
 type Node struct {
 	options  Options
 	snapshot atomic.Pointer[Snapshot]
+	// isolatedFrom is when the entry counts as cut off unless it hears of others.
+	isolatedFrom atomic.Pointer[time.Time]
 
 	mu          sync.Mutex
 	tracker     *tracker.Tracker
@@ -98,6 +100,31 @@
 	if f(n.options.Now(), n.tracker) {
 		n.rebuild()
 	}
+	n.followIsolation()
+}
+
+// followIsolation publishes when the entry counts as cut off. When it hears of
+// others again, what it knew of servers is in doubt. The lock is held.
+func (n *Node) followIsolation() {
+	was := n.Isolated()
+	if from, ok := n.tracker.IsolatedFrom(); ok {
+		n.isolatedFrom.Store(&from)
+	} else {
+		n.isolatedFrom.Store(nil)
+	}
+	if was && !n.Isolated() {
+		for _, d := range n.dispatchers {
+			d.Doubt()
+		}
+	}
+}
+
+// Isolated tells whether neither the store nor any peer has answered for a
+// while. What operators changed may then be unknown here, so the entry takes no
+// work.
+func (n *Node) Isolated() bool {
+	from := n.isolatedFrom.Load()
+	return from != nil && !n.options.Now().Before(*from)
 }
 
 // Keys runs f with the remembered idempotency keys.
--- a/entry/suspector/suspector.go
+++ b/entry/suspector/suspector.go
@@ -38,11 +38,19 @@
 }
 
 type suspect struct {
-	deaths   int
+	own      int
+	heard    map[string]int // deaths by the entry that saw them
 	deadline time.Time
-	// elsewhere tells that another entry runs the trial.
-	elsewhere bool
-	running   int
+	running  int
+}
+
+// deaths sums what all entries saw.
+func (sp *suspect) deaths() (n int) {
+	n = sp.own
+	for _, d := range sp.heard {
+		n += d
+	}
+	return n
 }
 
 type success struct {
@@ -71,24 +79,39 @@
 	return sp
 }
 
-// Start admits a request. Suspects run one at a time, and only at the entry that
-// saw the death. Each admitted request must be ended by Succeeded, Died or Ended.
-func (s *Suspects) Start(now time.Time, f Fingerprint) bool {
+// Admit tells whether a new request may begin. Suspects run one at a time, and
+// only at the entry that saw the death.
+func (s *Suspects) Admit(now time.Time, f Fingerprint) bool {
+	sp := s.get(now, f)
+	return sp == nil || sp.mayRun()
+}
+
+// mayRun tells whether a trial may begin here. Another entry that saw a death
+// runs its own.
+func (sp *suspect) mayRun() bool {
+	return sp.deaths() < FatalDeaths && len(sp.heard) == 0 && sp.running == 0
+}
+
+// Begin tells whether a request that was admitted may be sent to a server now.
+// It must be ended by End. Requests of the same kind may have been admitted
+// before the first death.
+func (s *Suspects) Begin(now time.Time, f Fingerprint) bool {
 	sp := s.get(now, f)
 	if sp == nil {
 		return true
 	}
-	if sp.deaths >= FatalDeaths || sp.elsewhere || sp.running > 0 {
+	if !sp.mayRun() {
 		return false
 	}
 	sp.running++
 	return true
 }
 
-// Retry tells whether a request that is already admitted may be sent again.
-func (s *Suspects) Retry(now time.Time, f Fingerprint) bool {
-	sp := s.get(now, f)
-	return sp == nil || sp.deaths < FatalDeaths
+// End notes that an attempt has ended.
+func (s *Suspects) End(now time.Time, f Fingerprint) {
+	if sp := s.get(now, f); sp != nil && sp.running > 0 {
+		sp.running--
+	}
 }
 
 // Succeeded notes an answer. It reports true if that cleared a suspicion that
@@ -96,36 +119,35 @@
 func (s *Suspects) Succeeded(now time.Time, f Fingerprint) (cleared bool) {
 	s.recent[uint64(f)%recentSlots] = success{f, now}
 	sp := s.get(now, f)
-	if sp == nil || sp.deaths >= FatalDeaths {
+	if sp == nil || sp.deaths() >= FatalDeaths {
 		return false
 	}
 	delete(s.all, f)
 	return true
 }
 
-// Ended notes that a request ended in some other way than an answer or a death.
-func (s *Suspects) Ended(now time.Time, f Fingerprint) {
-	if sp := s.get(now, f); sp != nil && sp.running > 0 {
-		sp.running--
-	}
-}
-
 // Died notes that a server died while it ran a request, and returns the deaths
-// so far. A request that succeeded a short time ago is not suspected: zero.
+// that this entry saw. A request that succeeded a short time ago is not
+// suspected: zero.
 func (s *Suspects) Died(now time.Time, f Fingerprint) (deaths int) {
 	last := s.recent[uint64(f)%recentSlots]
 	if last.fingerprint == f && now.Sub(last.at) < recentSuccess {
 		return 0
 	}
+	sp := s.getOrAdd(now, f)
+	sp.own++
+	sp.deadline = now.Add(Life(sp.deaths()))
+	return sp.own
+}
+
+func (s *Suspects) getOrAdd(now time.Time, f Fingerprint) *suspect {
 	sp := s.get(now, f)
 	if sp == nil {
 		s.makeRoom(now)
-		sp = &suspect{running: 1}
+		sp = &suspect{heard: map[string]int{}}
 		s.all[f] = sp
 	}
-	sp.deaths++
-	sp.deadline = now.Add(Life(sp.deaths))
-	return sp.deaths
+	return sp
 }
 
 // Life returns how long a number of deaths is remembered.
@@ -136,23 +158,18 @@
 	return SuspectLife
 }
 
-// Hear takes in what another entry found. Zero deaths clears the suspicion.
-func (s *Suspects) Hear(now time.Time, f Fingerprint, deaths int, deadline time.Time) {
+// Hear takes in the deaths that another entry saw. Zero deaths clears the
+// suspicion.
+func (s *Suspects) Hear(now time.Time, f Fingerprint, entry string, deaths int) {
 	if deaths == 0 {
-		if sp := s.get(now, f); sp != nil && sp.deaths < FatalDeaths {
+		if sp := s.get(now, f); sp != nil && sp.deaths() < FatalDeaths {
 			delete(s.all, f)
 		}
 		return
 	}
-	sp := s.get(now, f)
-	if sp == nil {
-		s.makeRoom(now)
-		sp = &suspect{}
-		s.all[f] = sp
-	}
-	sp.deaths = max(sp.deaths, deaths)
-	sp.elsewhere = true
-	sp.deadline = deadline
+	sp := s.getOrAdd(now, f)
+	sp.heard[entry] = max(sp.heard[entry], deaths)
+	sp.deadline = now.Add(Life(sp.deaths()))
 }
 
 // makeRoom keeps the state bounded. It forgets lapsed suspects first.
--- a/entry/teller/teller.go
+++ b/entry/teller/teller.go
@@ -42,7 +42,6 @@
 		EntryId: t.node.Self().ID,
 		Notice: &linkpb.TellRequest_Suspect{Suspect: &linkpb.SuspectNotice{
 			Service: service, Fingerprint: uint64(f), Deaths: uint32(deaths),
-			TtlMs: uint32(suspector.Life(deaths).Milliseconds()),
 		}},
 	}})
 }
--- a/entry/tracker/tracker.go
+++ b/entry/tracker/tracker.go
@@ -23,6 +23,9 @@
 	// silentAfter is the age of the last heartbeat from which a peer counts as
 	// unreachable.
 	silentAfter = 2500 * time.Millisecond
+	// isolatedAfter is the time without any answer of the store or of a peer
+	// from which an entry takes itself as cut off.
+	isolatedAfter = 2500 * time.Millisecond
 	// lapseGrace keeps a member whose registration has lapsed while it answers
 	// heartbeats, as after a long outage of the store.
 	lapseGrace = 3 * LeaseLife
@@ -68,7 +71,7 @@
 	peers         map[string]*peer
 	views         []view
 	leaseUntil    time.Time
-	storeSeen     time.Time
+	contact       time.Time
 	hearsayUntil  map[string]time.Time
 	everListed    bool
 	leaseObtained bool
@@ -92,7 +95,6 @@
 	for _, m := range members {
 		t.registered[m.ID] = m
 	}
-	t.storeSeen = now
 	t.everListed = true
 	return t.refresh(now)
 }
@@ -215,6 +217,16 @@
 	delete(t.hearsayUntil, id)
 }
 
+// Answered notes that a peer answered a heartbeat sent at a time. Only the time
+// of sending shows that an answer is not old, as after a pause.
+func (t *Tracker) Answered(sent time.Time) { t.touch(sent) }
+
+func (t *Tracker) touch(sent time.Time) {
+	if sent.After(t.contact) {
+		t.contact = sent
+	}
+}
+
 // Asked notes that a heartbeat was sent to a peer.
 func (t *Tracker) Asked(now time.Time, id string) {
 	if p := t.peer(id); p.asked.Before(p.heard) || p.asked.IsZero() {
@@ -266,7 +278,7 @@
 // from the sending, so that a paused entry fences itself in time.
 func (t *Tracker) Renewed(sent time.Time) {
 	t.leaseUntil = sent.Add(LeaseLife)
-	t.storeSeen = sent
+	t.touch(sent)
 	t.leaseObtained = true
 }
 
@@ -276,6 +288,26 @@
 // StoreReached tells whether the store answered a short time ago.
 func (t *Tracker) StoreReached(now time.Time) bool { return now.Before(t.leaseUntil) }
 
+// IsolatedFrom returns the time from which the entry counts as cut off, if
+// nothing is heard until then. An entry without peers never does.
+func (t *Tracker) IsolatedFrom() (at time.Time, ok bool) {
+	if len(t.members) < 2 {
+		return time.Time{}, false
+	}
+	return t.contact.Add(isolatedAfter), true
+}
+
+// Lonely tells whether no peer has answered for a while, so that the store alone
+// can show that the entry is not cut off.
+func (t *Tracker) Lonely(now time.Time) bool {
+	for _, m := range t.members {
+		if m.ID != t.self.ID && now.Sub(t.peer(m.ID).heard) < silentAfter {
+			return false
+		}
+	}
+	return len(t.members) > 1
+}
+
 // Authority tells whether this entry may still act as the home of keys. Past
 // its lease it may only while a majority of the members cannot reach the store
 // either, since then no successor can have been agreed.
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -215,11 +215,13 @@
 
 // try sends a call to one entry. Sent is false if the entry was not reached.
 func (c *Caller) try(ctx context.Context, call Call, entry netip.AddrPort) (r Result, sent bool) {
-	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+entry.String()+call.Path, bytes.NewReader(call.Body))
+	// A body without GetBody keeps the transport from sending the call twice.
+	body := io.NopCloser(bytes.NewReader(call.Body))
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+entry.String()+call.Path, body)
 	if err != nil {
 		return NoEntry{Cause: err}, false
 	}
-	req.GetBody = nil
+	req.ContentLength = int64(len(call.Body))
 	req.Host = call.Service
 	for name, values := range call.Header {
 		req.Header[name] = values
--- a/standin/fuzzer/run.go
+++ b/standin/fuzzer/run.go
@@ -47,6 +47,7 @@
 
 	firstEnvelope []byte
 	restored      bool
+	poisons       int
 }
 
 // deployment is the small world of scripts.
@@ -166,6 +167,16 @@
 	}
 }
 
+// served tells whether operators left the service's first version any server.
+func (r *run) served(service string) bool {
+	doc := r.world.Document()
+	s, _ := doc.Service(service)
+	return slices.ContainsFunc(s.Servers, func(srv parser.Server) bool {
+		d, _ := doc.Domain(srv.Domain)
+		return srv.Version == s.Versions[0].Name && !srv.Leaving && !d.Out
+	})
+}
+
 func (r *run) clock() time.Duration { return time.Since(r.began) }
 
 func (r *run) background(f func()) { r.work.Go(f) }
@@ -255,21 +266,23 @@
 // again through other callers.
 func (r *run) poison(args []string) {
 	service := args[0]
-	path := map[string]string{"catalogue": "/catalogue/poison", "booking": "/bookings/poison"}[service]
+	path := map[string]string{"catalogue": "/catalogue/", "booking": "/bookings/"}[service]
 	if path == "" {
 		return
 	}
+	r.poisons++
+	id := fmt.Sprintf("poison-%d", r.poisons)
 	r.background(func() {
 		for i := range callers {
 			c := caller.Call{
-				Service: service, Method: http.MethodGet, Path: path, ID: "poison-" + service, Poison: true, Header: http.Header{},
+				Service: service, Method: http.MethodGet, Path: path + id, ID: id, Poison: true, Header: http.Header{},
 			}
 			who := r.world.NewCaller(i)
 			who.Do(context.Background(), c)
 			who.Close()
 			time.Sleep(50 * time.Millisecond)
 		}
-		r.oracle.poisoned(service)
+		r.oracle.poisoned(id)
 	})
 }
 
--- a/standin/hoster/hoster.go
+++ b/standin/hoster/hoster.go
@@ -74,6 +74,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	editing chan struct{}
+
 	mu       sync.Mutex
 	document parser.Document
 	revision publisher.Revision
@@ -110,7 +112,7 @@
 	}
 	w = &World{
 		options: o, Store: platformer.NewStore(), VMs: platformer.NewVMList(2 * time.Second),
-		Ledger: responder.NewLedger(), Servers: map[string]*Backend{},
+		Ledger: responder.NewLedger(), Servers: map[string]*Backend{}, editing: make(chan struct{}, 1),
 	}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	for _, s := range doc.Services {
@@ -179,6 +181,24 @@
 	}()
 }
 
+// Edit applies a changed copy of the document in force, one change at a time.
+// Change reports false to leave it.
+func (w *World) Edit(change func(parser.Document) (parser.Document, bool)) error {
+	// A channel lets virtual time go on while others wait.
+	w.editing <- struct{}{}
+	defer func() { <-w.editing }()
+	doc, ok := change(w.Document())
+	if !ok {
+		return nil
+	}
+	err := w.Publish(doc)
+	if err != nil {
+		// An operator who is not told the outcome looks again.
+		w.Reread()
+	}
+	return err
+}
+
 // Publish applies a document, as operators do.
 func (w *World) Publish(doc parser.Document) error {
 	data, err := encoder.Encode(doc)
