limiter: give a slow server less work by its slowness

Cause: a server that turned cold without a sign kept two requests where it bore one (scripts cold-and-alone, poison-silent): a slowness of 2 was needed for the cap, and one holder alone used two of its slots. Change: from a slowness of 1.4 the limit falls in proportion and is divided by rank, so that all holders reach the same sum without a word. The stand-in no longer holds work that came before the cold start against a cold server.

--- a/entry/dispatcher/server.go
+++ b/entry/dispatcher/server.go
@@ -23,8 +23,8 @@
 	// server that may have turned cold.
 	doubtCap = time.Second
 	// slowRatio is the slowness from which a server may have turned cold and gets
-	// one request at a time over all entries.
-	slowRatio = 2.0
+	// less work.
+	slowRatio = 1.4
 	// slowReport is the slowness from which an owner does not raise a limit.
 	slowReport = 2.5
 	// crossDomain is the time that another failure domain adds to a request.
@@ -77,7 +77,7 @@
 func (s *server) quota(now time.Time, slowness float64) int {
 	q := s.allotment.Quota(now, s.place.Server.Slots, s.place.Holders, s.place.Rank)
 	if slowness > slowRatio {
-		q = min(q, limiter.Least(s.place.Rank))
+		q = min(q, limiter.Slowed(s.place.Server.Slots, s.place.Holders, s.place.Rank, slowness))
 	}
 	if s.ejections > 0 {
 		q = min(q, 1)
--- a/entry/limiter/holder.go
+++ b/entry/limiter/holder.go
@@ -14,6 +14,8 @@
 	// overcommit is the number of requests beyond a server's slots that hide
 	// the way between entry and server.
 	overcommit = 1
+	// slowedRounding keeps small differences in speed from costing a request.
+	slowedRounding = 0.4
 )
 
 // FullLimit returns the most requests that a warm server gets at a time.
@@ -121,3 +123,23 @@
 	}
 	return 0
 }
+
+// Slowed returns what each of k holders may use of a server by its slowness: the
+// slower it is, the less work it bears. The holders reach the same sum without a
+// word between them.
+func Slowed(slots, k, rank int, slowness float64) int {
+	if slowness <= 1 || k <= 0 {
+		return FullLimit(slots)
+	}
+	limit := max(1, int(float64(FullLimit(slots))/slowness+slowedRounding))
+	return part(limit, k, rank)
+}
+
+// part returns the part of a limit that falls to the holder of a rank.
+func part(limit, k, rank int) int {
+	n := limit / k
+	if rank < limit%k {
+		n++
+	}
+	return n
+}
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -84,6 +84,9 @@
 	changed   chan struct{} // closed and replaced when the speed changes
 	coldFrom  time.Time
 	overSince time.Time
+	// carried is the work that the server already held when it turned cold. It
+	// came to a warm server, so it is not held against what a cold one bears.
+	carried   int
 	down      bool
 	draining  bool
 	cutNext   int
@@ -141,6 +144,7 @@
 	defer s.mu.Unlock()
 	s.coldFrom = time.Now()
 	s.overSince = time.Time{}
+	s.carried = s.running + len(s.waiting)
 	s.wake()
 }
 
@@ -171,6 +175,7 @@
 	defer s.mu.Unlock()
 	s.down = false
 	s.running = 0
+	s.carried = 0
 	s.waiting = nil
 	s.coldFrom = time.Now()
 	s.overSince = time.Time{}
@@ -214,7 +219,7 @@
 func (s *Server) watchCold(now time.Time) (fell bool) {
 	held := s.running + len(s.waiting)
 	s.stats.MostHeld = max(s.stats.MostHeld, held)
-	over := held - s.bears(now)
+	over := held - s.carried - s.bears(now)
 	if s.warmth(now) >= 1 || over <= 0 {
 		s.overSince = time.Time{}
 		return false
@@ -309,6 +314,7 @@
 
 // release passes a slot on. The lock is held.
 func (s *Server) release() {
+	s.carried = max(0, s.carried-1)
 	if len(s.waiting) > 0 {
 		close(s.waiting[0])
 		s.waiting = s.waiting[1:]
