--- /dev/null
+++ b/entry/commander/commander.go
@@ -0,0 +1,228 @@
+// Package commander runs samphire-entry from its flags and settings.
+package commander
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/hashicorp/go-hclog"
+
+	"samphiremux/entry/assembler"
+	"samphiremux/entry/chooser"
+	"samphiremux/entry/coordinator"
+	"samphiremux/entry/overseer"
+	"samphiremux/entry/settler"
+	"samphiremux/pkg/storer"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitSettings = 3
+)
+
+const (
+	adminHeaderLimit = 5 * time.Second
+	hookLimit        = 5 * time.Second
+	// stopLimit bounds a graceful shutdown.
+	stopLimit = 45 * time.Second
+)
+
+type arguments struct {
+	Settings string `arg:"--settings,env:SAMPHIRE_SETTINGS" help:"YAML file of settings"`
+	ID       string `arg:"--id,env:SAMPHIRE_ID" help:"overrides the setting id"`
+	Domain   string `arg:"--failure-domain,env:SAMPHIRE_FAILURE_DOMAIN" help:"overrides the setting failure-domain"`
+	Caller   string `arg:"--caller-address,env:SAMPHIRE_CALLER_ADDRESS" help:"overrides the setting caller-address"`
+	Link     string `arg:"--link-address,env:SAMPHIRE_LINK_ADDRESS" help:"overrides the setting link-address"`
+	Admin    string `arg:"--admin-address,env:SAMPHIRE_ADMIN_ADDRESS" help:"overrides the setting admin-address"`
+	Policy   string `arg:"--policy,env:SAMPHIRE_POLICY" help:"overrides the setting policy"`
+	LogLevel string `arg:"--log-level,env:SAMPHIRE_LOG_LEVEL" help:"overrides the setting log-level"`
+	LogJSON  bool   `arg:"--log-json,env:SAMPHIRE_LOG_JSON" help:"log in JSON"`
+	Check    bool   `arg:"--check" help:"check the settings and end"`
+}
+
+// Description implements arg.Described.
+func (arguments) Description() string {
+	return "samphire-entry steers callers' requests to backend servers."
+}
+
+// Run runs the entry until a signal and returns the exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	var a arguments
+	p, err := arg.NewParser(arg.Config{Program: "samphire-entry"}, &a)
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, err)
+		return exitFailed
+	}
+	switch err := p.Parse(args); {
+	case errors.Is(err, arg.ErrHelp):
+		p.WriteHelp(out)
+		return exitOK
+	case err != nil:
+		p.WriteUsage(errOut)
+		_, _ = fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	s, err := a.settings()
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, err)
+		return exitSettings
+	}
+	if a.Check {
+		_, _ = fmt.Fprintln(out, "settings are good")
+		return exitOK
+	}
+	if err := serve(s, errOut); err != nil {
+		_, _ = fmt.Fprintln(errOut, "samphire-entry:", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+// settings reads the file and puts the environment and flags over it.
+func (a arguments) settings() (s settler.Settings, err error) {
+	s = settler.Defaults()
+	if a.Settings != "" {
+		if s, err = settler.Read(a.Settings); err != nil {
+			return s, err
+		}
+	}
+	for _, o := range []struct {
+		target *string
+		value  string
+	}{
+		{&s.ID, a.ID},
+		{&s.Domain, a.Domain},
+		{&s.CallerAddress, a.Caller},
+		{&s.LinkAddress, a.Link},
+		{&s.AdminAddress, a.Admin},
+		{&s.Policy, a.Policy},
+		{&s.LogLevel, a.LogLevel},
+	} {
+		if o.value != "" {
+			*o.target = o.value
+		}
+	}
+	s.LogJSON = s.LogJSON || a.LogJSON
+	return s, s.Check()
+}
+
+func serve(s settler.Settings, logTo io.Writer) (err error) {
+	log := hclog.New(&hclog.LoggerOptions{
+		Name: "samphire", Level: hclog.LevelFromString(s.LogLevel), Output: logTo, JSONFormat: s.LogJSON,
+	})
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	listeners := make([]net.Listener, 0, 3)
+	for _, address := range []string{s.CallerAddress, s.LinkAddress, s.AdminAddress} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return err
+		}
+		listeners = append(listeners, l)
+	}
+	e := assembler.Start(context.Background(), identity(s), seams(s, listeners[0], listeners[1], log))
+	admin := &http.Server{Handler: overseer.Handler(e.Node()), ReadHeaderTimeout: adminHeaderLimit}
+	go func() { _ = admin.Serve(listeners[2]) }()
+	log.Info("Entry runs.", "id", s.ID, "caller-address", s.CallerAddress)
+	<-ctx.Done()
+	log.Info("Entry stops when its last answers lapse.")
+	stopCtx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	e.Stop(stopCtx)
+	return admin.Close()
+}
+
+func identity(s settler.Settings) assembler.Identity {
+	policy, _ := chooser.ParsePolicy(s.Policy)
+	seed := s.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return assembler.Identity{
+		ID: s.ID, Domain: s.Domain, Environment: s.Environment, Address: netip.MustParseAddrPort(s.CallerAddress),
+		LinkAddress: netip.MustParseAddrPort(s.LinkAddress), Seeds: s.Peers, Policy: policy, Seed: seed,
+	}
+}
+
+func seams(s settler.Settings, callers, link net.Listener, log hclog.Logger) assembler.Seams {
+	var d net.Dialer
+	seams := assembler.Seams{
+		Store:          storer.NewGateway(&http.Client{}, s.StoreAddresses...),
+		CallerListener: callers, LinkListener: link, Now: time.Now, Log: log,
+		DialServer: func(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
+			return d.DialContext(ctx, "tcp", a.String())
+		},
+		DialPeer: func(ctx context.Context, a string) (net.Conn, error) { return d.DialContext(ctx, "tcp", a) },
+	}
+	if s.VMListAddress != "" {
+		seams.ListVMs = func(ctx context.Context) ([]assembler.VM, error) { return listVMs(ctx, s.VMListAddress) }
+	}
+	if s.HookAddress != "" {
+		seams.Announce = func(ctx context.Context, a coordinator.Announcement) error { return announce(ctx, s.HookAddress, a) }
+	}
+	return seams
+}
+
+func listVMs(ctx context.Context, address string) (vms []assembler.VM, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var body struct {
+		VMs []struct {
+			Address string `json:"address"`
+			Leaving bool   `json:"leaving"`
+		} `json:"vms"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+		return nil, fmt.Errorf("list of VMs: %w", err)
+	}
+	for _, vm := range body.VMs {
+		vms = append(vms, assembler.VM{Address: vm.Address, Leaving: vm.Leaving})
+	}
+	return vms, nil
+}
+
+func announce(ctx context.Context, address string, a coordinator.Announcement) error {
+	ctx, cancel := context.WithTimeout(ctx, hookLimit)
+	defer cancel()
+	data, err := json.Marshal(a)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= 300 {
+		return fmt.Errorf("hook answered %d", resp.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/overseer/overseer.go
@@ -0,0 +1,80 @@
+// Package overseer serves an entry's operators: metrics, health and status.
+package overseer
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"samphiremux/entry/dispatcher"
+	"samphiremux/entry/mover"
+	"samphiremux/entry/sharer"
+	"samphiremux/entry/tracker"
+)
+
+// Status is what an entry tells of itself.
+type Status struct {
+	ID           string                         `json:"id"`
+	Domain       string                         `json:"failure-domain"`
+	Revision     uint64                         `json:"revision"`
+	Digest       string                         `json:"digest"`
+	StoreReached bool                           `json:"store-reached"`
+	Isolated     bool                           `json:"isolated"`
+	Stopping     bool                           `json:"stopping"`
+	Members      []Member                       `json:"members"`
+	Moves        map[string]mover.Record        `json:"moves"`
+	Servers      map[string][]dispatcher.Status `json:"servers"`
+}
+
+// Member is another entry as this one sees it.
+type Member struct {
+	tracker.Member
+	Usable bool `json:"usable"`
+}
+
+// Of returns the status of an entry.
+func Of(n *sharer.Node) (s Status) {
+	e := n.Envelope()
+	s = Status{
+		ID: n.Self().ID, Domain: n.Self().Domain, Revision: uint64(e.Revision), Digest: e.Digest, Isolated: n.Isolated(),
+		Moves: map[string]mover.Record{}, Servers: map[string][]dispatcher.Status{},
+	}
+	n.Tracker(func(now time.Time, t *tracker.Tracker) bool {
+		s.StoreReached = t.StoreReached(now)
+		s.Stopping = t.Stopping()
+		for _, m := range t.Members() {
+			s.Members = append(s.Members, Member{Member: m, Usable: t.Usable(now, m.ID)})
+		}
+		return false
+	})
+	snapshot := n.Snapshot()
+	if snapshot == nil {
+		return s
+	}
+	for name, sv := range snapshot.Services {
+		if r, ok := n.Record(name); ok && sv.Declared.Move != nil {
+			s.Moves[name] = r
+		}
+		if sv.Dispatcher != nil {
+			s.Servers[name] = sv.Dispatcher.Status()
+		}
+	}
+	return s
+}
+
+// Handler serves /metrics, /healthz, /readyz and /status.
+func Handler(n *sharer.Node) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", n.Counters().Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if n.Snapshot() == nil {
+			http.Error(w, "no document is in force yet", http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(Of(n))
+	})
+	return mux
+}
--- a/pkg/storer/gateway.go
+++ b/pkg/storer/gateway.go
@@ -88,7 +88,7 @@
 	resp, err = g.client.Do(req)
 	if err != nil {
 		g.current.CompareAndSwap(at, at+1)
-		return nil, err
+		return nil, ErrStoreOut{Cause: err}
 	}
 	if resp.StatusCode == http.StatusOK {
 		return resp, nil
--- a/pkg/storer/storer.go
+++ b/pkg/storer/storer.go
@@ -91,6 +91,14 @@
 
 func (e ErrNoSuchKey) Error() string { return fmt.Sprintf("key %q does not exist", e.Key) }
 
+// ErrStoreOut says that the store gave no answer.
+type ErrStoreOut struct{ Cause error }
+
+func (e ErrStoreOut) Error() string { return fmt.Sprintf("the store gave no answer: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e ErrStoreOut) Unwrap() error { return e.Cause }
+
 // ErrLeaseLapsed says that a lease no longer exists.
 type ErrLeaseLapsed struct{ ID LeaseID }
 
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -29,6 +29,7 @@
 	locateLimit   = time.Second
 	callLimit     = 10 * time.Second
 	maxConns      = 4096
+	directLife    = 24 * time.Hour
 )
 
 // Dialer connects the caller to an entry.
@@ -66,6 +67,14 @@
 	}
 }
 
+// NewDirect returns a caller that uses backend servers without an entry, to
+// compare with.
+func NewDirect(dial Dialer, servers []netip.AddrPort, service string, seed uint64) *Caller {
+	c := New(dial, nil, seed)
+	c.located[service] = located{entries: servers, validUntil: time.Now().Add(directLife)}
+	return c
+}
+
 // Close ends the caller's connections.
 func (c *Caller) Close() { c.transport.CloseIdleConnections() }
 
--- a/standin/commander/commander.go
+++ b/standin/commander/commander.go
@@ -8,12 +8,8 @@
 	"io"
 	"os"
 	"os/signal"
-	"time"
 
 	"github.com/alexflint/go-arg"
-	"github.com/hashicorp/go-hclog"
-
-	"samphiremux/standin/demonstrator"
 )
 
 // Exit codes.
@@ -23,15 +19,14 @@
 	exitUsage  = 2
 )
 
-type demoCommand struct {
-	Entries int           `arg:"--entries" default:"4" help:"entries per deployment"`
-	Length  time.Duration `arg:"--length" default:"8s" help:"time of load per deployment"`
-	Seed    uint64        `arg:"--seed" default:"1" help:"seed of all random choices"`
-	Verbose bool          `arg:"-v,--verbose" help:"log what entries do"`
-}
-
 type arguments struct {
-	Demo *demoCommand `arg:"subcommand:demo" help:"show the whole system in one process"`
+	Demo     *demoCommand     `arg:"subcommand:demo" help:"show the whole system in one process"`
+	Platform *platformCommand `arg:"subcommand:platform" help:"stand in for the platform's store and list of VMs"`
+	Backend  *backendCommand  `arg:"subcommand:backend" help:"stand in for one backend server"`
+	Load     *loadCommand     `arg:"subcommand:load" help:"call services as callers do, and measure"`
+	Overhead *overheadCommand `arg:"subcommand:overhead" help:"measure the latency that one entry adds"`
+	Apply    *inForceCommand  `arg:"subcommand:in-force" help:"measure how soon applied documents are in force"`
+	Sample   *sampleCommand   `arg:"subcommand:sample" help:"print the document of a deployment"`
 }
 
 // Description implements arg.Described.
@@ -61,6 +56,18 @@
 	switch {
 	case a.Demo != nil:
 		return a.Demo.run(ctx, out, errOut)
+	case a.Platform != nil:
+		return a.Platform.run(ctx, out, errOut)
+	case a.Backend != nil:
+		return a.Backend.run(ctx, out, errOut)
+	case a.Load != nil:
+		return a.Load.run(ctx, out, errOut)
+	case a.Overhead != nil:
+		return a.Overhead.run(ctx, out, errOut)
+	case a.Apply != nil:
+		return a.Apply.run(ctx, out, errOut)
+	case a.Sample != nil:
+		return a.Sample.run(out, errOut)
 	default:
 		p.WriteHelp(errOut)
 		return exitUsage
@@ -71,20 +78,3 @@
 	_, _ = fmt.Fprintln(errOut, "samphire-standin:", err)
 	return exitFailed
 }
-
-func (c *demoCommand) run(ctx context.Context, out, errOut io.Writer) int {
-	log := hclog.NewNullLogger()
-	if c.Verbose {
-		log = hclog.New(&hclog.LoggerOptions{Name: "demo", Output: errOut, Level: hclog.Info})
-	}
-	v, err := demonstrator.Run(ctx, demonstrator.Options{Entries: c.Entries, Length: c.Length, Seed: c.Seed, Log: log}, out)
-	if err != nil {
-		return fail(errOut, err)
-	}
-	if !v.Good() {
-		_, _ = fmt.Fprintln(out, "FAILED: an answer was wrong, cut or doubled")
-		return exitFailed
-	}
-	_, _ = fmt.Fprintln(out, "OK: no answer was wrong, cut or doubled")
-	return exitOK
-}
--- /dev/null
+++ b/standin/commander/measure.go
@@ -0,0 +1,191 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"samphiremux/pkg/encoder"
+	"samphiremux/standin/caller"
+	"samphiremux/standin/generator"
+	"samphiremux/standin/hoster"
+	"samphiremux/standin/loader"
+	"samphiremux/standin/measurer"
+	"samphiremux/standin/plotter"
+)
+
+type loadCommand struct {
+	Scenario string `arg:"positional,required" help:"YAML file"`
+	CSV      string `arg:"--csv" help:"file for one line per call"`
+	Picture  string `arg:"--picture" help:"PNG file of latency over time"`
+}
+
+// scenario is the form of a load file.
+type scenario struct {
+	Entries  []string       `yaml:"entries"`
+	Callers  int            `yaml:"callers"`
+	Warm     string         `yaml:"warm"`
+	Length   string         `yaml:"length"`
+	Seed     uint64         `yaml:"seed"`
+	Services []scenarioPlan `yaml:"services"`
+}
+
+type scenarioPlan struct {
+	Name      string  `yaml:"name"`
+	Path      string  `yaml:"path"`
+	PerSecond float64 `yaml:"per-second"`
+	Writes    float64 `yaml:"writes"`
+	Keyed     bool    `yaml:"keyed"`
+	Mean      string  `yaml:"work-mean"`
+	P99       string  `yaml:"work-p99"`
+}
+
+// site makes callers that know the entries of a scenario.
+type site struct {
+	seeds []netip.AddrPort
+	seed  uint64
+}
+
+// NewCaller implements loader.Site.
+func (s site) NewCaller(index int) *caller.Caller {
+	return caller.New(dialTCP, s.seeds, s.seed+uint64(index))
+}
+
+func dialTCP(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", a.String())
+}
+
+func (c *loadCommand) run(ctx context.Context, out, errOut io.Writer) int {
+	s, run, err := readScenario(c.Scenario)
+	if err != nil {
+		return fail(errOut, err)
+	}
+	var samples plotter.Samples
+	run.Each = samples.Add
+	summary := loader.Drive(ctx, s, run)
+	_, _ = fmt.Fprintln(out, summary.Line())
+	for _, q := range []float64{50, 90, 99, 99.9} {
+		_, _ = fmt.Fprintf(out, "p%-5v %v\n", q, summary.Quantile(q))
+	}
+	if c.CSV != "" {
+		err = errors.Join(err, samples.WriteCSV(c.CSV))
+	}
+	if c.Picture != "" {
+		err = errors.Join(err, samples.Plot(c.Picture))
+	}
+	if err != nil {
+		return fail(errOut, err)
+	}
+	if summary.Counts[loader.Name(caller.Wrong{})] > 0 {
+		return exitFailed
+	}
+	return exitOK
+}
+
+func readScenario(file string) (s site, run loader.Run, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("scenario %s: %w", file, err)
+		}
+	}()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return s, run, err
+	}
+	sc := scenario{Callers: 8, Warm: "1s", Length: "10s", Seed: 1}
+	if err := yaml.UnmarshalWithOptions(data, &sc, yaml.Strict()); err != nil {
+		return s, run, err
+	}
+	for _, e := range sc.Entries {
+		a, err := netip.ParseAddrPort(e)
+		if err != nil {
+			return s, run, err
+		}
+		s.seeds = append(s.seeds, a)
+	}
+	s.seed = sc.Seed
+	run = loader.Run{Callers: sc.Callers, Seed: sc.Seed}
+	var errs [2]error
+	run.Warm, errs[0] = time.ParseDuration(sc.Warm)
+	run.Length, errs[1] = time.ParseDuration(sc.Length)
+	if err := errors.Join(errs[:]...); err != nil {
+		return s, run, err
+	}
+	for _, p := range sc.Services {
+		plan, err := p.plan()
+		if err != nil {
+			return s, run, err
+		}
+		run.Plans = append(run.Plans, plan)
+	}
+	return s, run, nil
+}
+
+func (p scenarioPlan) plan() (plan loader.Plan, err error) {
+	mean, err := time.ParseDuration(p.Mean)
+	if err != nil {
+		return plan, err
+	}
+	p99, err := time.ParseDuration(p.P99)
+	if err != nil {
+		return plan, err
+	}
+	return loader.Plan{
+		Service: p.Name, Path: p.Path, Writes: p.Writes, Keyed: p.Keyed,
+		Arrivals: generator.Arrivals{PerSecond: p.PerSecond}, Work: generator.NewLognormal(mean, p99),
+	}, nil
+}
+
+type overheadCommand struct {
+	PerSecond float64       `arg:"--per-second" default:"1000" help:"calls per second, through the entry and directly"`
+	Length    time.Duration `arg:"--length" default:"10s" help:"measured time"`
+	Seed      uint64        `arg:"--seed" default:"1" help:"seed of all random choices"`
+}
+
+func (c *overheadCommand) run(ctx context.Context, out, errOut io.Writer) int {
+	if err := measurer.Overhead(ctx, c.PerSecond, c.Length, c.Seed, out); err != nil {
+		return fail(errOut, err)
+	}
+	return exitOK
+}
+
+type inForceCommand struct {
+	Entries int  `arg:"--entries" default:"18" help:"number of entries"`
+	Applies int  `arg:"--applies" default:"50" help:"number of documents"`
+	Outage  bool `arg:"--outage" help:"take the store down right after each document"`
+}
+
+func (c *inForceCommand) run(ctx context.Context, out, errOut io.Writer) int {
+	if err := measurer.InForce(ctx, c.Entries, c.Applies, c.Outage, out); err != nil {
+		return fail(errOut, err)
+	}
+	return exitOK
+}
+
+type sampleCommand struct {
+	Deployment  string `arg:"positional,required" help:"trust or association"`
+	Environment string `arg:"--environment" default:"trial" help:"environment"`
+}
+
+func (c *sampleCommand) run(out, errOut io.Writer) int {
+	for _, d := range []hoster.Deployment{hoster.Trust(), hoster.Association()} {
+		if d.Name != c.Deployment {
+			continue
+		}
+		data, err := encoder.Encode(d.Document(c.Environment))
+		if err != nil {
+			return fail(errOut, err)
+		}
+		_, _ = out.Write(data)
+		return exitOK
+	}
+	return fail(errOut, fmt.Errorf("deployment %q does not exist; deployments are trust, association", c.Deployment))
+}
--- /dev/null
+++ b/standin/commander/serve.go
@@ -0,0 +1,145 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"samphiremux/standin/demonstrator"
+	"samphiremux/standin/platformer"
+	"samphiremux/standin/responder"
+)
+
+const headerLimit = 5 * time.Second
+
+type demoCommand struct {
+	Entries int           `arg:"--entries" default:"4" help:"entries per deployment"`
+	Length  time.Duration `arg:"--length" default:"8s" help:"time of load per deployment"`
+	Seed    uint64        `arg:"--seed" default:"1" help:"seed of all random choices"`
+	Verbose bool          `arg:"-v,--verbose" help:"log what entries do"`
+}
+
+func (c *demoCommand) run(ctx context.Context, out, errOut io.Writer) int {
+	log := hclog.NewNullLogger()
+	if c.Verbose {
+		log = hclog.New(&hclog.LoggerOptions{Name: "demo", Output: errOut, Level: hclog.Info})
+	}
+	v, err := demonstrator.Run(ctx, demonstrator.Options{Entries: c.Entries, Length: c.Length, Seed: c.Seed, Log: log}, out)
+	if err != nil {
+		return fail(errOut, err)
+	}
+	if !v.Good() {
+		_, _ = fmt.Fprintln(out, "FAILED: an answer was wrong, cut or doubled")
+		return exitFailed
+	}
+	_, _ = fmt.Fprintln(out, "OK: no answer was wrong, cut or doubled")
+	return exitOK
+}
+
+type platformCommand struct {
+	Address string        `arg:"--address" default:"127.0.0.1:2379" help:"IP number and port"`
+	Lag     time.Duration `arg:"--lag" default:"2s" help:"lag of the list of VMs"`
+}
+
+// run serves the store's JSON gateway, the list of VMs at /vms, and faults on
+// demand at /faults.
+func (c *platformCommand) run(ctx context.Context, out, errOut io.Writer) int {
+	store := platformer.NewStore()
+	vms := platformer.NewVMList(c.Lag)
+	mux := http.NewServeMux()
+	mux.Handle("/v3/", store.Handler())
+	mux.Handle("GET /vms", vms)
+	mux.HandleFunc("PUT /vms", func(w http.ResponseWriter, r *http.Request) {
+		var list []platformer.VM
+		if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		vms.Set(list)
+	})
+	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
+		if err := setFaults(store, r); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+		}
+	})
+	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(store.Calls())
+	})
+	return serveUntil(ctx, c.Address, mux, out, errOut)
+}
+
+func setFaults(store *platformer.Store, r *http.Request) error {
+	var body struct {
+		Down         bool   `json:"down"`
+		SlowBy       string `json:"slow-by"`
+		LoseAnswers  int    `json:"lose-answers"`
+		BreakWatches bool   `json:"break-watches"`
+		LapseLeases  bool   `json:"lapse-leases"`
+		Compact      bool   `json:"compact"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		return err
+	}
+	f := platformer.Faults{Down: body.Down, LoseAnswers: body.LoseAnswers}
+	if body.SlowBy != "" {
+		d, err := time.ParseDuration(body.SlowBy)
+		if err != nil {
+			return err
+		}
+		f.SlowBy = d
+	}
+	store.SetFaults(f)
+	if body.BreakWatches {
+		store.BreakWatches()
+	}
+	if body.LapseLeases {
+		store.LapseAll()
+	}
+	if body.Compact {
+		store.Compact()
+	}
+	return nil
+}
+
+type backendCommand struct {
+	Address string        `arg:"--address,required" help:"IP number and port"`
+	Name    string        `arg:"--name,required" help:"name of the server"`
+	Slots   int           `arg:"--slots" default:"2" help:"requests that run at a time"`
+	Queue   int           `arg:"--queue" default:"64" help:"waiting requests from which it sheds load"`
+	WarmUp  time.Duration `arg:"--warm-up" default:"3s" help:"time that a cold server takes"`
+}
+
+func (c *backendCommand) run(ctx context.Context, out, errOut io.Writer) int {
+	s := responder.New(responder.Options{
+		Name: c.Name, Slots: c.Slots, QueueLimit: c.Queue, WarmUp: c.WarmUp, Ledger: responder.NewLedger(),
+	})
+	s.TurnCold()
+	return serveUntil(ctx, c.Address, s, out, errOut)
+}
+
+// serveUntil serves HTTP at an address until ctx ends.
+func serveUntil(ctx context.Context, address string, h http.Handler, out, errOut io.Writer) int {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return fail(errOut, err)
+	}
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(a))
+	if err != nil {
+		return fail(errOut, err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerLimit}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	_, _ = fmt.Fprintln(out, "serving at", address)
+	if err := server.Serve(l); err != nil && ctx.Err() == nil {
+		return fail(errOut, err)
+	}
+	return exitOK
+}
--- a/standin/fuzzer/run.go
+++ b/standin/fuzzer/run.go
@@ -106,6 +106,7 @@
 	if r.world, err = hoster.New(options, doc); err != nil {
 		return nil, err
 	}
+	defer time.Sleep(hoster.Linger)
 	defer r.world.Close()
 	pair, err := r.world.Store.Get(context.Background(), publisher.DocumentKey(doc.Environment))
 	if err != nil {
--- a/standin/hoster/hoster.go
+++ b/standin/hoster/hoster.go
@@ -35,7 +35,6 @@
 	serverQueue  = 64
 	restartDelay = time.Second
 	reportLag    = 300 * time.Millisecond
-	closeGrace   = 500 * time.Millisecond
 )
 
 // Options describe a world.
@@ -343,10 +342,12 @@
 		b.mu.Unlock()
 	}
 	w.Store.LapseAll()
-	// Handlers that were in work end by themselves.
-	time.Sleep(closeGrace)
 }
 
+// Linger is the time in which handlers and requests that were in work when a
+// world was closed end by themselves. A bubble must last as long.
+const Linger = 10 * time.Second
+
 // errCut says that a host cannot reach the store.
 var errCut = errors.New("the store cannot be reached")
 
--- a/standin/loader/loader.go
+++ b/standin/loader/loader.go
@@ -71,18 +71,16 @@
 	Refused  *hdrhistogram.Histogram
 	Counts   map[string]int
 	Reasons  map[string]int
-	Samples  []Sample
-	keepAll  bool
 	Writes   map[string]caller.Result
 	Duration time.Duration
 }
 
-// NewSummary returns an empty summary. KeepAll keeps every sample.
-func NewSummary(keepAll bool) *Summary {
+// NewSummary returns an empty summary.
+func NewSummary() *Summary {
 	return &Summary{
 		Whole:   hdrhistogram.New(1, maxLatency.Microseconds(), figures),
 		Refused: hdrhistogram.New(1, maxLatency.Microseconds(), figures),
-		Counts:  map[string]int{}, Reasons: map[string]int{}, Writes: map[string]caller.Result{}, keepAll: keepAll,
+		Counts:  map[string]int{}, Reasons: map[string]int{}, Writes: map[string]caller.Result{},
 	}
 }
 
@@ -113,9 +111,6 @@
 	if x.Write {
 		s.Writes[x.ID] = x.Result
 	}
-	if s.keepAll {
-		s.Samples = append(s.Samples, x)
-	}
 }
 
 func short(err error) string {
@@ -151,12 +146,17 @@
 	return strings.Join(parts, " ")
 }
 
+// Site makes callers. A hoster.World is one.
+type Site interface {
+	NewCaller(index int) *caller.Caller
+}
+
 // Drive runs the load and returns when every call has ended.
-func Drive(ctx context.Context, w *hoster.World, r Run) *Summary {
-	s := NewSummary(r.Each == nil && r.Length < 0)
+func Drive(ctx context.Context, site Site, r Run) *Summary {
+	s := NewSummary()
 	callers := make([]*caller.Caller, r.Callers)
 	for i := range callers {
-		callers[i] = w.NewCaller(i)
+		callers[i] = site.NewCaller(i)
 		defer callers[i].Close()
 	}
 	var all sync.WaitGroup
--- /dev/null
+++ b/standin/plotter/plotter.go
@@ -0,0 +1,90 @@
+// Package plotter writes measured calls as CSV and as a picture of latency over
+// time.
+package plotter
+
+import (
+	"encoding/csv"
+	"fmt"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+
+	"samphiremux/standin/loader"
+)
+
+const (
+	width     = 24 * vg.Centimeter
+	height    = 12 * vg.Centimeter
+	dotRadius = vg.Length(0.6)
+)
+
+// Samples collects measured calls. Add may be called concurrently.
+type Samples struct {
+	mu  sync.Mutex
+	all []loader.Sample
+}
+
+// Add takes in one call.
+func (s *Samples) Add(x loader.Sample) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all = append(s.all, x)
+}
+
+// WriteCSV writes one line per call.
+func (s *Samples) WriteCSV(file string) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("writing %s: %w", file, err)
+		}
+	}()
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	w := csv.NewWriter(f)
+	if err := w.Write([]string{"at-seconds", "service", "id", "latency-seconds", "result"}); err != nil {
+		return err
+	}
+	for _, x := range s.all {
+		line := []string{seconds(x.At), x.Service, x.ID, seconds(x.Latency), loader.Name(x.Result)}
+		if err := w.Write(line); err != nil {
+			return err
+		}
+	}
+	w.Flush()
+	return w.Error()
+}
+
+func seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 6, 64) }
+
+// Plot writes a PNG picture of latency over time.
+func (s *Samples) Plot(file string) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("drawing %s: %w", file, err)
+		}
+	}()
+	points := make(plotter.XYs, len(s.all))
+	for i, x := range s.all {
+		points[i] = plotter.XY{X: x.At.Seconds(), Y: float64(x.Latency.Microseconds()) / 1000}
+	}
+	p := plot.New()
+	p.Title.Text = "Latency of calls"
+	p.X.Label.Text = "time (s)"
+	p.Y.Label.Text = "latency (ms)"
+	scatter, err := plotter.NewScatter(points)
+	if err != nil {
+		return err
+	}
+	scatter.GlyphStyle = draw.GlyphStyle{Color: scatter.Color, Radius: dotRadius, Shape: draw.CircleGlyph{}}
+	p.Add(scatter, plotter.NewGrid())
+	return p.Save(width, height, file)
+}
