mover: compare versions fairly and find failures sooner

Change: the first share is 4.5 %; requests are chosen for comparison when they are sent and only at servers without other work; failures have a lower alarm and a larger hazard ratio; after a step the part is learned again; the last share before the end is 70 %.

--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -35,6 +35,9 @@
 	hedgeUnknown = 8
 	// hedgeRefresh is the time between two readings of the quantile.
 	hedgeRefresh = 100 * time.Millisecond
+	// sampleGap is the time between two attempts at a server that are compared
+	// with those of another version.
+	sampleGap = 100 * time.Millisecond
 	// histogramLife is the time that one of the two histogram windows covers.
 	histogramLife     = 3 * time.Second
 	maxLatency        = time.Minute
@@ -106,6 +109,12 @@
 	Route   string
 	Latency time.Duration
 	Failed  bool
+	// Sampled tells that the attempt was chosen for comparisons when it was sent.
+	Sampled bool
+	// Alone tells that the server had no other request of this entry then.
+	Alone bool
+	// Abandoned tells that the answer was not awaited.
+	Abandoned bool
 }
 
 // New returns a dispatcher without servers. Id names the entry.
@@ -169,9 +178,11 @@
 	Server  Placement
 	Request Request
 
-	start time.Time
-	owner *Dispatcher
-	state *server
+	start   time.Time
+	owner   *Dispatcher
+	state   *server
+	sampled bool
+	alone   bool
 }
 
 // Acquire waits for a server. It ends with a refusal if none is free in time.
@@ -291,8 +302,13 @@
 }
 
 func (d *Dispatcher) issue(now time.Time, s *server, r Request) *Ticket {
+	t := &Ticket{Server: s.place, Request: r, start: now, owner: d, state: s, alone: len(s.starts) == 0}
+	if !now.Before(s.sampleFrom) {
+		t.sampled = true
+		s.sampleFrom = now.Add(sampleGap)
+	}
 	s.begin(now)
-	return &Ticket{Server: s.place, Request: r, start: now, owner: d, state: s}
+	return t
 }
 
 // candidates lists the servers that may get work. Ejected servers count only if
@@ -402,7 +418,10 @@
 	if !ok || !d.budget.Spend() {
 		return nil, false
 	}
-	return d.issue(now, d.servers[spare[i].Server], t.Request), true
+	second := d.issue(now, d.servers[spare[i].Server], t.Request)
+	// The request is known to be long, so it says nothing about its version.
+	second.sampled = false
+	return second, true
 }
 
 // overdue tells whether a request is late enough for a hedge. The older it is,
@@ -451,15 +470,20 @@
 		d.mean.Add(latency)
 		d.record(now, latency)
 	}
-	if d.observer != nil {
-		d.observer.Observe(now, Attempt{
-			Server: t.Server.Server.Name, Version: t.Server.Server.Version, Route: t.Request.Route,
-			Latency: latency, Failed: failedAnswer || (!answered && retrier.MayHaveRun(o)),
-		})
-	}
+	t.observe(now, failedAnswer || (!answered && retrier.MayHaveRun(o)), false)
 	d.drain(now)
 }
 
+func (t *Ticket) observe(now time.Time, failed, abandoned bool) {
+	if t.owner.observer == nil {
+		return
+	}
+	t.owner.observer.Observe(now, Attempt{
+		Server: t.Server.Server.Name, Version: t.Server.Server.Version, Route: t.Request.Route,
+		Latency: now.Sub(t.start), Failed: failed, Sampled: t.sampled, Alone: t.alone, Abandoned: abandoned,
+	})
+}
+
 func (d *Dispatcher) record(now time.Time, latency time.Duration) {
 	if now.Sub(d.rotated) >= histogramLife {
 		d.latencies.Rotate()
@@ -480,5 +504,6 @@
 	if mean := d.mean.Value(); now.Sub(t.start) > mean {
 		t.state.speed.Add(now, now.Sub(t.start), mean)
 	}
+	t.observe(now, false, true)
 	d.drain(now)
 }
--- a/entry/dispatcher/server.go
+++ b/entry/dispatcher/server.go
@@ -53,6 +53,9 @@
 	speed     estimator.Speed
 	starts    []time.Time
 
+	// sampleFrom is when the next attempt is compared with other versions.
+	sampleFrom time.Time
+
 	draining     bool // said by the server itself or its owner
 	listLeaving  bool // said by the platform's list of VMs
 	failures     int
--- a/entry/mover/detector.go
+++ b/entry/mover/detector.go
@@ -7,19 +7,34 @@
 )
 
 const (
-	// unitLength is the time over which the answers of one server count as one
-	// observation, since faults of a machine hit answers in clusters.
-	unitLength = 100 * time.Millisecond
-	// alarmLevel is the cumulative log likelihood ratio that is taken as harm.
-	// A detector raises a false alarm within n bad observations with a
-	// probability of at most n*exp(-alarmLevel) (Page's test; Lorden 1971).
-	alarmLevel = 16.0
+	// slowAlarm and failureAlarm are the cumulative log likelihood ratios that
+	// are taken as harm. A test raises a false alarm within n bad observations
+	// with a probability of at most n*exp(-alarm) for each hazard ratio (Page's
+	// test; Lorden 1971). A good version sees a tenth of its answers as slow, but
+	// hardly any as failed.
+	slowAlarm    = 16.0
+	failureAlarm = 11.0
 	// slowQuantile is the quantile of the old version's latency above which an
 	// answer counts as slow.
 	slowQuantile = 0.9
+	// minExposed is the number of observations from which the new version's part
+	// is known well enough.
+	minExposed = 40
+	// minExposure keeps the test defined while one version has no traffic.
+	minExposure = 0.005
+	// quantileStep is the least relative step of the learned quantile.
+	quantileStep = 0.004
 	// exposureLife is the number of observations over which the new version's
 	// part of the traffic is measured.
 	exposureLife = 400.0
+	// failureGap is the time in which only the first failure of a server counts,
+	// since a dying server fails many requests at once.
+	failureGap = 100 * time.Millisecond
+	// evenExposure is the part of the new version from which small hazard ratios
+	// are left out: a version that carries most of the load is slower for it.
+	evenExposure = 0.4
+	// evenRatio is the smallest hazard ratio that is looked for from there.
+	evenRatio = 5
 	// minOld is the number of observations of the old version on a route that
 	// must come before its slow answers are judged.
 	minOld = 50
@@ -27,7 +42,7 @@
 
 // hazardRatios are the harms that the test looks for: how many times as many
 // bad answers the new version gives.
-var hazardRatios = [...]float64{2, 5, 20}
+var hazardRatios = [...]float64{2, 5, 20, 200}
 
 // Detector compares the answers of two versions at one entry, in the same
 // failure domains over the same time. It is not safe for concurrent use.
@@ -39,21 +54,15 @@
 // scope is one route, or the whole service.
 type scope struct {
 	threshold quantile
-	exposure  float64 // part of observations on the new version
-	seen      float64
-	olds      int
-	open      map[string]*unit
-	slow      cusum
-	failed    cusum
-}
-
-// unit is one observation in the making.
-type unit struct {
-	until  time.Time
-	isNew  bool
-	total  int
-	slow   int
-	failed int
+	// judged is the new version's part of the latencies that are compared, and
+	// answered its part of all sampled answers.
+	judged   exposure
+	answered exposure
+	olds     int
+	// failedUntil is when each server's next failure counts.
+	failedUntil map[string]time.Time
+	slow        cusum
+	failed      cusum
 }
 
 // cusum is Page's test for each hazard ratio.
@@ -62,6 +71,14 @@
 // NewDetector returns a detector without observations.
 func NewDetector() *Detector { return &Detector{scopes: map[string]*scope{}} }
 
+// Step follows a change of the new version's share. Its part of the traffic has
+// to be learned again before more is judged.
+func (d *Detector) Step() {
+	for _, s := range d.scopes {
+		s.judged, s.answered = exposure{}, exposure{}
+	}
+}
+
 // wholeService is the scope of all routes together.
 const wholeService = ""
 
@@ -72,6 +89,15 @@
 	IsNew   bool
 	Latency time.Duration
 	Failed  bool
+	// Sampled tells that the request was chosen when it was sent. Latencies of
+	// others are not compared: faults of a machine hit answers in clusters, and a
+	// choice by when answers come would favour short ones.
+	Sampled bool
+	// Alone tells that the server had no other request of this entry, so that
+	// the latency does not show how loaded its version is.
+	Alone bool
+	// Abandoned tells that the answer was not awaited: it took at least Latency.
+	Abandoned bool
 }
 
 // Observe takes in an answer. It returns the reason once harm is found.
@@ -82,7 +108,7 @@
 	for _, name := range []string{o.Route, wholeService} {
 		s, ok := d.scopes[name]
 		if !ok {
-			s = &scope{open: map[string]*unit{}}
+			s = &scope{failedUntil: map[string]time.Time{}}
 			d.scopes[name] = s
 		}
 		if fault := s.observe(now, o); fault != "" {
@@ -101,71 +127,83 @@
 }
 
 func (s *scope) observe(now time.Time, o Observation) (fault string) {
-	u, ok := s.open[o.Server]
-	if ok && !now.Before(u.until) {
-		fault = s.close(u)
-		ok = false
-	}
-	if !ok {
-		u = &unit{until: now.Add(unitLength), isNew: o.IsNew}
-		s.open[o.Server] = u
+	if o.Sampled {
+		s.answered.add(o.IsNew)
 	}
-	u.total++
 	if o.Failed {
-		u.failed++
-		if o.IsNew && u.failed == 1 && fault == "" {
-			// The first failure of a unit decides it, and need not wait.
-			fault = s.judgeFailure(u)
-		}
-		return fault
+		return s.observeFailure(now, o)
 	}
+	if !o.Sampled || !o.Alone || (o.Abandoned && float64(o.Latency) <= s.threshold.value) {
+		return ""
+	}
+	s.judged.add(o.IsNew)
 	if !o.IsNew {
+		s.olds++
 		s.threshold.add(float64(o.Latency))
 	}
-	if s.olds >= minOld && float64(o.Latency) > s.threshold.value {
-		u.slow++
-	}
-	return fault
-}
-
-// close judges a finished unit.
-func (s *scope) close(u *unit) (fault string) {
-	x := 0.0
-	if u.isNew {
-		x = 1
-	} else {
-		s.olds++
+	if s.judged.seen < minExposed || s.olds < minOld || float64(o.Latency) <= s.threshold.value {
+		return ""
 	}
-	s.seen = min(s.seen+1, exposureLife)
-	s.exposure += (x - s.exposure) / s.seen
-	if !u.isNew && u.failed > 0 {
-		s.failed.add(false, s.exposure)
+	smallest := 0.0
+	if s.judged.part > evenExposure {
+		smallest = evenRatio
 	}
-	if 2*u.slow > u.total && s.slow.add(u.isNew, s.exposure) {
+	if s.slow.add(o.IsNew, s.judged.part, smallest, slowAlarm) {
 		return "is slow"
 	}
 	return ""
 }
 
-func (s *scope) judgeFailure(u *unit) (fault string) {
-	if s.failed.add(u.isNew, s.exposure) {
+func (s *scope) observeFailure(now time.Time, o Observation) (fault string) {
+	if now.Before(s.failedUntil[o.Server]) {
+		return ""
+	}
+	s.failedUntil[o.Server] = now.Add(failureGap)
+	if s.failed.add(o.IsNew, s.answered.known(), 0, failureAlarm) {
 		return "fails"
 	}
 	return ""
 }
 
+// exposure follows the new version's part of a stream of observations.
+type exposure struct {
+	part float64
+	seen float64
+}
+
+// known returns the part, or a guess before there are observations.
+func (e *exposure) known() float64 {
+	if e.seen < minExposed {
+		return steps[0]
+	}
+	return e.part
+}
+
+func (e *exposure) add(isNew bool) {
+	x := 0.0
+	if isNew {
+		x = 1
+	}
+	e.seen = min(e.seen+1, exposureLife)
+	e.part += (x - e.part) / e.seen
+}
+
 // add takes in one bad observation. Given that it is bad, it comes from the new
 // version with a probability that depends on the hazard ratio and the exposure.
-func (c *cusum) add(isNew bool, exposure float64) (alarm bool) {
-	e := min(max(exposure, 0.005), 0.995)
+func (c *cusum) add(isNew bool, exposure, smallest, level float64) (alarm bool) {
+	e := min(max(exposure, minExposure), 1-minExposure)
 	for i, ratio := range hazardRatios {
+		if ratio < smallest {
+			c[i] = 0
+			continue
+		}
 		p := e * ratio / (e*ratio + 1 - e)
 		gain := math.Log((1 - p) / (1 - e))
 		if isNew {
 			gain = math.Log(p / e)
 		}
 		c[i] = max(0, c[i]+gain)
-		alarm = alarm || c[i] >= alarmLevel
+		alarm = alarm || c[i] >= level
 	}
 	return alarm
 }
@@ -182,7 +220,7 @@
 		q.value = x
 		return
 	}
-	step := q.value * max(0.01, 1/float64(q.count))
+	step := q.value * max(quantileStep, 1/float64(q.count))
 	if x > q.value {
 		q.value += step * slowQuantile
 	} else {
--- a/entry/mover/plan.go
+++ b/entry/mover/plan.go
@@ -16,7 +16,7 @@
 	// route.
 	fewAnswers = 4
 	// smallStep is the last step with a small share.
-	smallStep = 1
+	smallStep = 0
 	// planFraction is the part of the time to the deadline that the steps use.
 	// The rest is margin.
 	planFraction = 0.85
@@ -30,8 +30,9 @@
 )
 
 // steps are the shares of the new version. The old version keeps a part of the
-// work until the move is done, so that late faults can still be compared.
-var steps = []float64{0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 0.9}
+// work until the move is done, so that late faults can still be compared. With
+// less than this part an idle version would be compared with a loaded one.
+var steps = []float64{0.045, 0.1, 0.2, 0.35, 0.5, 0.7}
 
 // Evidence is what the entries saw on one route since the move began.
 type Evidence struct {
--- a/entry/sharer/moves.go
+++ b/entry/sharer/moves.go
@@ -52,6 +52,7 @@
 	mu       sync.Mutex
 	move     string
 	from, to string
+	step     int
 	ended    bool
 	detector *mover.Detector
 	tallies  map[string]mover.Evidence
@@ -70,8 +71,13 @@
 	id := mover.ID(*s.Move)
 	w.ended = hasRecord && r.Move == id && r.Phase.Final()
 	if id == w.move {
+		if r.Step != w.step {
+			w.step = r.Step
+			w.detector.Step()
+		}
 		return
 	}
+	w.step = 0
 	w.move, w.from, w.to = id, s.Move.From, s.Move.To
 	w.detector = mover.NewDetector()
 	w.tallies = map[string]mover.Evidence{}
@@ -85,15 +91,11 @@
 		return
 	}
 	isNew := a.Version == w.to
-	e := w.tallies[a.Route]
-	if isNew {
-		e.NewAnswers++
-	} else {
-		e.OldAnswers++
+	if !a.Abandoned {
+		w.count(a.Route, isNew)
 	}
-	w.tallies[a.Route] = e
 	reason, harm := w.detector.Observe(now, mover.Observation{
-		Route: a.Route, Server: a.Server, IsNew: isNew, Latency: a.Latency, Failed: a.Failed,
+		Route: a.Route, Server: a.Server, IsNew: isNew, Sampled: a.Sampled, Latency: a.Latency, Failed: a.Failed, Alone: a.Alone, Abandoned: a.Abandoned,
 	})
 	if harm {
 		w.ended = true
@@ -102,6 +104,16 @@
 	}
 }
 
+func (w *watcher) count(route string, isNew bool) {
+	e := w.tallies[route]
+	if isNew {
+		e.NewAnswers++
+	} else {
+		e.OldAnswers++
+	}
+	w.tallies[route] = e
+}
+
 // OnHarm sets the function that passes a verdict to the other entries.
 func (n *Node) OnHarm(f func(service, move, reason string)) {
 	n.mu.Lock()
