--- a/entry/granter/granter.go
+++ b/entry/granter/granter.go
@@ -16,7 +16,6 @@
 	"samphiremux/entry/spawner"
 	"samphiremux/pkg/linker/linkpb"
 	"samphiremux/pkg/parser"
-	"samphiremux/pkg/publisher"
 )
 
 // ProbeInterval is the time between two looks for servers to probe.
@@ -51,7 +50,6 @@
 	probe    Probe
 	probed   func(ProbeResult)
 	servers  map[string]*owned
-	revision publisher.Revision
 	snapshot *sharer.Snapshot
 	evidence map[string]map[string]tally
 }
--- a/entry/mover/plan.go
+++ b/entry/mover/plan.go
@@ -52,7 +52,8 @@
 	}
 	lacking := lackingRoutes(routes, evidence)
 	rush := now.Sub(r.Started) >= time.Duration(rushFraction*float64(total))
-	if len(lacking) > 0 && r.Step >= smallStep && !(rush && shownSome(lacking, evidence)) {
+	mayRush := rush && shownSome(lacking, evidence)
+	if len(lacking) > 0 && r.Step >= smallStep && !mayRush {
 		return hold(now, r, total, lacking, evidence)
 	}
 	if r.Step+1 < len(steps) {
--- a/pkg/parser/node.go
+++ b/pkg/parser/node.go
@@ -101,7 +101,7 @@
 	case *ast.MappingValueNode:
 		values = []*ast.MappingValueNode{v}
 	default:
-		r.fail(n, "%s must be a mapping", n.path)
+		r.fail(n, "%s must be a mapping", cmp.Or(n.path, "the document"))
 		return m
 	}
 	for _, mv := range values {
--- a/standin/fuzzer/fuzzer_test.go
+++ b/standin/fuzzer/fuzzer_test.go
@@ -15,10 +15,7 @@
 	"samphiremux/standin/fuzzer"
 )
 
-var (
-	longRuns = flag.Int("fuzz-runs", 250, "runs of each shard")
-	verbose  = flag.Bool("fuzz-verbose", false, "print each script")
-)
+var verbose = flag.Bool("fuzz-verbose", false, "print each script")
 
 // play runs a script in a bubble of its own.
 func play(t *testing.T, s fuzzer.Script) (findings []fuzzer.Finding) {
@@ -80,12 +77,7 @@
 	for shard := range fuzzer.Shards {
 		t.Run(strconv.Itoa(shard), func(t *testing.T) {
 			t.Parallel()
-			runs := 0
 			rapid.Check(t, func(rt *rapid.T) {
-				if runs >= *longRuns {
-					return
-				}
-				runs++
 				s := generator(shard).Draw(rt, "script")
 				if *verbose {
 					fmt.Println(s)
--- a/standin/fuzzer/verbs.go
+++ b/standin/fuzzer/verbs.go
@@ -225,7 +225,8 @@
 				results <- err == nil
 			}()
 		}
-		if <-results && <-results {
+		first, second := <-results, <-results
+		if first && second {
 			r.oracle.report("accepted-configuration", "two operators applied revision %d", base+1)
 		}
 		r.world.Reread()
--- a/standin/hoster/hoster.go
+++ b/standin/hoster/hoster.go
@@ -28,9 +28,10 @@
 )
 
 const (
-	// CallerPort and LinkPort are the ports of entries.
+	// CallerPort is the port of entries for callers.
 	CallerPort = 8080
-	LinkPort   = 8081
+	// LinkPort is the port of entries for each other.
+	LinkPort = 8081
 
 	serverQueue  = 64
 	restartDelay = time.Second
