limiter: an idle holder gives its floor to others

Change: a holder without work for five reports gives up its floor until a later report is answered. An entry asks its seeds at once when it starts.

--- a/entry/dispatcher/control.go
+++ b/entry/dispatcher/control.go
@@ -52,7 +52,7 @@
 		// The sign came after the report that this grant answers.
 		return
 	}
-	s.allotment = s.allotment.WithGrant(g)
+	s.allotment = s.allotment.WithGrant(g).WithReleased(s.idleReports >= releaseAfter)
 	if !s.drainSign {
 		s.draining = g.Draining
 	}
--- a/entry/dispatcher/server.go
+++ b/entry/dispatcher/server.go
@@ -19,6 +19,9 @@
 	// to maxEjection.
 	firstEjection = 500 * time.Millisecond
 	maxEjection   = 8 * time.Second
+	// releaseAfter is the number of reports without work from which a holder
+	// gives its floor to others.
+	releaseAfter = 5
 	// doubtCap is the time for which a holder uses one request at most at a
 	// server that may have turned cold.
 	doubtCap = time.Second
@@ -62,12 +65,14 @@
 	ejections    int
 	ejectedUntil time.Time
 
-	peak      int
-	completed int
-	refused   int
-	failed    int
-	coldSign  bool
-	drainSign bool
+	// idleReports counts the reports in a row without any work.
+	idleReports int
+	peak        int
+	completed   int
+	refused     int
+	failed      int
+	coldSign    bool
+	drainSign   bool
 }
 
 func (s *server) leaving() bool {
@@ -161,6 +166,13 @@
 
 // report returns what was seen since the last report, and starts anew.
 func (s *server) report(now time.Time, holder string, waiting int, mean time.Duration) limiter.Report {
+	s.idleReports++
+	if s.peak+waiting > 0 {
+		s.idleReports = 0
+	}
+	if s.idleReports >= releaseAfter {
+		s.allotment = s.allotment.WithReleased(true)
+	}
 	r := limiter.Report{
 		Holder:      holder,
 		InFlight:    len(s.starts),
@@ -170,6 +182,7 @@
 		Failed:      s.failed,
 		SuspectCold: s.coldSign,
 		Draining:    s.drainSign,
+		Released:    s.idleReports >= releaseAfter,
 		Warm:        s.allotment.Warm() && !s.coldSign,
 		Slow:        s.speed.Ratio(now, mean, s.starts) > slowReport,
 	}
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -63,6 +63,9 @@
 // FetchFrom asks for the newest document of a peer.
 type FetchFrom struct{ LinkAddress string }
 
+// AskSeeds asks the seeds for a document, as long as there is none.
+type AskSeeds struct{}
+
 // Lost says that the store does not answer.
 type Lost struct{ Cause error }
 
@@ -70,6 +73,8 @@
 // until ctx ends.
 func (f *Follower) Follow(ctx context.Context, send func(msg any)) {
 	pause := firstPause
+	// The store may be out, and callers do not wait.
+	send(AskSeeds{})
 	for ctx.Err() == nil {
 		started := f.node.Now()
 		err := f.followOnce(ctx, send)
@@ -112,6 +117,8 @@
 		f.changed(m)
 	case FetchFrom:
 		f.fetch(ctx, m.LinkAddress)
+	case AskSeeds:
+		f.askSeeds(ctx)
 	case Lost:
 		f.log.Warn("Store does not answer; going on with what is known.", "error", m.Cause)
 		f.askSeeds(ctx)
@@ -202,6 +209,9 @@
 	}
 	for _, address := range f.seeds {
 		f.fetch(ctx, address)
+		if f.node.Snapshot() != nil {
+			return
+		}
 	}
 }
 
--- a/entry/limiter/holder.go
+++ b/entry/limiter/holder.go
@@ -53,6 +53,8 @@
 	// warmSeen tells that the last grant was for a warm server, which is what
 	// the floor relies on.
 	warmSeen bool
+	// released tells that the holder has given up its floor to the owner.
+	released bool
 	// floorFrom is when the floor becomes valid: the holder has then been in
 	// the subset for longer than any grant to its predecessor holds.
 	floorFrom time.Time
@@ -73,6 +75,16 @@
 	return a
 }
 
+// WithReleased returns a copy that has given up its floor, or taken it back. The
+// owner must hear of it with the next report.
+func (a Allotment) WithReleased(released bool) Allotment {
+	a.released = released
+	return a
+}
+
+// Released tells whether the floor is given up.
+func (a Allotment) Released() bool { return a.released }
+
 // WithDoubt returns a copy without its floor: the server may have turned cold.
 func (a Allotment) WithDoubt() Allotment {
 	a.warmSeen = false
@@ -106,7 +118,7 @@
 	switch {
 	case a.Granted(now):
 		quota = a.grant.Slots
-	case a.warmSeen && !now.Before(a.floorFrom):
+	case a.warmSeen && !a.released && !now.Before(a.floorFrom):
 		quota = Floor(slots, k, rank)
 	}
 	if now.Before(a.cappedUntil) {
--- a/entry/limiter/owner.go
+++ b/entry/limiter/owner.go
@@ -32,6 +32,9 @@
 	// well below its limit.
 	SuspectCold bool
 	Draining    bool
+	// Released says that the holder has no work and has given up its floor. It
+	// takes it back no sooner than the owner has answered a later report.
+	Released bool
 	// Warm says that the holder has used the server as a warm one and has no
 	// reason to doubt it. It proves a server to a new owner.
 	Warm bool
@@ -55,9 +58,10 @@
 }
 
 type holder struct {
-	demand  int
-	granted int
-	expires time.Time
+	demand   int
+	granted  int
+	released bool
+	expires  time.Time
 }
 
 // NewOwner returns the state of an entry that becomes owner at now. Until the
@@ -102,6 +106,7 @@
 		o.holders[r.Holder] = h
 	}
 	h.demand = max(r.Demand, r.InFlight)
+	h.released = r.Released
 	slots := 0
 	if o.proven && slices.Contains(members, r.Holder) {
 		slots = o.share(now, r.Holder, members)
@@ -180,10 +185,10 @@
 }
 
 // reserve is the floor that a member may use without a grant. A cold server has
-// no floor.
+// no floor, nor has a holder that gave it up.
 func (o *Owner) reserve(id string, members []string) int {
 	rank := slices.Index(members, id)
-	if o.cold || rank < 0 {
+	if h, ok := o.holders[id]; o.cold || rank < 0 || (ok && h.released) {
 		return 0
 	}
 	return min(Floor(o.slots, len(members), rank), max(1, o.limit/max(1, len(members))))
--- a/standin/commander/measure.go
+++ b/standin/commander/measure.go
@@ -170,6 +170,15 @@
 	return exitOK
 }
 
+type capacityCommand struct{}
+
+func (*capacityCommand) run(out, errOut io.Writer) int {
+	if err := measurer.Capacity(out); err != nil {
+		return fail(errOut, err)
+	}
+	return exitOK
+}
+
 type sampleCommand struct {
 	Deployment  string `arg:"positional,required" help:"trust or association"`
 	Environment string `arg:"--environment" default:"trial" help:"environment"`
