forwarder: ask a key's home again while the members change

Cause: in separate processes, 14 calls with keys were refused as misdirected when an entry stopped: entries differed on the home for a moment. Heartbeats go to 8 peers instead of 16.

--- a/entry/forwarder/peer.go
+++ b/entry/forwarder/peer.go
@@ -13,8 +13,13 @@
 	"samphiremux/entry/tracker"
 )
 
-// peerConnections bounds the connections to another entry.
-const peerConnections = 256
+const (
+	// peerConnections bounds the connections to another entry.
+	peerConnections = 256
+	// homeTries and homePause bound the search for a key's home.
+	homeTries = 4
+	homePause = 100 * time.Millisecond
+)
 
 // usable orders the members that may take a request, without this entry.
 func (f *Forwarder) usable(members []tracker.Member) (ok []tracker.Member) {
@@ -42,9 +47,27 @@
 	return f.peers.Send(ctx, msg)
 }
 
-// serveKeyed runs a request with an idempotency key at the key's home, which
-// remembers its outcome.
+// serveKeyed runs a request with an idempotency key at the key's home. While the
+// list of members changes, entries may differ on the home for a moment: a home
+// that declines has not run the request, so it is asked again.
 func (f *Forwarder) serveKeyed(ctx context.Context, c *call) (answer *sender.Answer, refusal *refuser.Refusal) {
+	for range homeTries {
+		answer, refusal = f.serveAtHome(ctx, c)
+		if refusal != nil || !isMisdirected(answer) {
+			return answer, refusal
+		}
+		select {
+		case <-time.After(homePause):
+		case <-ctx.Done():
+			return nil, notRun(refuser.DeadlinePassed)
+		}
+	}
+	return answer, refusal
+}
+
+// serveAtHome runs the request here, or at the key's home, which remembers its
+// outcome.
+func (f *Forwarder) serveAtHome(ctx context.Context, c *call) (answer *sender.Answer, refusal *refuser.Refusal) {
 	var home tracker.Member
 	var since time.Time
 	found, authority := false, false
--- a/entry/tracker/tracker.go
+++ b/entry/tracker/tracker.go
@@ -19,7 +19,7 @@
 	// BeatInterval is the time between two heartbeats to a peer.
 	BeatInterval = time.Second
 	// BeatFanOut bounds the peers that an entry sends heartbeats to.
-	BeatFanOut = 16
+	BeatFanOut = 8
 	// silentAfter is the age of the last heartbeat from which a peer counts as
 	// unreachable.
 	silentAfter = 2500 * time.Millisecond
