--- a/entry/refuser/refuser.go
+++ b/entry/refuser/refuser.go
@@ -43,8 +43,6 @@
 	Suspect          Reason = "suspect"
 	CallerGone       Reason = "caller-gone"
 	Misdirected      Reason = "misdirected"
-	Stopping         Reason = "stopping"
-	KeyBusy          Reason = "key-busy"
 	KeyFromFuture    Reason = "key-from-future"
 	EntryUnreachable Reason = "entry-unreachable"
 	Isolated         Reason = "isolated"
@@ -66,8 +64,8 @@
 func NotRunReasons() []Reason {
 	return []Reason{
 		BackendNotTried, BackendShedding, BadRequest, BodyTooLarge, CallerGone, CallerOverShare, DeadlinePassed,
-		DeadlineTooNear, EntryUnreachable, Isolated, KeyBusy, KeyFromFuture, Misdirected, NoBackendServer, NoDocument,
-		NoSuchRoute, NoSuchService, QueueFull, RetryBudgetSpent, RouteShed, Stopping, Suspect,
+		DeadlineTooNear, EntryUnreachable, Isolated, KeyFromFuture, Misdirected, NoBackendServer, NoDocument,
+		NoSuchRoute, NoSuchService, QueueFull, RetryBudgetSpent, RouteShed, Suspect,
 	}
 }
 
@@ -117,8 +115,6 @@
 		return http.StatusBadRequest
 	case BodyTooLarge:
 		return http.StatusRequestEntityTooLarge
-	case KeyBusy:
-		return http.StatusConflict
 	}
 	if r.Kind == OutcomeUnknown {
 		return http.StatusGatewayTimeout
