--- a/entry/limiter/owner.go
+++ b/entry/limiter/owner.go
@@ -48,8 +48,10 @@
 	limit int
 	cold  bool
 	// proven tells that the owner knows whether the server is cold.
-	proven    bool
-	draining  bool
+	proven   bool
+	draining bool
+	// ramping tells that a cold server has answered, which its ramp counts from.
+	ramping   bool
 	answers   int
 	slow      bool
 	nextStep  time.Time
@@ -75,6 +77,7 @@
 func (o *Owner) turnCold(now time.Time) {
 	o.proven = true
 	o.cold = true
+	o.ramping = false
 	o.limit = coldLimit
 	o.answers = 0
 	o.nextStep = now.Add(rampStep)
@@ -126,6 +129,10 @@
 	o.draining = o.draining || r.Draining
 	o.answers += r.Completed
 	o.slow = o.slow || r.Slow
+	if o.cold && !o.ramping && r.Completed > 0 {
+		o.ramping = true
+		o.nextStep = now.Add(rampStep)
+	}
 	switch {
 	case r.SuspectCold:
 		o.turnCold(now)
