--- a/entry/dispatcher/control.go
+++ b/entry/dispatcher/control.go
@@ -39,6 +39,17 @@
 	return reports
 }
 
+// ReportLost takes back a report that its owner did not get, so that the next one
+// carries its signs.
+func (d *Dispatcher) ReportLost(o OwnerReport) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s, ok := d.byName[o.Server]; ok {
+		s.coldSign = s.coldSign || o.Report.SuspectCold
+		s.drainSign = s.drainSign || o.Report.Draining
+	}
+}
+
 // Grant takes in a grant for a server. Its deadline must count from when the
 // report was sent.
 func (d *Dispatcher) Grant(serverName string, g limiter.Grant) {
--- a/entry/granter/granter.go
+++ b/entry/granter/granter.go
@@ -51,6 +51,7 @@
 	probed   func(ProbeResult)
 	servers  map[string]*owned
 	snapshot *sharer.Snapshot
+	returns  uint64
 	evidence map[string]map[string]tally
 }
 
@@ -95,8 +96,15 @@
 	}
 }
 
-// follow takes over the servers that this entry owns by the current snapshot.
+// follow takes over the servers that this entry owns by the current snapshot. An
+// owner that was cut off begins anew, since holders may have told it of drains
+// and cold servers in vain.
 func (g *Granter) follow() {
+	if returns := g.node.Returns(); returns != g.returns {
+		g.returns = returns
+		g.snapshot = nil
+		g.servers = map[string]*owned{}
+	}
 	snapshot := g.node.Snapshot()
 	if snapshot == nil || snapshot == g.snapshot {
 		return
--- a/entry/reporter/reporter.go
+++ b/entry/reporter/reporter.go
@@ -35,6 +35,7 @@
 // batch is what one owner hears in one report.
 type batch struct {
 	request     *linkpb.ReportRequest
+	reports     map[string]dispatcher.OwnerReport
 	dispatchers map[string]*dispatcher.Dispatcher
 }
 
@@ -56,7 +57,11 @@
 	get := func(owner string) batch {
 		b, ok := batches[owner]
 		if !ok {
-			b = batch{&linkpb.ReportRequest{EntryId: r.node.Self().ID}, map[string]*dispatcher.Dispatcher{}}
+			b = batch{
+				request:     &linkpb.ReportRequest{EntryId: r.node.Self().ID},
+				reports:     map[string]dispatcher.OwnerReport{},
+				dispatchers: map[string]*dispatcher.Dispatcher{},
+			}
 			batches[owner] = b
 		}
 		return b
@@ -68,6 +73,7 @@
 		for _, o := range sv.Dispatcher.Reports() {
 			b := get(o.Owner)
 			b.request.Servers = append(b.request.Servers, encodeReport(o))
+			b.reports[o.Server] = o
 			b.dispatchers[o.Server] = sv.Dispatcher
 		}
 		if coordinator, ok := Coordinator(name, sv); ok && sv.Declared.Move != nil {
@@ -116,6 +122,9 @@
 	resp, err := r.call(ctx, owner, b.request)
 	r.node.Counters().Reports.WithLabelValues(counter.Result(err)).Inc()
 	if err != nil {
+		for server, o := range b.reports {
+			b.dispatchers[server].ReportLost(o)
+		}
 		return
 	}
 	for _, g := range resp.GetGrants() {
--- a/entry/sharer/sharer.go
+++ b/entry/sharer/sharer.go
@@ -53,6 +53,8 @@
 	snapshot atomic.Pointer[Snapshot]
 	// isolatedFrom is when the entry counts as cut off unless it hears of others.
 	isolatedFrom atomic.Pointer[time.Time]
+	// returns counts the times that the entry was no longer cut off.
+	returns atomic.Uint64
 
 	mu          sync.Mutex
 	tracker     *tracker.Tracker
@@ -113,6 +115,7 @@
 		n.isolatedFrom.Store(nil)
 	}
 	if was && !n.Isolated() {
+		n.returns.Add(1)
 		for _, d := range n.dispatchers {
 			d.Doubt()
 		}
@@ -169,6 +172,10 @@
 	return true, nil
 }
 
+// Returns counts the times that the entry heard of others again after it was cut
+// off. What its duties knew before each is in doubt.
+func (n *Node) Returns() uint64 { return n.returns.Load() }
+
 // Envelope returns the published form of the document in force.
 func (n *Node) Envelope() publisher.Envelope {
 	n.mu.Lock()
