--- a/standin/fuzzer/run.go
+++ b/standin/fuzzer/run.go
@@ -10,8 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	"samphiremux/entry/chooser"
 	"samphiremux/pkg/parser"
 	"samphiremux/pkg/publisher"
@@ -212,27 +210,13 @@
 		if rng.Float64() < writeShare {
 			c.Method, c.Body = http.MethodPost, []byte("reserve")
 			if rng.IntN(2) == 0 {
-				c.Key = keyAt(rng, time.Now())
+				c.Key = generator.NewKey(rng, time.Now())
 			}
 		}
 	}
 	return c
 }
 
-func keyAt(rng *rand.Rand, at time.Time) string {
-	var id uuid.UUID
-	for i := range id {
-		id[i] = byte(rng.Uint32())
-	}
-	ms := at.UnixMilli()
-	for i := range 6 {
-		id[i] = byte(ms >> (40 - 8*i))
-	}
-	id[6] = 0x70 | id[6]&0x0f
-	id[8] = 0x80 | id[8]&0x3f
-	return id.String()
-}
-
 // do makes a call. Calls with a key are sent again, through another caller's
 // connections, when their outcome is not known.
 func (r *run) do(who, resend *caller.Caller, c caller.Call) (results []caller.Result) {
--- a/standin/loader/loader.go
+++ b/standin/loader/loader.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/google/uuid"
 
 	"samphiremux/standin/caller"
 	"samphiremux/standin/generator"
@@ -186,7 +185,7 @@
 		}
 		intended := start.Add(at)
 		if call.Key != "" {
-			call.Key = newKey(rng, intended)
+			call.Key = generator.NewKey(rng, intended)
 		}
 		measured := at >= r.Warm
 		offset := at - r.Warm
@@ -222,21 +221,6 @@
 	return c
 }
 
-// newKey returns an idempotency key with the time of its issue.
-func newKey(rng *rand.Rand, at time.Time) string {
-	var id uuid.UUID
-	for i := range id {
-		id[i] = byte(rng.Uint32())
-	}
-	ms := at.UnixMilli()
-	for i := range 6 {
-		id[i] = byte(ms >> (40 - 8*i))
-	}
-	id[6] = 0x70 | id[6]&0x0f
-	id[8] = 0x80 | id[8]&0x3f
-	return id.String()
-}
-
 // pairShare is the part of slowdowns that also hit the server on the same
 // machine.
 const pairShare = 0.25
