measurer, fuzzer, counter: one start on loopback, one check of late work

Cause: a read of the whole change found the start of a loopback world and the check for late work written twice, and a metric, a field and a method that nothing used. Change: startLoopback and checkLate serve both places; link_bytes_total (never counted), Summary.Duration and Owner.Limit are gone. Behaviour is as it was.

--- a/entry/counter/counter.go
+++ b/entry/counter/counter.go
@@ -31,7 +31,6 @@
 	Suspects     *prometheus.GaugeVec
 	Moves        *prometheus.GaugeVec
 	LinkCalls    *prometheus.CounterVec
-	LinkBytes    *prometheus.CounterVec
 	KeysReplayed prometheus.Counter
 	Cut          prometheus.Counter
 }
@@ -48,7 +47,6 @@
 	c.Dropped = c.vec("dropped_messages_total", "Messages dropped by full mailboxes, by duty.", "duty")
 	c.StoreCalls = c.vec("store_calls_total", "Calls of the platform's store by kind and result.", "kind", "result")
 	c.LinkCalls = c.vec("link_calls_total", "Calls between entries by method and result.", "method", "result")
-	c.LinkBytes = c.vec("link_bytes_total", "Bytes between entries by direction.", "direction")
 	c.Latency = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: "samphire", Name: "request_seconds", Help: "Time from a request's arrival to its answer.",
 		Buckets: prometheus.ExponentialBuckets(0.001, 1.6, 20),
--- a/entry/limiter/owner.go
+++ b/entry/limiter/owner.go
@@ -86,9 +86,6 @@
 	o.nextStep = now.Add(rampStep)
 }
 
-// Limit returns the requests that the server gets at a time over all entries.
-func (o *Owner) Limit() int { return o.limit }
-
 // Cold tells whether the server is taken as cold.
 func (o *Owner) Cold() bool { return o.cold || !o.proven }
 
--- a/standin/fuzzer/oracle.go
+++ b/standin/fuzzer/oracle.go
@@ -115,13 +115,20 @@
 	delete(o.leaving, server)
 }
 
-func (o *oracle) checkLeaving() {
+func (o *oracle) checkLeaving() { o.checkLate(invOut, o.leaving, leaveLimit, "it left") }
+
+func (o *oracle) checkVersions() {
+	o.checkLate(invVersion, o.takenBack, verdictLimit, "its version was taken back")
+}
+
+// checkLate reports servers that began work more than a limit after a time.
+func (o *oracle) checkLate(invariant string, since map[string]time.Time, limit time.Duration, event string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for name, at := range o.leaving {
+	for name, at := range since {
 		last := o.run.world.Servers[name].Stats().LastStart
-		if late := last.Sub(at); late > leaveLimit {
-			o.add(invOut, "server %s got work %v after it left", name, late.Round(time.Millisecond))
+		if late := last.Sub(at); late > limit {
+			o.add(invariant, "server %s got work %v after %s", name, late.Round(time.Millisecond), event)
 		}
 	}
 }
@@ -222,17 +229,6 @@
 	}
 }
 
-func (o *oracle) checkVersions() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for name, at := range o.takenBack {
-		last := o.run.world.Servers[name].Stats().LastStart
-		if late := last.Sub(at); late > verdictLimit {
-			o.add(invVersion, "server %s got work %v after its version was taken back", name, late.Round(time.Millisecond))
-		}
-	}
-}
-
 // finish checks what can be told at the end only.
 func (o *oracle) finish() {
 	o.checkLeaving()
--- a/standin/loader/loader.go
+++ b/standin/loader/loader.go
@@ -66,12 +66,11 @@
 type Summary struct {
 	mu sync.Mutex
 
-	Whole    *hdrhistogram.Histogram
-	Refused  *hdrhistogram.Histogram
-	Counts   map[string]int
-	Reasons  map[string]int
-	Writes   map[string]caller.Result
-	Duration time.Duration
+	Whole   *hdrhistogram.Histogram
+	Refused *hdrhistogram.Histogram
+	Counts  map[string]int
+	Reasons map[string]int
+	Writes  map[string]caller.Result
 }
 
 // NewSummary returns an empty summary.
@@ -164,7 +163,6 @@
 		all.Go(func() { drivePlan(ctx, r, p, rng, callers, s, &all) })
 	}
 	all.Wait()
-	s.Duration = r.Length
 	return s
 }
 
--- a/standin/measurer/measurer.go
+++ b/standin/measurer/measurer.go
@@ -41,22 +41,32 @@
 	}, s.servers, s.service, uint64(index))
 }
 
+// startLoopback starts a deployment on real sockets and lets it settle.
+func startLoopback(d hoster.Deployment, entries int, seed uint64) (w *hoster.World, err error) {
+	w, err = hoster.New(hoster.Options{
+		Deployment: d, Ground: hoster.Loopback{}, Entries: entries, Policy: chooser.ExpectedCompletion{}, Seed: seed,
+	}, d.Document("trial"))
+	if err != nil {
+		return nil, err
+	}
+	if err := w.StartEntries(); err != nil {
+		w.Close()
+		return nil, err
+	}
+	time.Sleep(settleTime)
+	return w, nil
+}
+
 // Overhead prints the latency of calls through one entry beside that of the same
 // load without it, at the same time.
 func Overhead(ctx context.Context, perSecond float64, length time.Duration, seed uint64, out io.Writer) (err error) {
 	d := hoster.Trust().WithOnly("catalogue").WithLoopback()
 	d.Slots = 8
-	w, err := hoster.New(hoster.Options{
-		Deployment: d, Ground: hoster.Loopback{}, Entries: 1, Policy: chooser.ExpectedCompletion{}, Seed: seed,
-	}, d.Document("trial"))
+	w, err := startLoopback(d, 1, seed)
 	if err != nil {
 		return err
 	}
 	defer w.Close()
-	if err := w.StartEntries(); err != nil {
-		return err
-	}
-	time.Sleep(settleTime)
 	direct := directSite{service: "catalogue"}
 	for _, srv := range w.Document().Services[0].Servers {
 		direct.servers = append(direct.servers, srv.Address)
@@ -95,17 +105,11 @@
 // InForce applies documents and prints how soon each is in force on every entry.
 func InForce(ctx context.Context, entries, applies int, outage bool, out io.Writer) (err error) {
 	d := hoster.Trust().WithLoopback()
-	w, err := hoster.New(hoster.Options{
-		Deployment: d, Ground: hoster.Loopback{}, Entries: entries, Policy: chooser.ExpectedCompletion{}, Seed: 1,
-	}, d.Document("trial"))
+	w, err := startLoopback(d, entries, 1)
 	if err != nil {
 		return err
 	}
 	defer w.Close()
-	if err := w.StartEntries(); err != nil {
-		return err
-	}
-	time.Sleep(settleTime)
 	times := make([]time.Duration, 0, applies)
 	for range applies {
 		took, err := applyOnce(ctx, w, outage)
