--- a/entry/dispatcher/control.go
+++ b/entry/dispatcher/control.go
@@ -46,7 +46,6 @@
 	defer d.mu.Unlock()
 	if s, ok := d.byName[o.Server]; ok {
 		s.coldSign = s.coldSign || o.Report.SuspectCold
-		s.drainSign = s.drainSign || o.Report.Draining
 	}
 }
 
--- a/entry/dispatcher/server.go
+++ b/entry/dispatcher/server.go
@@ -182,7 +182,7 @@
 		Refused:     s.refused,
 		Failed:      s.failed,
 		SuspectCold: s.coldSign,
-		Draining:    s.drainSign,
+		Draining:    s.draining,
 		Released:    s.idleReports >= releaseAfter,
 		Warm:        s.allotment.Warm() && !s.coldSign,
 		Slow:        s.speed.Ratio(now, mean, s.starts) > slowReport,
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -26,9 +26,11 @@
 const (
 	// listLimit bounds one reading of the whole environment.
 	listLimit = 3 * time.Second
-	// firstPause and maxPause bound the wait before the store is tried again.
+	// firstPause and maxPause bound the wait before the store is tried again,
+	// which varies by a half. The store's return must be seen within 2 s, since
+	// what it tells of servers that leave has to be followed within 3 s.
 	firstPause = 200 * time.Millisecond
-	maxPause   = 2 * time.Second
+	maxPause   = time.Second
 	fetchLimit = 2 * time.Second
 )
 
--- a/entry/limiter/owner.go
+++ b/entry/limiter/owner.go
@@ -34,7 +34,9 @@
 	// SuspectCold says that the server lost its connections or refused work
 	// well below its limit.
 	SuspectCold bool
-	Draining    bool
+	// Draining says that the holder takes the server as one that is leaving, by
+	// the server's own word or by the owner's.
+	Draining bool
 	// Released says that the holder has no work and has given up its floor. It
 	// takes it back no sooner than the owner has answered a later report.
 	Released bool
@@ -66,7 +68,10 @@
 	demand   int
 	granted  int
 	released bool
-	expires  time.Time
+	// toldDraining tells what the last grant said. A holder that repeats it
+	// gives no new sign.
+	toldDraining bool
+	expires      time.Time
 }
 
 // NewOwner returns the state of an entry that becomes owner at now. Until the
@@ -102,12 +107,15 @@
 // Report takes in a holder's report and returns its grant. Members are the
 // holders of the server in the order of their rank.
 func (o *Owner) Report(now time.Time, r Report, members []string) Grant {
-	o.learn(now, r)
 	h, ok := o.holders[r.Holder]
 	if !ok {
 		h = &holder{}
 		o.holders[r.Holder] = h
 	}
+	o.learn(now, r)
+	// An owner that has just started hears of earlier drains in this way.
+	o.draining = o.draining || (r.Draining && !h.toldDraining)
+	h.toldDraining = o.draining
 	h.demand = max(r.Demand, r.InFlight)
 	h.released = r.Released
 	slots := 0
@@ -126,7 +134,6 @@
 	if !o.proven && !now.Before(o.grantFrom) {
 		o.turnCold(now)
 	}
-	o.draining = o.draining || r.Draining
 	o.answers += r.Completed
 	o.slow = o.slow || r.Slow
 	if o.cold && !o.ramping && r.Completed > 0 {
--- a/entry/sender/sender.go
+++ b/entry/sender/sender.go
@@ -33,6 +33,11 @@
 	MaxHeldBytes = 1 << 20
 
 	maxHeaderBytes = 64 << 10
+	// dialLimit bounds one dial. http.Transport goes on with a dial after its
+	// request was given up, and the system's own limit is minutes, in which
+	// the dial would use up one of the connections to the server. A lost SYN is
+	// sent again after 1 s.
+	dialLimit = 1500 * time.Millisecond
 	// idleLife is the time for which an unused connection is kept. A connection
 	// that has been unused for longer may have gone silent, and a new one costs a
 	// millisecond.
@@ -82,6 +87,8 @@
 func (s *Sender) transport(address netip.AddrPort, connections int, idle time.Duration) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, dialLimit)
+			defer cancel()
 			return s.dial(ctx, address)
 		},
 		MaxConnsPerHost:        connections,
--- a/standin/fuzzer/run.go
+++ b/standin/fuzzer/run.go
@@ -166,13 +166,31 @@
 	}
 }
 
-// served tells whether operators left the service's first version any server.
+// storeReached tells whether an entry that runs can reach the store.
+func (r *run) storeReached() bool {
+	return !r.world.Store.Faults().Down && slices.ContainsFunc(r.world.Entries, func(h *hoster.Host) bool {
+		return h.Entry != nil && !h.StoreCut()
+	})
+}
+
+// newest returns the newest revision that an entry has in force.
+func (r *run) newest() (revision uint64) {
+	for _, h := range r.world.Entries {
+		if h.Entry != nil {
+			revision = max(revision, uint64(h.Entry.Node().Envelope().Revision))
+		}
+	}
+	return revision
+}
+
+// served tells whether the service's first version has any server left that is
+// neither taken out by operators nor leaving by its own word.
 func (r *run) served(service string) bool {
 	doc := r.world.Document()
 	s, _ := doc.Service(service)
 	return slices.ContainsFunc(s.Servers, func(srv parser.Server) bool {
 		d, _ := doc.Domain(srv.Domain)
-		return srv.Version == s.Versions[0].Name && !srv.Leaving && !d.Out
+		return srv.Version == s.Versions[0].Name && !srv.Leaving && !d.Out && !r.world.Servers[srv.Name].Draining()
 	})
 }
 
--- a/standin/fuzzer/verbs.go
+++ b/standin/fuzzer/verbs.go
@@ -106,7 +106,7 @@
 func (r *run) drain(args []string) {
 	if b, ok := r.world.Servers[args[0]]; ok {
 		b.SetDraining(true)
-		r.oracle.left(args[0], time.Now())
+		r.oracle.left(args[0], departure{at: time.Now()})
 	}
 }
 
@@ -252,6 +252,11 @@
 	})
 }
 
+// told is a departure that the document in force tells of.
+func (r *run) told() departure {
+	return departure{at: time.Now(), revision: uint64(r.world.Revision())}
+}
+
 // noteDomain tells the oracle about the servers of a domain.
 func (r *run) noteDomain(name string, out bool) {
 	for _, s := range r.world.Document().Services {
@@ -259,7 +264,7 @@
 			switch {
 			case srv.Domain != name:
 			case out:
-				r.oracle.left(srv.Name, time.Now())
+				r.oracle.left(srv.Name, r.told())
 			case !srv.Leaving:
 				r.oracle.back(srv.Name)
 			}
@@ -282,7 +287,7 @@
 	r.background(func() {
 		applied := r.edit(func(doc parser.Document) (parser.Document, bool) { return withLeaving(doc, args[0]) })
 		if applied {
-			r.oracle.left(args[0], time.Now())
+			r.oracle.left(args[0], r.told())
 		}
 	})
 }
--- a/standin/hoster/hoster.go
+++ b/standin/hoster/hoster.go
@@ -308,6 +308,9 @@
 // SetStoreCut cuts the host off the store, or lets it reach it again.
 func (h *Host) SetStoreCut(cut bool) { h.storeDown.Store(cut) }
 
+// StoreCut tells whether the host is cut off the store.
+func (h *Host) StoreCut() bool { return h.storeDown.Load() }
+
 func (h *Host) listVMs(context.Context) (vms []assembler.VM, err error) {
 	for _, vm := range h.world.VMs.Served() {
 		vms = append(vms, assembler.VM{Address: vm.Address, Leaving: vm.Leaving})
--- a/standin/platformer/store.go
+++ b/standin/platformer/store.go
@@ -73,6 +73,13 @@
 	}
 }
 
+// Faults returns the faults in force.
+func (s *Store) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
 // BreakWatches ends all watches.
 func (s *Store) BreakWatches() {
 	s.mu.Lock()
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -155,6 +155,13 @@
 	s.draining = draining
 }
 
+// Draining tells whether the server says that it is leaving.
+func (s *Server) Draining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
 // CutNext makes the next n answers end early.
 func (s *Server) CutNext(n int) {
 	s.mu.Lock()
