expirer, steerer, steer: the configuration bounds headers and unused connections

Cause: header-bytes, header and idle times of the configuration were read and not applied (64 KiB, 10 s and 2 min were fixed): a shorter limit had no effect, and callers that reuse connections for four fifths of a longer one would have met closed ones. Ruled out: a new http.Server for each change (connections that are open would keep the old limits). Change: the package expirer follows callers' connections and closes those over a limit, looked at once a second; a request whose line and headers are too large is refused with 431 before it runs. net/http's own limit is 1 MiB. Before: no test.

--- a/entry/refuser/refuser.go
+++ b/entry/refuser/refuser.go
@@ -31,6 +31,7 @@
 	NoSuchRoute      Reason = "no-such-route"
 	BadRequest       Reason = "bad-request"
 	BodyTooLarge     Reason = "body-too-large"
+	HeadersTooLarge  Reason = "headers-too-large"
 	QueueFull        Reason = "queue-full"
 	CallerOverShare  Reason = "caller-over-share"
 	RouteShed        Reason = "route-shed"
@@ -67,7 +68,7 @@
 func NotRunReasons() []Reason {
 	return []Reason{
 		BackendNotTried, BackendShedding, BadRequest, BodyTooLarge, CallerGone, CallerOverShare, DeadlinePassed,
-		DeadlineTooNear, EntryUnreachable, Isolated, KeyFromFuture, Misdirected, NoBackendServer, NoDocument,
+		DeadlineTooNear, EntryUnreachable, HeadersTooLarge, Isolated, KeyFromFuture, Misdirected, NoBackendServer, NoDocument,
 		NoSuchRoute, NoSuchService, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, Suspect,
 	}
 }
@@ -118,6 +119,8 @@
 		return http.StatusBadRequest
 	case BodyTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case HeadersTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	}
 	if r.Kind == OutcomeUnknown {
 		return http.StatusGatewayTimeout
--- a/entry/steerer/header.go
+++ b/entry/steerer/header.go
@@ -14,6 +14,22 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
 }
 
+// fieldBytes is what a header field takes beside its name and value: a colon, a
+// space and the end of the line.
+const fieldBytes = 4
+
+// headerBytes returns the size of a request's line and headers.
+func headerBytes(r *http.Request) (n int) {
+	n = len(r.Method) + len(r.RequestURI) + len(r.Proto) + fieldBytes
+	n += len("Host") + len(r.Host) + fieldBytes
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + fieldBytes
+		}
+	}
+	return n
+}
+
 // cleanHeader returns the headers that pass on.
 func cleanHeader(h http.Header) http.Header {
 	clean := h.Clone()
--- a/entry/steerer/receive.go
+++ b/entry/steerer/receive.go
@@ -43,6 +43,9 @@
 		return nil, notRun(refuser.NoDocument)
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
+	if limit := view.Table.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
+		return nil, notRun(refuser.HeadersTooLarge)
+	}
 	route, ok := view.Table.Match(r.Host, path)
 	if !ok {
 		return nil, notRun(refuser.NoSuchRoute)
--- a/entry/steerer/steerer_test.go
+++ b/entry/steerer/steerer_test.go
@@ -159,7 +159,7 @@
 		}
 	}
 	if err := f.survey.SetTable(describer.NewTable(1, []describer.Route{route("look", true), route("book", false)},
-		[]describer.Service{{Name: "stock", HealthPath: "/health", ColdRate: 9.3}}, describer.Limits{BodyBytes: 1 << 20})); err != nil {
+		[]describer.Service{{Name: "stock", HealthPath: "/health", ColdRate: 9.3}}, describer.Limits{HeaderBytes: 2 << 10, BodyBytes: 1 << 20})); err != nil {
 		t.Fatal(err)
 	}
 	for i, b := range backends {
@@ -255,6 +255,37 @@
 	}
 }
 
+// TestLimits sends a little less and a little more than the configuration allows.
+func TestLimits(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		header int
+		body   int
+		status int
+	}{
+		{"within", 1900, 1 << 20, 200},
+		{"headers too large", 2100, 0, 431},
+		{"body too large", 0, 1<<20 + 1, 413},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				all := servers(1, good)
+				f := withSteerer(t, chooser.ExpectedCompletion{}, all...)
+				r := httptest.NewRequest(http.MethodPost, "http://h/book/1", strings.NewReader(strings.Repeat("b", c.body)))
+				r.RequestURI = "/book/1"
+				r.Header.Set("Id", "r1")
+				r.Header.Set("X", strings.Repeat("h", c.header))
+				w := httptest.NewRecorder()
+				f.steer.ServeHTTP(w, r)
+				is.Equal(w.Code, c.status)
+				is.Equal(arrivals(all) == 1, c.status == 200) // what is refused has not run
+				f.close()
+			})
+		})
+	}
+}
+
 func TestNoConfiguration(t *testing.T) {
 	is := is.New(t)
 	s := steerer.New(steerer.Options{
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -13,6 +13,7 @@
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/enroller"
 	"samphiremux/entry/exchanger"
+	"samphiremux/entry/expirer"
 	"samphiremux/entry/feeder"
 	"samphiremux/entry/meter"
 	"samphiremux/entry/roller"
@@ -26,13 +27,13 @@
 )
 
 const (
-	// headerTimeout bounds the time in which a caller sends its headers. Callers
-	// stay within the configuration's limit, which is shorter.
+	// headerTimeout and idleTimeout bound connections for which the configuration
+	// has no limit or is not known yet.
 	headerTimeout = 10 * time.Second
-	// idleTimeout exceeds the time for which callers keep unused connections.
-	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes exceeds the configuration's limit.
-	maxHeaderBytes = 64 << 10
+	idleTimeout   = 2 * time.Minute
+	// maxHeaderBytes bounds what is read before the configuration's limit is
+	// applied, and must not be below it. It is the default of net/http.
+	maxHeaderBytes = 1 << 20
 	// dialLimit bounds the opening of a connection.
 	dialLimit = time.Second
 	// silentLimit ends connections whose peer acknowledges nothing.
@@ -57,6 +58,8 @@
 	feed     *feeder.Feeder
 	enroll   *enroller.Enroller
 	steer    *steerer.Steerer
+	expirer  *expirer.Expirer
+	closed   *meter.Counters
 	roll     *roller.Roller
 	metrics  *meter.Registry
 	stopping chan struct{}
@@ -68,7 +71,7 @@
 func newEntry(s translator.Settings, policy chooser.Policy, log hclog.Logger) *entry {
 	d := dialer()
 	e := &entry{
-		id: s.ID, log: log, metrics: meter.New(), stopping: make(chan struct{}),
+		id: s.ID, log: log, metrics: meter.New(), expirer: expirer.New(time.Now), stopping: make(chan struct{}),
 		pool: linker.NewPool(func(ctx context.Context, address string) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp", address)
 		}),
@@ -118,8 +121,9 @@
 	return e
 }
 
-// addGauges adds what is read when the metrics are asked for.
+// addGauges adds the counter of closed connections, and what is read when the metrics are asked for.
 func (e *entry) addGauges(store *keeper.Keeper) {
+	e.closed = e.metrics.Counters("connections_closed_total", "Callers' connections closed at a limit of the configuration.", "reason")
 	e.metrics.Gauge("store_calls_total", "Calls of the platform's store.", func() float64 { return float64(store.Calls()) })
 	e.metrics.Gauge("store_revision", "Store revision up to which the entry knows the store.", func() float64 {
 		return float64(e.feed.Revision())
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"samphiremux/entry/chooser"
+	"samphiremux/entry/expirer"
 	"samphiremux/pkg/linker"
 	"samphiremux/platform/translator"
 )
@@ -33,7 +35,10 @@
 	go e.followSettings(work, file)
 	go func() { _ = linker.Serve(work, listeners[3], &link{entry: e}) }()
 	callers := e.server(e.steer)
-	go func() { _ = callers.Serve(listeners[0]) }()
+	// The configuration bounds callers' connections, and it may change.
+	callers.ReadHeaderTimeout, callers.IdleTimeout = 0, 0
+	callers.ConnState = e.expirer.ConnState
+	go func() { _ = callers.Serve(e.expirer.Listen(listeners[0])) }()
 	go func() { _ = e.server(http.HandlerFunc(e.ready)).Serve(listeners[1]) }()
 	go func() { _ = e.server(http.HandlerFunc(e.locate)).Serve(listeners[2]) }()
 	e.serveMetrics(s.CallerAddress)
@@ -133,7 +138,8 @@
 	translator.WriteLocations(w, addresses, min(locateLife, e.settings.Load().Bounds.LocateLife))
 }
 
-// expire closes connections that were unused for too long.
+// expire closes connections, to servers and of callers, that were unused for too
+// long.
 func (e *entry) expire(ctx context.Context) {
 	t := time.NewTicker(expireInterval)
 	defer t.Stop()
@@ -141,8 +147,21 @@
 		select {
 		case now := <-t.C:
 			e.survey.Idle(now)
+			closed := e.expirer.Sweep(e.connectionLimits())
+			e.closed.With("header-timeout").Add(closed.Header)
+			e.closed.With("idle-timeout").Add(closed.Idle)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
+
+// connectionLimits returns the limits of callers' connections in force.
+func (e *entry) connectionLimits() expirer.Limits {
+	l := expirer.Limits{Header: headerTimeout, Idle: idleTimeout}
+	if t := e.survey.View().Table; t != nil {
+		l.Header = cmp.Or(t.Limits.HeaderTimeout, l.Header)
+		l.Idle = cmp.Or(t.Limits.IdleTimeout, l.Idle)
+	}
+	return l
+}
