platformer: turn single callers away, delay the effect of writes

The stand-in platform lacked two faults of the users' store: a caller that is answered 429 or 503, reset or met with silence while others are served, and a write that takes effect after its caller gave up. Both come on demand (PUT /faults: turn-away, delay-writes, delay-by). TestKeeperTurnedAway and TestKeeperLateWrite hold the client to it: 429 and 503 are not done, a reset or silence is unknown, and a connection that works is had again. Ruled out: the faults in the store's own code, which sees no addresses.

--- a/standin/commander/serve.go
+++ b/standin/commander/serve.go
@@ -55,7 +55,8 @@
 	store := platformer.NewStore()
 	vms := platformer.NewVMList(c.Lag)
 	mux := http.NewServeMux()
-	mux.Handle("/v1/", keeper.Handler(store))
+	door := platformer.NewDoorman(keeper.Handler(store))
+	mux.Handle("/v1/", door)
 	mux.Handle("GET /vms", vms)
 	mux.HandleFunc("PUT /vms", func(w http.ResponseWriter, r *http.Request) {
 		var list []platformer.VM
@@ -66,7 +67,7 @@
 		vms.Set(list)
 	})
 	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
-		if err := setFaults(store, r); err != nil {
+		if err := setFaults(store, door, r); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 		}
 	})
@@ -76,27 +77,38 @@
 	return serveUntil(ctx, c.Address, mux, out, errOut)
 }
 
-func setFaults(store *platformer.Store, r *http.Request) error {
+func setFaults(store *platformer.Store, door *platformer.Doorman, r *http.Request) error {
 	var body struct {
 		Down         bool   `json:"down"`
 		SlowBy       string `json:"slow-by"`
 		LoseAnswers  int    `json:"lose-answers"`
+		DelayWrites  int    `json:"delay-writes"`
+		DelayBy      string `json:"delay-by"`
 		BreakWatches bool   `json:"break-watches"`
 		LapseLeases  bool   `json:"lapse-leases"`
 		Compact      bool   `json:"compact"`
+		// TurnAway has a way for each IP number of a caller.
+		TurnAway map[netip.Addr]string `json:"turn-away"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		return err
 	}
-	f := platformer.Faults{Down: body.Down, LoseAnswers: body.LoseAnswers}
-	if body.SlowBy != "" {
-		d, err := time.ParseDuration(body.SlowBy)
-		if err != nil {
-			return err
+	f := platformer.Faults{Down: body.Down, LoseAnswers: body.LoseAnswers, DelayWrites: body.DelayWrites}
+	var err error
+	if f.SlowBy, err = parseDuration(body.SlowBy); err != nil {
+		return fmt.Errorf("slow-by: %w", err)
+	}
+	if f.DelayBy, err = parseDuration(body.DelayBy); err != nil {
+		return fmt.Errorf("delay-by: %w", err)
+	}
+	away := map[netip.Addr]platformer.TurnAway{}
+	for address, name := range body.TurnAway {
+		if away[address], err = platformer.ParseTurnAway(name); err != nil {
+			return fmt.Errorf("turn-away of %s: %w", address, err)
 		}
-		f.SlowBy = d
 	}
 	store.SetFaults(f)
+	door.Set(away)
 	if body.BreakWatches {
 		store.BreakWatches()
 	}
@@ -109,6 +121,14 @@
 	return nil
 }
 
+// parseDuration reads a duration that may be left out.
+func parseDuration(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	return time.ParseDuration(text)
+}
+
 type backendCommand struct {
 	Address string        `arg:"--address,required" help:"IP number and port"`
 	Name    string        `arg:"--name,required" help:"name of the server"`
--- a/standin/platformer/keeper_test.go
+++ b/standin/platformer/keeper_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -149,6 +150,70 @@
 	is.Equal(pair.Modified, storer.Revision(1))
 }
 
+// TestKeeperLateWrite makes a write take effect after its caller gave up.
+func TestKeeperLateWrite(t *testing.T) {
+	is := is.New(t)
+	k, store := withKeeper(t)
+	store.SetFaults(platformer.Faults{DelayWrites: 1, DelayBy: 300 * time.Millisecond})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	outcome := storer.Swap(ctx, k, storer.Guard{Key: "x"}, storer.Put{Key: "x", Value: []byte("1")})
+	_, unknown := outcome.(storer.Unknown)
+	is.True(unknown) // no word on whether it will be done
+	_, err := k.Get(context.Background(), "x")
+	is.True(errors.As(err, &storer.ErrNoSuchKey{}))
+	watchCtx, stop := context.WithCancel(context.Background())
+	var seen []storer.Event
+	_ = k.Watch(watchCtx, "x", 0, func(events []storer.Event, _ storer.Revision) {
+		seen = append(seen, events...)
+		stop()
+	})
+	is.Equal(len(seen), 1) // it was done all the same
+}
+
+// TestKeeperTurnedAway checks what a caller may take for not done.
+func TestKeeperTurnedAway(t *testing.T) {
+	for _, c := range []struct {
+		way     platformer.TurnAway
+		notDone bool
+	}{
+		{platformer.Throttled, true},
+		{platformer.Unavailable, true},
+		{platformer.Reset, false},
+		{platformer.Silent, false},
+	} {
+		t.Run(string(c.way), func(t *testing.T) {
+			is := is.New(t)
+			store := platformer.NewStore()
+			door := platformer.NewDoorman(keeper.Handler(store))
+			server := httptest.NewServer(door)
+			t.Cleanup(func() {
+				server.CloseClientConnections()
+				server.Close()
+			})
+			k := keeper.New((&net.Dialer{}).DialContext, server.URL)
+			door.Set(map[netip.Addr]platformer.TurnAway{netip.MustParseAddr("127.0.0.1"): c.way})
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			defer cancel()
+			outcome := storer.Swap(ctx, k, storer.Guard{Key: "x"}, storer.Put{Key: "x", Value: []byte("1")})
+			_, notDone := outcome.(storer.NotDone)
+			_, unknown := outcome.(storer.Unknown)
+			is.Equal(notDone, c.notDone)
+			is.Equal(unknown, !c.notDone)
+			var out storer.ErrStoreOut
+			_, err := k.Get(ctx, "x")
+			is.True(err != nil)
+			is.Equal(errors.As(err, &out), !c.notDone) // an answer is no outage
+			_, _, err = k.List(ctx, "x")
+			is.True(err != nil)
+			is.True(k.Watch(ctx, "x", 0, func([]storer.Event, storer.Revision) {}) != nil)
+			door.Set(nil)
+			_, done := storer.Swap(context.Background(), k, storer.Guard{Key: "x"}, storer.Put{Key: "x"}).(storer.Done)
+			is.True(done) // let in again, over a connection that works
+		})
+	}
+}
+
 func TestKeeperStoreOut(t *testing.T) {
 	is := is.New(t)
 	k, store := withKeeper(t)
--- a/standin/platformer/store.go
+++ b/standin/platformer/store.go
@@ -49,6 +49,10 @@
 	SlowBy time.Duration
 	// LoseAnswers drops the answers of this many writes after their effect.
 	LoseAnswers int
+	// DelayWrites makes this many writes take effect DelayBy later, without an
+	// answer, also when their caller has given up.
+	DelayWrites int
+	DelayBy     time.Duration
 }
 
 // NewStore returns an empty store.
@@ -155,6 +159,18 @@
 	return ctx.Err()
 }
 
+// delay reports whether a write takes effect later.
+func (s *Store) delay(t storer.Transaction) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.DelayWrites <= 0 {
+		return false
+	}
+	s.faults.DelayWrites--
+	time.AfterFunc(s.faults.DelayBy, func() { _ = s.commit(t) })
+	return true
+}
+
 // Get implements storer.Store.
 func (s *Store) Get(ctx context.Context, key string) (storer.Pair, error) {
 	if err := s.enter(ctx, "range"); err != nil {
@@ -190,6 +206,10 @@
 	if err := s.enter(ctx, "txn"); err != nil {
 		return storer.Unknown{Cause: err}
 	}
+	if s.delay(t) {
+		<-ctx.Done()
+		return storer.Unknown{Cause: ctx.Err()}
+	}
 	outcome := s.commit(t)
 	if err := s.leave(ctx); err != nil {
 		return storer.Unknown{Cause: err}
