limiter: floors end, and an owner reserves what may still be used

Change: a floor ends 12 s after the last grant; an owner of a cold server reserves the floors of holders it has not heard, or whose last report or answer may have called the server warm; until the grants of an earlier owner have lapsed it grants no more than the holder has. A report's holding counts the floor too.

--- a/entry/dispatcher/server.go
+++ b/entry/dispatcher/server.go
@@ -175,7 +175,7 @@
 	}
 	r := limiter.Report{
 		Holder:      holder,
-		Holding:     s.allotment.Holding(now),
+		Holding:     s.allotment.Holding(now, s.place.Server.Slots, s.place.Holders, s.place.Rank),
 		InFlight:    len(s.starts),
 		Demand:      s.peak + waiting,
 		Completed:   s.completed,
@@ -184,7 +184,7 @@
 		SuspectCold: s.coldSign,
 		Draining:    s.draining,
 		Released:    s.idleReports >= releaseAfter,
-		Warm:        s.allotment.Warm() && !s.coldSign,
+		Warm:        s.allotment.Warm(now) && !s.coldSign,
 		Slow:        s.speed.Ratio(now, mean, s.starts) > slowReport,
 	}
 	s.peak, s.completed, s.refused, s.failed = len(s.starts), 0, 0, 0
--- a/entry/limiter/holder.go
+++ b/entry/limiter/holder.go
@@ -11,6 +11,10 @@
 	GrantLife = time.Second
 	// ReportInterval is the time between two reports of a holder.
 	ReportInterval = 200 * time.Millisecond
+	// FloorLife is the time after a grant for which a holder may use its floor.
+	// It covers a change of the owner while the store is out, which takes an
+	// entry's lease and some seconds.
+	FloorLife = 12 * time.Second
 	// overcommit is the number of requests beyond a server's slots that hide
 	// the way between entry and server.
 	overcommit = 1
@@ -103,8 +107,11 @@
 	return a
 }
 
-// Warm tells whether the holder knows the server as a warm one.
-func (a Allotment) Warm() bool { return a.warmSeen }
+// Warm tells whether the holder knows the server as a warm one. What it knew
+// ends with its floor.
+func (a Allotment) Warm(now time.Time) bool {
+	return a.warmSeen && now.Before(a.grant.Deadline.Add(FloorLife))
+}
 
 // Cold tells whether the last grant was for a cold server.
 func (a Allotment) Cold() bool { return a.grant.Cold }
@@ -112,23 +119,21 @@
 // Granted tells whether a grant is valid.
 func (a Allotment) Granted(now time.Time) bool { return now.Before(a.grant.Deadline) }
 
-// Holding returns the slots of the valid grant.
-func (a Allotment) Holding(now time.Time) int {
-	if !a.Granted(now) {
+// Holding returns the slots of the valid grant, or of the floor without one.
+func (a Allotment) Holding(now time.Time, slots, k, rank int) int {
+	switch {
+	case a.Granted(now):
+		return a.grant.Slots
+	case a.Warm(now) && !a.released && !now.Before(a.floorFrom):
+		return Floor(slots, k, rank)
+	default:
 		return 0
 	}
-	return a.grant.Slots
 }
 
 // Quota returns the requests that the holder may have in flight now.
 func (a Allotment) Quota(now time.Time, slots, k, rank int) int {
-	quota := 0
-	switch {
-	case a.Granted(now):
-		quota = a.grant.Slots
-	case a.warmSeen && !a.released && !now.Before(a.floorFrom):
-		quota = Floor(slots, k, rank)
-	}
+	quota := a.Holding(now, slots, k, rank)
 	if now.Before(a.cappedUntil) {
 		quota = min(quota, Least(rank))
 	}
--- a/entry/limiter/owner.go
+++ b/entry/limiter/owner.go
@@ -23,8 +23,8 @@
 // Report is what one holder saw of a server since its last report.
 type Report struct {
 	Holder string
-	// Holding is the grant that the holder has as it reports. Answers may be
-	// lost, so the owner counts it until the next report.
+	// Holding is the grant, or the floor without one, that the holder has as it
+	// reports. Answers may be lost, so the owner counts it until the next report.
 	Holding   int
 	InFlight  int
 	Demand    int
@@ -71,7 +71,10 @@
 	// toldDraining tells what the last grant said. A holder that repeats it
 	// gives no new sign.
 	toldDraining bool
-	expires      time.Time
+	// floored tells that the holder may use its floor: it reported the server as
+	// warm, or the answer, which may be lost, calls it warm.
+	floored bool
+	expires time.Time
 }
 
 // NewOwner returns the state of an entry that becomes owner at now. Until the
@@ -120,9 +123,10 @@
 	h.released = r.Released
 	slots := 0
 	if o.proven && slices.Contains(members, r.Holder) {
-		slots = o.share(now, r.Holder, members)
+		slots = o.share(now, r, members)
 	}
 	h.granted = max(slots, r.Holding)
+	h.floored = r.Warm || !o.Cold()
 	h.expires = now.Add(GrantLife)
 	return Grant{Slots: slots, Deadline: h.expires, Cold: o.cold || !o.proven, Draining: o.draining}
 }
@@ -173,11 +177,13 @@
 
 // share returns the part of the limit for one holder. Every member keeps its
 // floor, and what is left goes by demand. Unexpired grants of others are never
-// given out twice.
-func (o *Owner) share(now time.Time, id string, members []string) int {
+// given out twice. While grants of an earlier owner may hold, no holder gets more
+// than it has.
+func (o *Owner) share(now time.Time, r Report, members []string) int {
+	id := r.Holder
 	wanted := o.apportion(now, members)[id]
 	if now.Before(o.grantFrom) {
-		wanted = min(wanted, o.reserve(id, members))
+		wanted = min(wanted, r.Holding, o.reserve(now, id, members))
 	}
 	available := o.limit
 	for other, h := range o.holders {
@@ -188,21 +194,30 @@
 		if now.Before(h.expires) {
 			held = h.granted
 		}
-		available -= max(held, o.reserve(other, members))
+		available -= max(held, o.reserve(now, other, members))
 	}
 	for _, m := range members {
 		if _, known := o.holders[m]; !known && m != id {
-			available -= o.reserve(m, members)
+			available -= o.reserve(now, m, members)
 		}
 	}
 	return max(0, min(wanted, available))
 }
 
-// reserve is the floor that a member may use without a grant. A cold server has
-// no floor, nor has a holder that gave it up.
-func (o *Owner) reserve(id string, members []string) int {
+// reserve is the floor that a member may use without a grant. A holder that gave
+// it up has none. A cold server has no floor, but a holder that did not hear so
+// may use one for a while.
+func (o *Owner) reserve(now time.Time, id string, members []string) int {
 	rank := slices.Index(members, id)
-	if h, ok := o.holders[id]; o.cold || rank < 0 || (ok && h.released) {
+	h, ok := o.holders[id]
+	switch {
+	case rank < 0 || (ok && h.released):
+		return 0
+	case o.cold && ok && h.floored && now.Before(h.expires.Add(FloorLife)):
+		return Floor(o.slots, len(members), rank)
+	case o.cold && !ok && now.Before(o.grantFrom.Add(FloorLife)):
+		return Floor(o.slots, len(members), rank)
+	case o.cold:
 		return 0
 	}
 	return min(Floor(o.slots, len(members), rank), max(1, o.limit/max(1, len(members))))
@@ -214,7 +229,7 @@
 	shares := map[string]int{}
 	left := o.limit
 	for _, m := range members {
-		part := min(left, o.reserve(m, members))
+		part := min(left, o.reserve(now, m, members))
 		shares[m] = part
 		left -= part
 	}
