--- a/ctl/commander/commander.go
+++ b/ctl/commander/commander.go
@@ -19,6 +19,7 @@
 	"samphiremux/pkg/parser"
 	"samphiremux/pkg/publisher"
 	"samphiremux/pkg/storer"
+	"samphiremux/pkg/versioner"
 	"samphiremux/platform/keeper"
 )
 
@@ -74,18 +75,20 @@
 }
 
 type arguments struct {
-	Check   *checkCommand       `arg:"subcommand:check" help:"check a document"`
-	Diff    *diffCommand        `arg:"subcommand:diff" help:"compare a document with the one in force"`
-	Apply   *applyCommand       `arg:"subcommand:apply" help:"apply a document"`
-	Promote *promoteCommand     `arg:"subcommand:promote" help:"apply the document of another environment"`
-	History *environmentCommand `arg:"subcommand:history" help:"list the documents that were applied"`
-	Status  *environmentCommand `arg:"subcommand:status" help:"show entries, moves and domains"`
-	Watch   *watchCommand       `arg:"subcommand:watch" help:"show the status again and again"`
-	Explain *explainCommand     `arg:"subcommand:explain" help:"find a request's way in the logs of entries"`
-	Store   []string            `arg:"--store,env:SAMPHIRE_STORE" help:"base URLs of the platform's store"`
-	Author  string              `arg:"--author,env:SAMPHIRE_AUTHOR" default:"operator" help:"name to record"`
-	Output  string              `arg:"--output" default:"text" help:"text or json"`
-	Timeout time.Duration       `arg:"--timeout" default:"10s" help:"limit of store calls"`
+	Check      *checkCommand       `arg:"subcommand:check" help:"check a document"`
+	Diff       *diffCommand        `arg:"subcommand:diff" help:"compare a document with the one in force"`
+	Apply      *applyCommand       `arg:"subcommand:apply" help:"apply a document"`
+	Promote    *promoteCommand     `arg:"subcommand:promote" help:"apply the document of another environment"`
+	History    *environmentCommand `arg:"subcommand:history" help:"list the documents that were applied"`
+	Status     *environmentCommand `arg:"subcommand:status" help:"show entries, moves and domains"`
+	Watch      *watchCommand       `arg:"subcommand:watch" help:"show the status again and again"`
+	Explain    *explainCommand     `arg:"subcommand:explain" help:"find a request's way in the logs of entries"`
+	Fleet      *fleetCommand       `arg:"subcommand:fleet" help:"show the entries on the users' platform by their metrics"`
+	Completion *completionCommand  `arg:"subcommand:completion" help:"print a script for a shell that completes commands and flags"`
+	Store      []string            `arg:"--store,env:SAMPHIRE_STORE" help:"base URLs of the platform's store"`
+	Author     string              `arg:"--author,env:SAMPHIRE_AUTHOR" default:"operator" help:"name to record"`
+	Output     string              `arg:"--output" default:"text" help:"text or json"`
+	Timeout    time.Duration       `arg:"--timeout" default:"10s" help:"limit of store calls"`
 }
 
 // Description implements arg.Described.
@@ -93,6 +96,9 @@
 	return "samphirectl checks, applies and promotes environment documents."
 }
 
+// Version implements arg.Versioned.
+func (arguments) Version() string { return versioner.Text("samphirectl") }
+
 // Epilogue implements arg.Epilogued.
 func (arguments) Epilogue() string {
 	return "Exit codes: 0 done, 1 failed, 2 usage, 3 invalid document, 4 conflict with another operator, " +
@@ -122,11 +128,14 @@
 	case errors.Is(err, arg.ErrHelp):
 		_ = p.WriteHelpForSubcommand(out, p.SubcommandNames()...)
 		return ExitOK
+	case errors.Is(err, arg.ErrVersion):
+		_, _ = fmt.Fprintln(out, s.Version())
+		return ExitOK
 	case err == nil && p.Subcommand() == nil:
 		err = errors.New("a command is missing")
 	case err == nil && s.Output != "text" && s.Output != "json":
 		err = fmt.Errorf("output %q must be text or json", s.Output)
-	case err == nil && s.Check == nil && s.Explain == nil && len(s.Store) == 0:
+	case err == nil && s.needsStore() && len(s.Store) == 0:
 		err = errors.New("--store or SAMPHIRE_STORE must name the store")
 	}
 	if err != nil {
@@ -134,13 +143,23 @@
 		_, _ = fmt.Fprintln(errOut, err)
 		return ExitUsage
 	}
-	if s.Explain != nil {
+	switch {
+	case s.Explain != nil:
 		return s.finish(s.explain())
+	case s.Fleet != nil:
+		return s.finish(s.fleet(ctx))
+	case s.Completion != nil:
+		return s.finish(s.completion())
 	}
 	s.applier = applier.New(keeper.New(nil, s.Store...), &http.Client{}, time.Now)
 	return s.finish(s.dispatch(ctx))
 }
 
+// needsStore tells whether the command reads the platform's store.
+func (s *session) needsStore() bool {
+	return s.Check == nil && s.Explain == nil && s.Fleet == nil && s.Completion == nil
+}
+
 func (s *session) dispatch(ctx context.Context) error {
 	if s.Watch != nil {
 		return s.watch(ctx)
--- a/ctl/commander/commands.go
+++ b/ctl/commander/commands.go
@@ -181,20 +181,14 @@
 }
 
 func (s *session) watch(ctx context.Context) error {
-	for n := 0; s.Watch.Count == 0 || n < s.Watch.Count; n++ {
+	return repeat(ctx, s.Watch.Count, s.Watch.Interval, func() error {
 		callCtx, cancel := context.WithTimeout(ctx, s.Timeout)
-		err := s.status(callCtx, s.Watch.Environment)
-		cancel()
-		if err != nil {
-			_ = s.finish(err)
-		}
-		select {
-		case <-time.After(s.Watch.Interval):
-		case <-ctx.Done():
-			return nil
+		defer cancel()
+		if err := s.status(callCtx, s.Watch.Environment); err != nil {
+			_ = s.finish(err) // the next look may succeed
 		}
-	}
-	return nil
+		return nil
+	})
 }
 
 // moveLine returns a move as one line of text.
--- /dev/null
+++ b/ctl/inspector/names_test.go
@@ -0,0 +1,20 @@
+package inspector
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestNamesAreServed holds the names against the page of operators, which a test of
+// the entry holds against what it serves.
+func TestNamesAreServed(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	is.NoErr(err)
+	for _, name := range names() {
+		is.True(strings.Contains(string(page), "| "+name+" |")) // missing on the page
+	}
+}
--- a/entry/commander/commander.go
+++ b/entry/commander/commander.go
@@ -25,6 +25,7 @@
 	"samphiremux/entry/coordinator"
 	"samphiremux/entry/overseer"
 	"samphiremux/entry/settler"
+	"samphiremux/pkg/versioner"
 	"samphiremux/platform/keeper"
 )
 
@@ -61,6 +62,9 @@
 	return "samphire-entry steers callers' requests to backend servers."
 }
 
+// Version implements arg.Versioned.
+func (arguments) Version() string { return versioner.Text("samphire-entry") }
+
 // Run runs the entry until a signal and returns the exit code.
 func Run(args []string, out, errOut io.Writer) int {
 	var a arguments
@@ -73,6 +77,9 @@
 	case errors.Is(err, arg.ErrHelp):
 		p.WriteHelp(out)
 		return exitOK
+	case errors.Is(err, arg.ErrVersion):
+		_, _ = fmt.Fprintln(out, a.Version())
+		return exitOK
 	case err != nil:
 		p.WriteUsage(errOut)
 		_, _ = fmt.Fprintln(errOut, err)
--- a/standin/commander/commander.go
+++ b/standin/commander/commander.go
@@ -10,6 +10,8 @@
 	"os/signal"
 
 	"github.com/alexflint/go-arg"
+
+	"samphiremux/pkg/versioner"
 )
 
 // Exit codes.
@@ -35,6 +37,9 @@
 	return "samphire-standin stands in for the platform, backend servers and callers."
 }
 
+// Version implements arg.Versioned.
+func (arguments) Version() string { return versioner.Text("samphire-standin") }
+
 // Run runs the command in args and returns the exit code.
 func Run(args []string, out, errOut io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
@@ -49,6 +54,9 @@
 	case errors.Is(err, arg.ErrHelp):
 		p.WriteHelp(out)
 		return exitOK
+	case errors.Is(err, arg.ErrVersion):
+		_, _ = fmt.Fprintln(out, a.Version())
+		return exitOK
 	case err != nil:
 		p.WriteUsage(errOut)
 		_, _ = fmt.Fprintln(errOut, err)
--- a/steer/commander/commander.go
+++ b/steer/commander/commander.go
@@ -17,6 +17,7 @@
 
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/recorder"
+	"samphiremux/pkg/versioner"
 	"samphiremux/platform/translator"
 )
 
@@ -52,6 +53,9 @@
 	return "samphire-steer steers callers' requests to backend servers on the users' platform."
 }
 
+// Version implements arg.Versioned.
+func (arguments) Version() string { return versioner.Text("samphire-steer") }
+
 // Run runs the entry until a signal and returns the exit code.
 func Run(args []string, out io.Writer) int {
 	var a arguments
@@ -64,6 +68,9 @@
 	case errors.Is(err, arg.ErrHelp):
 		p.WriteHelp(out)
 		return exitOK
+	case errors.Is(err, arg.ErrVersion):
+		_, _ = fmt.Fprintln(out, a.Version())
+		return exitOK
 	case err != nil:
 		p.WriteUsage(out)
 		_, _ = fmt.Fprintln(out, err)
