fuzzer: delayed writes, extra answers, callers that repeat at once

The drawn scripts lacked faults that the users' platform has: a write of the store that takes effect after its caller gave up, an answer that nobody asked for behind a whole one, and callers that send a refused call again at once. A ninth part draws them, so that the eight others keep their scripts for a seed. Ruled out here: rebirth under an id and reuse of addresses, which the own document does not have (a server's name and address change by a new revision); the exchanger's tests cover them for the platform.

--- a/standin/fuzzer/draw.go
+++ b/standin/fuzzer/draw.go
@@ -7,9 +7,11 @@
 )
 
 // Shards is the number of leanings of drawn scripts.
-const Shards = 8
+const Shards = 9
 
-// leanings lists the verbs that each shard draws more often than others.
+// leanings lists the verbs that each shard draws more often than others. Those of
+// the last shard are drawn there alone, so that the scripts of the others stay as
+// they were for a seed.
 var leanings = [Shards][]string{
 	{"store-down", "store-up", "store-slow", "store-forget", "lapse-all", "break-watches", "compact", "apply", "race"},
 	{"kill", "start", "stop", "start", "kill", "start", "store-down", "store-up"},
@@ -19,6 +21,7 @@
 	{"domain-out", "domain-in", "leave", "apply", "stop", "start"},
 	{"pause", "resume", "lapse-all", "cut-store", "mend-store", "kill", "start"},
 	{"move", "slow", "domain-out", "domain-in", "store-down", "store-up", "kill", "start"},
+	{"store-delay", "extra-answers", "repeat", "slow", "crash", "apply", "cross-answers", "lapse-all"},
 }
 
 // allVerbs are drawn by every shard now and then.
@@ -49,7 +52,7 @@
 	switch verb {
 	case "crash", "turn-cold", "drain", "undrain", "leave":
 		return drawServer(choose)
-	case "slow", "cut-answers", "cross-answers":
+	case "slow", "cut-answers", "cross-answers", "extra-answers":
 		if index == 0 {
 			return drawServer(choose)
 		}
@@ -58,7 +61,7 @@
 		return []string{"catalogue", "booking"}[choose(0, 1)]
 	case "domain-out", "domain-in":
 		return deployment().Domains[choose(0, 2)]
-	case "store-forget":
+	case "store-forget", "store-delay", "repeat":
 		return strconv.Itoa(choose(1, 4))
 	default:
 		return strconv.Itoa(choose(1, entries))
--- a/standin/fuzzer/fuzzer_test.go
+++ b/standin/fuzzer/fuzzer_test.go
@@ -104,6 +104,7 @@
 	"forget-all":     "at 100ms apply\nat 1s restore-older\nat 1500ms kill 1\nat 1500ms kill 2\nat 1500ms kill 3\nat 1500ms kill 4\nat 2s start 1\nat 2s start 2",
 	"hide-crash":     "at 100ms poison catalogue",
 	"never-heal":     "at 100ms apply",
+	"retry-storm":    "at 100ms apply",
 }
 
 func TestPlantedFaults(t *testing.T) {
--- a/standin/fuzzer/oracle.go
+++ b/standin/fuzzer/oracle.go
@@ -24,6 +24,9 @@
 	// probeCost is the slot time of a probe with its connection.
 	probeCost   = 7 * time.Millisecond
 	probeBudget = 0.01
+	// freshTokens is what the budgets of a new entry hold before they earn anything:
+	// ten retries for each of two services.
+	freshTokens = 2 * 10
 	// fatalRuns is the most servers that one request may take down.
 	fatalRuns = 2
 	// finalWhole is the part of calls that must be answered after healing.
@@ -45,6 +48,7 @@
 	invConfig   = "accepted-configuration"
 	invPoison   = "poison"
 	invService  = "service-returns"
+	invRetries  = "retry-budget"
 )
 
 // oracle holds what happened against what must always hold.
@@ -259,6 +263,18 @@
 	}
 }
 
+// checkRetries holds the runs beyond the first of each request against the budgets
+// of all entries that ran.
+func (o *oracle) checkRetries() {
+	runs, requests := o.run.world.Ledger.Total()
+	allowed := freshTokens*(o.run.script.Entries+o.run.starts) + o.run.poisons*fatalRuns*(1+o.regrouped)
+	// Both services have the same budget.
+	allowed += int(o.run.world.Document().Services[0].RetryBudget * float64(requests))
+	if extra := runs - requests; extra > allowed {
+		o.add(invRetries, "%d runs beyond the first of %d requests, %d allowed", extra, requests, allowed)
+	}
+}
+
 // finish checks what can be told at the end only.
 func (o *oracle) finish() {
 	o.checkLeaving()
@@ -276,6 +292,7 @@
 			o.add(invProbes, "server %s spent %v on probes of %v allowed", b.Name(), time.Duration(used), time.Duration(allowed))
 		}
 	}
+	o.checkRetries()
 	o.run.world.Reread()
 	want := uint64(o.run.world.Revision())
 	for _, h := range o.run.world.Entries {
--- a/standin/fuzzer/plant.go
+++ b/standin/fuzzer/plant.go
@@ -28,6 +28,7 @@
 		"forget-all":     invConfig,
 		"hide-crash":     invPoison,
 		"never-heal":     invService,
+		"retry-storm":    invRetries,
 	}
 }
 
@@ -58,11 +59,11 @@
 				return responder.Misbehaviour{Fail: srv.Version == "v2"}
 			}
 		}
-	case "shed-after-run", "run-twice", "never-heal":
+	case "shed-after-run", "run-twice", "retry-storm", "never-heal":
 		o.Fault = func(parser.Server) func(*http.Request, float64) responder.Misbehaviour {
 			return func(req *http.Request, _ float64) (m responder.Misbehaviour) {
 				m.ShedAfterRun = r.script.Plant == "shed-after-run"
-				m.RunTwice = r.script.Plant == "run-twice"
+				m.RunTwice = r.script.Plant == "run-twice" || r.script.Plant == "retry-storm"
 				m.Fail = r.script.Plant == "never-heal" && r.clock() > r.script.Length
 				return m
 			}
--- a/standin/fuzzer/run.go
+++ b/standin/fuzzer/run.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"samphiremux/entry/chooser"
@@ -46,6 +47,9 @@
 	firstEnvelope []byte
 	restored      bool
 	poisons       int
+	// repeats is how often callers send what was refused again at once.
+	repeats atomic.Int64
+	starts  int
 }
 
 // deployment is the small world of scripts.
@@ -151,6 +155,7 @@
 // heal ends all faults and starts every entry.
 func (r *run) heal() {
 	r.setStoreFaults(noFaults)
+	r.repeats.Store(0)
 	for i, h := range r.world.Entries {
 		r.net.Resume(h.Address)
 		h.SetStoreCut(false)
@@ -163,6 +168,7 @@
 		b.SetSlow(1)
 		b.CutNext(0)
 		b.CrossNext(0)
+		b.ExtraNext(0)
 	}
 }
 
@@ -241,6 +247,7 @@
 	result := who.Do(context.Background(), c)
 	results = append(results, result)
 	if c.Key == "" {
+		r.again(who, c, result)
 		return results
 	}
 	for range resends {
@@ -254,6 +261,19 @@
 	return results
 }
 
+// again sends a call that was refused again at once, as calls of their own.
+func (r *run) again(who *caller.Caller, c caller.Call, result caller.Result) {
+	id := c.ID
+	for n := range r.repeats.Load() {
+		if _, refused := result.(caller.Refused); !refused {
+			return
+		}
+		c.ID = fmt.Sprintf("%s-again-%d", id, n)
+		result = who.Do(context.Background(), c)
+		r.oracle.called(c, false, []caller.Result{result})
+	}
+}
+
 func outcomeUnknown(result caller.Result) bool {
 	switch r := result.(type) {
 	case caller.Broken:
--- a/standin/fuzzer/verbs.go
+++ b/standin/fuzzer/verbs.go
@@ -29,6 +29,8 @@
 	"undrain":       {1, (*run).undrain},
 	"cut-answers":   {2, (*run).cutAnswers},
 	"cross-answers": {2, (*run).crossAnswers},
+	"extra-answers": {2, (*run).extraAnswers},
+	"repeat":        {1, (*run).repeat},
 	"silence":       {1, (*run).silence},
 	"poison":        {1, (*run).poison},
 	"kill":          {1, onEntry((*run).kill)},
@@ -44,6 +46,7 @@
 	"store-up":      {0, func(r *run, _ []string) { r.setStoreFaults(platformer.Faults{}) }},
 	"store-slow":    {0, func(r *run, _ []string) { r.setStoreFaults(platformer.Faults{SlowBy: 400 * time.Millisecond}) }},
 	"store-forget":  {1, (*run).loseAnswers},
+	"store-delay":   {1, (*run).delayWrites},
 	"lapse-all":     {0, func(r *run, _ []string) { r.world.Store.LapseAll() }},
 	"break-watches": {0, func(r *run, _ []string) { r.world.Store.BreakWatches() }},
 	"compact":       {0, func(r *run, _ []string) { r.world.Store.Compact() }},
@@ -117,6 +120,17 @@
 	}
 }
 
+func (r *run) extraAnswers(args []string) {
+	r.server(args, func(b *hoster.Backend, n float64) { b.ExtraNext(int(n)) })
+}
+
+// repeat makes callers send what was refused again at once, a number of times.
+func (r *run) repeat(args []string) {
+	if n, err := strconv.Atoi(args[0]); err == nil {
+		r.repeats.Store(int64(n))
+	}
+}
+
 // silence makes the open connections between an entry and all servers lose
 // their data.
 func (r *run) silence(args []string) {
@@ -139,6 +153,16 @@
 	}
 }
 
+// writeDelay exceeds the limits of calls that write.
+const writeDelay = 2 * time.Second
+
+// delayWrites makes the next writes take effect when their callers have given up.
+func (r *run) delayWrites(args []string) {
+	if n, err := strconv.Atoi(args[0]); err == nil {
+		r.setStoreFaults(platformer.Faults{DelayWrites: n, DelayBy: writeDelay})
+	}
+}
+
 // pause stops all traffic of an entry, also to the store.
 func (r *run) pause(h *hoster.Host) {
 	r.net.Pause(h.Address)
@@ -178,6 +202,7 @@
 	if h.Entry == nil {
 		// The listeners of an entry that is still stopping are taken.
 		_ = r.world.StartEntry(h.Index)
+		r.starts++
 	}
 }
 
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -91,6 +91,7 @@
 	draining  bool
 	cutNext   int
 	crossNext int
+	extraNext int
 	lastID    string
 	stats     Stats
 	lagged    float64
@@ -176,6 +177,13 @@
 	s.crossNext = n
 }
 
+// ExtraNext makes the server send another answer behind each of the next n.
+func (s *Server) ExtraNext(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.extraNext = n
+}
+
 // Restart brings a crashed server back, cold.
 func (s *Server) Restart() {
 	s.mu.Lock()
@@ -441,7 +449,10 @@
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, m Misbehaviour) {
 	id := r.Header.Get(requestIDHeader)
 	s.mu.Lock()
-	cut, cross := s.cutNext > 0, s.crossNext > 0
+	cut, cross, extra := s.cutNext > 0, s.crossNext > 0, s.extraNext > 0
+	if extra {
+		s.extraNext--
+	}
 	if cut {
 		s.cutNext--
 	}
@@ -462,6 +473,8 @@
 		w.Header().Set("Content-Length", fmt.Sprint(len(body)))
 		_, _ = io.WriteString(w, body[:len(body)/2])
 		panic(http.ErrAbortHandler)
+	case extra:
+		answerTwice(w, id)
 	case m.ShedAfterRun:
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case m.Fail:
@@ -478,6 +491,24 @@
 	}
 }
 
+// extraLife is the time for which a connection stays open behind an extra answer.
+const extraLife = time.Second
+
+// answerTwice sends a whole answer and one that nobody asked for behind it.
+func answerTwice(w http.ResponseWriter, id string) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	own, extra := Body(id), Body("nobody")
+	_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(buffered)
+	_, _ = fmt.Fprintf(buffered, "Content-Length: %d\r\n\r\n%s", len(own), own)
+	_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(extra), extra)
+	_ = buffered.Flush()
+	time.AfterFunc(extraLife, func() { _ = conn.Close() })
+}
+
 // Body returns the whole answer to a request.
 func Body(requestID string) string {
 	return "answer to " + requestID + "\n" + strings.Repeat(".", 200) + "\nend of " + requestID + "\n"
