--- a/entry/commander/commander.go
+++ b/entry/commander/commander.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	stdlog "log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -133,6 +134,8 @@
 	log := hclog.New(&hclog.LoggerOptions{
 		Name: "samphire", Level: hclog.LevelFromString(s.LogLevel), Output: logTo, JSONFormat: s.LogJSON,
 	})
+	// net/http warns of connections on the standard logger.
+	stdlog.SetOutput(log.Named("http").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	listeners := make([]net.Listener, 0, 3)
--- a/standin/fuzzer/main_test.go
+++ b/standin/fuzzer/main_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"flag"
+	"io"
+	"log"
 	"os"
 	"testing"
 )
@@ -15,5 +17,7 @@
 		}
 	}
 	flag.Parse()
+	// Scripts make servers send what net/http warns of, a line for each.
+	log.SetOutput(io.Discard)
 	os.Exit(m.Run())
 }
--- a/steer/commander/commander.go
+++ b/steer/commander/commander.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -99,6 +100,8 @@
 	log := hclog.New(&hclog.LoggerOptions{
 		Name: "samphire", Level: hclog.LevelFromString(a.LogLevel), Output: lines, JSONFormat: true,
 	})
+	// The store's client in net/http warns of connections on the standard logger.
+	stdlog.SetOutput(log.Named("http").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE)
