surveyor, steerer: cost that grew with the servers of a service

Ruled out: the store's watches and the heartbeats (wake-ups and connections do not grow). Change: a change marks the view as out of date, and it is built when it is asked for; of a service with more than 64 servers 64 are drawn, up to 48 of the own failure domain. Services of both sites have fewer, and choose as before. Tests: TestManyServers, TestManyChanges.

--- a/entry/steerer/pick.go
+++ b/entry/steerer/pick.go
@@ -19,6 +19,13 @@
 	moreAsked  = 4
 	// maxAsked bounds the servers that are asked for one send.
 	maxAsked = 15
+	// maxConsidered bounds the servers that are weighed for one send. It is four
+	// times those that are asked, and weighing them all takes longer than the
+	// probes where a service has hundreds.
+	maxConsidered = 64
+	// nearConsidered is the part of them that are of the own failure domain, if it
+	// has so many.
+	nearConsidered = 48
 	// askLimit bounds the wait for an answer to a probe. Servers of the same
 	// region answer within 3 ms.
 	askLimit = 60 * time.Millisecond
@@ -73,17 +80,37 @@
 // factor is how much longer the server takes than an idle one without neighbours.
 func (p *picked) factor() float64 { return p.slowness * load(p.busy, p.Slots) }
 
-// eligible lists the servers that may run the request.
+// eligible lists the servers that may run the request. Of many it draws some.
 func (s *Steerer) eligible(now time.Time, c *call, view *surveyor.View) (all []candidate) {
-	for _, b := range view.Services[c.service] {
-		if b.Draining || view.Out[b.Domain] || (c.version != "" && b.Version != c.version) || c.tried[b.ID] {
-			continue
+	servers := view.Services[c.service]
+	if len(servers) <= maxConsidered {
+		return c.collect(nil, now, view, servers, maxConsidered, func(surveyor.Backend) bool { return true })
+	}
+	s.mu.Lock()
+	from := s.rng.IntN(len(servers))
+	s.mu.Unlock()
+	turned := [][]surveyor.Backend{servers[from:], servers[:from]}
+	for _, part := range turned {
+		all = c.collect(all, now, view, part, nearConsidered, func(b surveyor.Backend) bool { return b.Domain == s.o.Domain })
+	}
+	for _, part := range turned {
+		all = c.collect(all, now, view, part, maxConsidered, func(b surveyor.Backend) bool { return b.Domain != s.o.Domain })
+	}
+	return all
+}
+
+// collect adds servers that may run the request and match, up to a number.
+func (c *call) collect(all []candidate, now time.Time, view *surveyor.View, servers []surveyor.Backend, most int, match func(surveyor.Backend) bool) []candidate {
+	for _, b := range servers {
+		if len(all) >= most {
+			break
 		}
-		state := b.Live.State(now)
-		if state.Leaving {
+		if !match(b) || b.Draining || view.Out[b.Domain] || (c.version != "" && b.Version != c.version) || c.tried[b.ID] {
 			continue
 		}
-		all = append(all, candidate{Backend: b, state: state})
+		if state := b.Live.State(now); !state.Leaving {
+			all = append(all, candidate{Backend: b, state: state})
+		}
 	}
 	return all
 }
--- a/entry/steerer/steerer_test.go
+++ b/entry/steerer/steerer_test.go
@@ -522,3 +522,21 @@
 	is.Equal(route.Part(0.95), "b")
 	is.Equal(route.Part(0.9999999999), "b")
 }
+
+// TestManyServers serves from a service with more servers than are weighed.
+func TestManyServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := servers(200, good)
+		f := withSteerer(t, chooser.ExpectedCompletion{}, all...)
+		for i := range 100 {
+			is.Equal(f.send(http.MethodGet, "/look/1", strconv.Itoa(i)).Code, 200)
+		}
+		is.True(arrivals(all[64:]) > 0) // not only the first by name
+		for _, b := range all[:190] {
+			f.survey.RemoveServer(b.id)
+		}
+		is.Equal(f.send(http.MethodGet, "/look/1", "last").Code, 200)
+		f.close()
+	})
+}
--- a/entry/surveyor/surveyor.go
+++ b/entry/surveyor/surveyor.go
@@ -30,6 +30,8 @@
 // Surveyor publishes views.
 type Surveyor struct {
 	current atomic.Pointer[View]
+	// stale tells that the view lacks a change.
+	stale atomic.Bool
 
 	mu       sync.Mutex
 	connect  Connect
@@ -51,8 +53,16 @@
 	return s
 }
 
-// View returns what is known now.
-func (s *Surveyor) View() *View { return s.current.Load() }
+// View returns what is known now. It is built anew when it is asked for after a
+// change, since thousands of changes come at once when an entry starts.
+func (s *Surveyor) View() *View {
+	if s.stale.Load() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.publish()
+	}
+	return s.current.Load()
+}
 
 // ErrOlderTable says that a configuration is not newer than the one in force.
 type ErrOlderTable struct{ Offered, InForce int64 }
@@ -69,7 +79,7 @@
 		return ErrOlderTable{Offered: t.Version, InForce: s.table.Version}
 	}
 	s.table = t
-	s.publish()
+	s.stale.Store(true)
 	return nil
 }
 
@@ -91,7 +101,7 @@
 	}
 	b.Live.SetCold(f.ColdUntil)
 	s.backends[f.ID] = b
-	s.publish()
+	s.stale.Store(true)
 }
 
 // RemoveServer forgets a backend server. No new work goes there.
@@ -104,7 +114,7 @@
 	}
 	delete(s.backends, id)
 	b.Live.Close()
-	s.publish()
+	s.stale.Store(true)
 }
 
 // SetOut takes a failure domain out, or back.
@@ -116,7 +126,7 @@
 	} else {
 		delete(s.out, domain)
 	}
-	s.publish()
+	s.stale.Store(true)
 }
 
 // SetOrder notes the operators' order to move a service to another version.
@@ -124,7 +134,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.orders[o.Service] = o
-	s.publish()
+	s.stale.Store(true)
 }
 
 // RemoveOrder forgets an order that the operators took back. The service keeps the
@@ -133,7 +143,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.orders, service)
-	s.publish()
+	s.stale.Store(true)
 }
 
 // SetRecord notes the state of a version move. An older record is ignored.
@@ -144,7 +154,7 @@
 		return
 	}
 	s.records[service] = r
-	s.publish()
+	s.stale.Store(true)
 }
 
 // Idle closes connections that were unused for too long.
@@ -158,6 +168,9 @@
 
 // publish builds the view anew. The lock is held.
 func (s *Surveyor) publish() {
+	if !s.stale.Swap(false) {
+		return // another caller has built it meanwhile
+	}
 	v := &View{Table: s.table, Services: map[string][]Backend{}, Out: map[string]bool{}, Moves: map[string]Move{}}
 	for _, b := range s.backends {
 		v.Services[b.Service] = append(v.Services[b.Service], b)
--- a/entry/surveyor/surveyor_test.go
+++ b/entry/surveyor/surveyor_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -137,3 +138,18 @@
 	live.NoteHealth(now, exchanger.Health{})
 	is.True(!live.State(now).Shunned) // an answer ends it
 }
+
+// TestManyChanges holds a view back while thousands of servers appear. One that
+// was taken is not changed, and the next has them all.
+func TestManyChanges(t *testing.T) {
+	is := is.New(t)
+	s := withSurvey()
+	before := s.View()
+	for i := range 3000 {
+		s.PutServer(server(strconv.Itoa(i), "v1"))
+	}
+	is.Equal(len(before.Services["stock"]), 0)
+	after := s.View()
+	is.Equal(len(after.Services["stock"]), 3000)
+	is.True(after == s.View()) // built once
+}
