forwarder: an entry's not-run counts only if no attempt before may have run

Ruled out: the limit of dials (the script fails without it too). Change: after an attempt that may have run, another entry's not-run becomes outcome-unknown. The answers of servers and other refusals pass as before. Before: kill-after-run.script fails three of three.

--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -298,6 +298,10 @@
 			if isMisdirected(answer) {
 				continue
 			}
+			if r := state.Refusal(refuser.EntryUnreachable); r.Kind == refuser.OutcomeUnknown && isNotRun(answer) {
+				// The other entry knows nothing of the attempts before its own.
+				return nil, &r
+			}
 			return answer, nil
 		}
 		state = state.WithAttempt(o)
@@ -309,6 +313,11 @@
 	return nil, &r
 }
 
+// isNotRun tells whether another entry answered that it did not run the request.
+func isNotRun(a *sender.Answer) bool {
+	return strings.HasPrefix(a.Header.Get(refuser.RefusalHeader), string(refuser.NotRun))
+}
+
 func isMisdirected(a *sender.Answer) bool {
 	return a.Header.Get(refuser.RefusalHeader) == refuser.NewNotRun(refuser.Misdirected).Header()
 }
