--- /dev/null
+++ b/entry/cleaner/cleaner_test.go
@@ -0,0 +1,20 @@
+package cleaner_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"samphiremux/entry/cleaner"
+)
+
+func TestClean(t *testing.T) {
+	is := is.New(t)
+	h := http.Header{
+		"Connection": {"close, X-Own", "X-Other"}, "X-Own": {"1"}, "X-Other": {"2"}, "Te": {"trailers"},
+		"X-More": {"3"}, "X-Kept": {"4", "5"},
+	}
+	is.Equal(cleaner.Clean(h, "X-More"), http.Header{"X-Kept": {"4", "5"}})
+	is.Equal(len(h), 6) // the original stays
+}
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"samphiremux/entry/cleaner"
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/retrier"
 	"samphiremux/entry/sender"
@@ -193,22 +194,9 @@
 	return host
 }
 
-// cleanHeader drops the headers that hold for one connection only (RFC 9110,
-// section 7.6.1).
+// cleanHeader returns the headers that pass on, without those between entries.
 func cleanHeader(h http.Header) http.Header {
-	clean := h.Clone()
-	for _, list := range h.Values("Connection") {
-		for _, name := range strings.Split(list, ",") {
-			clean.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range []string{
-		"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", HopHeader, sender.AttemptIDHeader,
-	} {
-		clean.Del(name)
-	}
-	return clean
+	return cleaner.Clean(h, HopHeader, sender.AttemptIDHeader)
 }
 
 // serve finds the entry that has to run the request.
--- a/entry/steerer/header.go
+++ b/entry/steerer/header.go
@@ -3,17 +3,11 @@
 import (
 	"net/http"
 	"strconv"
-	"strings"
 
+	"samphiremux/entry/cleaner"
 	"samphiremux/entry/exchanger"
 )
 
-// hopHeaders hold for one connection only (RFC 9110, section 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
-}
-
 // fieldBytes is what a header field takes beside its name and value: a colon, a
 // space and the end of the line.
 const fieldBytes = 4
@@ -30,19 +24,8 @@
 	return n
 }
 
-// cleanHeader returns the headers that pass on.
-func cleanHeader(h http.Header) http.Header {
-	clean := h.Clone()
-	for _, list := range h.Values("Connection") {
-		for _, name := range strings.Split(list, ",") {
-			clean.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		clean.Del(name)
-	}
-	return clean
-}
+// cleanHeader returns the headers that pass on. The length is stated anew.
+func cleanHeader(h http.Header) http.Header { return cleaner.Clean(h, "Content-Length") }
 
 // lengthText returns the length of an answer. One without a body, as for HEAD,
 // keeps the length that the server stated.
