linker, retrier: one call that tells a peer, one list of causes

Cause: teller and TellAll each wrapped the call Tell, and the steerer listed the names of outcomes that retrier has for its decisions. Ruled out: TellAll in teller, which tries each peer three times and counts each try. Change: Pool.Tell serves both; retrier.CauseOf names outcomes for the steerer. Names and counters are as before for every outcome that the exchanger gives (answered, shed, not sent, lost, cut, crossed, late).

--- a/entry/retrier/retrier.go
+++ b/entry/retrier/retrier.go
@@ -116,6 +116,13 @@
 	}
 }
 
+// CauseOf names why an attempt that ended in o is followed by another. It is empty
+// for an outcome that is not.
+func CauseOf(o Outcome) Cause {
+	cause, _, _ := causeOf(o)
+	return cause
+}
+
 // Decision is what follows an attempt: Pass, Retry or Refuse.
 type Decision interface{ decision() }
 
--- a/entry/steerer/trail.go
+++ b/entry/steerer/trail.go
@@ -136,18 +136,8 @@
 		return "answered"
 	case retrier.Late:
 		return string(refuser.NoAnswerInTime)
-	case retrier.Shed:
-		return string(retrier.CauseShed)
-	case retrier.NotSent:
-		return string(retrier.CauseNotSent)
-	case retrier.Lost:
-		return string(retrier.CauseLost)
-	case retrier.Cut:
-		return string(retrier.CauseCut)
-	case retrier.Crossed:
-		return string(retrier.CauseCrossed)
 	default:
-		return "unknown"
+		return string(retrier.CauseOf(o))
 	}
 }
 
--- a/entry/teller/teller.go
+++ b/entry/teller/teller.go
@@ -76,10 +76,7 @@
 func (t *Teller) tell(ctx context.Context, address string, r *linkpb.TellRequest) {
 	for range tellTries {
 		callCtx, cancel := context.WithTimeout(ctx, tellLimit)
-		err := t.pool.Call(callCtx, address, func(ctx context.Context, c linkpb.DRPCLinkClient) error {
-			_, err := c.Tell(ctx, r)
-			return err
-		})
+		err := t.pool.Tell(callCtx, address, r)
 		cancel()
 		t.node.Counters().LinkCalls.WithLabelValues("tell", counter.Result(err)).Inc()
 		if err == nil || ctx.Err() != nil {
