flagger: one way to parse the command line of the four programs

Ruled out: checks of arguments inside flagger, since samphirectl has some and samphire-standin shows its help without a command. Change: pkg/flagger parses, and holds the exit codes that all share.

--- a/ctl/commander/commander.go
+++ b/ctl/commander/commander.go
@@ -16,6 +16,7 @@
 	"github.com/alexflint/go-arg"
 
 	"samphiremux/ctl/applier"
+	"samphiremux/pkg/flagger"
 	"samphiremux/pkg/parser"
 	"samphiremux/pkg/publisher"
 	"samphiremux/pkg/storer"
@@ -25,9 +26,9 @@
 
 // Exit codes.
 const (
-	ExitOK       = 0
-	ExitFailed   = 1
-	ExitUsage    = 2
+	ExitOK       = flagger.OK
+	ExitFailed   = flagger.Failed
+	ExitUsage    = flagger.Usage
 	ExitInvalid  = 3
 	ExitConflict = 4
 	ExitStoreOut = 5
@@ -118,30 +119,12 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	s := &session{out: out, err: errOut}
-	p, err := arg.NewParser(arg.Config{Program: "samphirectl"}, &s.arguments)
-	if err != nil {
-		_, _ = fmt.Fprintln(errOut, err)
-		return ExitFailed
-	}
-	err = p.Parse(args)
-	switch {
-	case errors.Is(err, arg.ErrHelp):
-		_ = p.WriteHelpForSubcommand(out, p.SubcommandNames()...)
-		return ExitOK
-	case errors.Is(err, arg.ErrVersion):
-		_, _ = fmt.Fprintln(out, s.Version())
-		return ExitOK
-	case err == nil && p.Subcommand() == nil:
-		err = errors.New("a command is missing")
-	case err == nil && s.Output != "text" && s.Output != "json":
-		err = fmt.Errorf("output %q must be text or json", s.Output)
-	case err == nil && s.needsStore() && len(s.Store) == 0:
-		err = errors.New("--store or SAMPHIRE_STORE must name the store")
+	p, code, ends := flagger.Parse(flagger.Line{Program: "samphirectl", Args: args, Out: out, Err: errOut}, &s.arguments)
+	if ends {
+		return code
 	}
-	if err != nil {
-		p.WriteUsage(errOut)
-		_, _ = fmt.Fprintln(errOut, err)
-		return ExitUsage
+	if err := s.checkArguments(p); err != nil {
+		return flagger.Refuse(p, errOut, err)
 	}
 	switch {
 	case s.Explain != nil:
@@ -155,6 +138,20 @@
 	return s.finish(s.dispatch(ctx))
 }
 
+// checkArguments checks what the parser does not.
+func (s *session) checkArguments(p *arg.Parser) error {
+	switch {
+	case p.Subcommand() == nil:
+		return errors.New("a command is missing")
+	case s.Output != "text" && s.Output != "json":
+		return fmt.Errorf("output %q must be text or json", s.Output)
+	case s.needsStore() && len(s.Store) == 0:
+		return errors.New("--store or SAMPHIRE_STORE must name the store")
+	default:
+		return nil
+	}
+}
+
 // needsStore tells whether the command reads the platform's store.
 func (s *session) needsStore() bool {
 	return s.Check == nil && s.Explain == nil && s.Fleet == nil && s.Completion == nil
--- a/entry/commander/commander.go
+++ b/entry/commander/commander.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	stdlog "log"
@@ -18,7 +17,6 @@
 	"syscall"
 	"time"
 
-	"github.com/alexflint/go-arg"
 	"github.com/hashicorp/go-hclog"
 
 	"samphiremux/entry/assembler"
@@ -26,15 +24,16 @@
 	"samphiremux/entry/coordinator"
 	"samphiremux/entry/overseer"
 	"samphiremux/entry/settler"
+	"samphiremux/pkg/flagger"
 	"samphiremux/pkg/versioner"
 	"samphiremux/platform/keeper"
 )
 
 // Exit codes.
 const (
-	exitOK       = 0
-	exitFailed   = 1
-	exitUsage    = 2
+	exitOK       = flagger.OK
+	exitFailed   = flagger.Failed
+	exitUsage    = flagger.Usage
 	exitSettings = 3
 )
 
@@ -69,22 +68,8 @@
 // Run runs the entry until a signal and returns the exit code.
 func Run(args []string, out, errOut io.Writer) int {
 	var a arguments
-	p, err := arg.NewParser(arg.Config{Program: "samphire-entry"}, &a)
-	if err != nil {
-		_, _ = fmt.Fprintln(errOut, err)
-		return exitFailed
-	}
-	switch err := p.Parse(args); {
-	case errors.Is(err, arg.ErrHelp):
-		p.WriteHelp(out)
-		return exitOK
-	case errors.Is(err, arg.ErrVersion):
-		_, _ = fmt.Fprintln(out, a.Version())
-		return exitOK
-	case err != nil:
-		p.WriteUsage(errOut)
-		_, _ = fmt.Fprintln(errOut, err)
-		return exitUsage
+	if _, code, ends := flagger.Parse(flagger.Line{Program: "samphire-entry", Args: args, Out: out, Err: errOut}, &a); ends {
+		return code
 	}
 	s, err := a.settings()
 	if err != nil {
--- /dev/null
+++ b/pkg/flagger/flagger_test.go
@@ -0,0 +1,42 @@
+package flagger_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"samphiremux/pkg/flagger"
+)
+
+type arguments struct {
+	Name string `arg:"--name"`
+}
+
+func (arguments) Version() string { return "p, revision 1" }
+
+func TestParse(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		args []string
+		code int
+		ends bool
+		out  string
+		err  string
+	}{
+		{"good", []string{"--name", "n"}, flagger.OK, false, "", ""},
+		{"version", []string{"--version"}, flagger.OK, true, "p, revision 1\n", ""},
+		{"wrong", []string{"--other"}, flagger.Usage, true, "", "Usage: p [--name NAME]\nunknown argument --other\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var a arguments
+			var out, errOut bytes.Buffer
+			_, code, ends := flagger.Parse(flagger.Line{Program: "p", Args: c.args, Out: &out, Err: &errOut}, &a)
+			is.Equal(code, c.code)
+			is.Equal(ends, c.ends)
+			is.Equal(out.String(), c.out)
+			is.Equal(errOut.String(), c.err)
+		})
+	}
+}
--- a/standin/commander/commander.go
+++ b/standin/commander/commander.go
@@ -3,22 +3,20 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
 
-	"github.com/alexflint/go-arg"
-
+	"samphiremux/pkg/flagger"
 	"samphiremux/pkg/versioner"
 )
 
 // Exit codes.
 const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
+	exitOK     = flagger.OK
+	exitFailed = flagger.Failed
+	exitUsage  = flagger.Usage
 )
 
 type arguments struct {
@@ -45,22 +43,9 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	var a arguments
-	p, err := arg.NewParser(arg.Config{Program: "samphire-standin"}, &a)
-	if err != nil {
-		return fail(errOut, err)
-	}
-	err = p.Parse(args)
-	switch {
-	case errors.Is(err, arg.ErrHelp):
-		p.WriteHelp(out)
-		return exitOK
-	case errors.Is(err, arg.ErrVersion):
-		_, _ = fmt.Fprintln(out, a.Version())
-		return exitOK
-	case err != nil:
-		p.WriteUsage(errOut)
-		_, _ = fmt.Fprintln(errOut, err)
-		return exitUsage
+	p, code, ends := flagger.Parse(flagger.Line{Program: "samphire-standin", Args: args, Out: out, Err: errOut}, &a)
+	if ends {
+		return code
 	}
 	switch {
 	case a.Demo != nil:
--- a/steer/commander/commander.go
+++ b/steer/commander/commander.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	stdlog "log"
@@ -13,20 +12,20 @@
 	"syscall"
 	"time"
 
-	"github.com/alexflint/go-arg"
 	"github.com/hashicorp/go-hclog"
 
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/recorder"
+	"samphiremux/pkg/flagger"
 	"samphiremux/pkg/versioner"
 	"samphiremux/platform/translator"
 )
 
 // Exit codes.
 const (
-	exitOK       = 0
-	exitFailed   = 1
-	exitUsage    = 2
+	exitOK       = flagger.OK
+	exitFailed   = flagger.Failed
+	exitUsage    = flagger.Usage
 	exitSettings = 3
 )
 
@@ -60,22 +59,8 @@
 // Run runs the entry until a signal and returns the exit code.
 func Run(args []string, out io.Writer) int {
 	var a arguments
-	p, err := arg.NewParser(arg.Config{Program: "samphire-steer"}, &a)
-	if err != nil {
-		_, _ = fmt.Fprintln(out, err)
-		return exitFailed
-	}
-	switch err := p.Parse(args); {
-	case errors.Is(err, arg.ErrHelp):
-		p.WriteHelp(out)
-		return exitOK
-	case errors.Is(err, arg.ErrVersion):
-		_, _ = fmt.Fprintln(out, a.Version())
-		return exitOK
-	case err != nil:
-		p.WriteUsage(out)
-		_, _ = fmt.Fprintln(out, err)
-		return exitUsage
+	if _, code, ends := flagger.Parse(flagger.Line{Program: "samphire-steer", Args: args, Out: out, Err: out}, &a); ends {
+		return code
 	}
 	policy, err := chooser.ParsePolicy(a.Policy)
 	if err != nil {
