--- a/standin/fuzzer/verbs.go
+++ b/standin/fuzzer/verbs.go
@@ -20,6 +20,9 @@
 	run  func(r *run, args []string)
 }
 
+// writeDelay exceeds the limits of calls that write.
+const writeDelay = 2 * time.Second
+
 // verbs lists every kind of step by its name.
 var verbs = map[string]verb{
 	"crash":         {1, onServer(func(b *hoster.Backend) { b.Crash() })},
@@ -30,7 +33,8 @@
 	"cut-answers":   {2, (*run).cutAnswers},
 	"cross-answers": {2, (*run).crossAnswers},
 	"extra-answers": {2, (*run).extraAnswers},
-	"repeat":        {1, (*run).repeat},
+	// Callers send what was refused again at once, a number of times.
+	"repeat":        {1, onCount(func(r *run, n int) { r.repeats.Store(int64(n)) })},
 	"silence":       {1, (*run).silence},
 	"poison":        {1, (*run).poison},
 	"kill":          {1, onEntry((*run).kill)},
@@ -45,8 +49,8 @@
 	"store-down":    {0, func(r *run, _ []string) { r.setStoreFaults(platformer.Faults{Down: true}) }},
 	"store-up":      {0, func(r *run, _ []string) { r.setStoreFaults(platformer.Faults{}) }},
 	"store-slow":    {0, func(r *run, _ []string) { r.setStoreFaults(platformer.Faults{SlowBy: 400 * time.Millisecond}) }},
-	"store-forget":  {1, (*run).loseAnswers},
-	"store-delay":   {1, (*run).delayWrites},
+	"store-forget":  {1, onCount(func(r *run, n int) { r.setStoreFaults(platformer.Faults{LoseAnswers: n}) })},
+	"store-delay":   {1, onCount(func(r *run, n int) { r.setStoreFaults(platformer.Faults{DelayWrites: n, DelayBy: writeDelay}) })},
 	"lapse-all":     {0, func(r *run, _ []string) { r.world.Store.LapseAll() }},
 	"break-watches": {0, func(r *run, _ []string) { r.world.Store.BreakWatches() }},
 	"compact":       {0, func(r *run, _ []string) { r.world.Store.Compact() }},
@@ -59,6 +63,15 @@
 	"move":          {1, (*run).move},
 }
 
+// onCount passes a number on.
+func onCount(f func(r *run, n int)) func(*run, []string) {
+	return func(r *run, args []string) {
+		if n, err := strconv.Atoi(args[0]); err == nil {
+			f(r, n)
+		}
+	}
+}
+
 func onServer(f func(b *hoster.Backend)) func(*run, []string) {
 	return func(r *run, args []string) {
 		if b, ok := r.world.Servers[args[0]]; ok {
@@ -124,13 +137,6 @@
 	r.server(args, func(b *hoster.Backend, n float64) { b.ExtraNext(int(n)) })
 }
 
-// repeat makes callers send what was refused again at once, a number of times.
-func (r *run) repeat(args []string) {
-	if n, err := strconv.Atoi(args[0]); err == nil {
-		r.repeats.Store(int64(n))
-	}
-}
-
 // silence makes the open connections between an entry and all servers lose
 // their data.
 func (r *run) silence(args []string) {
@@ -147,22 +153,6 @@
 
 func (r *run) setStoreFaults(f platformer.Faults) { r.world.Store.SetFaults(f) }
 
-func (r *run) loseAnswers(args []string) {
-	if n, err := strconv.Atoi(args[0]); err == nil {
-		r.setStoreFaults(platformer.Faults{LoseAnswers: n})
-	}
-}
-
-// writeDelay exceeds the limits of calls that write.
-const writeDelay = 2 * time.Second
-
-// delayWrites makes the next writes take effect when their callers have given up.
-func (r *run) delayWrites(args []string) {
-	if n, err := strconv.Atoi(args[0]); err == nil {
-		r.setStoreFaults(platformer.Faults{DelayWrites: n, DelayBy: writeDelay})
-	}
-}
-
 // pause stops all traffic of an entry, also to the store.
 func (r *run) pause(h *hoster.Host) {
 	r.net.Pause(h.Address)
