tracker, surveyor: one way to the first member, one check of what takes work

Cause: the roller, the reporter and the scouts each turned members into candidates and back, which tracker does for the homes of keys; and what makes a server take work stood in the steerer, the roller and a metric. Ruled out: members inside placer, which knows nothing of addresses. Change: tracker.First and View.Takes serve all. The keys of the hashing are as before, so are the choices; tests of entry and steer, the scripts and the planted faults pass before and after.

--- a/entry/enroller/beat.go
+++ b/entry/enroller/beat.go
@@ -8,7 +8,6 @@
 	"samphiremux/entry/feeder"
 	"samphiremux/entry/tracker"
 	"samphiremux/pkg/linker/linkpb"
-	"samphiremux/pkg/placer"
 	"samphiremux/pkg/storer"
 )
 
@@ -31,16 +30,16 @@
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var candidates []placer.Member
+	var candidates []tracker.Member
 	for _, m := range e.tracker.Members() {
 		if m.Domain != e.o.Self.Domain {
 			continue
 		}
 		if m.ID == e.o.Self.ID || (e.tracker.Usable(now, m.ID) && e.tracker.PeerReachesStore(m.ID)) {
-			candidates = append(candidates, placer.Member{ID: m.ID, Domain: m.Domain})
+			candidates = append(candidates, m)
 		}
 	}
-	first, ok := placer.First("scout", candidates)
+	first, ok := tracker.First("scout", candidates)
 	return ok && first.ID == e.o.Self.ID
 }
 
--- a/entry/reporter/reporter.go
+++ b/entry/reporter/reporter.go
@@ -12,9 +12,9 @@
 	"samphiremux/entry/granter"
 	"samphiremux/entry/limiter"
 	"samphiremux/entry/sharer"
+	"samphiremux/entry/tracker"
 	"samphiremux/pkg/linker"
 	"samphiremux/pkg/linker/linkpb"
-	"samphiremux/pkg/placer"
 )
 
 // reportLimit bounds one report.
@@ -87,11 +87,7 @@
 
 // Coordinator returns the entry that coordinates the moves of a service.
 func Coordinator(service string, sv *sharer.Service) (id string, ok bool) {
-	members := make([]placer.Member, len(sv.Subset))
-	for i, m := range sv.Subset {
-		members[i] = placer.Member{ID: m.ID, Domain: m.Domain}
-	}
-	first, ok := placer.First("move/"+service, members)
+	first, ok := tracker.First("move/"+service, sv.Subset)
 	return first.ID, ok
 }
 
--- a/entry/roller/roller.go
+++ b/entry/roller/roller.go
@@ -20,7 +20,6 @@
 	"samphiremux/pkg/describer"
 	"samphiremux/pkg/linker"
 	"samphiremux/pkg/linker/linkpb"
-	"samphiremux/pkg/placer"
 	"samphiremux/pkg/storer"
 )
 
@@ -145,18 +144,7 @@
 
 // leader returns the entry that leads the moves of a service.
 func (r *Roller) leader(service string) (m tracker.Member, ok bool) {
-	members := r.o.Writers(time.Now())
-	candidates := make([]placer.Member, len(members))
-	for i, m := range members {
-		candidates[i] = placer.Member{ID: m.ID, Domain: m.Domain}
-	}
-	first, ok := placer.First("move of "+service, candidates)
-	for _, m := range members {
-		if ok && m.ID == first.ID {
-			return m, true
-		}
-	}
-	return tracker.Member{}, false
+	return tracker.First("move of "+service, r.o.Writers(time.Now()))
 }
 
 // report tells the leader what this entry has seen.
@@ -330,7 +318,7 @@
 	counts := map[string]int{}
 	view := r.o.Survey.View()
 	for _, b := range view.Services[service] {
-		if !b.Draining && !view.Out[b.Domain] {
+		if view.Takes(b) {
 			counts[b.Version]++
 		}
 	}
--- a/entry/steerer/pick.go
+++ b/entry/steerer/pick.go
@@ -105,7 +105,7 @@
 		if len(all) >= most {
 			break
 		}
-		if !match(b) || b.Draining || view.Out[b.Domain] || (c.version != "" && b.Version != c.version) || c.tried[b.ID] {
+		if !match(b) || !view.Takes(b) || (c.version != "" && b.Version != c.version) || c.tried[b.ID] {
 			continue
 		}
 		if state := b.Live.State(now); !state.Leaving {
--- a/entry/surveyor/surveyor.go
+++ b/entry/surveyor/surveyor.go
@@ -27,6 +27,9 @@
 	Moves map[string]Move
 }
 
+// Takes tells whether a server of the view may get work.
+func (v *View) Takes(b Backend) bool { return !b.Draining && !v.Out[b.Domain] }
+
 // Surveyor publishes views.
 type Surveyor struct {
 	current atomic.Pointer[View]
--- a/entry/tracker/tracker.go
+++ b/entry/tracker/tracker.go
@@ -177,7 +177,7 @@
 func (t *Tracker) Home(service, key string, size int) (home Member, since time.Time, ok bool) {
 	for i := len(t.views) - 1; i >= 0; i-- {
 		subset := subsetOf(t.views[i].members, service, size)
-		m, found := homeOf(subset, key)
+		m, found := First(key, subset)
 		switch {
 		case !found:
 			return home, since, ok
@@ -194,17 +194,18 @@
 	return home, since, ok
 }
 
-func homeOf(subset []Member, key string) (Member, bool) {
-	candidates := make([]placer.Member, len(subset))
-	for i, m := range subset {
+// First returns the member that comes first for a key by rendezvous hashing.
+func First(key string, members []Member) (first Member, ok bool) {
+	candidates := make([]placer.Member, len(members))
+	for i, m := range members {
 		candidates[i] = m.candidate()
 	}
-	first, ok := placer.First(key, candidates)
+	chosen, ok := placer.First(key, candidates)
 	if !ok {
 		return Member{}, false
 	}
-	i := slices.IndexFunc(subset, func(m Member) bool { return m.ID == first.ID })
-	return subset[i], true
+	i := slices.IndexFunc(members, func(m Member) bool { return m.ID == chosen.ID })
+	return members[i], true
 }
 
 // Heard notes a heartbeat of a peer.
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -146,7 +146,7 @@
 		n := 0
 		for _, all := range view.Services {
 			for _, b := range all {
-				if !b.Draining && !view.Out[b.Domain] {
+				if view.Takes(b) {
 					n++
 				}
 			}
