balancer: log and count the rate limits that servers state

Nothing told whether entries see the limit that a server names. The header is now read from responses to requests and probes, a line tells when a server begins or ceases to state a limit, a gauge counts such servers, and the chosen event carries the limit. No decision depends on it yet.

--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -134,6 +134,9 @@
 	if resp != nil && resp.HasLoad {
 		p.State.ObserveLoad(now, resp.Load)
 	}
+	if resp != nil {
+		b.observeRateLimit(p.Backend, "response", resp.RateLimit, resp.HasRateLimit)
+	}
 	failed := false
 	switch outcome.(type) {
 	case retrier.Answered:
--- a/entry/balancer/pick.go
+++ b/entry/balancer/pick.go
@@ -85,6 +85,8 @@
 	// busy is the number of requests that run or wait at the server by its report,
 	// or without one, the number of this entry's requests in flight there.
 	busy int
+	// rateLimit is the rate limit that the server states, or zero.
+	rateLimit float64
 	// probed is the number of servers that were probed for the attempt.
 	probed int
 }
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -101,7 +101,7 @@
 		}
 		cost *= coldSlowness
 	}
-	p = &picked{Backend: r.Backend, conn: r.conn, slowness: slowness, busy: busy}
+	p = &picked{Backend: r.Backend, conn: r.conn, slowness: slowness, busy: busy, rateLimit: h.RateLimit}
 	p.expected = time.Duration(float64(est.latency) * p.slowdown())
 	return p, cost, true
 }
@@ -171,6 +171,7 @@
 	switch {
 	case err == nil:
 		cand.State.ObserveProbe(now, h)
+		b.observeRateLimit(cand.Backend, "probe", h.RateLimit, h.HasRateLimit)
 	case isWrongInstance(err):
 		cand.State.SetLeaving()
 	case ctx.Err() == context.Canceled:
--- a/entry/roundtripper/probe.go
+++ b/entry/roundtripper/probe.go
@@ -31,6 +31,10 @@
 	// Load is the reported load. It is valid if HasLoad is set.
 	Load    describer.Load
 	HasLoad bool
+	// RateLimit is the rate limit that the server states, in requests per second from
+	// all entries together. It is valid if HasRateLimit is set.
+	RateLimit    float64
+	HasRateLimit bool
 	// ColdRemaining is the remaining warm-up time of the server.
 	ColdRemaining time.Duration
 }
@@ -109,6 +113,7 @@
 		return Health{}, ErrUnhealthy{Status: rep.StatusCode}
 	}
 	h.Load, h.HasLoad = cl.headers.ReadLoad(rep.Header)
+	h.RateLimit, h.HasRateLimit = cl.headers.ReadRateLimit(rep.Header)
 	h.ColdRemaining = cl.headers.ReadColdRemaining(rep.Header)
 	if !c.reusable(time.Now(), rep) {
 		return h, errors.New("server closes the connection after its response")
--- a/entry/roundtripper/roundtripper.go
+++ b/entry/roundtripper/roundtripper.go
@@ -44,6 +44,9 @@
 	Signature string
 	// ReadLoad returns the load that the server reports in a response, if any.
 	ReadLoad func(http.Header) (describer.Load, bool)
+	// ReadRateLimit returns the rate limit that the server states in a response, if
+	// any.
+	ReadRateLimit func(http.Header) (perSecond float64, ok bool)
 	// ReadColdRemaining returns the remaining warm-up time that the server reports
 	// in the response to a probe.
 	ReadColdRemaining func(http.Header) time.Duration
--- a/entry/snapshotter/backend.go
+++ b/entry/snapshotter/backend.go
@@ -51,6 +51,16 @@
 	failures     float64
 	failuresAt   time.Time
 	leaving      bool
+	rateLimit    RateLimit
+}
+
+// RateLimit is the rate limit that a server states in its responses. The zero value
+// means that it states none.
+type RateLimit struct {
+	// PerSecond is the number of requests per second that the server accepts from all
+	// entries together.
+	PerSecond float64
+	Stated    bool
 }
 
 // NewServerState returns the state of a server that has not been used yet.
@@ -78,6 +88,8 @@
 	// RecentFailures is the number of failed attempts, decayed exponentially with
 	// their age.
 	RecentFailures float64
+	// RateLimit is the rate limit that the server last stated.
+	RateLimit RateLimit
 }
 
 // Snapshot returns a copy of the state at now.
@@ -87,7 +99,7 @@
 	return StateSnapshot{
 		InFlight: s.inFlight, Load: s.load, LoadFresh: !s.loadAt.IsZero() && now.Sub(s.loadAt) < loadMaxAge,
 		Cold: now.Before(s.coldUntil), ColdReady: s.coldLimiter.Ready(now), Ejected: now.Before(s.ejectedUntil), Leaving: s.leaving,
-		RecentFailures: s.decayedFailures(now),
+		RecentFailures: s.decayedFailures(now), RateLimit: s.rateLimit,
 	}
 }
 
@@ -126,6 +138,15 @@
 	s.coldUntil = now.Add(h.ColdRemaining)
 }
 
+// ObserveRateLimit records the rate limit that a response of the server stated, or that
+// it stated none. It returns the previous one.
+func (s *ServerState) ObserveRateLimit(l RateLimit) (previous RateLimit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	previous, s.rateLimit = s.rateLimit, l
+	return previous
+}
+
 // Eject ejects a server that did not answer. The ejection time doubles with each
 // failure in a row, up to a limit.
 func (s *ServerState) Eject(now time.Time) {
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -85,7 +85,7 @@
 	e.settings.Store(&s)
 	headers := roundtripper.Headers{
 		RequestID: translator.HeaderRequestID, Instance: translator.HeaderInstance, NotExecuted: translator.HeaderNotExecuted,
-		Signature: translator.HeaderSignature, ReadLoad: translator.Load, ReadColdRemaining: translator.ColdLeft,
+		Signature: translator.HeaderSignature, ReadLoad: translator.Load, ReadRateLimit: translator.RateLimit, ReadColdRemaining: translator.ColdLeft,
 	}
 	e.snapshots = snapshotter.New(func(server describer.Server) *snapshotter.ServerState {
 		address := server.Address.String()
@@ -148,6 +148,17 @@
 		}
 		return 0
 	})
+	e.metrics.Gauge("rate_limited_servers", "Backend servers that state a rate limit.", func() float64 {
+		n := 0
+		for _, servers := range e.snapshots.Snapshot().Services {
+			for _, b := range servers {
+				if b.State.Snapshot(time.Now()).RateLimit.Stated {
+					n++
+				}
+			}
+		}
+		return float64(n)
+	})
 	e.metrics.Gauge("backend_servers", "Backend servers that may get work.", func() float64 {
 		snap := e.snapshots.Snapshot()
 		n := 0
