--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -36,13 +36,18 @@
 	running  int
 	cold     time.Duration
 	work     time.Duration
+	// rateLimit is the value of the header that states a rate limit. Empty means that
+	// there is none.
+	rateLimit string
 	// respond answers a request that has arrived. It returns false to break the
 	// connection.
 	respond func(w io.Writer, id string) bool
 
 	mu      sync.Mutex
 	arrived []*http.Request
-	crashed bool
+	// arrivedAt holds the arrival times of the requests.
+	arrivedAt []time.Time
+	crashed   bool
 }
 
 func (b *backend) isCrashed() bool {
@@ -62,14 +67,15 @@
 		_, _ = io.Copy(io.Discard, req.Body)
 		if req.URL.Path == "/health" {
 			b.mu.Lock()
-			running := b.running
+			running, limit := b.running, b.rateLimit
 			b.mu.Unlock()
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance: %s\r\nLoad: %d,%d\r\nCold: %d\r\nContent-Length: 0\r\n\r\n",
-				b.id, running, b.slowness, b.cold.Milliseconds())
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance: %s\r\nLoad: %d,%d\r\nCold: %d\r\nLimit: %s\r\nContent-Length: 0\r\n\r\n",
+				b.id, running, b.slowness, b.cold.Milliseconds(), limit)
 			continue
 		}
 		b.mu.Lock()
 		b.arrived = append(b.arrived, req)
+		b.arrivedAt = append(b.arrivedAt, time.Now())
 		b.mu.Unlock()
 		time.Sleep(b.work)
 		if !b.respond(c, req.Header.Get("Id")) {
@@ -137,6 +143,14 @@
 }
 
 func newFixture(t *testing.T, policy chooser.Policy, backends ...*backend) *fixture {
+	return newEntryFixture(t, 0, policy, backends...)
+}
+
+// fixtureEntries is the number of entries that each balancer takes into account.
+const fixtureEntries = 16
+
+// newEntryFixture returns the fixture of one of several entries that share the backends.
+func newEntryFixture(t *testing.T, entry uint64, policy chooser.Policy, backends ...*backend) *fixture {
 	f := &fixture{t: t, backends: backends}
 	byID := map[string]*backend{}
 	for _, b := range backends {
@@ -173,7 +187,7 @@
 		})
 	}
 	f.balancer = balancer.New(balancer.Options{
-		Domain: "a", Policy: policy, Snapshot: f.snapshotter.Snapshot, EntryCount: func() int { return 16 }, Log: hclog.NewNullLogger(),
+		Domain: "a", Policy: policy, Snapshot: f.snapshotter.Snapshot, EntryCount: func() int { return fixtureEntries }, Log: hclog.NewNullLogger(),
 		RetryLimits: func() balancer.Limits { return balancer.Limits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second} },
 		NotifySuspect: func(_ string, fingerprint quarantiner.Fingerprint, crashes int) {
 			f.mu.Lock()
@@ -189,7 +203,7 @@
 			SetDeadline:   func(h http.Header, d time.Duration) { h.Set("Left", d.String()) },
 			SetRetryAfter: func(h http.Header, d time.Duration) { h.Set("Retry-After", d.String()) },
 		},
-	}, rand.New(rand.NewPCG(1, 1)))
+	}, rand.New(rand.NewPCG(1, 1+entry)))
 	return f
 }
 
--- a/standin/failurefilter/failurefilter.go
+++ b/pkg/failurefilter/failurefilter.go
@@ -9,8 +9,8 @@
 	"testing"
 )
 
-// listFile is the path of the list, relative to the directory of a package of this
-// module, where go test runs its tests.
+// listFile is the path of the list, relative to the directory of a package two levels
+// below the root, where go test runs its tests.
 const listFile = "../../KNOWN-RED.txt"
 
 // Errorf reports a failure of t like t.Errorf, or prints it if the list has a line
--- a/standin/fuzzer/fuzzer_test.go
+++ b/standin/fuzzer/fuzzer_test.go
@@ -12,7 +12,7 @@
 
 	"pgregory.net/rapid"
 
-	"samphiremux/standin/failurefilter"
+	"samphiremux/pkg/failurefilter"
 	"samphiremux/standin/fuzzer"
 )
 
--- a/standin/measurer/faults_test.go
+++ b/standin/measurer/faults_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
+	"samphiremux/pkg/failurefilter"
 	"samphiremux/pkg/parser"
 	"samphiremux/standin/caller"
-	"samphiremux/standin/failurefilter"
 	"samphiremux/standin/generator"
 	"samphiremux/standin/loadtester"
 	"samphiremux/standin/platformemulator"
--- a/standin/measurer/policy_test.go
+++ b/standin/measurer/policy_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"samphiremux/entry/chooser"
-	"samphiremux/standin/failurefilter"
+	"samphiremux/pkg/failurefilter"
 	"samphiremux/standin/generator"
 	"samphiremux/standin/loadtester"
 	"samphiremux/standin/simulator"
--- a/standin/measurer/sent_once_test.go
+++ b/standin/measurer/sent_once_test.go
@@ -14,7 +14,7 @@
 
 	"samphiremux/entry/retrier"
 	"samphiremux/entry/sender"
-	"samphiremux/standin/failurefilter"
+	"samphiremux/pkg/failurefilter"
 )
 
 // lossyServer responds to requests on in-memory connections and counts their arrivals
