balancer, throttler: rate limits that servers state hold over all entries

Cause: the header was not read. A choice went by the server's load and slowness alone, and a server in need looks idle and fast to both. The class: a limit over all entries that only the server knows, like the cold rate, but stated in responses instead of the registration.

Now an entry knows the limit from the response to the probe before its send, and holds its part: as many entries as the limit has whole requests a second share it (rendezvous hashing over the registered entries), each with a bucket of two tokens. In any 4 s that is at most 1.5 times the limit, or 4 s of it and two requests. A server without a token for this entry is not asked, but for one probe after 2 s. If no server is left, the request is refused at once as not run (servers-rate-limited). When a token is taken by another request between probe and send, the next best server is probed instead of a refusal; so too for cold servers.

Ruled out: late knowledge (159 of 167 beginnings are seen in probes, 80 within a second) and the restart of an entry (the first limits break before it).

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -51,6 +51,10 @@
 	// EntryCount returns the number of entries that share the limits, this one
 	// included.
 	EntryCount func() int
+	// Rank returns the position of this entry, from 0, in the order of the entries for
+	// a server, and the number of entries. Entries that know the same entries agree on
+	// the order, which differs from server to server.
+	Rank func(server string) (rank, entries int)
 	// OnAttempt is called with each attempt that was sent, once it has ended. It
 	// may be nil.
 	OnAttempt func(Attempt)
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -18,6 +18,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
@@ -149,6 +150,11 @@
 // fixtureEntries is the number of entries that each balancer takes into account.
 const fixtureEntries = 16
 
+// rankOf returns an order of the entries that differs from server to server.
+func rankOf(entry uint64, server string) int {
+	return int((entry + xxhash.Sum64String(server)) % fixtureEntries)
+}
+
 // newEntryFixture returns the fixture of one of several entries that share the backends.
 func newEntryFixture(t *testing.T, entry uint64, policy chooser.Policy, backends ...*backend) *fixture {
 	f := &fixture{t: t, backends: backends}
@@ -187,7 +193,7 @@
 		})
 	}
 	f.balancer = balancer.New(balancer.Options{
-		Domain: "a", Policy: policy, Snapshot: f.snapshotter.Snapshot, EntryCount: func() int { return fixtureEntries }, Log: hclog.NewNullLogger(),
+		Domain: "a", Policy: policy, Snapshot: f.snapshotter.Snapshot, EntryCount: func() int { return fixtureEntries }, Rank: func(server string) (int, int) { return rankOf(entry, server), fixtureEntries }, Log: hclog.NewNullLogger(),
 		RetryLimits: func() balancer.Limits { return balancer.Limits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second} },
 		NotifySuspect: func(_ string, fingerprint quarantiner.Fingerprint, crashes int) {
 			f.mu.Lock()
--- a/entry/balancer/pick.go
+++ b/entry/balancer/pick.go
@@ -163,6 +163,12 @@
 	if !chooser.Coordinated(b.opts.Policy) {
 		return b.pickBaseline(candidates), ""
 	}
+	candidates = slices.DeleteFunc(candidates, func(cand candidate) bool {
+		return cand.state.RateLimitFresh && !b.hasRateToken(now, cand.Backend, cand.state.RateLimit)
+	})
+	if len(candidates) == 0 {
+		return nil, refuser.RateLimitedServers
+	}
 	est := b.estimate(c.route.Name)
 	for i := range candidates {
 		candidates[i].cost = b.priorCost(c, est, candidates[i])
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -31,11 +31,11 @@
 		probed += len(batch)
 		round = nextRoundProbes
 		for _, r := range b.probeRound(ctx, view, c.service, batch) {
-			p, cost, ok := b.evaluate(c, est, r)
-			if !ok && r.err == nil {
-				reason = refuser.ColdServers
+			p, cost, unusable := b.evaluate(c, est, r)
+			if unusable != "" {
+				reason = unusable
 			}
-			if !ok || (best != nil && cost >= bestCost) {
+			if p == nil || (best != nil && cost >= bestCost) {
 				r.release()
 				continue
 			}
@@ -44,28 +44,49 @@
 			}
 			best, bestCost = p, cost
 		}
-		if best != nil && best.slowness <= goodSlowness && best.busy < best.Slots {
-			break
+		if best == nil || !best.isGood() {
+			continue
+		}
+		if reason = b.admit(view, best); reason == "" {
+			best.probed = probed
+			return best, ""
 		}
+		best.State.Release(best.conn)
+		best = nil
 	}
 	if best == nil {
 		return nil, reason
 	}
-	best.probed = probed
 	if best.busy >= best.Slots && best.expected > b.maxQueueLatency(c) {
 		// Every server is full, and the best one would not answer in time.
 		best.State.Release(best.conn)
 		return nil, refuser.DeadlineTooNear
 	}
-	if !b.admitCold(view, best) {
-		// Another request of this entry took the token of the cold server in
-		// the meantime.
+	if reason = b.admit(view, best); reason != "" {
 		best.State.Release(best.conn)
-		return nil, refuser.ColdServers
+		return nil, reason
 	}
+	best.probed = probed
 	return best, ""
 }
 
+// isGood reports whether the server is fast and has a free slot, so that no further one
+// needs to be probed.
+func (p *picked) isGood() bool { return p.slowness <= goodSlowness && p.busy < p.Slots }
+
+// admit takes the tokens that the attempt needs: of a cold server and of one that states
+// a rate limit. Another request of this entry may have taken them since the server was
+// evaluated; then it returns the reason for a refusal.
+func (b *Balancer) admit(view *snapshotter.Snapshot, p *picked) refuser.Reason {
+	switch {
+	case !b.admitCold(view, p):
+		return refuser.ColdServers
+	case !b.takeRateToken(time.Now(), p.Backend):
+		return refuser.RateLimitedServers
+	}
+	return ""
+}
+
 // maxQueueLatency returns the expected latency beyond which a request does not
 // queue at a full server.
 func (b *Balancer) maxQueueLatency(c *call) time.Duration {
@@ -83,13 +104,17 @@
 }
 
 // evaluate decides whether a server that was probed may run the request, and at
-// what cost. A cold server may only if this entry's rate limit for it allows a
-// request now.
-func (b *Balancer) evaluate(c *call, est routeEstimate, r probeResult) (p *picked, cost float64, ok bool) {
+// what cost. A server that is cold or states a rate limit may only if this entry's
+// part of the rate allows a request now. If that is why it may not, unusable is the
+// reason for a refusal.
+func (b *Balancer) evaluate(c *call, est routeEstimate, r probeResult) (p *picked, cost float64, unusable refuser.Reason) {
 	if r.err != nil {
-		return nil, 0, false
+		return nil, 0, ""
 	}
 	h := r.health
+	if !b.hasRateToken(time.Now(), r.Backend, snapshotter.RateLimit{PerSecond: h.RateLimit, Stated: h.HasRateLimit}) {
+		return nil, 0, refuser.RateLimitedServers
+	}
 	slowness, busy := 1.0, r.state.InFlight
 	if h.HasLoad {
 		slowness, busy = h.Load.Slowness, h.Load.Running+h.Load.Waiting
@@ -97,13 +122,13 @@
 	cost = b.cost(c, est, r.candidate, slowness, busy)
 	if h.ColdRemaining > 0 {
 		if !r.state.ColdReady {
-			return nil, 0, false
+			return nil, 0, refuser.ColdServers
 		}
 		cost *= coldSlowness
 	}
 	p = &picked{Backend: r.Backend, conn: r.conn, slowness: slowness, busy: busy, rateLimit: h.RateLimit}
 	p.expected = time.Duration(float64(est.latency) * p.slowdown())
-	return p, cost, true
+	return p, cost, ""
 }
 
 // admitCold takes a token from this entry's rate limit for the server if it is
@@ -171,7 +196,7 @@
 	switch {
 	case err == nil:
 		cand.State.ObserveProbe(now, h)
-		b.observeRateLimit(cand.Backend, "probe", h.RateLimit, h.HasRateLimit)
+		b.observeRateLimit(now, cand.Backend, h.RateLimit, h.HasRateLimit)
 	case isWrongInstance(err):
 		cand.State.SetLeaving()
 	case ctx.Err() == context.Canceled:
--- a/entry/balancer/rate_limit.go
+++ b/entry/balancer/rate_limit.go
@@ -1,15 +1,46 @@
 package balancer
 
 import (
+	"time"
+
 	"samphiremux/entry/snapshotter"
+	"samphiremux/entry/throttler"
 )
 
 // observeRateLimit records the rate limit that a server states in a response, and logs
 // when it begins or ceases to state one.
-func (b *Balancer) observeRateLimit(server snapshotter.Backend, source string, perSecond float64, stated bool) {
-	previous := server.State.ObserveRateLimit(snapshotter.RateLimit{PerSecond: perSecond, Stated: stated})
-	if previous.Stated == stated {
-		return
+func (b *Balancer) observeRateLimit(now time.Time, server snapshotter.Backend, perSecond float64, stated bool) {
+	previous := server.State.ObserveRateLimit(now, snapshotter.RateLimit{PerSecond: perSecond, Stated: stated})
+	if previous.Stated != stated {
+		b.opts.Log.Info("Rate limit of a backend server changed.", "server", server.ID, "stated", stated, "per-second", perSecond)
+	}
+}
+
+// rateLimitHolders returns the number of entries that share the rate limit of a server,
+// and whether this entry is one of them.
+func (b *Balancer) rateLimitHolders(server string, l snapshotter.RateLimit) (holders int, isHolder bool) {
+	rank, entries := b.opts.Rank(server)
+	holders = throttler.Holders(l.PerSecond, entries)
+	return holders, rank < holders
+}
+
+// hasRateToken reports whether this entry may send the server a request now by the rate
+// limit that it last stated, if any.
+func (b *Balancer) hasRateToken(now time.Time, server snapshotter.Backend, l snapshotter.RateLimit) bool {
+	if !l.Stated {
+		return true
+	}
+	holders, isHolder := b.rateLimitHolders(server.ID, l)
+	return isHolder && server.State.HasRateToken(now, holders)
+}
+
+// takeRateToken takes a token from this entry's part of the rate limit that the server
+// last stated, if any.
+func (b *Balancer) takeRateToken(now time.Time, server snapshotter.Backend) bool {
+	l := server.State.Snapshot(now).RateLimit
+	if !l.Stated {
+		return true
 	}
-	b.opts.Log.Info("Rate limit of a backend server changed.", "server", server.ID, "stated", stated, "per-second", perSecond, "source", source)
+	holders, isHolder := b.rateLimitHolders(server.ID, l)
+	return isHolder && server.State.TakeRateToken(now, holders)
 }
--- a/entry/balancer/rate_limit_test.go
+++ b/entry/balancer/rate_limit_test.go
@@ -9,8 +9,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"samphiremux/entry/chooser"
-	"samphiremux/pkg/failurefilter"
 )
 
 // Bounds of a server's rate limit over all entries, as the users state them.
@@ -67,7 +68,6 @@
 // TestServerGetsMoreThanItsRateLimit guards against entries that each keep a rate limit
 // but together exceed it.
 func TestServerGetsMoreThanItsRateLimit(t *testing.T) {
-	whole := t
 	for _, limit := range []float64{0, 0.4, 1.4, 3.2, 12} {
 		for _, limited := range []int{4, 6} {
 			t.Run(fmt.Sprintf("%v a second at %d of 6 servers", limit, limited), func(t *testing.T) {
@@ -84,7 +84,7 @@
 					allowed := rateLimitFactor*limit*rateLimitWindow.Seconds() + rateLimitSlack
 					for _, b := range all[:limited] {
 						if got := b.mostArrivals(rateLimitWindow); float64(got) > allowed {
-							failurefilter.Errorf(whole, "server %s got %d requests in %v, want at most %v", b.id, got, rateLimitWindow, allowed)
+							t.Errorf("server %s got %d requests in %v, want at most %v", b.id, got, rateLimitWindow, allowed)
 						}
 					}
 					for _, f := range entries {
@@ -95,3 +95,40 @@
 		}
 	}
 }
+
+// TestServerUnusedAfterItsRateLimit guards against a server that gets no requests after it
+// has ceased to state a rate limit, since no entry asks it again.
+func TestServerUnusedAfterItsRateLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := servers(2, respondOK)
+		all[0].setRateLimit("0")
+		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+		entries := []*fixture{f}
+		sendFromAll(entries, 20*time.Millisecond, 5*time.Second)
+		is.Equal(all[0].count(), 0)
+		all[0].setRateLimit("")
+		sendFromAll(entries, 20*time.Millisecond, 3*time.Second)
+		is.True(all[0].count() > 0)
+		f.close()
+	})
+}
+
+// TestRefusalWithinRateLimits guards against requests that are held, or refused as if no
+// server were left, when the rate limits of all servers are used up.
+func TestRefusalWithinRateLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := servers(1, respondOK)
+		all[0].setRateLimit("0")
+		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+		f.send(http.MethodPost, "/book/1", "r1")
+		began := time.Now()
+		w := f.send(http.MethodPost, "/book/1", "r2")
+		is.Equal(w.Code, 503)
+		is.True(w.Header().Get("Retry-After") != "")
+		is.Equal(time.Since(began), time.Duration(0)) // at once, without another probe
+		is.Equal(all[0].count(), 0)
+		f.close()
+	})
+}
--- a/entry/enroller/enroller.go
+++ b/entry/enroller/enroller.go
@@ -17,6 +17,7 @@
 	"samphiremux/entry/reflector"
 	"samphiremux/entry/tracker"
 	"samphiremux/pkg/linker"
+	"samphiremux/pkg/placer"
 	"samphiremux/pkg/storer"
 )
 
@@ -156,6 +157,25 @@
 	return max(1, len(e.tracker.Members()))
 }
 
+// Rank returns the position of this entry, from 0, in the rendezvous order of the entries
+// for a key, and the number of entries. Entries that may be running count, whether they
+// are reachable or not, so that entries that lose sight of each other keep their ranks.
+func (e *Enroller) Rank(key string) (rank, entries int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	self := placer.Weight(key, e.o.Self.ID)
+	for _, m := range e.tracker.Members() {
+		if m.ID == e.o.Self.ID {
+			continue
+		}
+		entries++
+		if w := placer.Weight(key, m.ID); w > self || (w == self && m.ID < e.o.Self.ID) {
+			rank++
+		}
+	}
+	return rank, entries + 1
+}
+
 // Deregister announces to the other entries that this entry is leaving and revokes
 // the lease of its registration.
 func (e *Enroller) Deregister(ctx context.Context) {
--- a/entry/enroller/enroller_test.go
+++ b/entry/enroller/enroller_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -313,3 +314,30 @@
 		f.close()
 	})
 }
+
+// TestRanksOfAllEntries guards against two entries with the same rank, or with ranks that
+// change when they lose sight of each other: both would exceed limits that they share.
+func TestRanksOfAllEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet("a", "a", "b", "b", "c")
+		time.Sleep(3 * time.Second)
+		ranks := func(key string) (all []int) {
+			for _, e := range f.entries {
+				rank, entries := e.Rank(key)
+				is.Equal(entries, 5)
+				all = append(all, rank)
+			}
+			return all
+		}
+		before := ranks("server-1")
+		sorted := slices.Clone(before)
+		slices.Sort(sorted)
+		is.Equal(sorted, []int{0, 1, 2, 3, 4})
+		f.cancels[0]()
+		f.cancels[3]()
+		time.Sleep(20 * time.Second)
+		is.Equal(ranks("server-1"), before)
+		f.close()
+	})
+}
--- a/entry/refuser/refuser.go
+++ b/entry/refuser/refuser.go
@@ -51,6 +51,9 @@
 	// has used up its share of the request rate that cold servers accept during
 	// slow start.
 	ColdServers Reason = "servers-cold"
+	// RateLimitedServers means that only servers are available that state a rate limit,
+	// and that this entry has used up its part of it.
+	RateLimitedServers Reason = "servers-rate-limited"
 )
 
 // Reasons for refusals of kind OutcomeUnknown.
@@ -70,7 +73,7 @@
 	return []Reason{
 		BackendUnreachable, BackendShedding, BadRequest, BodyTooLarge, CallerDisconnected, CallerOverShare, DeadlinePassed,
 		DeadlineTooNear, EntryUnreachable, HeadersTooLarge, Isolated, KeyFromFuture, Misdirected, NoBackendServer, NoDocument,
-		NoSuchRoute, NoSuchService, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, Suspect,
+		NoSuchRoute, NoSuchService, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, RateLimitedServers, Suspect,
 	}
 }
 
--- a/entry/snapshotter/backend.go
+++ b/entry/snapshotter/backend.go
@@ -21,6 +21,9 @@
 	// a server's machine come and go several times a second, so that an older report
 	// no longer describes its load.
 	loadMaxAge = 400 * time.Millisecond
+	// rateLimitMaxAge is the age from which a rate limit that allows no request now is
+	// checked by a probe, since the server may have lifted it.
+	rateLimitMaxAge = 2 * time.Second
 )
 
 // Backend is the registration of a backend server together with the state that
@@ -52,6 +55,8 @@
 	failuresAt   time.Time
 	leaving      bool
 	rateLimit    RateLimit
+	rateLimitAt  time.Time
+	rateTokens   throttler.TokenBucket
 }
 
 // RateLimit is the rate limit that a server states in its responses. The zero value
@@ -88,8 +93,10 @@
 	// RecentFailures is the number of failed attempts, decayed exponentially with
 	// their age.
 	RecentFailures float64
-	// RateLimit is the rate limit that the server last stated.
-	RateLimit RateLimit
+	// RateLimit is the rate limit that the server last stated. RateLimitFresh reports
+	// whether it is recent enough to rely on without a probe.
+	RateLimit      RateLimit
+	RateLimitFresh bool
 }
 
 // Snapshot returns a copy of the state at now.
@@ -100,6 +107,7 @@
 		InFlight: s.inFlight, Load: s.load, LoadFresh: !s.loadAt.IsZero() && now.Sub(s.loadAt) < loadMaxAge,
 		Cold: now.Before(s.coldUntil), ColdReady: s.coldLimiter.Ready(now), Ejected: now.Before(s.ejectedUntil), Leaving: s.leaving,
 		RecentFailures: s.decayedFailures(now), RateLimit: s.rateLimit,
+		RateLimitFresh: now.Sub(s.rateLimitAt) < rateLimitMaxAge,
 	}
 }
 
@@ -140,13 +148,30 @@
 
 // ObserveRateLimit records the rate limit that a response of the server stated, or that
 // it stated none. It returns the previous one.
-func (s *ServerState) ObserveRateLimit(l RateLimit) (previous RateLimit) {
+func (s *ServerState) ObserveRateLimit(now time.Time, l RateLimit) (previous RateLimit) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	previous, s.rateLimit = s.rateLimit, l
+	previous = s.rateLimit
+	s.rateLimit, s.rateLimitAt = l, now
 	return previous
 }
 
+// HasRateToken reports whether this entry may send a request within the rate limit that
+// the server states, as one of a number of holders.
+func (s *ServerState) HasRateToken(now time.Time, holders int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.rateLimit.Stated || s.rateTokens.Ready(now, s.rateLimit.PerSecond, holders)
+}
+
+// TakeRateToken takes a token to send one request within the rate limit that the server
+// states, as one of a number of holders. It reports false if this entry has no token left.
+func (s *ServerState) TakeRateToken(now time.Time, holders int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.rateLimit.Stated || s.rateTokens.Take(now, s.rateLimit.PerSecond, holders)
+}
+
 // Eject ejects a server that did not answer. The ejection time doubles with each
 // failure in a row, up to a limit.
 func (s *ServerState) Eject(now time.Time) {
--- a/entry/throttler/throttler.go
+++ b/entry/throttler/throttler.go
@@ -1,6 +1,7 @@
 // Package throttler enforces the entry's share of limits that hold for all entries
-// together: the retry budget of a service, and the request rate of a cold server during
-// slow start. The shares add up to the limit whatever the entries know of each other.
+// together: the retry budget of a service, the request rate of a cold server during slow
+// start, and the rate limit that a server states. The shares add up to the limit whatever
+// the entries know of each other.
 package throttler
 
 import "time"
@@ -82,8 +83,8 @@
 func (r *RateLimiter) Ready(now time.Time) bool { return !now.Before(r.next) }
 
 // Allow reports whether a request may be sent now, and if so reserves the interval up to
-// the next one. PerSecond is the rate that the server accepts from all entries together;
-// at zero or less nothing is allowed.
+// the next one. PerSecond is the rate that the server accepts from all entries together,
+// which share it equally; at zero or less nothing is allowed.
 func (r *RateLimiter) Allow(now time.Time, perSecond float64, entries int) bool {
 	if perSecond <= 0 || now.Before(r.next) {
 		return false
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -115,7 +115,7 @@
 		EncodeStatus: translator.EncodeMoveStatus, Log: log.Named("roller"),
 	})
 	e.balancer = balancer.New(balancer.Options{
-		Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, EntryCount: e.enroller.MemberCount, Log: log.Named("steerer"),
+		Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, EntryCount: e.enroller.MemberCount, Rank: e.enroller.Rank, Log: log.Named("steerer"),
 		OnAttempt: e.roller.Observe,
 		Headers: balancer.Headers{
 			RequestID: translator.HeaderRequestID, Instance: translator.HeaderExpectInstance, ReadDeadline: translator.ReadDeadline,
