dispatcher, limiter: rate limits of servers hold in samphire-entry too

The same cause on the own interface: nothing read a limit that a server states in its responses, so a server in need got its usual load. The header is Samphire-Rate-Limit. Holders report what the last response stated, the owner adds what its probes tell, and grants carry it to every holder, also to those that get no response since they may not send. An owner that has just started says that it does not know. The holders share the limit as the lean entry's do.

describer.RateLimit replaces the pair of fields in roundtripper, snapshotter and translator.

Emulated servers state limits (fuzzer: limit, unlimit, and a shard that draws them), the oracle checks them (rate-limit), and the injected bug hide-limit, servers that keep the limit to themselves as before this change, is found.

--- a/entry/assembler/probe.go
+++ b/entry/assembler/probe.go
@@ -35,5 +35,5 @@
 		_ = resp.Remainder.Close()
 	}
 	draining := resp.Draining || resp.Status == http.StatusServiceUnavailable
-	return granter.ProbeResult{Reachable: true, Draining: draining}
+	return granter.ProbeResult{Reachable: true, Draining: draining, RateLimit: resp.RateLimit}
 }
--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -135,7 +135,7 @@
 		p.State.ObserveLoad(now, resp.Load)
 	}
 	if resp != nil {
-		b.observeRateLimit(now, p.Backend, resp.RateLimit, resp.HasRateLimit)
+		b.observeRateLimit(now, p.Backend, resp.RateLimit)
 	}
 	failed := false
 	switch outcome.(type) {
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -133,10 +133,7 @@
 		percent, err2 := strconv.Atoi(slowness)
 		return describer.Load{Running: n, Slots: 2, Slowness: float64(percent) / 100}, ok && err == nil && err2 == nil
 	},
-	ReadRateLimit: func(h http.Header) (float64, bool) {
-		perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64)
-		return perSecond, err == nil
-	},
+	ReadRateLimit: func(h http.Header) describer.RateLimit { return describer.ParseRateLimit(h.Get("Limit")) },
 	ReadColdRemaining: func(h http.Header) time.Duration {
 		ms, _ := strconv.Atoi(h.Get("Cold"))
 		return time.Duration(ms) * time.Millisecond
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -112,7 +112,7 @@
 		return nil, 0, ""
 	}
 	h := r.health
-	if !b.hasRateToken(time.Now(), r.Backend, snapshotter.RateLimit{PerSecond: h.RateLimit, Stated: h.HasRateLimit}) {
+	if !b.hasRateToken(time.Now(), r.Backend, h.RateLimit) {
 		return nil, 0, refuser.RateLimitedServers
 	}
 	slowness, busy := 1.0, r.state.InFlight
@@ -126,7 +126,7 @@
 		}
 		cost *= coldSlowness
 	}
-	p = &picked{Backend: r.Backend, conn: r.conn, slowness: slowness, busy: busy, rateLimit: h.RateLimit}
+	p = &picked{Backend: r.Backend, conn: r.conn, slowness: slowness, busy: busy, rateLimit: h.RateLimit.PerSecond}
 	p.expected = time.Duration(float64(est.latency) * p.slowdown())
 	return p, cost, ""
 }
@@ -196,7 +196,7 @@
 	switch {
 	case err == nil:
 		cand.State.ObserveProbe(now, h)
-		b.observeRateLimit(now, cand.Backend, h.RateLimit, h.HasRateLimit)
+		b.observeRateLimit(now, cand.Backend, h.RateLimit)
 	case isWrongInstance(err):
 		cand.State.SetLeaving()
 	case ctx.Err() == context.Canceled:
--- a/entry/balancer/rate_limit.go
+++ b/entry/balancer/rate_limit.go
@@ -5,20 +5,21 @@
 
 	"samphiremux/entry/snapshotter"
 	"samphiremux/entry/throttler"
+	"samphiremux/pkg/describer"
 )
 
 // observeRateLimit records the rate limit that a server states in a response, and logs
 // when it begins or ceases to state one.
-func (b *Balancer) observeRateLimit(now time.Time, server snapshotter.Backend, perSecond float64, stated bool) {
-	previous := server.State.ObserveRateLimit(now, snapshotter.RateLimit{PerSecond: perSecond, Stated: stated})
-	if previous.Stated != stated {
-		b.opts.Log.Info("Rate limit of a backend server changed.", "server", server.ID, "stated", stated, "per-second", perSecond)
+func (b *Balancer) observeRateLimit(now time.Time, server snapshotter.Backend, l describer.RateLimit) {
+	previous := server.State.ObserveRateLimit(now, l)
+	if previous.Stated != l.Stated {
+		b.opts.Log.Info("Rate limit of a backend server changed.", "server", server.ID, "stated", l.Stated, "per-second", l.PerSecond)
 	}
 }
 
 // rateLimitHolders returns the number of entries that share the rate limit of a server,
 // and whether this entry is one of them.
-func (b *Balancer) rateLimitHolders(server string, l snapshotter.RateLimit) (holders int, isHolder bool) {
+func (b *Balancer) rateLimitHolders(server string, l describer.RateLimit) (holders int, isHolder bool) {
 	rank, entries := b.opts.Rank(server)
 	holders = throttler.Holders(l.PerSecond, entries)
 	return holders, rank < holders
@@ -26,7 +27,7 @@
 
 // hasRateToken reports whether this entry may send the server a request now by the rate
 // limit that it last stated, if any.
-func (b *Balancer) hasRateToken(now time.Time, server snapshotter.Backend, l snapshotter.RateLimit) bool {
+func (b *Balancer) hasRateToken(now time.Time, server snapshotter.Backend, l describer.RateLimit) bool {
 	if !l.Stated {
 		return true
 	}
--- a/entry/dispatcher/control.go
+++ b/entry/dispatcher/control.go
@@ -6,6 +6,7 @@
 	"samphiremux/entry/limiter"
 	"samphiremux/entry/quarantiner"
 	"samphiremux/entry/retrier"
+	"samphiremux/pkg/describer"
 )
 
 // OwnerReport is a report on one server, addressed to the server's owner.
@@ -42,13 +43,14 @@
 }
 
 // RestoreReport handles a report that was not delivered to its owner. If it said
-// that the server may have turned cold, the next report repeats that. The counts
-// in the report are lost.
+// that the server may have turned cold, or what rate limit the server states, the
+// next report repeats that. The counts in the report are lost.
 func (d *Dispatcher) RestoreReport(o OwnerReport) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if s, ok := d.byName[o.Server]; ok {
 		s.suspectCold = s.suspectCold || o.Report.SuspectCold
+		s.rateLimitUnreported = s.rateLimitUnreported || o.Report.RateLimitKnown
 	}
 }
 
@@ -69,6 +71,9 @@
 	if !s.drainUnreported {
 		s.draining = g.Draining
 	}
+	if g.RateLimitKnown && !s.rateLimitUnreported {
+		s.rateLimit = g.RateLimit
+	}
 	d.drainQueues(d.now())
 }
 
@@ -101,6 +106,15 @@
 	p.state.drainUnreported = true
 }
 
+// ObserveRateLimit records the rate limit that the server stated in its response.
+func (p *Permit) ObserveRateLimit(l describer.RateLimit) {
+	d := p.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p.state.rateLimit = l
+	p.state.rateLimitUnreported = true
+}
+
 // RecordFirstAttempt adds a first attempt to the retry budget.
 func (d *Dispatcher) RecordFirstAttempt() {
 	d.mu.Lock()
--- a/entry/dispatcher/server.go
+++ b/entry/dispatcher/server.go
@@ -8,6 +8,8 @@
 	"samphiremux/entry/estimator"
 	"samphiremux/entry/limiter"
 	"samphiremux/entry/retrier"
+	"samphiremux/entry/throttler"
+	"samphiremux/pkg/describer"
 	"samphiremux/pkg/parser"
 )
 
@@ -88,6 +90,12 @@
 	// drainUnreported is true if the server announced that it is leaving after the
 	// last report. A grant does not overrule that.
 	drainUnreported bool
+
+	rateLimit  describer.RateLimit
+	rateTokens throttler.TokenBucket
+	// rateLimitUnreported is true if the server responded after the last report. A grant
+	// does not overrule what the response stated.
+	rateLimitUnreported bool
 }
 
 // leaving reports whether the server must not get new requests.
@@ -109,9 +117,29 @@
 	if s.ejections > 0 {
 		q = min(q, 1)
 	}
+	if !s.hasRateToken(now) {
+		q = min(q, len(s.starts))
+	}
 	return q
 }
 
+// rateLimitHolders returns the number of entries that share the server's rate limit, and
+// whether this entry is one of them.
+func (s *server) rateLimitHolders() (holders int, isHolder bool) {
+	holders = throttler.Holders(s.rateLimit.PerSecond, s.placement.Holders)
+	return holders, s.placement.Rank < holders
+}
+
+// hasRateToken reports whether this entry may send a request now by the rate limit that
+// the server states, if any.
+func (s *server) hasRateToken(now time.Time) bool {
+	if !s.rateLimit.Stated {
+		return true
+	}
+	holders, isHolder := s.rateLimitHolders()
+	return isHolder && s.rateTokens.Ready(now, s.rateLimit.PerSecond, holders)
+}
+
 // candidate returns the server as the chooser sees it.
 func (s *server) candidate(now time.Time, index int, mean time.Duration) chooser.Candidate {
 	slowness := s.slowness.Value(now, mean, s.starts)
@@ -132,6 +160,10 @@
 
 // begin counts an attempt as in flight.
 func (s *server) begin(now time.Time) {
+	if s.rateLimit.Stated {
+		holders, _ := s.rateLimitHolders()
+		s.rateTokens.Take(now, s.rateLimit.PerSecond, holders)
+	}
 	s.starts = append(s.starts, now)
 	s.peak = max(s.peak, len(s.starts))
 }
@@ -210,8 +242,11 @@
 		Released:    s.idleReports >= releaseAfter,
 		Warm:        s.allotment.Warm(now) && !s.suspectCold,
 		Slow:        s.slowness.Value(now, mean, s.starts) > slowReportRatio,
+
+		RateLimitKnown: s.rateLimitUnreported,
+		RateLimit:      s.rateLimit,
 	}
 	s.peak, s.completed, s.refused, s.failed = len(s.starts), 0, 0, 0
-	s.suspectCold, s.drainUnreported = false, false
+	s.suspectCold, s.drainUnreported, s.rateLimitUnreported = false, false, false
 	return r
 }
--- a/entry/forwarder/attempt.go
+++ b/entry/forwarder/attempt.go
@@ -132,6 +132,9 @@
 	start := f.node.Now()
 	result.server = srv.Name
 	result.response, result.outcome = f.servers.Send(ctx, msg)
+	if result.response != nil {
+		permit.ObserveRateLimit(result.response.RateLimit)
+	}
 	if result.response != nil && result.response.Draining {
 		permit.MarkDraining()
 	}
--- a/entry/granter/granter.go
+++ b/entry/granter/granter.go
@@ -15,6 +15,7 @@
 	"samphiremux/entry/prober"
 	"samphiremux/entry/reconciler"
 	"samphiremux/entry/spawner"
+	"samphiremux/pkg/describer"
 	"samphiremux/pkg/linker/linkpb"
 	"samphiremux/pkg/parser"
 )
@@ -31,6 +32,7 @@
 	Server    string
 	Reachable bool
 	Draining  bool
+	RateLimit describer.RateLimit
 }
 
 // Probe asks a server for its health. The granter fills in the server's name.
@@ -161,6 +163,7 @@
 		resp.Grants = append(resp.Grants, &linkpb.Grant{
 			Server: sr.GetServer(), Slots: uint32(grant.Slots), TtlMs: uint32(limiter.GrantTTL.Milliseconds()),
 			Cold: grant.Cold, Draining: grant.Draining,
+			RateLimitKnown: grant.RateLimitKnown, RateLimited: grant.RateLimit.Stated, RateLimit: grant.RateLimit.PerSecond,
 		})
 	}
 	g.storeTallies(r)
@@ -173,6 +176,7 @@
 		Refused: int(sr.GetRefused()), Failed: int(sr.GetFailed()), SuspectCold: sr.GetSuspectCold(),
 		Draining: sr.GetDraining(), Warm: sr.GetWarm(), Slow: sr.GetSlow(),
 		Released: sr.GetReleased(), Holding: int(sr.GetHolding()),
+		RateLimitKnown: sr.GetRateLimitKnown(), RateLimit: describer.RateLimit{PerSecond: sr.GetRateLimit(), Stated: sr.GetRateLimited()},
 	}
 }
 
@@ -215,7 +219,7 @@
 func (g *Granter) startDueProbes(ctx context.Context) {
 	now := g.node.Now()
 	for name, o := range g.servers {
-		unhealthy := o.unreachable || o.owner.Cold() || o.owner.Draining()
+		unhealthy := o.unreachable || o.owner.Cold() || o.owner.Draining() || o.owner.RateLimit().Stated
 		if !o.schedule.ShouldProbe(now, unhealthy) {
 			continue
 		}
@@ -252,5 +256,6 @@
 	o.unreachable = !r.Reachable
 	if r.Reachable {
 		o.owner.SetDraining(r.Draining)
+		o.owner.SetRateLimit(r.RateLimit)
 	}
 }
--- a/entry/limiter/holder.go
+++ b/entry/limiter/holder.go
@@ -5,7 +5,11 @@
 // of it and stay within their grants.
 package limiter
 
-import "time"
+import (
+	"time"
+
+	"samphiremux/pkg/describer"
+)
 
 const (
 	// GrantTTL is the lifetime of a grant. Its holder counts it from when it sent
@@ -55,6 +59,10 @@
 	Cold bool
 	// Draining is true if the owner knows that the server is leaving.
 	Draining bool
+	// RateLimitKnown is true if the owner knows whether the server states a rate limit,
+	// and RateLimit is that limit.
+	RateLimitKnown bool
+	RateLimit      describer.RateLimit
 }
 
 // Allotment is what one holder may use of one server: its grant, or its floor
--- a/entry/limiter/owner.go
+++ b/entry/limiter/owner.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"samphiremux/pkg/describer"
 )
 
 const (
@@ -47,6 +49,10 @@
 	Warm bool
 	// Slow is true if responses took much longer than those of other servers.
 	Slow bool
+	// RateLimitKnown is true if the server responded since the last report. RateLimit
+	// is the rate limit that its last response stated.
+	RateLimitKnown bool
+	RateLimit      describer.RateLimit
 }
 
 // Owner adapts the limit of one server and divides it among the holders. It is
@@ -69,6 +75,10 @@
 	nextStep time.Time
 	// fullGrantsFrom is when the grants of an earlier owner have expired.
 	fullGrantsFrom time.Time
+	// rateLimitKnown is true if the server has responded to this owner or to a holder
+	// that reports to it. RateLimit is the rate limit that the last response stated.
+	rateLimitKnown bool
+	rateLimit      describer.RateLimit
 	holders        map[string]*holder
 }
 
@@ -119,6 +129,13 @@
 // SetDraining records whether a probe found the server draining.
 func (o *Owner) SetDraining(draining bool) { o.draining = draining }
 
+// RateLimit returns the rate limit that the server last stated, to this entry or to a
+// holder.
+func (o *Owner) RateLimit() describer.RateLimit { return o.rateLimit }
+
+// SetRateLimit records the rate limit that the response to a probe stated.
+func (o *Owner) SetRateLimit(l describer.RateLimit) { o.rateLimitKnown, o.rateLimit = true, l }
+
 // HandleReport applies a holder's report and returns its grant. Members are the
 // holders of the server in the order of their rank.
 func (o *Owner) HandleReport(now time.Time, r Report, members []string) Grant {
@@ -131,6 +148,9 @@
 	// An owner that has just started learns of earlier drains in this way.
 	o.draining = o.draining || (r.Draining && !h.sentDraining)
 	h.sentDraining = o.draining
+	if r.RateLimitKnown {
+		o.SetRateLimit(r.RateLimit)
+	}
 	h.demand = max(r.Demand, r.InFlight)
 	h.released = r.Released
 	slots := 0
@@ -140,7 +160,10 @@
 	h.granted = max(slots, r.Holding)
 	h.mayUseFloor = r.Warm || !o.Cold()
 	h.expires = now.Add(GrantTTL)
-	return Grant{Slots: slots, Deadline: h.expires, Cold: o.cold || !o.coldKnown, Draining: o.draining}
+	return Grant{
+		Slots: slots, Deadline: h.expires, Cold: o.cold || !o.coldKnown, Draining: o.draining,
+		RateLimitKnown: o.rateLimitKnown, RateLimit: o.rateLimit,
+	}
 }
 
 // adjustLimit adapts the limit to a report.
--- a/entry/reporter/reporter.go
+++ b/entry/reporter/reporter.go
@@ -13,6 +13,7 @@
 	"samphiremux/entry/limiter"
 	"samphiremux/entry/reconciler"
 	"samphiremux/entry/tracker"
+	"samphiremux/pkg/describer"
 	"samphiremux/pkg/linker"
 	"samphiremux/pkg/linker/linkpb"
 )
@@ -114,6 +115,7 @@
 		Completed: uint32(o.Report.Completed), Refused: uint32(o.Report.Refused), Failed: uint32(o.Report.Failed),
 		SuspectCold: o.Report.SuspectCold, Draining: o.Report.Draining, Slow: o.Report.Slow, Warm: o.Report.Warm,
 		Released: o.Report.Released, Holding: uint32(o.Report.Holding),
+		RateLimitKnown: o.Report.RateLimitKnown, RateLimited: o.Report.RateLimit.Stated, RateLimit: o.Report.RateLimit.PerSecond,
 	}
 }
 
@@ -139,6 +141,7 @@
 		d.ApplyGrant(g.GetServer(), limiter.Grant{
 			Slots: int(g.GetSlots()), Deadline: sent.Add(time.Duration(g.GetTtlMs()) * time.Millisecond),
 			Cold: g.GetCold(), Draining: g.GetDraining(),
+			RateLimitKnown: g.GetRateLimitKnown(), RateLimit: describer.RateLimit{PerSecond: g.GetRateLimit(), Stated: g.GetRateLimited()},
 		})
 	}
 }
--- a/entry/roundtripper/probe.go
+++ b/entry/roundtripper/probe.go
@@ -31,10 +31,8 @@
 	// Load is the reported load. It is valid if HasLoad is set.
 	Load    describer.Load
 	HasLoad bool
-	// RateLimit is the rate limit that the server states, in requests per second from
-	// all entries together. It is valid if HasRateLimit is set.
-	RateLimit    float64
-	HasRateLimit bool
+	// RateLimit is the rate limit that the server states.
+	RateLimit describer.RateLimit
 	// ColdRemaining is the remaining warm-up time of the server.
 	ColdRemaining time.Duration
 }
@@ -113,7 +111,7 @@
 		return Health{}, ErrUnhealthy{Status: rep.StatusCode}
 	}
 	h.Load, h.HasLoad = cl.headers.ReadLoad(rep.Header)
-	h.RateLimit, h.HasRateLimit = cl.headers.ReadRateLimit(rep.Header)
+	h.RateLimit = cl.headers.ReadRateLimit(rep.Header)
 	h.ColdRemaining = cl.headers.ReadColdRemaining(rep.Header)
 	if !c.reusable(time.Now(), rep) {
 		return h, errors.New("server closes the connection after its response")
--- a/entry/roundtripper/roundtripper.go
+++ b/entry/roundtripper/roundtripper.go
@@ -44,9 +44,8 @@
 	Signature string
 	// ReadLoad returns the load that the server reports in a response, if any.
 	ReadLoad func(http.Header) (describer.Load, bool)
-	// ReadRateLimit returns the rate limit that the server states in a response, if
-	// any.
-	ReadRateLimit func(http.Header) (perSecond float64, ok bool)
+	// ReadRateLimit returns the rate limit that the server states in a response.
+	ReadRateLimit func(http.Header) describer.RateLimit
 	// ReadColdRemaining returns the remaining warm-up time that the server reports
 	// in the response to a probe.
 	ReadColdRemaining func(http.Header) time.Duration
--- a/entry/roundtripper/roundtripper_test.go
+++ b/entry/roundtripper/roundtripper_test.go
@@ -25,7 +25,7 @@
 var headers = roundtripper.Headers{
 	RequestID: "X-Request-Id", Instance: "X-Instance-Id", NotExecuted: "X-Not-Executed", Signature: "X-Server-Signature",
 	ReadLoad:          func(http.Header) (describer.Load, bool) { return describer.Load{}, false },
-	ReadRateLimit:     func(http.Header) (float64, bool) { return 0, false },
+	ReadRateLimit:     func(http.Header) describer.RateLimit { return describer.RateLimit{} },
 	ReadColdRemaining: func(http.Header) time.Duration { return 0 },
 }
 
--- a/entry/roundtripper/send.go
+++ b/entry/roundtripper/send.go
@@ -38,10 +38,8 @@
 	// Load is the load that the server reports. It is valid if HasLoad is set.
 	Load    describer.Load
 	HasLoad bool
-	// RateLimit is the rate limit that the server states. It is valid if HasRateLimit
-	// is set.
-	RateLimit    float64
-	HasRateLimit bool
+	// RateLimit is the rate limit that the server states.
+	RateLimit describer.RateLimit
 }
 
 // opaqueURL returns a URL that is sent as the request target byte for byte.
@@ -143,7 +141,7 @@
 	}
 	resp := &Response{Status: rep.StatusCode, Header: rep.Header, Body: body}
 	resp.Load, resp.HasLoad = cl.headers.ReadLoad(rep.Header)
-	resp.RateLimit, resp.HasRateLimit = cl.headers.ReadRateLimit(rep.Header)
+	resp.RateLimit = cl.headers.ReadRateLimit(rep.Header)
 	if !whole {
 		resp.Remainder = &streamedBody{ReadCloser: rep.Body, conn: c, stop: stop}
 		return resp, retrier.Answered{}
--- a/entry/sender/sender.go
+++ b/entry/sender/sender.go
@@ -19,6 +19,7 @@
 
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/retrier"
+	"samphiremux/pkg/describer"
 )
 
 const (
@@ -27,6 +28,9 @@
 	AttemptIDHeader = "Samphire-Attempt-Id"
 	// DrainingHeader is set in the responses of a server that is draining.
 	DrainingHeader = "Samphire-Draining"
+	// RateLimitHeader states the requests per second that the server accepts from all
+	// entries together, for as long as its responses carry it.
+	RateLimitHeader = "Samphire-Rate-Limit"
 
 	// MaxBufferedBytes is the size of the largest response body that is buffered.
 	// Larger ones are streamed.
@@ -177,6 +181,8 @@
 	Remainder io.ReadCloser
 	// Draining reports that the server is draining.
 	Draining bool
+	// RateLimit is the rate limit that the server states.
+	RateLimit describer.RateLimit
 }
 
 // attempt tracks the progress of one attempt.
@@ -314,7 +320,8 @@
 	}
 	resp = &Response{
 		Status: httpResp.StatusCode, Header: httpResp.Header, Body: body,
-		Draining: httpResp.Header.Get(DrainingHeader) != "",
+		Draining:  httpResp.Header.Get(DrainingHeader) != "",
+		RateLimit: describer.ParseRateLimit(httpResp.Header.Get(RateLimitHeader)),
 	}
 	if len(body) > MaxBufferedBytes {
 		resp.Remainder = &streamedBody{ReadCloser: httpResp.Body, cancel: cancel}
--- a/entry/snapshotter/backend.go
+++ b/entry/snapshotter/backend.go
@@ -54,20 +54,11 @@
 	failures     float64
 	failuresAt   time.Time
 	leaving      bool
-	rateLimit    RateLimit
+	rateLimit    describer.RateLimit
 	rateLimitAt  time.Time
 	rateTokens   throttler.TokenBucket
 }
 
-// RateLimit is the rate limit that a server states in its responses. The zero value
-// means that it states none.
-type RateLimit struct {
-	// PerSecond is the number of requests per second that the server accepts from all
-	// entries together.
-	PerSecond float64
-	Stated    bool
-}
-
 // NewServerState returns the state of a server that has not been used yet.
 func NewServerState(c *roundtripper.Client) *ServerState { return &ServerState{Client: c} }
 
@@ -95,7 +86,7 @@
 	RecentFailures float64
 	// RateLimit is the rate limit that the server last stated. RateLimitFresh reports
 	// whether it is recent enough to rely on without a probe.
-	RateLimit      RateLimit
+	RateLimit      describer.RateLimit
 	RateLimitFresh bool
 }
 
@@ -148,7 +139,7 @@
 
 // ObserveRateLimit records the rate limit that a response of the server stated, or that
 // it stated none. It returns the previous one.
-func (s *ServerState) ObserveRateLimit(now time.Time, l RateLimit) (previous RateLimit) {
+func (s *ServerState) ObserveRateLimit(now time.Time, l describer.RateLimit) (previous describer.RateLimit) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	previous = s.rateLimit
--- a/standin/fuzzer/fuzzer_test.go
+++ b/standin/fuzzer/fuzzer_test.go
@@ -108,6 +108,7 @@
 	"hide-crash":     "at 100ms poison catalogue",
 	"never-heal":     "at 100ms apply",
 	"retry-storm":    "at 100ms apply",
+	"hide-limit":     "length 9s\nload 40\nat 100ms limit booking-1 1\nat 100ms limit booking-2 1",
 }
 
 // TestOracleFindsInjectedBugs guards against an oracle that misses violations: each
--- a/standin/fuzzer/generate.go
+++ b/standin/fuzzer/generate.go
@@ -7,10 +7,10 @@
 )
 
 // ProfileCount is the number of fault profiles from which scripts are generated.
-const ProfileCount = 9
+const ProfileCount = 10
 
 // profiles lists the verbs that each shard draws more often than others. Verbs that only
-// the last profile has, such as store-delay, are also kept out of allVerbs: a longer list
+// the last profiles have, such as store-delay, are also kept out of allVerbs: a longer list
 // would change the scripts that a seed generates in the other shards.
 var profiles = [ProfileCount][]string{
 	{"store-down", "store-up", "store-slow", "store-forget", "lapse-all", "break-watches", "compact", "apply", "race"},
@@ -22,6 +22,7 @@
 	{"pause", "resume", "lapse-all", "cut-store", "mend-store", "kill", "start"},
 	{"move", "slow", "domain-out", "domain-in", "store-down", "store-up", "kill", "start"},
 	{"store-delay", "extra-answers", "repeat", "slow", "crash", "apply", "cross-answers", "lapse-all"},
+	{"limit", "limit", "unlimit", "slow", "drain", "turn-cold", "crash", "apply"},
 }
 
 // allVerbs lists the verbs of the steps that do not follow the shard's profile.
@@ -51,9 +52,9 @@
 
 func drawArg(verb string, index int, choose func(low, high int) int, entries int) string {
 	switch verb {
-	case "crash", "turn-cold", "drain", "undrain", "leave":
+	case "crash", "turn-cold", "drain", "undrain", "leave", "unlimit":
 		return drawServer(choose)
-	case "slow", "cut-answers", "cross-answers", "extra-answers":
+	case "slow", "cut-answers", "cross-answers", "extra-answers", "limit":
 		if index == 0 {
 			return drawServer(choose)
 		}
--- a/standin/fuzzer/injected_bugs.go
+++ b/standin/fuzzer/injected_bugs.go
@@ -30,6 +30,7 @@
 		"hide-crash":     invPoison,
 		"never-heal":     invService,
 		"retry-storm":    invRetries,
+		"hide-limit":     invRateLimit,
 	}
 }
 
@@ -55,6 +56,8 @@
 		o.SwapWithMatchingID = true
 	case "hide-crash":
 		o.KeepListenersOpen = true
+	case "hide-limit":
+		o.HideRateLimits = true
 	case "ignore-verdict":
 		o.Fault = func(srv parser.Server) func(*http.Request, float64) responder.Fault {
 			return func(*http.Request, float64) responder.Fault {
--- a/standin/fuzzer/oracle.go
+++ b/standin/fuzzer/oracle.go
@@ -30,6 +30,13 @@
 	initialRetryTokens = 2 * 10
 	// maxPoisonCrashes is the number of servers that one request may crash.
 	maxPoisonCrashes = 2
+	// rateLimitNotice is the time after a server first stated its rate limit from which
+	// it holds. In any rateLimitWindow the server may then get rateLimitFactor times what
+	// the limit allows, and rateLimitSlack more.
+	rateLimitNotice = 3 * time.Second
+	rateLimitWindow = 4 * time.Second
+	rateLimitFactor = 1.5
+	rateLimitSlack  = 5
 	// minFinalAnswered is the fraction of the calls that must be answered after all
 	// faults have ended.
 	minFinalAnswered = 0.97
@@ -51,6 +58,7 @@
 	invPoison    = "poison"
 	invService   = "service-returns"
 	invRetries   = "retry-budget"
+	invRateLimit = "rate-limit"
 )
 
 // oracle checks a run against the invariants.
@@ -149,6 +157,26 @@
 	}
 }
 
+// checkRateLimits checks the servers that state a rate limit. Entries that restart or are
+// cut off do not know of it, so scripts with such steps are excused.
+func (o *oracle) checkRateLimits() {
+	if o.membershipChanges > 0 {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for name, b := range o.run.cluster.Servers {
+		l, ok := b.RateLimit()
+		if !ok {
+			continue
+		}
+		allowed := rateLimitFactor*l.PerSecond*rateLimitWindow.Seconds() + rateLimitSlack
+		if got := l.MostArrivals(rateLimitWindow, l.Since.Add(rateLimitNotice)); float64(got) > allowed {
+			o.addViolation(invRateLimit, "server %s got %d requests in %v at a limit of %v a second", name, got, rateLimitWindow, l.PerSecond)
+		}
+	}
+}
+
 func (o *oracle) checkVersions() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -247,6 +275,7 @@
 		o.inspectEntries()
 		o.checkDepartures()
 		o.checkVersions()
+		o.checkRateLimits()
 	}
 }
 
--- a/standin/fuzzer/run.go
+++ b/standin/fuzzer/run.go
@@ -174,7 +174,9 @@
 		}
 		r.start(h)
 	}
+	r.oracle.checkRateLimits()
 	for _, b := range r.cluster.Servers {
+		b.ClearRateLimit()
 		b.SetSlowdown(1)
 		b.TruncateNext(0)
 		b.SwapNext(0)
--- a/standin/fuzzer/verbs.go
+++ b/standin/fuzzer/verbs.go
@@ -36,7 +36,10 @@
 	"cross-answers": {2, (*run).crossAnswers},
 	"extra-answers": {2, (*run).extraAnswers},
 	// Callers send refused calls again without backoff, up to a number of times.
-	"repeat":        {1, onCount(func(r *run, n int) { r.immediateRetries.Store(int64(n)) })},
+	"repeat": {1, onCount(func(r *run, n int) { r.immediateRetries.Store(int64(n)) })},
+	// A server states a rate limit, in requests per second.
+	"limit":         {2, (*run).limit},
+	"unlimit":       {1, (*run).unlimit},
 	"silence":       {1, (*run).silence},
 	"poison":        {1, (*run).poison},
 	"kill":          {1, onEntry((*run).kill)},
@@ -150,6 +153,18 @@
 	r.applyToServer(args, func(b *simulator.Backend, n float64) { b.SendExtraNext(int(n)) })
 }
 
+func (r *run) limit(args []string) {
+	r.oracle.checkRateLimits()
+	r.applyToServer(args, func(b *simulator.Backend, n float64) { b.SetRateLimit(n) })
+}
+
+func (r *run) unlimit(args []string) {
+	r.oracle.checkRateLimits()
+	if b, ok := r.cluster.Servers[args[0]]; ok {
+		b.ClearRateLimit()
+	}
+}
+
 // silence blackholes the open connections between an entry and all backend servers.
 func (r *run) silence(args []string) {
 	i, err := strconv.Atoi(args[0])
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -22,6 +23,7 @@
 
 	attemptIDHeader = "Samphire-Attempt-Id"
 	drainingHeader  = "Samphire-Draining"
+	rateLimitHeader = "Samphire-Rate-Limit"
 	requestIDHeader = "X-Request-Id"
 	deadlineHeader  = "Samphire-Deadline"
 	loadHeader      = "Endpoint-Load-Metrics"
@@ -63,6 +65,8 @@
 	// SwapWithMatchingID makes swapped responses carry the attempt id of the request,
 	// so that only the body shows the swap.
 	SwapWithMatchingID bool
+	// HideRateLimit keeps the rate limit out of responses.
+	HideRateLimit bool
 	// Crash takes the server off the network. Its owner calls Restart later.
 	Crash func()
 	// Fault returns the fault of the server's version for a request, given the share
@@ -109,6 +113,8 @@
 	lastID          string
 	stats           Stats
 	reportedLoad    float64
+	// rateLimit is the rate limit in force, or nil.
+	rateLimit *RateLimit
 }
 
 // Stats counts what a server did.
@@ -209,7 +215,7 @@
 	s.extraNext = n
 }
 
-// Restart brings a crashed server back, cold and without requests.
+// Restart brings a crashed server back, cold, without requests and without a rate limit.
 func (s *Server) Restart() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -219,6 +225,7 @@
 	s.waiting = nil
 	s.coldSince = time.Now()
 	s.overloadedSince = time.Time{}
+	s.rateLimit = nil
 	s.notifySpeedChange()
 }
 
@@ -285,6 +292,9 @@
 	if s.draining {
 		w.Header().Set(drainingHeader, "true")
 	}
+	if s.rateLimit != nil && !s.options.HideRateLimit {
+		w.Header().Set(rateLimitHeader, strconv.FormatFloat(s.rateLimit.PerSecond, 'f', -1, 64))
+	}
 	w.Header().Set(loadHeader, fmt.Sprintf("TEXT application_utilization=%.3f", s.reportedLoad))
 	s.mu.Unlock()
 	if r.URL.Path == "/healthz" {
@@ -294,6 +304,7 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	s.recordArrival(time.Now())
 	if !s.acquireSlot(r.Context()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/standin/simulator/simulator.go
+++ b/standin/simulator/simulator.go
@@ -64,8 +64,10 @@
 	// ColdOverloadTimeout, ColdCapacityDelta and SwapWithMatchingID are passed to the
 	// backend servers; see responder.Options.
 	ColdOverloadTimeout time.Duration
-	ColdCapacityDelta   int
-	SwapWithMatchingID  bool
+	// HideRateLimits keeps the rate limits of servers out of their responses.
+	HideRateLimits     bool
+	ColdCapacityDelta  int
+	SwapWithMatchingID bool
 	// KeepListenersOpen makes a crashed backend server restart at once, with its
 	// listener kept open.
 	KeepListenersOpen bool
@@ -145,6 +147,7 @@
 		Name: srv.Name, Version: srv.Version, Slots: srv.Slots, QueueLimit: queueLimit, WarmUp: c.options.WarmUp,
 		ReportLag: reportLag, Executions: c.Executions, Crash: b.crash, ColdOverloadTimeout: c.options.ColdOverloadTimeout,
 		ColdCapacityDelta: c.options.ColdCapacityDelta, SwapWithMatchingID: c.options.SwapWithMatchingID,
+		HideRateLimit: c.options.HideRateLimits,
 	}
 	if c.options.Fault != nil {
 		o.Fault = c.options.Fault(srv)
