--- a/entry/reflector/reflector.go
+++ b/entry/reflector/reflector.go
@@ -205,6 +205,9 @@
 	defer r.mu.Unlock()
 	afterOutage := r.storeLost
 	r.storeLost = false
+	if at < r.revision {
+		r.o.Log.Warn("Store lists an older revision than the known one.", "revision", at, "known", r.revision)
+	}
 	present := map[string]bool{}
 	for _, p := range pairs {
 		present[p.Key] = true
