storer, reflector: revisions carry the era of the store

Cause: after a restore the store gives revisions out again, and entries compared them with those from before. The write at revision 62 was taken for the one known at 62: the watch began behind it, and a list of it changed nothing. The class: an order that holds only within one life of its source, compared across two, as with the sequences of a server that is born again.

A revision now is the era, which the store's responses tell, with the number. One of a later era is newer, on the link too. A watch or a guard of an earlier era ends or fails in the client. What the first list of an era shows otherwise than known is held for the time in which writers write again, so that drained servers, excluded domains and orders do not go back; a key written meanwhile is applied at once. An order written again keeps its record by its target. Lists after a missing revision back off, unless the watch had lasted.

Ruled out: deaf watches (they answer 410) and a version compared wrongly (no line tells of a refusal).

--- a/entry/reflector/list_watch.go
+++ b/entry/reflector/list_watch.go
@@ -49,15 +49,19 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, storer.ErrCompacted) {
-			r.o.Log.Info("Store compacted the watched revision; listing all keys again.")
-			continue
+		lasted := time.Since(started) > maxBackoff
+		if lasted {
+			backoff = initialBackoff
 		}
-		if r.markStoreLost() {
+		compacted := errors.Is(err, storer.ErrCompacted)
+		switch {
+		case compacted:
+			r.o.Log.Info("Store does not have the watched revision; listing all keys again.")
+		case r.markStoreLost():
 			r.o.Log.Warn("Store does not answer; asking other entries.", "error", err)
 		}
-		if time.Since(started) > maxBackoff {
-			backoff = initialBackoff
+		if compacted && lasted {
+			continue
 		}
 		if !sleep(ctx, backoff) {
 			return
@@ -122,7 +126,7 @@
 	defer cancel()
 	r.setWatchCancel(cancel)
 	answered, changed := false, false
-	err := r.o.Store.Watch(watchCtx, r.o.Prefix, r.Revision(), func(events []storer.Event, upTo storer.Revision) {
+	err := r.o.Store.Watch(watchCtx, r.o.Prefix, r.watchRevision(), func(events []storer.Event, upTo storer.Revision) {
 		r.setWatchCancel(nil)
 		answered, changed = true, len(events) > 0
 		r.applyEvents(time.Now(), events, upTo)
@@ -137,7 +141,7 @@
 	case answered:
 		return nil
 	case watchCtx.Err() != nil:
-		r.o.Log.Debug("Watch ended without an answer.", "revision", r.Revision())
+		r.o.Log.Debug("Watch ended without an answer.", "revision", r.watchRevision().Number())
 		return nil
 	}
 	return err
@@ -176,17 +180,18 @@
 	}
 	r.behindSince = time.Time{}
 	if r.cancelWatch != nil {
-		r.o.Log.Warn("Watch lags behind another entry; restarting it.", "revision", r.revision)
+		r.o.Log.Warn("Watch lags behind another entry; restarting it.", "revision", r.revision.Number())
 		r.cancelWatch()
 	}
 	return true
 }
 
 // RunPeerSync fetches changes from other entries, while the store does not answer or
-// the watch has stalled, until ctx ends. It also applies held removals that are due.
+// the watch has stalled, until ctx ends. It also applies held changes that are due.
 func (r *Reflector) RunPeerSync(ctx context.Context) {
 	for sleep(ctx, peerSyncInterval) {
 		r.releaseHeld(time.Now())
+		r.dropTombstones(time.Now())
 		if !r.needsPeerSync(time.Now()) {
 			continue
 		}
--- a/entry/reflector/reflector.go
+++ b/entry/reflector/reflector.go
@@ -5,7 +5,8 @@
 // changes to the others with their heartbeats. An entry watches the store itself
 // while it receives no heartbeats from a relay. While the store is down, entries
 // fetch changes from each other. A key never reverts to an older revision, whatever
-// source it comes from.
+// source it comes from. When the store is restored from a copy, what differs from the
+// known state is held back until its writers had time to write it again.
 package reflector
 
 import (
@@ -56,10 +57,11 @@
 	IsRelay func() bool
 	// HasRelay reports whether a relay has recently sent a heartbeat to this entry.
 	HasRelay func() bool
-	// RemovalDelay returns the time for which the removal of a key is held back
-	// after an outage of the store. The key's lease may have expired during the
-	// outage, and its writer may not have reached the store again yet.
-	RemovalDelay func(key string) time.Duration
+	// HoldTime returns the time for which the removal of a key is held back after an
+	// outage of the store, or any change of it after the store was restored from a
+	// copy. The key may have been lost in the outage, and its writer may not have
+	// reached the store again yet.
+	HoldTime func(key string, restored bool) time.Duration
 	// OnChange is called after changes have arrived from the store itself.
 	OnChange func()
 	// Sink receives every change of the copy.
@@ -84,7 +86,7 @@
 	// one's, or zero. It is reset when this entry advances and when a watch starts or
 	// ends.
 	behindSince time.Time
-	held        map[string]heldRemoval
+	held        map[string]heldChange
 }
 
 // keyState is the newest known state of a key. A deleted one is a tombstone.
@@ -95,16 +97,9 @@
 	appliedAt time.Time
 }
 
-// heldRemoval is a removal that is applied at its deadline unless the key is written
-// again before.
-type heldRemoval struct {
-	revision storer.Revision
-	deadline time.Time
-}
-
 // New returns a reflector with an empty copy. Run and RunPeerSync fill it.
 func New(o Options) *Reflector {
-	return &Reflector{o: o, keys: map[string]*keyState{}, held: map[string]heldRemoval{}}
+	return &Reflector{o: o, keys: map[string]*keyState{}, held: map[string]heldChange{}}
 }
 
 // Ready reports whether the copy has been complete once, from the store or from
@@ -122,7 +117,7 @@
 	return r.ready && !r.storeLost
 }
 
-// Revision returns the store revision up to which the copy is complete. Held removals
+// Revision returns the store revision up to which the copy is complete. Held changes
 // keep it back.
 func (r *Reflector) Revision() storer.Revision {
 	r.mu.Lock()
@@ -131,15 +126,22 @@
 }
 
 // sharedRevision returns the revision to report to other entries. It stays below held
-// removals, since those have not been applied yet. The caller holds the lock.
+// changes, since those have not been applied yet. The caller holds the lock.
 func (r *Reflector) sharedRevision() storer.Revision {
 	revision := r.revision
 	for _, h := range r.held {
-		revision = min(revision, h.revision-1)
+		revision = min(revision, h.change.Revision-1)
 	}
 	return revision
 }
 
+// watchRevision returns the revision from which a watch misses no change.
+func (r *Reflector) watchRevision() storer.Revision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.revision
+}
+
 // Get returns the newest known value of a key and its revision. For a removed or
 // unknown key the revision is zero, which is what the guard of a transaction expects
 // for a key that does not exist.
@@ -181,20 +183,23 @@
 	if b.Revision == 0 || (!r.ready && !b.Full) {
 		return
 	}
-	present := map[string]bool{}
+	changes := make([]Change, 0, len(b.Changes))
 	for _, c := range b.Changes {
-		present[c.GetKey()] = true
-		r.apply(now, Change{
+		changes = append(changes, Change{
 			Key: c.GetKey(), Value: c.GetValue(), Revision: storer.Revision(c.GetRevision()), Deleted: c.GetDeleted(),
 		})
 	}
 	if b.Full {
-		r.removeAbsent(now, present, b.Revision, false)
+		r.applyAll(now, changes, b.Revision, false)
+	} else {
+		for _, c := range changes {
+			r.apply(now, c)
+		}
 	}
 	if !r.ready {
 		r.ready = true
 		r.compacted = b.Revision
-		r.o.Log.Info("State taken from another entry.", "revision", b.Revision)
+		r.o.Log.Info("State taken from another entry.", "revision", b.Revision.Number())
 	}
 	r.advance(b.Revision)
 }
@@ -205,22 +210,18 @@
 	defer r.mu.Unlock()
 	afterOutage := r.storeLost
 	r.storeLost = false
-	if at < r.revision {
-		r.o.Log.Warn("Store lists an older revision than the known one.", "revision", at, "known", r.revision)
-	}
-	present := map[string]bool{}
+	changes := make([]Change, 0, len(pairs))
 	for _, p := range pairs {
-		present[p.Key] = true
-		r.apply(now, Change{Key: p.Key, Value: p.Value, Revision: p.ModRevision})
+		changes = append(changes, Change{Key: p.Key, Value: p.Value, Revision: p.ModRevision})
 	}
-	r.removeAbsent(now, present, at, afterOutage)
+	r.applyAll(now, changes, at, afterOutage)
 	r.advance(at)
 	if !r.ready {
 		r.compacted = at
 	}
 	r.ready = true
 	if afterOutage {
-		r.o.Log.Info("Store answers again.", "revision", at)
+		r.o.Log.Info("Store answers again.", "revision", at.Number(), "era", at.Era())
 	}
 }
 
@@ -238,47 +239,18 @@
 // lock.
 func (r *Reflector) advance(revision storer.Revision) {
 	if revision > r.revision {
+		if r.ready && revision.Era() > r.revision.Era() {
+			r.o.Log.Warn("Store was restored from a copy.", "era", revision.Era(), "revision", revision.Number(), "known", r.revision.Number())
+		}
 		r.revision = revision
 		r.behindSince = time.Time{}
 	}
 }
 
-// removeAbsent removes the keys that a complete list as of a revision lacks. The
-// caller holds the lock.
-func (r *Reflector) removeAbsent(now time.Time, present map[string]bool, at storer.Revision, afterOutage bool) {
-	for key, e := range r.keys {
-		if !present[key] && !e.deleted && e.revision <= at {
-			r.removeOrHold(now, key, at, afterOutage)
-		}
-	}
-}
-
-// removeOrHold removes a key. After an outage of the store, it holds the removal back
-// for the key's RemovalDelay, since the writer may register the key again. The caller
-// holds the lock.
-func (r *Reflector) removeOrHold(now time.Time, key string, at storer.Revision, afterOutage bool) {
-	delay := r.o.RemovalDelay(key)
-	if !afterOutage || delay == 0 {
-		r.apply(now, Change{Key: key, Revision: at, Deleted: true})
-		return
-	}
-	if _, ok := r.held[key]; !ok {
-		r.held[key] = heldRemoval{revision: at, deadline: now.Add(delay)}
-	}
-}
-
-// releaseHeld applies held removals that have passed their deadline, and drops
-// tombstones older than tombstoneTTL.
-func (r *Reflector) releaseHeld(now time.Time) {
+// dropTombstones drops tombstones older than tombstoneTTL.
+func (r *Reflector) dropTombstones(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for key, h := range r.held {
-		if now.Before(h.deadline) {
-			continue
-		}
-		delete(r.held, key)
-		r.apply(now, Change{Key: key, Revision: h.revision, Deleted: true})
-	}
 	for key, e := range r.keys {
 		if e.deleted && now.Sub(e.appliedAt) > tombstoneTTL {
 			delete(r.keys, key)
@@ -288,14 +260,17 @@
 }
 
 // apply applies a change and passes it to the sink, unless the change is not newer
-// than the known state of its key. A newer change of a key ends a held removal. The
-// caller holds the lock.
+// than the known state of its key or than a held change. A newer change of a key ends
+// a held one. The caller holds the lock.
 func (r *Reflector) apply(now time.Time, c Change) {
 	known, ok := r.keys[c.Key]
 	if ok && c.Revision <= known.revision {
 		return
 	}
-	if h, held := r.held[c.Key]; held && c.Revision > h.revision {
+	if h, held := r.held[c.Key]; held {
+		if c.Revision <= h.change.Revision {
+			return
+		}
 		delete(r.held, c.Key)
 	}
 	if !ok && c.Deleted {
--- a/entry/reflector/reflector_test.go
+++ b/entry/reflector/reflector_test.go
@@ -87,7 +87,7 @@
 			defer f.mu.Unlock()
 			return f.hasRelay
 		},
-		RemovalDelay: func(string) time.Duration { return 2 * time.Second },
+		HoldTime: func(string, bool) time.Duration { return 2 * time.Second },
 		FetchFromPeers: func(context.Context, storer.Revision) (reflector.Batch, error) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/entry/roller/roller.go
+++ b/entry/roller/roller.go
@@ -120,14 +120,14 @@
 func (r *Roller) reconcile(ctx context.Context) {
 	for _, o := range r.opts.Snapshots.Orders() {
 		rec, ok := r.opts.Snapshots.MoveRecord(o.Service)
-		if ok && rec.Order == o.Revision && rec.Phase.Final() && r.isStored(o.Service, rec) {
+		if ok && rec.BelongsTo(o) && rec.Phase.Final() && r.isStored(o.Service, rec) {
 			continue
 		}
 		leader, found := r.leader(o.Service)
 		switch {
 		case !found:
 		case leader.ID == r.opts.Self:
-			if err := r.advance(ctx, o, rec, ok && rec.Order == o.Revision); err != nil {
+			if err := r.advance(ctx, o, rec, ok && rec.BelongsTo(o)); err != nil {
 				r.opts.Log.Warn("Move not advanced; will retry.", "service", o.Service, "error", err)
 			}
 		case ok:
@@ -236,7 +236,7 @@
 	if rec.Phase.Final() {
 		return r.commit(ctx, o, rec)
 	}
-	routes := r.gather(o.Service, o.Revision)
+	routes := r.gather(o.Service, rec.Order)
 	if reason, found := findRegression(routes); found {
 		rec = rec.WithPhase(snapshotter.RolledBack, reason)
 		r.opts.Snapshots.SetMoveRecord(o.Service, rec)
--- a/entry/snapshotter/move.go
+++ b/entry/snapshotter/move.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphiremux/pkg/describer"
+	"samphiremux/pkg/storer"
 )
 
 // Phase is the stage of a version move.
@@ -46,6 +47,16 @@
 	return r.Order < other.Order || (r.Order == other.Order && r.Step < other.Step)
 }
 
+// BelongsTo reports whether the record is that of an order. After a restore of the store
+// the operators write their orders again, so that an order of a later era is the one of
+// the record if it has the same target.
+func (r MoveRecord) BelongsTo(o describer.MoveOrder) bool {
+	if r.Order == o.Revision {
+		return true
+	}
+	return r.Target == o.Target && storer.Revision(r.Order).Era() < storer.Revision(o.Revision).Era()
+}
+
 // WithShare returns the next step of the record with another share for the target.
 func (r MoveRecord) WithShare(share float64, at time.Time) MoveRecord {
 	r.Step++
@@ -115,9 +126,9 @@
 		return TrafficSplit{Stable: presentOrMajority(all, record.FinalVersion(), "")}
 	case !ordered:
 		return TrafficSplit{Stable: majorityVersion(all, "")}
-	case recorded && record.Order == order.Revision && record.Phase == Done:
+	case recorded && record.BelongsTo(order) && record.Phase == Done:
 		return TrafficSplit{Stable: presentOrMajority(all, record.Target, "")}
-	case recorded && record.Order == order.Revision:
+	case recorded && record.BelongsTo(order):
 		return TrafficSplit{Stable: presentOrMajority(all, record.Stable, record.Target), Target: record.Target, Share: record.Share}
 	case recorded:
 		return TrafficSplit{Stable: presentOrMajority(all, record.FinalVersion(), order.Target), Target: order.Target}
--- a/entry/snapshotter/snapshotter_test.go
+++ b/entry/snapshotter/snapshotter_test.go
@@ -14,6 +14,7 @@
 	"samphiremux/entry/roundtripper"
 	"samphiremux/entry/snapshotter"
 	"samphiremux/pkg/describer"
+	"samphiremux/pkg/storer"
 )
 
 func newSnapshotter() *snapshotter.Snapshotter {
@@ -130,6 +131,28 @@
 	is.Equal(got, rolledBack)
 }
 
+// TestRolledBackMoveResumesAfterRestore guards against a faulty version that gets requests
+// again because the operators write its order again after a restore of the store.
+func TestRolledBackMoveResumesAfterRestore(t *testing.T) {
+	is := is.New(t)
+	s := newSnapshotter()
+	s.PutServer(server("a", "v1"))
+	s.PutServer(server("b", "v2"))
+	order := func(era, number int64, target string) describer.MoveOrder {
+		return describer.MoveOrder{Service: "stock", Target: target, Revision: int64(storer.NewRevision(era, number))}
+	}
+	s.SetOrder(order(1, 9, "v2"))
+	r := snapshotter.MoveRecord{Order: order(1, 9, "v2").Revision, Step: 1, Stable: "v1", Target: "v2", Phase: snapshotter.Moving, Share: 0.5}
+	rolledBack := r.WithPhase(snapshotter.RolledBack, "fails")
+	s.SetMoveRecord("stock", rolledBack)
+	s.SetOrder(order(2, 7, "v2"))
+	is.Equal(s.Snapshot().Splits["stock"].Share, 0.0)
+	is.True(rolledBack.BelongsTo(order(2, 7, "v2")))
+	is.True(!rolledBack.BelongsTo(order(1, 12, "v2"))) // an order of the same era is a new one
+	is.True(!rolledBack.BelongsTo(order(2, 7, "v3")))
+	is.True(!rolledBack.BelongsTo(order(0, 9, "v2")))
+}
+
 func TestEjectionTimeGrowsAndResets(t *testing.T) {
 	is := is.New(t)
 	s := newSnapshotter()
--- a/pkg/storer/storer.go
+++ b/pkg/storer/storer.go
@@ -9,9 +9,24 @@
 	"time"
 )
 
-// Revision is the version of the whole store. It grows by one with each change.
+// Revision is the version of the whole store. It consists of an era, which grows when the
+// store is restored from a copy, and a number, which grows by one with each change. A
+// restore gives numbers out again, so that only revisions with their eras can be compared:
+// every revision of a later era is greater.
 type Revision int64
 
+// eraShift is the number of bits of a revision that hold its number.
+const eraShift = 40
+
+// NewRevision returns the revision with a number in an era.
+func NewRevision(era, number int64) Revision { return Revision(era<<eraShift | number) }
+
+// Era returns how often the store had been restored.
+func (r Revision) Era() int64 { return int64(r >> eraShift) }
+
+// Number returns the number of the revision as the store gave it out.
+func (r Revision) Number() int64 { return int64(r & (1<<eraShift - 1)) }
+
 // LeaseID identifies a lease. Zero means no lease.
 type LeaseID int64
 
--- a/standin/platformemulator/restore.go
+++ b/standin/platformemulator/restore.go
@@ -26,9 +26,13 @@
 func (s *Store) Restore(c Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.era++
-	s.revision = c.revision
-	s.data, s.leaseOf = maps.Clone(c.data), maps.Clone(c.leaseOf)
+	era := s.revision.Era() + 1
+	s.revision = storer.NewRevision(era, c.revision.Number())
+	s.data, s.leaseOf = map[string]storer.KeyValue{}, maps.Clone(c.leaseOf)
+	for key, pair := range c.data {
+		pair.ModRevision = storer.NewRevision(era, pair.ModRevision.Number())
+		s.data[key] = pair
+	}
 	s.events = nil
 	s.compacted = s.revision
 	held := map[storer.LeaseID]bool{}
@@ -49,5 +53,15 @@
 func (s *Store) Era() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.era
+	return s.revision.Era()
+}
+
+// inEra returns a revision of the present era as it is, and one without an era, as the
+// platform's format has it, with the present era. Of another era it reports false. The
+// caller holds the lock.
+func (s *Store) inEra(r storer.Revision) (_ storer.Revision, ok bool) {
+	if r.Era() == 0 {
+		return storer.NewRevision(s.revision.Era(), r.Number()), true
+	}
+	return r, r.Era() == s.revision.Era()
 }
--- a/standin/platformemulator/store.go
+++ b/standin/platformemulator/store.go
@@ -33,10 +33,8 @@
 	compacted storer.Revision
 	changed   chan struct{}
 	faults    Faults
-	// era counts the restores from a copy.
-	era    int64
-	broken chan struct{} // closed and replaced to end all watches
-	calls  map[string]int64
+	broken    chan struct{} // closed and replaced to end all watches
+	calls     map[string]int64
 }
 
 type lease struct {
@@ -230,7 +228,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, g := range t.Guards {
-		if s.data[g.Key].ModRevision != g.ModRevision {
+		want, ok := s.inEra(g.ModRevision)
+		if got := s.data[g.Key].ModRevision; !ok || got.Number() != want.Number() {
 			return storer.NotCommitted{Cause: storer.ErrConflict{Key: g.Key}}
 		}
 	}
@@ -393,7 +392,8 @@
 func (s *Store) eventsAfter(prefix string, after storer.Revision) (events []storer.Event, next storer.Revision, changed <-chan struct{}, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.compacted || after > s.revision {
+	after, ok := s.inEra(after)
+	if !ok || after < s.compacted || after > s.revision {
 		return nil, 0, nil, storer.ErrCompacted
 	}
 	for _, e := range s.events {
--- a/steer/commander/apply.go
+++ b/steer/commander/apply.go
@@ -1,19 +1,23 @@
 package commander
 
 import (
+	"errors"
 	"strings"
 	"time"
 
 	"samphiremux/entry/reflector"
 	"samphiremux/entry/snapshotter"
+	"samphiremux/pkg/describer"
+	"samphiremux/pkg/storer"
 	"samphiremux/platform/translator"
 )
 
-// removalDelay returns how long the removal of a key is delayed after the store was
-// unavailable. Keys of backend servers wait until the servers have had time to
-// register again.
-func (e *entry) removalDelay(key string) time.Duration {
-	if translator.IsServerKey(key) {
+// holdTime returns how long the removal of a key is held back after the store was
+// unavailable, or any change of it after the store was restored from a copy. Keys of
+// backend servers wait until the servers have had time to register again, and after a
+// restore all keys that others write. The project's own keys do not wait.
+func (e *entry) holdTime(key string, restored bool) time.Duration {
+	if translator.IsServerKey(key) || (restored && !strings.HasPrefix(key, translator.ProjectKeyPrefix)) {
 		return e.settings.Load().Bounds.ReregisterWindow
 	}
 	return 0
@@ -33,25 +37,21 @@
 		Key: c.Key, Value: c.Value, Revision: int64(c.Revision), Deleted: c.Deleted,
 	})
 	if err != nil {
-		e.log.Warn("Change of the store is invalid.", "revision", c.Revision, "error", err)
+		e.log.Warn("Change of the store is invalid.", "revision", c.Revision.Number(), "error", err)
 	}
 	if !ok {
 		return
 	}
 	switch u := u.(type) {
 	case translator.ConfigurationChanged:
-		if err := e.snapshots.SetTable(u.Table); err != nil {
-			e.log.Warn("Configuration refused.", "error", err)
-			return
-		}
-		e.log.Info("Configuration in force.", "version", u.Table.Version, "revision", c.Revision)
+		e.applyTable(u.Table, c.Revision)
 	case translator.ServerRegistered:
 		e.snapshots.PutServer(u.Server)
 		e.log.Debug("Backend server registered.", "server", u.Server.ID, "service", u.Server.Service,
-			"version", u.Server.Version, "domain", u.Server.Domain, "draining", u.Server.Draining, "revision", c.Revision)
+			"version", u.Server.Version, "domain", u.Server.Domain, "draining", u.Server.Draining, "revision", c.Revision.Number())
 	case translator.ServerRemoved:
 		e.snapshots.RemoveServer(u.ID)
-		e.log.Debug("Backend server removed.", "server", u.ID, "revision", c.Revision)
+		e.log.Debug("Backend server removed.", "server", u.ID, "revision", c.Revision.Number())
 	case translator.MoveOrdered:
 		e.snapshots.SetOrder(u.Order)
 	case translator.MoveOrderWithdrawn:
@@ -63,6 +63,20 @@
 	}
 }
 
+// applyTable puts a newer configuration into force. After a restore of the store the one in
+// force is written again, and an older one may be listed.
+func (e *entry) applyTable(t *describer.RouteTable, at storer.Revision) {
+	var stale snapshotter.ErrStaleTable
+	err := e.snapshots.SetTable(t)
+	switch {
+	case err == nil:
+		e.log.Info("Configuration in force.", "version", t.Version, "revision", at.Number())
+	case errors.As(err, &stale) && stale.Offered == stale.InForce:
+	default:
+		e.log.Warn("Configuration refused.", "error", err)
+	}
+}
+
 // applyMoveRecord applies a change of a move record. Removals are ignored.
 func (e *entry) applyMoveRecord(service string, c reflector.Change) {
 	if c.Deleted {
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -95,7 +95,7 @@
 	})
 	store := storeadapter.New(d.DialContext, "http://"+s.StoreAddress)
 	e.reflector = reflector.New(reflector.Options{
-		Store: store, FetchFromPeers: e.fetchFromPeers, RemovalDelay: e.removalDelay, Sink: e.applyChange, Log: log.Named("feeder"),
+		Store: store, FetchFromPeers: e.fetchFromPeers, HoldTime: e.holdTime, Sink: e.applyChange, Log: log.Named("feeder"),
 		IsRelay:  func() bool { return e.enroller.IsRelay() },
 		HasRelay: func() bool { return e.enroller.HasRelay() },
 		OnChange: func() { e.enroller.HeartbeatNow() },
@@ -133,7 +133,7 @@
 	e.connectionsClosed = e.metrics.CounterVec("connections_closed_total", "Callers' connections closed at a limit of the configuration.", "reason")
 	e.metrics.Gauge("store_calls_total", "Calls of the platform's store.", func() float64 { return float64(store.Calls()) })
 	e.metrics.Gauge("store_revision", "Store revision up to which the entry knows the store.", func() float64 {
-		return float64(e.reflector.Revision())
+		return float64(e.reflector.Revision().Number())
 	})
 	e.metrics.Gauge("store_era", "Times that the store was restored from a copy, as its responses told.", func() float64 {
 		return float64(store.Era())
