fuzzer: drawn scripts restore the store from a copy

The verb store-restore brings the emulated store back from a copy that is some seconds old; the operators write the document again half a second later. A new shard draws it with kills, outages, domains out and moves.

--- a/standin/fuzzer/generate.go
+++ b/standin/fuzzer/generate.go
@@ -7,7 +7,7 @@
 )
 
 // ProfileCount is the number of fault profiles from which scripts are generated.
-const ProfileCount = 10
+const ProfileCount = 11
 
 // profiles lists the verbs that each shard draws more often than others. Verbs that only
 // the last profiles have, such as store-delay, are also kept out of allVerbs: a longer list
@@ -23,6 +23,7 @@
 	{"move", "slow", "domain-out", "domain-in", "store-down", "store-up", "kill", "start"},
 	{"store-delay", "extra-answers", "repeat", "slow", "crash", "apply", "cross-answers", "lapse-all"},
 	{"limit", "limit", "unlimit", "slow", "drain", "turn-cold", "crash", "apply"},
+	{"store-restore", "store-restore", "apply", "apply", "domain-out", "domain-in", "move", "kill", "start", "store-down", "store-up", "cut-store", "mend-store"},
 }
 
 // allVerbs lists the verbs of the steps that do not follow the shard's profile.
@@ -63,7 +64,7 @@
 		return []string{"catalogue", "booking"}[choose(0, 1)]
 	case "domain-out", "domain-in":
 		return deployment().Domains[choose(0, 2)]
-	case "store-forget", "store-delay", "repeat":
+	case "store-forget", "store-delay", "store-restore", "repeat":
 		return strconv.Itoa(choose(1, 4))
 	default:
 		return strconv.Itoa(choose(1, entries))
--- a/standin/fuzzer/injected_bugs.go
+++ b/standin/fuzzer/injected_bugs.go
@@ -31,6 +31,7 @@
 		"never-heal":     invService,
 		"retry-storm":    invRetries,
 		"hide-limit":     invRateLimit,
+		"forget-writes":  invConfig,
 	}
 }
 
--- a/standin/fuzzer/oracle.go
+++ b/standin/fuzzer/oracle.go
@@ -98,7 +98,7 @@
 	for _, st := range r.script.Steps {
 		has[st.Verb] = true
 		switch st.Verb {
-		case "kill", "pause", "stop", "start", "cut", "cut-store", "lapse-all":
+		case "kill", "pause", "stop", "start", "cut", "cut-store", "lapse-all", "store-restore":
 			o.membershipChanges++
 		}
 	}
--- a/standin/fuzzer/run.go
+++ b/standin/fuzzer/run.go
@@ -54,6 +54,9 @@
 	// immediateRetries is the number of times that callers send a refused call again
 	// without backoff.
 	immediateRetries atomic.Int64
+	// copies holds copies of the store in the order in which they were taken.
+	copiesMu sync.Mutex
+	copies   []storeCopy
 	// entryStarts counts the attempts to start an entry after the first start.
 	entryStarts int
 }
@@ -137,6 +140,8 @@
 	backgroundCtx, stopBackground := context.WithCancel(context.Background())
 	r.background(func() { r.oracle.poll(backgroundCtx) })
 	r.background(func() { r.sendBypassRequests(backgroundCtx) })
+	r.addCopy()
+	r.background(func() { r.copyStore(backgroundCtx) })
 	callers := make([]*caller.Caller, callerCount)
 	for i := range callers {
 		callers[i] = r.cluster.NewCaller(i)
--- a/standin/fuzzer/verbs.go
+++ b/standin/fuzzer/verbs.go
@@ -60,6 +60,8 @@
 	"break-watches": {0, func(r *run, _ []string) { r.cluster.Store.BreakWatches() }},
 	"compact":       {0, func(r *run, _ []string) { r.cluster.Store.Compact() }},
 	"restore-older": {0, (*run).restoreOlder},
+	// The store comes back from a copy that is some seconds old.
+	"store-restore": {1, (*run).storeRestore},
 	"domain-out":    {1, func(r *run, args []string) { r.setDomain(args[0], true) }},
 	"domain-in":     {1, func(r *run, args []string) { r.setDomain(args[0], false) }},
 	"apply":         {0, (*run).apply},
--- a/standin/platformemulator/restore.go
+++ b/standin/platformemulator/restore.go
@@ -13,6 +13,9 @@
 	leaseOf  map[string]storer.LeaseID
 }
 
+// Value returns the value of a key in the copy, or nil if it has none.
+func (c Copy) Value(key string) []byte { return c.data[key].Value }
+
 // Copy returns a copy of the keys and of the revision.
 func (s *Store) Copy() Copy {
 	s.mu.Lock()
