balancer: a token is taken by the rate limit of the probe before the send

The limit came from the server's state, which a response to another request may have changed in between: a server that leaves the header out of its failures would for a moment seem unlimited.

--- a/entry/balancer/pick.go
+++ b/entry/balancer/pick.go
@@ -10,6 +10,7 @@
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/roundtripper"
 	"samphiremux/entry/snapshotter"
+	"samphiremux/pkg/describer"
 )
 
 const (
@@ -85,8 +86,8 @@
 	// busy is the number of requests that run or wait at the server by its report,
 	// or without one, the number of this entry's requests in flight there.
 	busy int
-	// rateLimit is the rate limit that the server states, or zero.
-	rateLimit float64
+	// rateLimit is the rate limit that the server stated in its response to the probe.
+	rateLimit describer.RateLimit
 	// probed is the number of servers that were probed for the attempt.
 	probed int
 }
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -81,7 +81,7 @@
 	switch {
 	case !b.admitCold(view, p):
 		return refuser.ColdServers
-	case !b.takeRateToken(time.Now(), p.Backend):
+	case !b.takeRateToken(time.Now(), p.Backend, p.rateLimit):
 		return refuser.RateLimitedServers
 	}
 	return ""
@@ -126,7 +126,7 @@
 		}
 		cost *= coldSlowness
 	}
-	p = &picked{Backend: r.Backend, conn: r.conn, slowness: slowness, busy: busy, rateLimit: h.RateLimit.PerSecond}
+	p = &picked{Backend: r.Backend, conn: r.conn, slowness: slowness, busy: busy, rateLimit: h.RateLimit}
 	p.expected = time.Duration(float64(est.latency) * p.slowdown())
 	return p, cost, ""
 }
--- a/entry/balancer/rate_limit.go
+++ b/entry/balancer/rate_limit.go
@@ -25,23 +25,22 @@
 	return holders, rank < holders
 }
 
-// hasRateToken reports whether this entry may send the server a request now by the rate
-// limit that it last stated, if any.
+// hasRateToken reports whether this entry may send the server a request now by a rate
+// limit that it stated, if any.
 func (b *Balancer) hasRateToken(now time.Time, server snapshotter.Backend, l describer.RateLimit) bool {
 	if !l.Stated {
 		return true
 	}
 	holders, isHolder := b.rateLimitHolders(server.ID, l)
-	return isHolder && server.State.HasRateToken(now, holders)
+	return isHolder && server.State.HasRateToken(now, l, holders)
 }
 
-// takeRateToken takes a token from this entry's part of the rate limit that the server
-// last stated, if any.
-func (b *Balancer) takeRateToken(now time.Time, server snapshotter.Backend) bool {
-	l := server.State.Snapshot(now).RateLimit
+// takeRateToken takes a token from this entry's part of a rate limit that the server
+// stated, if any.
+func (b *Balancer) takeRateToken(now time.Time, server snapshotter.Backend, l describer.RateLimit) bool {
 	if !l.Stated {
 		return true
 	}
 	holders, isHolder := b.rateLimitHolders(server.ID, l)
-	return isHolder && server.State.TakeRateToken(now, holders)
+	return isHolder && server.State.TakeRateToken(now, l, holders)
 }
--- a/entry/balancer/rate_limit_test.go
+++ b/entry/balancer/rate_limit_test.go
@@ -96,6 +96,26 @@
 	}
 }
 
+// TestRateLimitMissingFromOneResponse guards against a burst at a server that states its
+// rate limit in responses to probes but not in all others, such as its failures.
+func TestRateLimitMissingFromOneResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := servers(1, respondError)
+		all[0].setRateLimit("2")
+		var entries []*fixture
+		for i := range fixtureEntries {
+			entries = append(entries, newEntryFixture(t, uint64(i), chooser.ExpectedCompletion{}, all...))
+		}
+		sendFromAll(entries, 50*time.Millisecond, 10*time.Second)
+		is.True(all[0].count() > 0)
+		is.True(float64(all[0].mostArrivals(rateLimitWindow)) <= rateLimitFactor*2*rateLimitWindow.Seconds()+rateLimitSlack)
+		for _, f := range entries {
+			f.close()
+		}
+	})
+}
+
 // TestServerUnusedAfterItsRateLimit guards against a server that gets no requests after it
 // has ceased to state a rate limit, since no entry asks it again.
 func TestServerUnusedAfterItsRateLimit(t *testing.T) {
--- a/entry/balancer/trace.go
+++ b/entry/balancer/trace.go
@@ -158,7 +158,7 @@
 // before.
 func (c *call) traceChosen(d Decision, p *picked) {
 	c.trace.add(d, "server", p.ID, "version", p.Version, "domain", p.Domain, "slowness", p.slowness,
-		"busy", p.busy, "slots", p.Slots, "expected-ms", p.expected.Milliseconds(), "asked", p.probed, "rate-limit", p.rateLimit)
+		"busy", p.busy, "slots", p.Slots, "expected-ms", p.expected.Milliseconds(), "asked", p.probed, "rate-limit", p.rateLimit.PerSecond)
 }
 
 // traceEnded records the end of an attempt.
--- a/entry/snapshotter/backend.go
+++ b/entry/snapshotter/backend.go
@@ -147,20 +147,20 @@
 	return previous
 }
 
-// HasRateToken reports whether this entry may send a request within the rate limit that
-// the server states, as one of a number of holders.
-func (s *ServerState) HasRateToken(now time.Time, holders int) bool {
+// HasRateToken reports whether this entry may send a request now within a rate limit that
+// the server stated, as one of a number of holders.
+func (s *ServerState) HasRateToken(now time.Time, l describer.RateLimit, holders int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.rateLimit.Stated || s.rateTokens.Ready(now, s.rateLimit.PerSecond, holders)
+	return s.rateTokens.Ready(now, l.PerSecond, holders)
 }
 
-// TakeRateToken takes a token to send one request within the rate limit that the server
-// states, as one of a number of holders. It reports false if this entry has no token left.
-func (s *ServerState) TakeRateToken(now time.Time, holders int) bool {
+// TakeRateToken takes a token to send one request within a rate limit that the server
+// stated, as one of a number of holders. It reports false if this entry has no token left.
+func (s *ServerState) TakeRateToken(now time.Time, l describer.RateLimit, holders int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.rateLimit.Stated || s.rateTokens.Take(now, s.rateLimit.PerSecond, holders)
+	return s.rateTokens.Take(now, l.PerSecond, holders)
 }
 
 // Eject ejects a server that did not answer. The ejection time doubles with each
