roundtripper: the head of a response is bounded

A server in trouble may send bytes without end that are no response. A status line or header without end was buffered until the deadline, which at the speed of the link is more than an entry's memory; informational responses without end kept it busy as long. net/http's ReadResponse bounds neither. A head, with the informational responses before it, now has 64 KiB at most; then the attempt ends as a lost connection.

--- a/entry/roundtripper/conn.go
+++ b/entry/roundtripper/conn.go
@@ -26,6 +26,9 @@
 	// announces, so that the server does not close a connection that is about to
 	// be used.
 	idleMargin = 2 * time.Second
+	// maxHeadBytes bounds the bytes that are read for the head of a response, with the
+	// informational responses before it.
+	maxHeadBytes = 64 << 10
 	// maxResponses bounds the responses that are read in search of the one to
 	// the current request. If none of them matches, the connection is closed.
 	maxResponses = 3
@@ -35,6 +38,7 @@
 // a time, without pipelining.
 type Conn struct {
 	net       net.Conn
+	head      *headLimiter
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	idleUntil time.Time
@@ -42,7 +46,34 @@
 }
 
 func newConn(c net.Conn) *Conn {
-	return &Conn{net: c, reader: bufio.NewReaderSize(c, readBufferSize), writer: bufio.NewWriterSize(c, writeBufferSize), fresh: true}
+	head := &headLimiter{source: c}
+	return &Conn{net: c, head: head, reader: bufio.NewReaderSize(head, readBufferSize), writer: bufio.NewWriterSize(c, writeBufferSize), fresh: true}
+}
+
+// errHeadTooLarge is returned by reads beyond maxHeadBytes of a head.
+var errHeadTooLarge = fmt.Errorf("head of the response is longer than %d bytes", maxHeadBytes)
+
+// headLimiter bounds the bytes that are read while the head of a response is. Without it
+// a head without end would be buffered whole.
+type headLimiter struct {
+	source io.Reader
+	// inHead reports whether the head is being read, and remaining is the number of
+	// bytes that it may still have.
+	inHead    bool
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (n int, err error) {
+	if !l.inHead {
+		return l.source.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err = l.source.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
 }
 
 func (c *Conn) close() { _ = c.net.Close() }
@@ -83,6 +114,8 @@
 
 // readResponse reads the next final response and skips informational ones (1xx).
 func (c *Conn) readResponse(r *http.Request) (reply, error) {
+	c.head.inHead, c.head.remaining = true, maxHeadBytes
+	defer func() { c.head.inHead = false }()
 	for {
 		resp, err := http.ReadResponse(c.reader, r)
 		if err != nil {
