roller: records of moves that a restore has lost are written again

What callers could see: after a restore, an entry that had just started led a move without its record, which the store had lost.

Cause: the record lives in the store and in the entries' memory, and only the leader wrote it. The same class as the lost changes: what was known before the restore was not brought into the new era.

Every entry that reaches the store now writes a record again that the store lacks, the leader after 0.5 s, the others spread over a second more. An entry in its first 3 s begins no move, and takes none further that began before the restore; it still rolls back.

TestRolledBackMoveStartsAgain failed before (moving instead of taken-back).

--- /dev/null
+++ b/entry/roller/rewrite.go
@@ -0,0 +1,50 @@
+package roller
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"samphiremux/entry/snapshotter"
+	"samphiremux/entry/tracker"
+)
+
+const (
+	// rewriteDelay is the time after which a record that the store lacks counts as lost.
+	// Until then it may be on its way: a step that its leader has just written, or a
+	// rollback that it has announced.
+	rewriteDelay = 500 * time.Millisecond
+	// rewriteSpread is the time over which the entries other than the leader spread their
+	// writes of a lost record, so that the first one serves for all.
+	rewriteSpread = time.Second
+)
+
+// rewriteDue reports whether this entry is to write a record again, since the store was
+// restored from a copy without it. Every entry may do so: the leader may have started
+// after the restore, without knowing the record.
+func (r *Roller) rewriteDue(service string, rec snapshotter.MoveRecord, leader bool) bool {
+	stored, _, err := r.storedRecord(service)
+	if err != nil || !stored.Precedes(rec) || !r.reachesStore() {
+		delete(r.rewriteAt, service)
+		return false
+	}
+	now := time.Now()
+	at, ok := r.rewriteAt[service]
+	if !ok {
+		at = now.Add(rewriteDelay)
+		if !leader {
+			at = at.Add(rand.N(rewriteSpread))
+		}
+		r.rewriteAt[service] = at
+	}
+	if now.Before(at) {
+		return false
+	}
+	delete(r.rewriteAt, service)
+	return true
+}
+
+// reachesStore reports whether the store answers this entry.
+func (r *Roller) reachesStore() bool {
+	return slices.ContainsFunc(r.opts.LeaderCandidates(time.Now()), func(m tracker.Member) bool { return m.ID == r.opts.Self })
+}
--- a/entry/roller/roller.go
+++ b/entry/roller/roller.go
@@ -33,6 +33,10 @@
 	// newLeaderDelay is the time for which a new leader collects the reports of all
 	// entries before it changes a share. It covers four reports.
 	newLeaderDelay = time.Second
+	// restartDelay is the time after the start of the process in which it takes a move no
+	// further if the store may have lost its newest record in a restore. Within this time
+	// the entries that know the record write it again.
+	restartDelay = 3 * time.Second
 	// minShareStep is the smallest increase of a share that is written to the store,
 	// except for the increase to 1.
 	minShareStep = 0.02
@@ -78,6 +82,11 @@
 	peerReports map[string]map[string]peerReport
 	// leaderSince is the time since which this entry has led the moves of a service.
 	leaderSince map[string]time.Time
+	// advanceFrom is when restartDelay ends.
+	advanceFrom time.Time
+	// rewriteAt is when this entry writes the record of a service again that the store
+	// has lost. Only reconcile uses it.
+	rewriteAt map[string]time.Time
 }
 
 // peerReport is the newest tally of one entry for one service.
@@ -88,7 +97,10 @@
 
 // New returns a Roller. Run starts it.
 func New(o Options) *Roller {
-	return &Roller{opts: o, local: tallies{byService: map[string]*tally{}}, peerReports: map[string]map[string]peerReport{}, leaderSince: map[string]time.Time{}}
+	return &Roller{
+		opts: o, local: tallies{byService: map[string]*tally{}}, peerReports: map[string]map[string]peerReport{},
+		leaderSince: map[string]time.Time{}, advanceFrom: time.Now().Add(restartDelay), rewriteAt: map[string]time.Time{},
+	}
 }
 
 // RecordKey returns the store key of a service's move record.
@@ -124,6 +136,12 @@
 			continue
 		}
 		leader, found := r.leader(o.Service)
+		if ok && rec.BelongsTo(o) && r.rewriteDue(o.Service, rec, leader.ID == r.opts.Self) {
+			if err := r.commit(ctx, o, rec); err != nil {
+				r.opts.Log.Warn("Lost record of a move not written again.", "service", o.Service, "error", err)
+			}
+			continue
+		}
 		switch {
 		case !found:
 		case leader.ID == r.opts.Self:
@@ -226,7 +244,11 @@
 // again. Started reports whether rec belongs to order o.
 func (r *Roller) advance(ctx context.Context, o describer.MoveOrder, rec snapshotter.MoveRecord, started bool) error {
 	now := time.Now()
+	mayBeLost := now.Before(r.advanceFrom) && (!started || rec.Restored(o))
 	if !started {
+		if mayBeLost {
+			return nil
+		}
 		rec = snapshotter.MoveRecord{
 			Order: o.Revision, Stable: r.opts.Snapshots.StableVersion(o), Target: o.Target, Phase: snapshotter.Moving, Started: now,
 		}
@@ -243,7 +265,7 @@
 		r.broadcastVerdict(ctx, o.Service, rec)
 		return r.commit(ctx, o, rec)
 	}
-	if now.Sub(r.markLeader(o.Service, now)) < newLeaderDelay {
+	if now.Sub(r.markLeader(o.Service, now)) < newLeaderDelay || mayBeLost {
 		return nil
 	}
 	p := progress{elapsed: now.Sub(rec.Started), duration: o.Duration}
--- a/entry/snapshotter/move.go
+++ b/entry/snapshotter/move.go
@@ -51,10 +51,13 @@
 // the operators write their orders again, so that an order of a later era is the one of
 // the record if it has the same target.
 func (r MoveRecord) BelongsTo(o describer.MoveOrder) bool {
-	if r.Order == o.Revision {
-		return true
-	}
-	return r.Target == o.Target && storer.Revision(r.Order).Era() < storer.Revision(o.Revision).Era()
+	return r.Order == o.Revision || (r.Target == o.Target && r.Restored(o))
+}
+
+// Restored reports whether the store was restored from a copy since the move began, given
+// its order.
+func (r MoveRecord) Restored(o describer.MoveOrder) bool {
+	return storer.Revision(r.Order).Era() < storer.Revision(o.Revision).Era()
 }
 
 // WithShare returns the next step of the record with another share for the target.
