linker: the era has a field of its own on the link

Entries of earlier versions would have read a revision with its era as one far ahead of the store, and asked it for changes without end. The number stays in its field, the era is sent beside it, and what comes without one counts as of the receiver's era (TestRevisionsOfEarlierVersions, TestRelayOfEarlierVersion). A fleet of both versions was not run.

--- a/entry/enroller/enroller_test.go
+++ b/entry/enroller/enroller_test.go
@@ -315,6 +315,24 @@
 	})
 }
 
+// TestRelayOfEarlierVersion guards against entries that do without their relay, since it is
+// of an earlier version and sends no era with its revisions.
+func TestRelayOfEarlierVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet("a")
+		f.caches[0].set(storer.NewRevision(1, 5), true)
+		resp := f.entries[0].HandleHeartbeat(&linkpb.BeatRequest{
+			EntryId: "e9", StoreReached: true, Scout: true, DocumentRevision: 7, Changes: []*linkpb.Change{{Key: "k", Revision: 7}},
+		})
+		is.True(f.entries[0].HasRelay())
+		is.Equal(f.caches[0].Revision(), storer.NewRevision(1, 7))
+		is.Equal(resp.GetDocumentRevision(), uint64(7)) // without the era, as that entry reads it
+		is.Equal(resp.GetEra(), int64(1))
+		f.close()
+	})
+}
+
 // TestRanksOfAllEntries guards against two entries with the same rank, or with ranks that
 // change when they lose sight of each other: both would exceed limits that they share.
 func TestRanksOfAllEntries(t *testing.T) {
--- a/entry/enroller/heartbeat.go
+++ b/entry/enroller/heartbeat.go
@@ -7,6 +7,7 @@
 
 	"samphiremux/entry/reflector"
 	"samphiremux/entry/tracker"
+	"samphiremux/pkg/linker"
 	"samphiremux/pkg/linker/linkpb"
 	"samphiremux/pkg/storer"
 )
@@ -152,7 +153,7 @@
 // sent.
 func (e *Enroller) handleResponse(sent time.Time, resp *linkpb.BeatResponse) {
 	now := time.Now()
-	revision := storer.Revision(resp.GetDocumentRevision())
+	revision := linker.DecodeRevision(resp.GetDocumentRevision(), resp.GetEra(), e.o.StoreCache.Revision().Era())
 	e.o.StoreCache.ObservePeerRevision(now, revision)
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -173,23 +174,25 @@
 	peerRevision := e.peerRevisions[peer]
 	r := &linkpb.BeatRequest{
 		EntryId: e.o.Self.ID, StoreReached: reached, Stopping: e.tracker.Stopping(),
-		DocumentRevision: uint64(revision), Unreachable: e.tracker.Unreachable(now), Scout: relay,
+		Unreachable: e.tracker.Unreachable(now), Scout: relay,
 	}
 	e.mu.Unlock()
 	if relay && peerRevision < revision {
 		b := e.o.StoreCache.ChangesSince(peerRevision)
-		r.Changes, r.Whole, r.DocumentRevision = b.Changes, b.Full, uint64(b.Revision)
+		r.Changes, r.Whole, revision = b.Changes, b.Full, b.Revision
 	}
+	r.DocumentRevision, r.Era = uint64(revision.Number()), revision.Era()
 	return r
 }
 
 // HandleHeartbeat records another entry's heartbeat and returns the answer.
 func (e *Enroller) HandleHeartbeat(r *linkpb.BeatRequest) *linkpb.BeatResponse {
 	now := time.Now()
+	peerRevision := linker.DecodeRevision(r.GetDocumentRevision(), r.GetEra(), e.o.StoreCache.Revision().Era())
 	if r.GetScout() {
-		e.handleRelay(now, r)
+		e.handleRelay(now, r, peerRevision)
 	}
-	e.o.StoreCache.ObservePeerRevision(now, storer.Revision(r.GetDocumentRevision()))
+	e.o.StoreCache.ObservePeerRevision(now, peerRevision)
 	reached := e.ReachesStore()
 	revision := e.o.StoreCache.Revision()
 	e.mu.Lock()
@@ -199,19 +202,19 @@
 		e.tracker.RecordUnreachableReport(now, id)
 	}
 	return &linkpb.BeatResponse{
-		EntryId: e.o.Self.ID, StoreReached: reached, Stopping: e.tracker.Stopping(), DocumentRevision: uint64(revision),
+		EntryId: e.o.Self.ID, StoreReached: reached, Stopping: e.tracker.Stopping(),
+		DocumentRevision: uint64(revision.Number()), Era: revision.Era(),
 	}
 }
 
-// handleRelay applies the changes that a relay forwards. The relay counts as alive
-// only if the store answers it and its copy is not older than this entry's.
-func (e *Enroller) handleRelay(now time.Time, r *linkpb.BeatRequest) {
+// handleRelay applies the changes that a relay forwards, which are complete up to a
+// revision. The relay counts as alive only if the store answers it and its copy is not
+// older than this entry's.
+func (e *Enroller) handleRelay(now time.Time, r *linkpb.BeatRequest, upTo storer.Revision) {
 	if len(r.GetChanges()) > 0 || r.GetWhole() {
-		e.o.StoreCache.ApplyBatch(now, reflector.Batch{
-			Changes: r.GetChanges(), Revision: storer.Revision(r.GetDocumentRevision()), Full: r.GetWhole(),
-		})
+		e.o.StoreCache.ApplyBatch(now, reflector.Batch{Changes: r.GetChanges(), Revision: upTo, Full: r.GetWhole()})
 	}
-	if !r.GetStoreReached() || storer.Revision(r.GetDocumentRevision()) < e.o.StoreCache.Revision() {
+	if !r.GetStoreReached() || upTo < e.o.StoreCache.Revision() {
 		return
 	}
 	e.mu.Lock()
--- a/entry/reflector/reflector.go
+++ b/entry/reflector/reflector.go
@@ -16,6 +16,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"samphiremux/pkg/linker"
 	"samphiremux/pkg/linker/linkpb"
 	"samphiremux/pkg/storer"
 )
@@ -168,7 +169,7 @@
 	for key, e := range r.keys {
 		if (b.Full && !e.deleted) || (!b.Full && e.revision > above) {
 			b.Changes = append(b.Changes, &linkpb.Change{
-				Key: key, Value: e.value, Revision: uint64(e.revision), Deleted: e.deleted,
+				Key: key, Value: e.value, Revision: uint64(e.revision.Number()), Era: e.revision.Era(), Deleted: e.deleted,
 			})
 		}
 	}
@@ -186,7 +187,8 @@
 	changes := make([]Change, 0, len(b.Changes))
 	for _, c := range b.Changes {
 		changes = append(changes, Change{
-			Key: c.GetKey(), Value: c.GetValue(), Revision: storer.Revision(c.GetRevision()), Deleted: c.GetDeleted(),
+			Key: c.GetKey(), Value: c.GetValue(), Deleted: c.GetDeleted(),
+			Revision: linker.DecodeRevision(c.GetRevision(), c.GetEra(), b.Revision.Era()),
 		})
 	}
 	if b.Full {
--- a/steer/commander/link.go
+++ b/steer/commander/link.go
@@ -8,6 +8,7 @@
 
 	"samphiremux/entry/quarantiner"
 	"samphiremux/entry/reflector"
+	"samphiremux/pkg/linker"
 	"samphiremux/pkg/linker/linkpb"
 	"samphiremux/pkg/storer"
 )
@@ -36,12 +37,13 @@
 	err = errors.New("no other entry to fetch changes from")
 	for _, address := range peers {
 		err = e.pool.Call(ctx, address, func(ctx context.Context, c linkpb.DRPCLinkClient) error {
-			resp, err := c.Fetch(ctx, &linkpb.FetchRequest{AboveRevision: uint64(above)})
+			resp, err := c.Fetch(ctx, &linkpb.FetchRequest{AboveRevision: uint64(above.Number()), Era: above.Era()})
 			if err != nil {
 				return err
 			}
 			b = reflector.Batch{
-				Changes: resp.GetChanges(), Revision: storer.Revision(resp.GetRevision()), Full: resp.GetWhole(),
+				Changes: resp.GetChanges(), Full: resp.GetWhole(),
+				Revision: linker.DecodeRevision(resp.GetRevision(), resp.GetEra(), above.Era()),
 			}
 			return nil
 		})
@@ -65,8 +67,11 @@
 
 // Fetch implements linkpb.DRPCLinkServer.
 func (l *link) Fetch(_ context.Context, r *linkpb.FetchRequest) (*linkpb.FetchResponse, error) {
-	b := l.entry.reflector.ChangesSince(storer.Revision(r.GetAboveRevision()))
-	return &linkpb.FetchResponse{Changes: b.Changes, Revision: uint64(b.Revision), Whole: b.Full}, nil
+	above := linker.DecodeRevision(r.GetAboveRevision(), r.GetEra(), l.entry.reflector.Revision().Era())
+	b := l.entry.reflector.ChangesSince(above)
+	return &linkpb.FetchResponse{
+		Changes: b.Changes, Revision: uint64(b.Revision.Number()), Era: b.Revision.Era(), Whole: b.Full,
+	}, nil
 }
 
 // Report implements linkpb.DRPCLinkServer.
