reflector: a configuration is not held back after a restore

The first list of an era held every key of others that differs, so a configuration that the operators write right after the store is back came into force 2 s later on entries that list after it. Its version tells it from an older one, so it needs no wait (TestConfigurationHeldBackAfterRestore failed before).

--- a/entry/roller/roller.go
+++ b/entry/roller/roller.go
@@ -244,9 +244,9 @@
 // again. Started reports whether rec belongs to order o.
 func (r *Roller) advance(ctx context.Context, o describer.MoveOrder, rec snapshotter.MoveRecord, started bool) error {
 	now := time.Now()
-	mayBeLost := now.Before(r.advanceFrom) && (!started || rec.Restored(o))
+	newerMayExist := now.Before(r.advanceFrom) && (!started || rec.Restored(o))
 	if !started {
-		if mayBeLost {
+		if newerMayExist {
 			return nil
 		}
 		rec = snapshotter.MoveRecord{
@@ -265,7 +265,7 @@
 		r.broadcastVerdict(ctx, o.Service, rec)
 		return r.commit(ctx, o, rec)
 	}
-	if now.Sub(r.markLeader(o.Service, now)) < newLeaderDelay || mayBeLost {
+	if now.Sub(r.markLeader(o.Service, now)) < newLeaderDelay || newerMayExist {
 		return nil
 	}
 	p := progress{elapsed: now.Sub(rec.Started), duration: o.Duration}
--- a/pkg/storer/storer.go
+++ b/pkg/storer/storer.go
@@ -21,7 +21,7 @@
 // NewRevision returns the revision with a number in an era.
 func NewRevision(era, number int64) Revision { return Revision(era<<eraShift | number) }
 
-// Era returns how often the store had been restored.
+// Era returns the era of the store in which the revision was given out.
 func (r Revision) Era() int64 { return int64(r >> eraShift) }
 
 // Number returns the number of the revision as the store gave it out.
--- a/steer/commander/apply.go
+++ b/steer/commander/apply.go
@@ -15,9 +15,11 @@
 // holdTime returns how long the removal of a key is held back after the store was
 // unavailable, or any change of it after the store was restored from a copy. Keys of
 // backend servers wait until the servers have had time to register again, and after a
-// restore all keys that others write. The project's own keys do not wait.
+// restore all keys that others write, unless their values have versions. The project's
+// own keys do not wait.
 func (e *entry) holdTime(key string, restored bool) time.Duration {
-	if translator.IsServerKey(key) || (restored && !strings.HasPrefix(key, translator.ProjectKeyPrefix)) {
+	ownOrVersioned := strings.HasPrefix(key, translator.ProjectKeyPrefix) || translator.IsVersionedKey(key)
+	if translator.IsServerKey(key) || (restored && !ownOrVersioned) {
 		return e.settings.Load().Bounds.ReregisterWindow
 	}
 	return 0
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -135,7 +135,7 @@
 	e.metrics.Gauge("store_revision", "Store revision up to which the entry knows the store.", func() float64 {
 		return float64(e.reflector.Revision().Number())
 	})
-	e.metrics.Gauge("store_era", "Times that the store was restored from a copy, as its responses told.", func() float64 {
+	e.metrics.Gauge("store_era", "Era of the store, which rises when it is restored from a copy.", func() float64 {
 		return float64(store.Era())
 	})
 	e.metrics.Gauge("store_reached", "1 if the store answers this entry.", func() float64 {
--- a/steer/commander/entry_test.go
+++ b/steer/commander/entry_test.go
@@ -74,6 +74,30 @@
 	is.Equal(e.retryLimits().Slack, 30.0) // an incomplete file changes nothing
 }
 
+// TestConfigurationHeldBackAfterRestore guards against a configuration that the operators
+// write right after a restore and that comes into force only when others could have written
+// their keys again.
+func TestConfigurationHeldBackAfterRestore(t *testing.T) {
+	e, _ := newTestEntry(t)
+	for _, c := range []struct {
+		key                   string
+		afterOutage, restored time.Duration
+	}{
+		{"op/config", 0, 0},
+		{"servers/i-1", 2 * time.Second, 2 * time.Second},
+		{"op/evacuate/a", 0, 2 * time.Second},
+		{"op/rollout/stock", 0, 2 * time.Second},
+		{"samphiremux/entries/e1", 0, 0},
+		{"samphiremux/moves/stock", 0, 0},
+	} {
+		t.Run(c.key, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(e.holdTime(c.key, false), c.afterOutage)
+			is.Equal(e.holdTime(c.key, true), c.restored)
+		})
+	}
+}
+
 // pipeListener is a net.Listener of in-memory connections.
 type pipeListener struct {
 	conns  chan net.Conn
