--- a/standin/commander/serve.go
+++ b/standin/commander/serve.go
@@ -138,6 +138,8 @@
 	Slots   int           `arg:"--slots" default:"2" help:"number of requests that run at a time"`
 	Queue   int           `arg:"--queue" default:"64" help:"number of queued requests at which it sheds load"`
 	WarmUp  time.Duration `arg:"--warm-up" default:"3s" help:"time that a cold server takes to warm up"`
+	// RateLimit is nil if the server states no rate limit.
+	RateLimit *float64 `arg:"--rate-limit" help:"rate limit that it states, in requests per second from all entries together"`
 }
 
 func (c *backendCommand) run(ctx context.Context, out, errOut io.Writer) int {
@@ -145,6 +147,9 @@
 		Name: c.Name, Slots: c.Slots, QueueLimit: c.Queue, WarmUp: c.WarmUp, Executions: responder.NewExecLog(),
 	})
 	server.TurnCold()
+	if c.RateLimit != nil {
+		server.SetRateLimit(*c.RateLimit)
+	}
 	return serveUntil(ctx, c.Address, server, out, errOut)
 }
 
