--- a/standin/commander/serve.go
+++ b/standin/commander/serve.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -51,8 +52,9 @@
 }
 
 // run serves the store's JSON gateway under /v1/ and the list of VMs at /vms. PUT /vms
-// replaces the list, PUT /faults the injected faults, and GET /calls returns the number
-// of store calls by kind.
+// replaces the list, PUT /faults the injected faults, PUT /copy copies the store, PUT
+// /restore brings it back from the last copy, and GET /calls returns the number of store
+// calls by kind.
 func (c *platformCommand) run(ctx context.Context, out, errOut io.Writer) int {
 	store := platformemulator.NewStore()
 	vms := platformemulator.NewVMList(c.Lag)
@@ -73,6 +75,19 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 		}
 	})
+	var copied atomic.Pointer[platformemulator.Copy]
+	mux.HandleFunc("PUT /copy", func(http.ResponseWriter, *http.Request) {
+		c := store.Copy()
+		copied.Store(&c)
+	})
+	mux.HandleFunc("PUT /restore", func(w http.ResponseWriter, _ *http.Request) {
+		c := copied.Load()
+		if c == nil {
+			http.Error(w, "there is no copy to restore", http.StatusConflict)
+			return
+		}
+		store.Restore(*c)
+	})
 	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(store.Calls())
 	})
