--- a/standin/platformemulator/restore.go
+++ b/standin/platformemulator/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"samphiremux/pkg/storer"
 )
@@ -11,21 +12,28 @@
 	revision storer.Revision
 	data     map[string]storer.KeyValue
 	leaseOf  map[string]storer.LeaseID
+	// ttls holds the leases.
+	ttls map[storer.LeaseID]time.Duration
 }
 
 // Value returns the value of a key in the copy, or nil if it has none.
 func (c Copy) Value(key string) []byte { return c.data[key].Value }
 
-// Copy returns a copy of the keys and of the revision.
+// Copy returns a copy of the keys, the leases and the revision.
 func (s *Store) Copy() Copy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Copy{revision: s.revision, data: maps.Clone(s.data), leaseOf: maps.Clone(s.leaseOf)}
+	ttls := map[storer.LeaseID]time.Duration{}
+	for id, l := range s.leases {
+		ttls[id] = l.ttl
+	}
+	return Copy{revision: s.revision, data: maps.Clone(s.data), leaseOf: maps.Clone(s.leaseOf), ttls: ttls}
 }
 
 // Restore replaces the content by a copy and begins a new era: what was written since the
 // copy is lost, its revisions are given out again, watches end, and no history is left.
-// Leases that were granted since the copy end together with their keys.
+// Leases that were granted since the copy end together with their keys; the others, also
+// those that have ended since, run for their whole time again.
 func (s *Store) Restore(c Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -38,15 +46,12 @@
 	}
 	s.events = nil
 	s.compacted = s.revision
-	held := map[storer.LeaseID]bool{}
-	for _, id := range s.leaseOf {
-		held[id] = true
-	}
 	for id, l := range s.leases {
-		if !held[id] {
-			l.timer.Stop()
-			delete(s.leases, id)
-		}
+		l.timer.Stop()
+		delete(s.leases, id)
+	}
+	for id, ttl := range c.ttls {
+		s.startLease(id, ttl)
 	}
 	s.breakWatches()
 	s.notifyWatches()
--- a/standin/platformemulator/restore_test.go
+++ b/standin/platformemulator/restore_test.go
@@ -201,4 +201,9 @@
 	is.NoErr(client.Renew(ctx, kept))
 	var expired storer.ErrLeaseExpired
 	is.True(errors.As(client.Renew(ctx, lost), &expired))
+	is.NoErr(client.Revoke(ctx, kept))
+	store.Restore(old)
+	_, err = client.Get(ctx, "kept") // its lease had ended and runs again
+	is.NoErr(err)
+	is.NoErr(client.Renew(ctx, kept))
 }
--- a/standin/platformemulator/store.go
+++ b/standin/platformemulator/store.go
@@ -286,11 +286,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nextLease++
-	id := s.nextLease
+	s.startLease(s.nextLease, ttl)
+	return s.nextLease, nil
+}
+
+// startLease begins a lease. The caller holds the lock.
+func (s *Store) startLease(id storer.LeaseID, ttl time.Duration) {
 	l := &lease{ttl: ttl, expires: time.Now().Add(ttl)}
 	l.timer = time.AfterFunc(ttl, func() { s.expire(id) })
 	s.leases[id] = l
-	return id, nil
 }
 
 // expire ends a lease that has not been renewed within its TTL. While the store is
