enroller, balancer: what tells relays with a full link from entries that are slow

Metrics of relays, of the bytes of changes that they send and of heartbeats without an answer; a refusal for want of a route names the host and the configuration in force.

--- a/entry/balancer/response.go
+++ b/entry/balancer/response.go
@@ -43,7 +43,11 @@
 	w.Header().Set(b.opts.Headers.RequestID, r.Header.Get(b.opts.Headers.RequestID))
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
-	t.add(Refused, "kind", string(refusal.Kind), "reason", string(refusal.Reason), "status", status)
+	inputs := []any{"kind", string(refusal.Kind), "reason", string(refusal.Reason), "status", status}
+	if table := b.opts.Snapshot().Table; refusal.Reason == refuser.NoSuchRoute && table != nil {
+		inputs = append(inputs, "host", r.Host, "configuration", table.Version)
+	}
+	t.add(Refused, inputs...)
 	b.flush(r.Header.Get(b.opts.Headers.RequestID), t, refusal.Reason == refuser.NoSuchRoute)
 }
 
--- a/entry/enroller/enroller.go
+++ b/entry/enroller/enroller.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -83,6 +84,11 @@
 	// storeFailed reports that the store refused or did not answer this entry's last
 	// call.
 	storeFailed bool
+
+	// forwardedBytes counts the bytes of changes sent with heartbeats, and
+	// failedHeartbeats the heartbeats without an answer.
+	forwardedBytes   atomic.Int64
+	failedHeartbeats atomic.Int64
 }
 
 // New returns an enroller that knows no entry but its own.
@@ -95,6 +101,13 @@
 	return e
 }
 
+// ForwardedBytes returns the number of bytes of changes that this entry has sent with its
+// heartbeats, those that failed included.
+func (e *Enroller) ForwardedBytes() int64 { return e.forwardedBytes.Load() }
+
+// FailedHeartbeats returns the number of heartbeats of this entry that were not answered.
+func (e *Enroller) FailedHeartbeats() int64 { return e.failedHeartbeats.Load() }
+
 func (e *Enroller) key() string { return e.o.Prefix + e.o.Self.ID }
 
 // ApplyChange applies a change of an entry's registration. It reports false for keys
--- a/entry/enroller/heartbeat.go
+++ b/entry/enroller/heartbeat.go
@@ -145,6 +145,7 @@
 		return nil
 	})
 	if err != nil {
+		e.failedHeartbeats.Add(1)
 		e.o.Log.Debug("Peer did not answer the heartbeat.", "entry", m.ID, "error", err)
 	}
 }
@@ -180,6 +181,9 @@
 	if relay && peerRevision < revision {
 		b := e.o.StoreCache.ChangesSince(peerRevision)
 		r.Changes, r.Whole, revision = b.Changes, b.Full, b.Revision
+		for _, c := range b.Changes {
+			e.forwardedBytes.Add(int64(len(c.GetKey()) + len(c.GetValue())))
+		}
 	}
 	r.DocumentRevision, r.Era = uint64(revision.Number()), revision.Era()
 	return r
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -144,6 +144,18 @@
 		}
 		return 0
 	})
+	e.metrics.Gauge("relay", "1 if the entry watches the store for its failure domain.", func() float64 {
+		if e.enroller.IsRelay() {
+			return 1
+		}
+		return 0
+	})
+	e.metrics.Gauge("forwarded_bytes_total", "Bytes of changes of the store sent with heartbeats.", func() float64 {
+		return float64(e.enroller.ForwardedBytes())
+	})
+	e.metrics.Gauge("failed_heartbeats_total", "Heartbeats that were not answered.", func() float64 {
+		return float64(e.enroller.FailedHeartbeats())
+	})
 	e.metrics.Gauge("entries", "Entries that this entry knows of.", func() float64 { return float64(e.enroller.MemberCount()) })
 	e.metrics.Gauge("configuration_version", "Version of the configuration in force, 0 if none.", func() float64 {
 		if t := e.snapshots.Snapshot().Table; t != nil {
