measurer: a relay fills its link with copies of a large configuration (known red)

The emulated network learns the bandwidth of a host. With 22 entries on links of 10 Mbit/s and a configuration of 245 KB, the relay of the failure domain sends 175 MB of changes, and 1 KB of its own takes up to 541 ms (bound: the 200 ms in which callers want an answer).

--- a/standin/netemulator/conn.go
+++ b/standin/netemulator/conn.go
@@ -1,6 +1,7 @@
 package netemulator
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -27,7 +28,8 @@
 	return n, err
 }
 
-// Write implements net.Conn. It blocks only while its host is paused.
+// Write implements net.Conn. It blocks while its host is paused or the link of the host
+// is busy.
 func (c *Conn) Write(b []byte) (int, error) {
 	_ = c.network.awaitResume(context.Background(), c.local.Addr())
 	return c.out.write(b)
@@ -77,6 +79,8 @@
 // pipe is one direction of a connection.
 type pipe struct {
 	delay time.Duration
+	// link is the link of the sender, or nil if its bandwidth is not bounded.
+	link *link
 
 	mu       sync.Mutex
 	chunks   []chunk
@@ -87,8 +91,8 @@
 	changed  chan struct{} // closed and replaced by each update
 }
 
-func newPipe(delay time.Duration) *pipe {
-	return &pipe{delay: delay, changed: make(chan struct{})}
+func newPipe(delay time.Duration, l *link) *pipe {
+	return &pipe{delay: delay, link: l, changed: make(chan struct{})}
 }
 
 // update runs f under the lock and wakes readers.
@@ -100,7 +104,43 @@
 	p.changed = make(chan struct{})
 }
 
+// write sends data in segments, each once the link of the sender has carried it.
 func (p *pipe) write(b []byte) (n int, err error) {
+	if p.link == nil {
+		return p.send(b)
+	}
+	for n < len(b) {
+		segment := b[n:min(len(b), n+segmentSize)]
+		if err := p.awaitSent(p.link.reserve(time.Now(), len(segment))); err != nil {
+			return n, err
+		}
+		sent, err := p.send(segment)
+		n += sent
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+// awaitSent waits until a time. It fails at once if the connection does.
+func (p *pipe) awaitSent(at time.Time) error {
+	for {
+		p.mu.Lock()
+		failed, changed := cmp.Or(p.failed, p.ended), p.changed
+		p.mu.Unlock()
+		switch {
+		case failed != nil:
+			return net.ErrClosed
+		case !time.Now().Before(at):
+			return nil
+		}
+		await(at, changed)
+	}
+}
+
+// send puts data in flight.
+func (p *pipe) send(b []byte) (n int, err error) {
 	p.update(func() {
 		switch {
 		case p.failed != nil:
--- a/standin/netemulator/netemulator.go
+++ b/standin/netemulator/netemulator.go
@@ -27,6 +27,7 @@
 	conns       map[*Conn]struct{}
 	partitioned map[[2]netip.Addr]bool
 	paused      map[netip.Addr]chan struct{}
+	links       map[netip.Addr]*link
 	ports       uint16
 }
 
@@ -39,6 +40,7 @@
 		conns:       map[*Conn]struct{}{},
 		partitioned: map[[2]netip.Addr]bool{},
 		paused:      map[netip.Addr]chan struct{}{},
+		links:       map[netip.Addr]*link{},
 	}
 }
 
@@ -49,6 +51,14 @@
 	n.locations[host] = location
 }
 
+// SetBandwidth bounds what a host sends over all its connections, in bytes per second. It
+// applies to connections that are opened later.
+func (n *Network) SetBandwidth(host netip.Addr, bytesPerSecond float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[host] = &link{bytesPerSecond: bytesPerSecond}
+}
+
 // Listen opens a listener at an address. It fails with syscall.EADDRINUSE if there is
 // one already.
 func (n *Network) Listen(addr netip.AddrPort) (net.Listener, error) {
@@ -116,7 +126,7 @@
 	defer n.mu.Unlock()
 	n.ports++
 	source := netip.AddrPortFrom(from, n.ports)
-	toServer, toClient := newPipe(delay), newPipe(delay)
+	toServer, toClient := newPipe(delay, n.links[from]), newPipe(delay, n.links[to.Addr()])
 	client = &Conn{network: n, local: source, remote: to, in: toClient, out: toServer}
 	server = &Conn{network: n, local: to, remote: source, in: toServer, out: toClient}
 	n.conns[client] = struct{}{}
