reflector: changes that a relay sent to an earlier incarnation are not taken for all

An entry that restarts while the store turns it away takes its state from another entry, which may be behind. The relay remembers the revision that the entry reported in its earlier life and sends what came after; the entry then counted as complete up to the relay's revision and never asked for what lay between: servers that leave, or a configuration, so that proper requests get 404.

The heartbeat now tells the revision from which its changes are complete, and the entry advances only if it knows the store up to there. It applies the changes at once, and asks others for the rest. TestChangesBetweenBatchesMissed failed before:

batch_test.go:100: 16 != 10 // 11 to 14 are not known

--- a/entry/enroller/heartbeat.go
+++ b/entry/enroller/heartbeat.go
@@ -185,7 +185,7 @@
 	complete := revision
 	if relay && peerRevision < revision {
 		if b := e.o.StoreCache.ChangesSince(peerRevision, maxChangeBytes); b.Revision != 0 {
-			r.Changes, r.Omitted, r.Whole = b.Changes, b.Omitted, b.Full
+			r.Changes, r.Omitted, r.Whole, r.AboveRevision = b.Changes, b.Omitted, b.Full, uint64(peerRevision)
 			revision, complete = b.Revision, b.CompleteRevision()
 			e.forwardedBytes.Add(int64(b.Size()))
 		}
@@ -233,7 +233,7 @@
 func (e *Enroller) handleRelay(now time.Time, r *linkpb.BeatRequest, upTo storer.Revision) {
 	if len(r.GetChanges()) > 0 || len(r.GetOmitted()) > 0 || r.GetWhole() {
 		e.o.StoreCache.ApplyBatch(now, reflector.Batch{
-			Changes: r.GetChanges(), Omitted: r.GetOmitted(), Revision: upTo, Full: r.GetWhole(),
+			Changes: r.GetChanges(), Omitted: r.GetOmitted(), Above: storer.Revision(r.GetAboveRevision()), Revision: upTo, Full: r.GetWhole(),
 		})
 	}
 	if !r.GetStoreReached() || upTo < e.o.StoreCache.Revision() {
--- a/entry/reflector/batch_test.go
+++ b/entry/reflector/batch_test.go
@@ -87,3 +87,18 @@
 		is.Equal(len(fx.reflector.ChangesSince(10, 0).Changes), 4)
 	})
 }
+
+// TestChangesBetweenBatchesMissed guards against an entry that has restarted with the state
+// of an entry behind, and takes the changes that a relay sends to its earlier incarnation
+// for all that it lacks.
+func TestChangesBetweenBatchesMissed(t *testing.T) {
+	runWithFixture(t, func(is *is.I, fx *fixture) {
+		fx.reflector.ApplyBatch(time.Now(), reflector.Batch{
+			Above: 14, Revision: 16, Changes: []*linkpb.Change{{Key: "servers/b", Value: []byte("1"), Revision: 16}},
+		})
+		is.Equal(fx.value("servers/b"), "1")
+		is.Equal(fx.reflector.Revision(), storer.Revision(10)) // 11 to 14 are not known
+		fx.reflector.ApplyBatch(time.Now(), reflector.Batch{Above: 10, Revision: 16})
+		is.Equal(fx.reflector.Revision(), storer.Revision(16))
+	})
+}
--- a/entry/reflector/reflector.go
+++ b/entry/reflector/reflector.go
@@ -43,6 +43,9 @@
 	Changes []*linkpb.Change
 	// Omitted holds the changes without their values that are too large for the batch.
 	Omitted []*linkpb.Change
+	// Above is the store revision from which the batch has all changes, zero if it is
+	// not known.
+	Above storer.Revision
 	// Revision is the store revision up to which the batch is complete, apart from what
 	// is omitted.
 	Revision storer.Revision
@@ -215,6 +218,10 @@
 		r.compacted = b.Revision
 		r.o.Log.Info("State taken from another entry.", "revision", b.Revision.Number())
 	}
+	if !b.Full && b.Above > r.revision {
+		// The changes between the two revisions are missing.
+		b.Revision = r.revision
+	}
 	r.recordOmitted(b)
 	r.advance(min(b.Revision, r.beforeOmitted()))
 }
