expirer: a connection on which a request has arrived is not idle

A request that reaches an entry while its process does not run waits in the socket. When the process ran again, the check for idle connections could come before the read, and closed the connection without an answer.

The connection is now looked at before it is closed; bytes that the server has not read keep it. The look at idle connections to servers is the same code.

TestArrivedRequestCutAsIdle failed before: {0 1} != {0 0}.

--- a/entry/expirer/expirer.go
+++ b/entry/expirer/expirer.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"samphiremux/entry/peeker"
 )
 
 // Timeouts bounds the time that a connection may spend without a request in
@@ -71,7 +73,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for c := range e.conns {
-		switch c.expiry(now, limits) {
+		expired := c.expiry(now, limits)
+		if expired != notExpired && peeker.Peek(c.Conn) == peeker.Unread {
+			// Bytes came in time that the server has not read yet.
+			continue
+		}
+		switch expired {
 		case headerExpired:
 			closed.Header++
 		case idleExpired:
--- a/entry/expirer/expirer_test.go
+++ b/entry/expirer/expirer_test.go
@@ -111,3 +111,32 @@
 		get(t, c, "/long")
 	})
 }
+
+// TestArrivedRequestCutAsIdle guards against an idle connection that is closed although a
+// request has arrived on it while the process did not run.
+func TestArrivedRequestCutAsIdle(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	now := time.Unix(1000, 0)
+	e := expirer.New(func() time.Time { return now })
+	caller, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer caller.Close()
+	c, err := e.WrapListener(l).Accept()
+	is.NoErr(err)
+	e.ConnState(c, http.StateNew)
+	_, err = caller.Write([]byte("GET / HTTP/1.1\r\n"))
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	now = now.Add(limits.Idle + time.Second)
+	is.Equal(e.CloseExpired(limits), expirer.Closed{})
+	b := make([]byte, 100)
+	n, err := c.Read(b)
+	is.NoErr(err)
+	is.Equal(n, 16)
+	is.Equal(e.CloseExpired(limits), expirer.Closed{}) // the time for the headers has just begun
+	now = now.Add(limits.Header + time.Second)
+	is.Equal(e.CloseExpired(limits), expirer.Closed{Header: 1})
+}
--- a/entry/roundtripper/conn.go
+++ b/entry/roundtripper/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +11,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"samphiremux/entry/peeker"
 )
 
 const (
@@ -81,22 +82,15 @@
 // clean reports whether an idle connection is open and has no unread bytes. Bytes
 // that arrive before the next request is sent cannot be its response.
 func (c *Conn) clean() bool {
-	sc, ok := c.net.(syscall.Conn)
-	if !ok {
+	switch peeker.Peek(c.net) {
+	case peeker.Empty:
 		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
+	case peeker.Unknown:
+		_, hasSocket := c.net.(syscall.Conn)
+		return !hasSocket
+	default:
 		return false
 	}
-	var b [1]byte
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, peekErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(peekErr, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && open
 }
 
 // write sends the whole request, or returns an error.
