--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -76,12 +76,14 @@
 // movePrefix is the key prefix of move records.
 const movePrefix = translator.ProjectKeyPrefix + "moves/"
 
-func newEntry(s translator.Settings, policy chooser.Policy, log hclog.Logger) *entry {
-	d := dialer()
+// dialFunc opens a connection to an address.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func newEntry(s translator.Settings, policy chooser.Policy, dial dialFunc, log hclog.Logger) *entry {
 	e := &entry{
 		id: s.ID, log: log, metrics: meter.New(), expirer: expirer.New(time.Now), stopping: make(chan struct{}),
 		pool: linker.NewPool(func(ctx context.Context, address string) (net.Conn, error) {
-			return d.DialContext(ctx, "tcp", address)
+			return dial(ctx, "tcp", address)
 		}),
 	}
 	e.settings.Store(&s)
@@ -92,10 +94,10 @@
 	e.snapshots = snapshotter.New(func(server describer.Server) *snapshotter.ServerState {
 		address := server.Address.String()
 		return snapshotter.NewServerState(roundtripper.New(server.ID, address, func(ctx context.Context) (net.Conn, error) {
-			return d.DialContext(ctx, "tcp", address)
+			return dial(ctx, "tcp", address)
 		}, headers))
 	})
-	store := storeadapter.New(d.DialContext, "http://"+s.StoreAddress)
+	store := storeadapter.New(storeadapter.Dialer(dial), "http://"+s.StoreAddress)
 	e.reflector = reflector.New(reflector.Options{
 		Store: store, FetchFromPeers: e.fetchFromPeers, HoldTime: e.holdTime, Sink: e.applyChange, Log: log.Named("feeder"),
 		IsRelay:  func() bool { return e.enroller.IsRelay() },
--- a/steer/commander/entry_test.go
+++ b/steer/commander/entry_test.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return newEntry(s, chooser.ExpectedCompletion{}, hclog.NewNullLogger()), file
+	return newEntry(s, chooser.ExpectedCompletion{}, dialer().DialContext, hclog.NewNullLogger()), file
 }
 
 // TestReload checks that a changed settings file takes effect in a running entry, and
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -19,8 +19,8 @@
 // serve runs an entry until ctx ends, and then until its last requests are answered or
 // the grace period is over.
 func serve(ctx context.Context, file string, s translator.Settings, policy chooser.Policy, log hclog.Logger) error {
-	e := newEntry(s, policy, log)
-	listeners, err := listen(s.CallerAddress, s.ReadyAddress, s.LocateAddress, s.LinkAddress)
+	e := newEntry(s, policy, dialer().DialContext, log)
+	l, err := listen(s)
 	if err != nil {
 		return err
 	}
@@ -33,21 +33,28 @@
 	go e.closeUnused(work)
 	go e.roller.Run(work)
 	go e.watchSettings(work, file)
-	go func() { _ = linker.Serve(work, listeners[3], &link{entry: e}) }()
-	callers := e.server(e.balancer)
-	// The configuration sets the timeouts of callers' connections and may change, so
-	// the expirer enforces them.
-	callers.ReadHeaderTimeout, callers.IdleTimeout = 0, 0
-	callers.ConnState = e.expirer.ConnState
-	go func() { _ = callers.Serve(e.expirer.WrapListener(listeners[0])) }()
-	go func() { _ = e.server(http.HandlerFunc(e.serveReady)).Serve(listeners[1]) }()
-	go func() { _ = e.server(http.HandlerFunc(e.serveLocate)).Serve(listeners[2]) }()
+	callers := e.startServers(work, l)
 	e.serveMetrics(s.CallerAddress)
 	log.Info("Entry runs.", "id", s.ID, "domain", s.Domain, "policy", policy.String())
 	<-ctx.Done()
 	return e.stop(callers)
 }
 
+// startServers serves callers, the platform and other entries. It returns the server of
+// callers' requests.
+func (e *entry) startServers(ctx context.Context, l listeners) (callers *http.Server) {
+	go func() { _ = linker.Serve(ctx, l.link, &link{entry: e}) }()
+	callers = e.server(e.balancer)
+	// The configuration sets the timeouts of callers' connections and may change, so
+	// the expirer enforces them.
+	callers.ReadHeaderTimeout, callers.IdleTimeout = 0, 0
+	callers.ConnState = e.expirer.ConnState
+	go func() { _ = callers.Serve(e.expirer.WrapListener(l.callers)) }()
+	go func() { _ = e.server(http.HandlerFunc(e.serveReady)).Serve(l.ready) }()
+	go func() { _ = e.server(http.HandlerFunc(e.serveLocate)).Serve(l.locate) }()
+	return callers
+}
+
 // metricsPort is the port of the metrics endpoint, on the address that serves callers.
 // The deployment file names it too.
 const metricsPort = 9400
@@ -64,15 +71,20 @@
 	go func() { _ = e.server(e.metrics).Serve(l) }()
 }
 
-func listen(addresses ...string) (listeners []net.Listener, err error) {
-	for _, address := range addresses {
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			return nil, err
+// listeners are the listeners of an entry, one for each address of its settings.
+type listeners struct{ callers, ready, locate, link net.Listener }
+
+// listen opens the listeners of an entry.
+func listen(s translator.Settings) (l listeners, err error) {
+	for _, open := range []struct {
+		listener *net.Listener
+		address  string
+	}{{&l.callers, s.CallerAddress}, {&l.ready, s.ReadyAddress}, {&l.locate, s.LocateAddress}, {&l.link, s.LinkAddress}} {
+		if *open.listener, err = net.Listen("tcp", open.address); err != nil {
+			return listeners{}, err
 		}
-		listeners = append(listeners, l)
 	}
-	return listeners, nil
+	return l, nil
 }
 
 func (e *entry) server(h http.Handler) *http.Server {
