commander: callers of entries without links to backend servers fail (known red)

While an entry is partitioned from all backend servers, but not from callers and other entries, it fails every caller. Whole lean entries on a network in memory, in virtual time; connections to servers hang, are reset, or stay open while new ones are refused:

--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -73,8 +73,20 @@
 	stopping          chan struct{}
 }
 
-// movePrefix is the key prefix of move records.
-const movePrefix = translator.ProjectKeyPrefix + "moves/"
+const (
+	// movePrefix is the key prefix of move records.
+	movePrefix = translator.ProjectKeyPrefix + "moves/"
+	// entryPrefix is the key prefix of the entries' registrations.
+	entryPrefix = translator.ProjectKeyPrefix + "entries/"
+)
+
+// registration returns the registration of an entry that starts with the settings.
+func registration(s translator.Settings) tracker.Member {
+	return tracker.Member{
+		ID: s.ID, Domain: s.Domain, Address: s.CallerAddress, LinkAddress: s.LinkAddress,
+		Incarnation: strconv.FormatUint(rand.Uint64(), 36),
+	}
+}
 
 // dialFunc opens a connection to an address.
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -105,11 +117,8 @@
 		OnChange: func() { e.enroller.HeartbeatNow() },
 	})
 	e.enroller = enroller.New(time.Now(), enroller.Options{
-		Self: tracker.Member{
-			ID: s.ID, Domain: s.Domain, Address: s.CallerAddress, LinkAddress: s.LinkAddress,
-			Incarnation: strconv.FormatUint(rand.Uint64(), 36),
-		},
-		Store: store, Prefix: translator.ProjectKeyPrefix + "entries/", Pool: e.pool, Seeds: func() []string { return e.settings.Load().Peers }, Log: log.Named("enroller"),
+		Self:  registration(s),
+		Store: store, Prefix: entryPrefix, Pool: e.pool, Seeds: func() []string { return e.settings.Load().Peers }, Log: log.Named("enroller"),
 		StoreCache: e.reflector,
 	})
 	e.roller = roller.New(roller.Options{
--- /dev/null
+++ b/steer/commander/memory_network_test.go
@@ -0,0 +1,160 @@
+package commander
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+)
+
+// cutKind is what connections from an entry to the backend servers do while the entry is
+// partitioned from them.
+type cutKind string
+
+const (
+	// notCut connects as usual.
+	notCut cutKind = ""
+	// hanging connections carry nothing, and new ones are not established.
+	hanging cutKind = "hanging"
+	// resetting connections are reset, and new ones are refused.
+	resetting cutKind = "resetting"
+	// refusing keeps open connections, and refuses new ones.
+	refusing cutKind = "refusing"
+)
+
+// memoryNetwork connects entries and backend servers in memory.
+type memoryNetwork struct {
+	mu        sync.Mutex
+	listeners map[string]*pipeListener
+	servers   map[string]bool
+	cuts      map[string]cutKind
+	conns     []*memoryConn
+}
+
+func newMemoryNetwork() *memoryNetwork {
+	return &memoryNetwork{listeners: map[string]*pipeListener{}, servers: map[string]bool{}, cuts: map[string]cutKind{}}
+}
+
+func (n *memoryNetwork) listen(address string) *pipeListener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := newPipeListener()
+	n.listeners[address] = l
+	return l
+}
+
+// listenServer opens the listener of a backend server.
+func (n *memoryNetwork) listenServer(address string) *pipeListener {
+	n.mu.Lock()
+	n.servers[address] = true
+	n.mu.Unlock()
+	return n.listen(address)
+}
+
+// setCut partitions an entry from the backend servers, or heals the partition.
+func (n *memoryNetwork) setCut(entry string, kind cutKind) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[entry] = kind
+	for _, c := range n.conns {
+		if c.entry != entry {
+			continue
+		}
+		switch kind {
+		case hanging:
+			c.hang()
+		case resetting:
+			_ = c.Close()
+		}
+	}
+}
+
+// dialer returns the function with which an entry opens connections.
+func (n *memoryNetwork) dialer(entry string) dialFunc {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		n.mu.Lock()
+		l, ok := n.listeners[address]
+		toServer := n.servers[address]
+		cut := n.cuts[entry]
+		n.mu.Unlock()
+		switch {
+		case toServer && cut == hanging:
+			<-ctx.Done()
+			return nil, ctx.Err()
+		case !ok || (toServer && cut != notCut):
+			return nil, syscall.ECONNREFUSED
+		}
+		client, server := net.Pipe()
+		select {
+		case l.conns <- server:
+		case <-l.closed:
+			return nil, syscall.ECONNREFUSED
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		if !toServer {
+			return client, nil
+		}
+		c := &memoryConn{Conn: client, entry: entry, hung: make(chan struct{}), closed: make(chan struct{})}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.conns = append(n.conns, c)
+		return c, nil
+	}
+}
+
+// close closes the connections to backend servers and the listeners.
+func (n *memoryNetwork) close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.listeners {
+		_ = l.Close()
+	}
+	for _, c := range n.conns {
+		_ = c.Close()
+	}
+}
+
+// memoryConn is a connection from an entry to a backend server.
+type memoryConn struct {
+	net.Conn
+	entry string
+
+	hangOnce, closeOnce sync.Once
+	hung, closed        chan struct{}
+}
+
+func (c *memoryConn) hang() { c.hangOnce.Do(func() { close(c.hung) }) }
+
+func (c *memoryConn) isHung() bool {
+	select {
+	case <-c.hung:
+		return true
+	default:
+		return false
+	}
+}
+
+// Read implements net.Conn. On a hung connection it blocks until the connection is closed.
+func (c *memoryConn) Read(p []byte) (n int, err error) {
+	n, err = c.Conn.Read(p)
+	if !c.isHung() {
+		return n, err
+	}
+	<-c.closed
+	return 0, net.ErrClosed
+}
+
+// Write implements net.Conn. On a hung connection the bytes are lost.
+func (c *memoryConn) Write(p []byte) (n int, err error) {
+	if c.isHung() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *memoryConn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
