delegator, monitor, balancer: entries without links to servers pass requests on

Cause: an entry had one way to serve a request, over its own links to the servers, and could not tell servers that are down from its own links. Class: a single path where the fleet has others.

An entry for which five servers in a row fail a probe, without a response of any server in between, now passes requests on to another entry, which it probes over the connection that the request takes. It does so for a single request too whose probes all failed, as open connections may live on while new ones are refused. The other entry serves the request as one of its own; it is passed on once at most, and what the other entry says of it stands. Isolated entries check three servers at random every 200 ms; the first response ends all ejections. With nobody to pass it on to, a request is refused at once.

Weighed: not being ready or named (callers keep answers for seconds), closing the listener (each refused connection is a failed try), passing bytes on (limits and budgets of the other entry would not see the requests), calls of the link (one at a time for a connection).

--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -28,6 +28,11 @@
 	return errors.As(err, &wrong)
 }
 
+func isUnhealthy(err error) bool {
+	var unhealthy roundtripper.ErrUnhealthy
+	return errors.As(err, &unhealthy)
+}
+
 // attemptResult is the result of one attempt. The response is nil unless the
 // outcome is retrier.Answered or retrier.Shed.
 type attemptResult struct {
@@ -135,6 +140,7 @@
 		p.State.ObserveLoad(now, resp.Load)
 	}
 	if resp != nil {
+		b.observeReached()
 		b.observeRateLimit(now, p.Backend, resp.RateLimit)
 	}
 	failed := false
@@ -157,6 +163,7 @@
 		failed = true
 	case retrier.NotSent:
 		p.State.Eject(now)
+		b.observeUnreached(p.ID)
 		return
 	default:
 		failed = true
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -13,8 +13,10 @@
 	"github.com/hashicorp/go-hclog"
 
 	"samphiremux/entry/chooser"
+	"samphiremux/entry/delegator"
 	"samphiremux/entry/estimator"
 	"samphiremux/entry/meter"
+	"samphiremux/entry/monitor"
 	"samphiremux/entry/quarantiner"
 	"samphiremux/entry/snapshotter"
 	"samphiremux/entry/throttler"
@@ -41,6 +43,8 @@
 
 // Options configures a Balancer.
 type Options struct {
+	// Self is the id of this entry.
+	Self    string
 	Domain  string
 	Policy  chooser.Policy
 	Headers Headers
@@ -62,6 +66,9 @@
 	// it ran a request, and how many crashes this entry has seen for it. It may be
 	// nil.
 	NotifySuspect func(service string, fingerprint quarantiner.Fingerprint, crashes int)
+	// Delegator passes requests on to other entries while this one reaches no backend
+	// server. It may be nil.
+	Delegator *delegator.Delegator
 	// Metrics registers the metrics of the request path. It may be nil.
 	Metrics *meter.Registry
 	Log     hclog.Logger
@@ -84,6 +91,7 @@
 type Balancer struct {
 	opts    Options
 	metrics metrics
+	monitor monitor.Monitor
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -98,6 +106,9 @@
 	// suspects has no element for a service until one of its servers crashes
 	// under a request.
 	suspects map[string]*quarantiner.Suspects
+	// unreachableUntil is the time until which requests of a service are not passed on to
+	// other entries, since one of them did not reach its servers either.
+	unreachableUntil map[string]time.Time
 }
 
 // routeStats holds the running means of a route's responses.
@@ -124,6 +135,7 @@
 		opts: opts, metrics: newMetrics(opts.Metrics), rng: rng, chooser: chooser.New(opts.Policy, rng),
 		badLines: lineBucket{perSecond: badLinesPerSecond}, goodLines: lineBucket{perSecond: goodLinesPerSecond},
 		budgets: map[string]*throttler.RetryBudget{}, routes: map[string]*routeStats{}, draws: map[string]float64{}, suspects: map[string]*quarantiner.Suspects{},
+		unreachableUntil: map[string]time.Time{},
 	}
 }
 
@@ -132,10 +144,13 @@
 const deadlineSlack = 20 * time.Millisecond
 
 // ServeHTTP implements http.Handler.
-func (b *Balancer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c, refusal := b.receive(w, r)
+func (b *Balancer) ServeHTTP(w http.ResponseWriter, r *http.Request) { b.serve(w, r, nil) }
+
+// serve serves a request of a caller, or one that another entry passes on.
+func (b *Balancer) serve(w http.ResponseWriter, r *http.Request, h *hop) {
+	c, refusal := b.receive(w, r, h)
 	if refusal != nil {
-		b.refuse(w, r, *refusal, &trace{})
+		b.refuse(w, r, h, *refusal, &trace{})
 		return
 	}
 	c.traceReceived()
@@ -143,11 +158,16 @@
 	defer cancel()
 	resp, refusal := b.run(ctx, c)
 	if refusal != nil {
-		b.refuse(w, r, *refusal, &c.trace)
+		b.refuse(w, r, h, *refusal, &c.trace)
 		return
 	}
 	c.trace.add(Answered, "status", resp.Status, "took-ms", time.Since(c.arrived).Milliseconds())
-	b.countAnswered(c, resp.Status)
+	if c.delegated == "" {
+		b.countAnswered(c, resp.Status)
+	}
 	b.flush(c.id, &c.trace, c.metObjective(resp.Status))
+	if h != nil {
+		resp.Header.Set(delegator.OutcomeHeader, delegator.Passed)
+	}
 	b.writeResponse(w, resp)
 }
--- /dev/null
+++ b/entry/balancer/delegate.go
@@ -0,0 +1,210 @@
+package balancer
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"samphiremux/entry/delegator"
+	"samphiremux/entry/refuser"
+	"samphiremux/entry/roundtripper"
+)
+
+// Values of the label "result" of requests that are passed on to other entries.
+const (
+	delegatedResponded = "responded"
+	delegatedRefused   = "refused"
+	delegatedLost      = "lost"
+	delegatedUnreached = "unreached"
+)
+
+// unreachableTime is the time for which requests of a service are not passed on after
+// another entry did not reach its servers either.
+const unreachableTime = 300 * time.Millisecond
+
+// hop is what another entry tells of a request that it passes on.
+type hop struct {
+	// from is the id of that entry.
+	from string
+	// attempts is the number of attempts that have reached backend servers.
+	attempts int
+	// configuration is the version of the configuration by which it accepted the
+	// request.
+	configuration int64
+}
+
+// readHop takes the headers of a hop off a request.
+func readHop(h http.Header) *hop {
+	from := h.Get(delegator.HopHeader)
+	attempts, _ := strconv.Atoi(h.Get(delegator.AttemptsHeader))
+	configuration, _ := strconv.ParseInt(h.Get(delegator.ConfigurationHeader), 10, 64)
+	for _, name := range []string{delegator.HopHeader, delegator.AttemptsHeader, delegator.ConfigurationHeader} {
+		h.Del(name)
+	}
+	return &hop{from: from, attempts: max(0, attempts), configuration: configuration}
+}
+
+// ServeDelegated serves the requests and probes of other entries. A request is passed on
+// once at most.
+func (b *Balancer) ServeDelegated(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == delegator.HealthPath {
+		b.serveHealth(w)
+		return
+	}
+	h := readHop(r.Header)
+	b.metrics.taken.With(strconv.FormatBool(!b.monitor.Isolated())).Inc()
+	b.serve(w, r, h)
+}
+
+// serveHealth answers the probe of another entry: 200 if this one takes requests.
+func (b *Balancer) serveHealth(w http.ResponseWriter) {
+	w.Header().Set(delegator.EntryHeader, b.opts.Self)
+	w.Header().Set("Content-Length", "0")
+	if b.monitor.Isolated() || b.opts.Snapshot().Table == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// mayDelegate reports whether a request for which no server was picked may be passed on
+// to another entry.
+func (b *Balancer) mayDelegate(c *call, reason refuser.Reason) bool {
+	if c.hop != nil || b.opts.Delegator == nil {
+		return false
+	}
+	switch reason {
+	case refuser.UnreachableServers:
+		return true
+	case refuser.BackendUnreachable:
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return !time.Now().Before(b.unreachableUntil[c.service])
+	default:
+		return false
+	}
+}
+
+// delegate passes a request on to another entry, after a reason not to send it to a server
+// from here. It reports whether the request may be tried again.
+func (b *Balancer) delegate(ctx context.Context, c *call, state *attempts, reason refuser.Reason) (resp *roundtripper.Response, refusal *refuser.Refusal, retry bool) {
+	header := c.header.Clone()
+	b.opts.Headers.SetDeadline(header, time.Until(c.deadline))
+	result := b.opts.Delegator.Send(ctx, delegator.Request{
+		Request:  roundtripper.Request{Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id},
+		Attempts: state.sent, Configuration: c.view.Table.Version,
+	})
+	switch result := result.(type) {
+	case delegator.Responded:
+		c.traceDelegated(result.Entry, delegatedResponded)
+		b.metrics.delegated.With(delegatedResponded).Inc()
+		c.delegated = result.Entry
+		return result.Response, nil, false
+	case delegator.Refused:
+		c.traceDelegated(result.Entry, result.Refusal.Header())
+		b.metrics.delegated.With(delegatedRefused).Inc()
+		if result.Refusal.Kind == refuser.OutcomeUnknown {
+			return nil, &result.Refusal, false
+		}
+		if result.Refusal.Reason == refuser.BackendUnreachable {
+			b.mu.Lock()
+			b.unreachableUntil[c.service] = time.Now().Add(unreachableTime)
+			b.mu.Unlock()
+		}
+		return nil, state.refusal(result.Refusal.Reason), false
+	case delegator.Lost:
+		c.traceDelegated(result.Entry, outcomeName(result.Outcome))
+		b.metrics.delegated.With(delegatedLost).Inc()
+		state.add(result.Outcome)
+		retry = c.route.Idempotent && ctx.Err() == nil && time.Now().Before(c.deadline) &&
+			state.sent < c.route.MaxAttempts && b.tryWithdraw(c.service)
+		if retry {
+			b.metrics.retries.With(causeOf(attemptResult{outcome: result.Outcome})).Inc()
+		}
+		return nil, state.refusal(""), retry
+	default:
+		c.traceDelegated("", delegatedUnreached)
+		b.metrics.delegated.With(delegatedUnreached).Inc()
+		return nil, state.refusal(reason), false
+	}
+}
+
+func (c *call) traceDelegated(entry, result string) {
+	c.trace.add(Delegated, "entry", entry, "result", result)
+}
+
+// ReachesServers reports whether this entry reaches any backend server.
+func (b *Balancer) ReachesServers() bool { return !b.monitor.Isolated() }
+
+// observeReached records that a server has responded. If the entry was isolated from the
+// servers, all of them may be used again at once.
+func (b *Balancer) observeReached() {
+	if !b.monitor.ObserveResponse() {
+		return
+	}
+	for _, servers := range b.opts.Snapshot().Services {
+		for _, srv := range servers {
+			srv.State.Readmit()
+		}
+	}
+	b.opts.Log.Info("Backend servers reached again.")
+}
+
+// observeUnreached records that a server could not be connected to or did not answer a
+// probe.
+func (b *Balancer) observeUnreached(server string) {
+	known := 0
+	for _, servers := range b.opts.Snapshot().Services {
+		known += len(servers)
+	}
+	if b.monitor.ObserveFailure(server, known) {
+		b.opts.Log.Warn("No backend server reached; requests are passed on to other entries.", "servers", known)
+	}
+}
+
+const (
+	// reachInterval is the time between two checks whether an isolated entry reaches a
+	// server again, and reachProbes the number of servers that each check probes.
+	reachInterval = 200 * time.Millisecond
+	reachProbes   = 3
+)
+
+// RunReachChecks probes servers while this entry reaches none, until ctx ends.
+func (b *Balancer) RunReachChecks(ctx context.Context) {
+	t := time.NewTicker(reachInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			if b.monitor.Isolated() {
+				b.checkReach(ctx)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// checkReach probes servers that are picked at random.
+func (b *Balancer) checkReach(ctx context.Context) {
+	view := b.opts.Snapshot()
+	if view.Table == nil {
+		return
+	}
+	now := time.Now()
+	var all []candidate
+	for _, servers := range view.Services {
+		for _, srv := range servers {
+			all = append(all, candidate{Backend: srv, state: srv.State.Snapshot(now)})
+		}
+	}
+	b.mu.Lock()
+	b.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	b.mu.Unlock()
+	for _, srv := range all[:min(reachProbes, len(all))] {
+		for _, r := range b.probeRound(ctx, view, srv.Service, []candidate{srv}) {
+			r.release()
+		}
+	}
+}
--- a/entry/balancer/metrics.go
+++ b/entry/balancer/metrics.go
@@ -17,6 +17,10 @@
 	probes   *meter.CounterVec
 	dropped  *meter.CounterVec
 	latency  *meter.HistogramVec
+	// delegated counts requests that were passed on to other entries, and taken those
+	// that other entries passed on to this one.
+	delegated *meter.CounterVec
+	taken     *meter.CounterVec
 }
 
 // newMetrics registers the metrics. The counters of each refusal reason and retry
@@ -30,6 +34,11 @@
 		dropped:  r.CounterVec("dropped_lines_total", "Log lines of requests that were dropped by their rate.", "of"),
 		latency:  r.HistogramVec("request_seconds", "Time from arrival to answer, by service, route and status class.", "service", "route", "class"),
 	}
+	m.delegated = r.CounterVec("delegated_total", "Requests that were passed on to other entries, by result.", "result")
+	for _, result := range []string{delegatedResponded, delegatedRefused, delegatedLost, delegatedUnreached} {
+		m.delegated.With(result)
+	}
+	m.taken = r.CounterVec("taken_total", "Requests that other entries passed on to this one, by whether it reaches servers.", "reaches")
 	for _, reason := range refuser.NotRunReasons() {
 		m.refusals.With(string(refuser.NotRun), string(reason))
 	}
--- a/entry/balancer/pick.go
+++ b/entry/balancer/pick.go
@@ -144,6 +144,9 @@
 // pick picks the server for the next attempt. If there is none, it returns the
 // reason for a refusal.
 func (b *Balancer) pick(ctx context.Context, c *call) (*picked, refuser.Reason) {
+	if b.monitor.Isolated() {
+		return nil, refuser.UnreachableServers
+	}
 	p, reason := b.pickInVersion(ctx, c)
 	if p == nil && c.version != c.view.Splits[c.service].Stable {
 		// The target version of a move has no usable server yet.
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -197,11 +197,17 @@
 	case err == nil:
 		cand.State.ObserveProbe(now, h)
 		b.observeRateLimit(now, cand.Backend, h.RateLimit)
+		b.observeReached()
 	case isWrongInstance(err):
 		cand.State.SetLeaving()
+		b.observeReached()
 	case ctx.Err() == context.Canceled:
 		// The request ended first, which says nothing about the server.
+	case isUnhealthy(err):
+		cand.State.Eject(now)
+		b.observeReached()
 	default:
 		cand.State.Eject(now)
+		b.observeUnreached(cand.ID)
 	}
 }
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -27,7 +27,11 @@
 	body     []byte
 	id       string
 	tried    map[string]bool
-	trace    trace
+	// hop is nil for a request that comes from a caller.
+	hop *hop
+	// delegated is the id of the entry that the request was passed on to.
+	delegated string
+	trace     trace
 }
 
 func notRun(reason refuser.Reason) *refuser.Refusal {
@@ -35,15 +39,16 @@
 	return &r
 }
 
-// receive reads a request, checks its size and matches its route.
-func (b *Balancer) receive(w http.ResponseWriter, r *http.Request) (*call, *refuser.Refusal) {
+// receive reads a request, checks its size and matches its route. The size of a request
+// that another entry passes on has been checked there.
+func (b *Balancer) receive(w http.ResponseWriter, r *http.Request, h *hop) (*call, *refuser.Refusal) {
 	now := time.Now()
 	view := b.opts.Snapshot()
-	if view.Table == nil {
+	if view.Table == nil || (h != nil && view.Table.Version < h.configuration) {
 		return nil, notRun(refuser.NoDocument)
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
-	if limit := view.Table.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
+	if limit := view.Table.Limits.HeaderBytes; h == nil && limit > 0 && headerBytes(r) > limit {
 		return nil, notRun(refuser.HeadersTooLarge)
 	}
 	route, ok := view.Table.Match(r.Host, path)
@@ -58,7 +63,11 @@
 	if remaining, ok := b.opts.Headers.ReadDeadline(r.Header); ok {
 		timeout = min(timeout, remaining)
 	}
-	body, refusal := readBody(w, r, view.Table.Limits.BodyBytes)
+	bodyLimit := view.Table.Limits.BodyBytes
+	if h != nil {
+		bodyLimit = 0
+	}
+	body, refusal := readBody(w, r, bodyLimit)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -66,7 +75,7 @@
 	return &call{
 		route: route, service: service, version: view.Splits[service].PickVersion(b.draw("version of " + service)),
 		view: view, arrived: now, deadline: now.Add(timeout), method: r.Method, host: r.Host, target: r.RequestURI,
-		header: endToEndHeader(r.Header), body: body, id: id, tried: map[string]bool{},
+		header: endToEndHeader(r.Header), body: body, id: id, tried: map[string]bool{}, hop: h,
 	}, nil
 }
 
--- a/entry/balancer/response.go
+++ b/entry/balancer/response.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"samphiremux/entry/delegator"
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/roundtripper"
 )
@@ -15,18 +16,25 @@
 	queueRetryAfter = 50 * time.Millisecond
 	// unconfiguredRetryAfter is for an entry that has no configuration yet.
 	unconfiguredRetryAfter = 300 * time.Millisecond
+	// unreachableRetryAfter is for an entry that reaches no backend server. It exceeds
+	// the time between two checks whether it does again.
+	unreachableRetryAfter = 300 * time.Millisecond
 )
 
 func retryAfter(reason refuser.Reason) time.Duration {
-	if reason == refuser.NoDocument {
+	switch reason {
+	case refuser.NoDocument:
 		return unconfiguredRetryAfter
+	case refuser.UnreachableServers:
+		return unreachableRetryAfter
+	default:
+		return queueRetryAfter
 	}
-	return queueRetryAfter
 }
 
-// refuse answers a caller whose request is refused. If the caller has
-// disconnected, it aborts the connection.
-func (b *Balancer) refuse(w http.ResponseWriter, r *http.Request, refusal refuser.Refusal, t *trace) {
+// refuse answers a caller, or the entry that passes the request on, whose request is
+// refused. If it has disconnected, it aborts the connection.
+func (b *Balancer) refuse(w http.ResponseWriter, r *http.Request, h *hop, refusal refuser.Refusal, t *trace) {
 	b.metrics.refusals.With(string(refusal.Kind), string(refusal.Reason)).Inc()
 	if refusal.Reason == refuser.CallerDisconnected {
 		t.add(Refused, "kind", string(refusal.Kind), "reason", string(refusal.Reason))
@@ -40,6 +48,9 @@
 	if status == http.StatusServiceUnavailable {
 		b.opts.Headers.SetRetryAfter(w.Header(), retryAfter(refusal.Reason))
 	}
+	if h != nil {
+		w.Header().Set(delegator.OutcomeHeader, refusal.Header())
+	}
 	w.Header().Set(b.opts.Headers.RequestID, r.Header.Get(b.opts.Headers.RequestID))
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
--- a/entry/balancer/run.go
+++ b/entry/balancer/run.go
@@ -12,14 +12,29 @@
 // run sends the request to backend servers until it is answered or refused.
 func (b *Balancer) run(ctx context.Context, c *call) (*roundtripper.Response, *refuser.Refusal) {
 	var state attempts
-	b.deposit(c.service)
+	if c.hop != nil {
+		state.sent = c.hop.attempts
+	}
+	deposited := false
 	for {
 		if b.quarantined(c) {
 			return nil, state.refusal(refuser.Suspect)
 		}
 		p, reason := b.pick(ctx, c)
 		if p == nil {
-			return nil, state.refusal(reason)
+			if !b.mayDelegate(c, reason) {
+				return nil, state.refusal(reason)
+			}
+			resp, refusal, retry := b.delegate(ctx, c, &state, reason)
+			if !retry {
+				return resp, refusal
+			}
+			continue
+		}
+		if !deposited {
+			// The entry that a request is passed on to counts it there.
+			b.deposit(c.service)
+			deposited = true
 		}
 		c.traceChosen(Chosen, p)
 		c.useStableVersion()
--- a/entry/balancer/trace.go
+++ b/entry/balancer/trace.go
@@ -25,6 +25,9 @@
 	Chosen Decision = "chosen"
 	// Hedged means that a second server was picked to hedge the first.
 	Hedged Decision = "hedged"
+	// Delegated means that the request was passed on to another entry. It carries what
+	// became of it there.
+	Delegated Decision = "delegated"
 	// Ended means that an attempt ended. It carries the outcome.
 	Ended Decision = "ended"
 	// Answered means that a server's response goes to the caller.
@@ -35,7 +38,7 @@
 
 // Decisions returns every decision.
 func Decisions() []Decision {
-	return []Decision{Received, Chosen, Hedged, Ended, Answered, Refused}
+	return []Decision{Received, Chosen, Hedged, Delegated, Ended, Answered, Refused}
 }
 
 const (
@@ -150,7 +153,11 @@
 
 // traceReceived records the request and its route.
 func (c *call) traceReceived() {
-	c.trace.add(Received, "route", c.route.Name, "service", c.service, "version", c.version,
+	from := ""
+	if c.hop != nil {
+		from = c.hop.from
+	}
+	c.trace.add(Received, "from", from, "route", c.route.Name, "service", c.service, "version", c.version,
 		"configuration", c.view.Table.Version, "deadline-ms", c.deadline.Sub(c.arrived).Milliseconds())
 }
 
--- /dev/null
+++ b/entry/delegator/delegator.go
@@ -0,0 +1,331 @@
+// Package delegator passes requests on to other entries, for an entry that reaches no
+// backend server itself. It probes an entry over the connection that the request then
+// takes, as a balancer does with servers.
+package delegator
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"samphiremux/entry/refuser"
+	"samphiremux/entry/retrier"
+	"samphiremux/entry/roundtripper"
+	"samphiremux/pkg/describer"
+)
+
+// HealthPath is the path of the probes between entries.
+const HealthPath = "/.samphire/health"
+
+// Headers between entries.
+const (
+	// HopHeader carries the id of the entry that passes a request on.
+	HopHeader = "Samphire-Hop"
+	// AttemptsHeader carries the number of attempts of a request that have reached
+	// backend servers.
+	AttemptsHeader = "Samphire-Attempts"
+	// ConfigurationHeader carries the version of the configuration by which a request
+	// was accepted.
+	ConfigurationHeader = "Samphire-Configuration"
+	// EntryHeader carries the id of the entry that answers a probe.
+	EntryHeader = "Samphire-Entry"
+	// OutcomeHeader tells what a response is: Passed, or a refusal as in
+	// refuser.Refusal.Header.
+	OutcomeHeader = "Samphire-Outcome"
+)
+
+// Passed is the value of OutcomeHeader for the response of a backend server.
+const Passed = "passed"
+
+const (
+	// probesPerRound is the number of entries that are probed at once.
+	probesPerRound = 2
+	// maxRounds bounds the rounds of probes for one request.
+	maxRounds = 8
+	// probeTimeout bounds the wait for the response to a probe, and roundTimeout the
+	// wait until the next round starts.
+	probeTimeout = 60 * time.Millisecond
+	roundTimeout = 10 * time.Millisecond
+	// avoidTime is the time for which an entry is probed last after it failed a probe or
+	// lost a request.
+	avoidTime = time.Second
+	// maxTries bounds the entries that may turn one request down.
+	maxTries = 3
+)
+
+// Peer is another entry that takes requests.
+type Peer struct {
+	ID     string
+	Domain string
+	// Address is where it listens for requests of other entries.
+	Address string
+}
+
+// Options configures a Delegator.
+type Options struct {
+	// Self is the id of this entry, and Domain its failure domain.
+	Self   string
+	Domain string
+	// RequestID is the name of the header with the id of a request.
+	RequestID string
+	// Peers returns the other entries that may be running.
+	Peers func() []Peer
+	Dial  func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// Request is a request that is passed on.
+type Request struct {
+	roundtripper.Request
+	// Attempts is the number of attempts that have reached backend servers.
+	Attempts int
+	// Configuration is the version of the configuration by which it was accepted.
+	Configuration int64
+}
+
+// Result is what became of a request: Responded, Refused, Lost or Unreached.
+type Result interface{ result() }
+
+// Responded is the response of a backend server that another entry has passed on.
+type Responded struct {
+	Entry    string
+	Response *roundtripper.Response
+}
+
+// Refused is the refusal of another entry.
+type Refused struct {
+	Entry   string
+	Refusal refuser.Refusal
+}
+
+// Lost is a request that another entry took without a complete response. It may have run.
+type Lost struct {
+	Entry   string
+	Outcome retrier.Outcome
+}
+
+// Unreached is a request that no other entry took.
+type Unreached struct{}
+
+func (Responded) result() {}
+func (Refused) result()   {}
+func (Lost) result()      {}
+func (Unreached) result() {}
+
+// Delegator passes requests on to other entries. It is safe for concurrent use.
+type Delegator struct {
+	opts Options
+
+	mu    sync.Mutex
+	peers map[Peer]*peerState
+}
+
+// peerState is what this entry keeps of another one.
+type peerState struct {
+	Peer
+	*roundtripper.Client
+
+	mu         sync.Mutex
+	avoidUntil time.Time
+}
+
+func (p *peerState) avoid(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.avoidUntil = now.Add(avoidTime)
+}
+
+func (p *peerState) avoided(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.avoidUntil)
+}
+
+// New returns a delegator without connections.
+func New(o Options) *Delegator { return &Delegator{opts: o, peers: map[Peer]*peerState{}} }
+
+// headers returns the headers of responses between entries.
+func (d *Delegator) headers() roundtripper.Headers {
+	return roundtripper.Headers{
+		RequestID: d.opts.RequestID, Instance: EntryHeader, Signature: OutcomeHeader,
+		ReadLoad:          func(http.Header) (describer.Load, bool) { return describer.Load{}, false },
+		ReadRateLimit:     func(http.Header) describer.RateLimit { return describer.RateLimit{} },
+		ReadColdRemaining: func(http.Header) time.Duration { return 0 },
+	}
+}
+
+// Send passes a request on until ctx is done. An entry that turns it down unsent makes
+// room for the next one.
+func (d *Delegator) Send(ctx context.Context, r Request) Result {
+	r.Header.Set(HopHeader, d.opts.Self)
+	r.Header.Set(AttemptsHeader, strconv.Itoa(r.Attempts))
+	r.Header.Set(ConfigurationHeader, strconv.FormatInt(r.Configuration, 10))
+	for range maxTries {
+		p, conn := d.pick(ctx)
+		if p == nil {
+			return Unreached{}
+		}
+		result := p.send(ctx, conn, r)
+		switch result := result.(type) {
+		case Lost:
+			if ctx.Err() != context.Canceled {
+				p.avoid(time.Now())
+			}
+			return result
+		case Refused:
+			if turnsDown(result.Refusal) {
+				p.avoid(time.Now())
+				continue
+			}
+			return result
+		case Unreached:
+			p.avoid(time.Now())
+		default:
+			return result
+		}
+	}
+	return Unreached{}
+}
+
+// turnsDown reports whether another entry may take a request that was refused.
+func turnsDown(r refuser.Refusal) bool {
+	return r.Kind == refuser.NotRun && (r.Reason == refuser.UnreachableServers || r.Reason == refuser.NoDocument)
+}
+
+// send sends a request to one entry.
+func (p *peerState) send(ctx context.Context, conn *roundtripper.Conn, r Request) Result {
+	resp, outcome := p.Send(ctx, conn, r.Request)
+	switch {
+	case !retrier.MayHaveRun(outcome):
+		return Unreached{}
+	case resp == nil:
+		return Lost{Entry: p.ID, Outcome: outcome}
+	}
+	told := resp.Header.Get(OutcomeHeader)
+	resp.Header.Del(OutcomeHeader)
+	if told == Passed {
+		return Responded{Entry: p.ID, Response: resp}
+	}
+	refusal, err := refuser.ParseHeader(told)
+	if err != nil {
+		return Lost{Entry: p.ID, Outcome: retrier.Truncated{Cause: err}}
+	}
+	return Refused{Entry: p.ID, Refusal: refusal}
+}
+
+// pick probes other entries until one answers that takes requests. It returns that entry
+// and the connection of the probe, or nil if there is none.
+func (d *Delegator) pick(ctx context.Context) (*peerState, *roundtripper.Conn) {
+	candidates := d.candidates(time.Now())
+	for range maxRounds {
+		if len(candidates) == 0 || ctx.Err() != nil {
+			break
+		}
+		n := min(probesPerRound, len(candidates))
+		if p, conn := probe(ctx, candidates[:n]); p != nil {
+			return p, conn
+		}
+		candidates = candidates[n:]
+	}
+	return nil, nil
+}
+
+// candidates returns the other entries in random order, those of the own failure domain
+// first, and those that failed lately last.
+func (d *Delegator) candidates(now time.Time) (candidates []*peerState) {
+	peers := d.opts.Peers()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range peers {
+		state, ok := d.peers[p]
+		if !ok {
+			state = &peerState{Peer: p, Client: roundtripper.New(p.ID, p.Address, func(ctx context.Context) (net.Conn, error) {
+				return d.opts.Dial(ctx, p.Address)
+			}, d.headers())}
+			d.peers[p] = state
+		}
+		candidates = append(candidates, state)
+	}
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	rank := map[*peerState]int{}
+	for _, p := range candidates {
+		if p.Domain != d.opts.Domain {
+			rank[p]++
+		}
+		if p.avoided(now) {
+			rank[p] += 2
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *peerState) int { return rank[a] - rank[b] })
+	return candidates
+}
+
+// probed is the result of a probe.
+type probed struct {
+	peer *peerState
+	conn *roundtripper.Conn
+}
+
+// probe probes entries at once, and returns the first that takes requests.
+func probe(ctx context.Context, batch []*peerState) (*peerState, *roundtripper.Conn) {
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	results := make(chan probed, len(batch))
+	for _, p := range batch {
+		go func() {
+			_, conn, err := p.Probe(probeCtx, HealthPath)
+			if err != nil {
+				conn = nil
+				if probeCtx.Err() != context.Canceled {
+					p.avoid(time.Now())
+				}
+			}
+			results <- probed{p, conn}
+		}()
+	}
+	limit := time.NewTimer(roundTimeout)
+	defer limit.Stop()
+	pending := len(batch)
+	defer func() { go release(results, pending, cancel) }()
+	for pending > 0 {
+		select {
+		case r := <-results:
+			pending--
+			if r.conn != nil {
+				return r.peer, r.conn
+			}
+		case <-limit.C:
+			return nil, nil
+		}
+	}
+	return nil, nil
+}
+
+// release releases the connections of n probes that end later.
+func release(results <-chan probed, n int, cancel context.CancelFunc) {
+	defer cancel()
+	for range n {
+		if r := <-results; r.conn != nil {
+			r.peer.Release(r.conn)
+		}
+	}
+}
+
+// CloseExpired closes connections that have been idle for too long, and those to entries
+// that are gone.
+func (d *Delegator) CloseExpired(now time.Time) {
+	peers := d.opts.Peers()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for p, state := range d.peers {
+		if slices.Contains(peers, p) {
+			state.CloseExpired(now)
+			continue
+		}
+		state.Close()
+		delete(d.peers, p)
+	}
+}
--- a/entry/refuser/refuser.go
+++ b/entry/refuser/refuser.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 )
 
 // RefusalHeader is the response header with the kind and reason of a refusal, such as
@@ -54,6 +56,9 @@
 	// RateLimitedServers means that only servers are available that state a rate limit,
 	// and that this entry has used up its part of it.
 	RateLimitedServers Reason = "servers-rate-limited"
+	// UnreachableServers means that this entry reaches no backend server of any service,
+	// and that no other entry took the request.
+	UnreachableServers Reason = "servers-unreachable"
 )
 
 // Reasons for refusals of kind OutcomeUnknown.
@@ -73,7 +78,7 @@
 	return []Reason{
 		BackendUnreachable, BackendShedding, BadRequest, BodyTooLarge, CallerDisconnected, CallerOverShare, DeadlinePassed,
 		DeadlineTooNear, EntryUnreachable, HeadersTooLarge, Isolated, KeyFromFuture, Misdirected, NoBackendServer, NoDocument,
-		NoSuchRoute, NoSuchService, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, RateLimitedServers, Suspect,
+		NoSuchRoute, NoSuchService, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, RateLimitedServers, Suspect, UnreachableServers,
 	}
 }
 
@@ -115,6 +120,23 @@
 // Header returns the value of RefusalHeader.
 func (r Refusal) Header() string { return fmt.Sprintf("%s; reason=%s", r.Kind, r.Reason) }
 
+// ErrInvalidHeader reports a value of RefusalHeader that cannot be parsed.
+type ErrInvalidHeader struct{ Value string }
+
+func (e ErrInvalidHeader) Error() string { return fmt.Sprintf("%q is not a refusal", e.Value) }
+
+// ParseHeader returns the refusal with a value of RefusalHeader, or ErrInvalidHeader.
+func ParseHeader(value string) (Refusal, error) {
+	kind, reason, ok := strings.Cut(value, "; reason=")
+	r := Refusal{Kind: Kind(kind), Reason: Reason(reason)}
+	known := r.Kind == NotRun && slices.Contains(NotRunReasons(), r.Reason) ||
+		r.Kind == OutcomeUnknown && slices.Contains(OutcomeUnknownReasons(), r.Reason)
+	if !ok || !known {
+		return Refusal{}, ErrInvalidHeader{Value: value}
+	}
+	return r, nil
+}
+
 // Status returns the HTTP status code of the refusal.
 func (r Refusal) Status() int {
 	switch r.Reason {
--- a/entry/snapshotter/backend.go
+++ b/entry/snapshotter/backend.go
@@ -173,6 +173,16 @@
 	s.ejectedUntil = now.Add(wait)
 }
 
+// Readmit ends an ejection and closes the idle connections, after the entry itself could
+// not reach any server.
+func (s *ServerState) Readmit() {
+	s.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ejections = 0
+	s.ejectedUntil = time.Time{}
+}
+
 // SetLeaving records that the server is shutting down or that another server now
 // has its address.
 func (s *ServerState) SetLeaving() {
--- a/entry/tracker/tracker.go
+++ b/entry/tracker/tracker.go
@@ -43,6 +43,9 @@
 	Domain      string `json:"failure-domain"`
 	Address     string `json:"address"`
 	LinkAddress string `json:"link-address"`
+	// DelegationAddress is where the entry takes requests that other entries pass on. It
+	// is empty if it takes none.
+	DelegationAddress string `json:"delegation-address,omitempty"`
 	// Incarnation distinguishes restarts of the same entry.
 	Incarnation string `json:"incarnation"`
 }
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -12,6 +12,7 @@
 
 	"samphiremux/entry/balancer"
 	"samphiremux/entry/chooser"
+	"samphiremux/entry/delegator"
 	"samphiremux/entry/enroller"
 	"samphiremux/entry/expirer"
 	"samphiremux/entry/meter"
@@ -65,6 +66,7 @@
 	reflector         *reflector.Reflector
 	enroller          *enroller.Enroller
 	balancer          *balancer.Balancer
+	delegator         *delegator.Delegator
 	expirer           *expirer.Expirer
 	connectionsClosed *meter.CounterVec
 	roller            *roller.Roller
@@ -83,7 +85,7 @@
 // registration returns the registration of an entry that starts with the settings.
 func registration(s translator.Settings) tracker.Member {
 	return tracker.Member{
-		ID: s.ID, Domain: s.Domain, Address: s.CallerAddress, LinkAddress: s.LinkAddress,
+		ID: s.ID, Domain: s.Domain, Address: s.CallerAddress, LinkAddress: s.LinkAddress, DelegationAddress: s.DelegationAddress,
 		Incarnation: strconv.FormatUint(rand.Uint64(), 36),
 	}
 }
@@ -127,8 +129,12 @@
 		Pool: e.pool, Exposure: e.exposureLimit,
 		EncodeStatus: translator.EncodeMoveStatus, Log: log.Named("roller"),
 	})
+	e.delegator = delegator.New(delegator.Options{
+		Self: s.ID, Domain: s.Domain, RequestID: translator.HeaderRequestID, Peers: e.delegationPeers,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) },
+	})
 	e.balancer = balancer.New(balancer.Options{
-		Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, EntryCount: e.enroller.MemberCount, Rank: e.enroller.Rank, Log: log.Named("steerer"),
+		Self: s.ID, Delegator: e.delegator, Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, EntryCount: e.enroller.MemberCount, Rank: e.enroller.Rank, Log: log.Named("steerer"),
 		OnAttempt: e.roller.Observe,
 		Headers: balancer.Headers{
 			RequestID: translator.HeaderRequestID, Instance: translator.HeaderExpectInstance, ReadDeadline: translator.ReadDeadline,
@@ -157,6 +163,12 @@
 		}
 		return 0
 	})
+	e.metrics.Gauge("servers_reached", "1 if any backend server answers this entry.", func() float64 {
+		if e.balancer.ReachesServers() {
+			return 1
+		}
+		return 0
+	})
 	e.metrics.Gauge("relay", "1 if the entry watches the store for its failure domain.", func() float64 {
 		if e.enroller.IsRelay() {
 			return 1
@@ -201,6 +213,16 @@
 	})
 }
 
+// delegationPeers returns the other entries that take requests from this one.
+func (e *entry) delegationPeers() (peers []delegator.Peer) {
+	for _, m := range e.enroller.UsableMembers(time.Now()) {
+		if m.ID != e.id && m.DelegationAddress != "" {
+			peers = append(peers, delegator.Peer{ID: m.ID, Domain: m.Domain, Address: m.DelegationAddress})
+		}
+	}
+	return peers
+}
+
 // retryLimits returns the retry budget in force.
 func (e *entry) retryLimits() balancer.Limits {
 	b := e.settings.Load().Bounds
--- a/steer/commander/partition_test.go
+++ b/steer/commander/partition_test.go
@@ -54,7 +54,7 @@
 	address := func(port int) string { return fmt.Sprintf("10.0.0.%d:%d", i+1, port) }
 	s := translator.Settings{
 		ID: fmt.Sprintf("e%d", i), Domain: string(rune('a' + i%3)), CallerAddress: address(1), ReadyAddress: address(2),
-		LinkAddress: address(3), LocateAddress: address(4), StoreAddress: "10.0.9.9:1",
+		LinkAddress: address(3), LocateAddress: address(4), DelegationAddress: address(5), StoreAddress: "10.0.9.9:1",
 	}
 	s.Bounds.RetryRatio, s.Bounds.RetrySlack, s.Bounds.RetryWindow = 0.2, 60, 10*time.Second
 	return s
@@ -80,6 +80,7 @@
 		e.startServers(ctx, f.listen(*e.settings.Load()))
 		go e.enroller.RunHeartbeats(ctx)
 		go e.closeUnused(ctx)
+		go e.balancer.RunReachChecks(ctx)
 	}
 	for i := range fleetServers {
 		f.addServer(i)
@@ -98,6 +99,7 @@
 	return listeners{
 		callers: f.network.listen(s.CallerAddress), ready: f.network.listen(s.ReadyAddress),
 		locate: f.network.listen(s.LocateAddress), link: f.network.listen(s.LinkAddress),
+		delegated: f.network.listen(s.DelegationAddress),
 	}
 }
 
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -11,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"samphiremux/entry/chooser"
+	"samphiremux/entry/delegator"
 	"samphiremux/entry/expirer"
 	"samphiremux/pkg/linker"
 	"samphiremux/platform/translator"
@@ -32,19 +34,22 @@
 	go e.enroller.RunHeartbeats(work)
 	go e.closeUnused(work)
 	go e.roller.Run(work)
+	go e.balancer.RunReachChecks(work)
 	go e.watchSettings(work, file)
-	callers := e.startServers(work, l)
+	running := e.startServers(work, l)
 	e.serveMetrics(s.CallerAddress)
 	log.Info("Entry runs.", "id", s.ID, "domain", s.Domain, "policy", policy.String())
 	<-ctx.Done()
-	return e.stop(callers)
+	return e.stop(running)
 }
 
-// startServers serves callers, the platform and other entries. It returns the server of
-// callers' requests.
-func (e *entry) startServers(ctx context.Context, l listeners) (callers *http.Server) {
+// servers are the servers of requests: of callers, and of entries that pass them on.
+type servers struct{ callers, delegated *http.Server }
+
+// startServers serves callers, the platform and other entries.
+func (e *entry) startServers(ctx context.Context, l listeners) servers {
 	go func() { _ = linker.Serve(ctx, l.link, &link{entry: e}) }()
-	callers = e.server(e.balancer)
+	callers := e.server(e.balancer)
 	// The configuration sets the timeouts of callers' connections and may change, so
 	// the expirer enforces them.
 	callers.ReadHeaderTimeout, callers.IdleTimeout = 0, 0
@@ -52,7 +57,11 @@
 	go func() { _ = callers.Serve(e.expirer.WrapListener(l.callers)) }()
 	go func() { _ = e.server(http.HandlerFunc(e.serveReady)).Serve(l.ready) }()
 	go func() { _ = e.server(http.HandlerFunc(e.serveLocate)).Serve(l.locate) }()
-	return callers
+	delegated := e.server(http.HandlerFunc(e.serveDelegated))
+	if l.delegated != nil {
+		go func() { _ = delegated.Serve(l.delegated) }()
+	}
+	return servers{callers: callers, delegated: delegated}
 }
 
 // metricsPort is the port of the metrics endpoint, on the address that serves callers.
@@ -72,14 +81,18 @@
 }
 
 // listeners are the listeners of an entry, one for each address of its settings.
-type listeners struct{ callers, ready, locate, link net.Listener }
+// Delegated is nil if the settings have no address for it.
+type listeners struct{ callers, ready, locate, link, delegated net.Listener }
 
 // listen opens the listeners of an entry.
 func listen(s translator.Settings) (l listeners, err error) {
 	for _, open := range []struct {
 		listener *net.Listener
 		address  string
-	}{{&l.callers, s.CallerAddress}, {&l.ready, s.ReadyAddress}, {&l.locate, s.LocateAddress}, {&l.link, s.LinkAddress}} {
+	}{{&l.callers, s.CallerAddress}, {&l.ready, s.ReadyAddress}, {&l.locate, s.LocateAddress}, {&l.link, s.LinkAddress}, {&l.delegated, s.DelegationAddress}} {
+		if open.address == "" {
+			continue
+		}
 		if *open.listener, err = net.Listen("tcp", open.address); err != nil {
 			return listeners{}, err
 		}
@@ -98,17 +111,18 @@
 // not ready and no longer listed, since callers may hold cached answers that list this
 // entry and open connections to it. Then it accepts no more requests and returns when
 // the last one is answered or the grace period ends.
-func (e *entry) stop(callers *http.Server) error {
+func (e *entry) stop(s servers) error {
 	grace, cancel := context.WithTimeout(context.Background(), e.settings.Load().Bounds.GracePeriod-stopMargin)
 	defer cancel()
 	close(e.stopping)
 	e.log.Info("Entry stops.")
-	callers.SetKeepAlivesEnabled(false)
+	s.callers.SetKeepAlivesEnabled(false)
+	s.delegated.SetKeepAlivesEnabled(false)
 	drain := time.NewTimer(e.settings.Load().Bounds.GracePeriod / 2)
 	defer drain.Stop()
 	e.enroller.Deregister(grace)
 	<-drain.C
-	if err := callers.Shutdown(grace); err != nil {
+	if err := errors.Join(s.callers.Shutdown(grace), s.delegated.Shutdown(grace)); err != nil {
 		e.log.Warn("Grace period ended with requests in flight.", "error", err)
 	}
 	e.log.Info("Entry stopped.")
@@ -124,6 +138,16 @@
 	}
 }
 
+// serveDelegated serves requests and probes of other entries. A stopping entry answers no
+// probe, so that it gets no further requests.
+func (e *entry) serveDelegated(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == delegator.HealthPath && e.isStopping() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	e.balancer.ServeDelegated(w, r)
+}
+
 // serveReady answers the platform's readiness check: 200 if the entry has a
 // configuration and is not stopping, else 503.
 func (e *entry) serveReady(w http.ResponseWriter, r *http.Request) {
@@ -163,6 +187,7 @@
 		select {
 		case now := <-t.C:
 			e.snapshots.CloseIdle(now)
+			e.delegator.CloseExpired(now)
 			closed := e.expirer.CloseExpired(e.connectionLimits())
 			e.connectionsClosed.With("header-timeout").Add(closed.Header)
 			e.connectionsClosed.With("idle-timeout").Add(closed.Idle)
