--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -12,6 +12,7 @@
 
 	"samphiremux/entry/balancer"
 	"samphiremux/entry/chooser"
+	"samphiremux/entry/delegator"
 	"samphiremux/entry/enroller"
 	"samphiremux/entry/expirer"
 	"samphiremux/entry/meter"
@@ -65,6 +66,7 @@
 	reflector         *reflector.Reflector
 	enroller          *enroller.Enroller
 	balancer          *balancer.Balancer
+	delegator         *delegator.Delegator
 	expirer           *expirer.Expirer
 	connectionsClosed *meter.CounterVec
 	roller            *roller.Roller
@@ -73,15 +75,29 @@
 	stopping          chan struct{}
 }
 
-// movePrefix is the key prefix of move records.
-const movePrefix = translator.ProjectKeyPrefix + "moves/"
+const (
+	// movePrefix is the key prefix of move records.
+	movePrefix = translator.ProjectKeyPrefix + "moves/"
+	// entryPrefix is the key prefix of the entries' registrations.
+	entryPrefix = translator.ProjectKeyPrefix + "entries/"
+)
+
+// registration returns the registration of an entry that starts with the settings.
+func registration(s translator.Settings) tracker.Member {
+	return tracker.Member{
+		ID: s.ID, Domain: s.Domain, Address: s.CallerAddress, LinkAddress: s.LinkAddress, DelegationAddress: s.DelegationAddress,
+		Incarnation: strconv.FormatUint(rand.Uint64(), 36),
+	}
+}
+
+// dialFunc opens a connection to an address.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-func newEntry(s translator.Settings, policy chooser.Policy, log hclog.Logger) *entry {
-	d := dialer()
+func newEntry(s translator.Settings, policy chooser.Policy, dial dialFunc, log hclog.Logger) *entry {
 	e := &entry{
 		id: s.ID, log: log, metrics: meter.New(), expirer: expirer.New(time.Now), stopping: make(chan struct{}),
 		pool: linker.NewPool(func(ctx context.Context, address string) (net.Conn, error) {
-			return d.DialContext(ctx, "tcp", address)
+			return dial(ctx, "tcp", address)
 		}),
 	}
 	e.settings.Store(&s)
@@ -92,10 +108,10 @@
 	e.snapshots = snapshotter.New(func(server describer.Server) *snapshotter.ServerState {
 		address := server.Address.String()
 		return snapshotter.NewServerState(roundtripper.New(server.ID, address, func(ctx context.Context) (net.Conn, error) {
-			return d.DialContext(ctx, "tcp", address)
+			return dial(ctx, "tcp", address)
 		}, headers))
 	})
-	store := storeadapter.New(d.DialContext, "http://"+s.StoreAddress)
+	store := storeadapter.New(storeadapter.Dialer(dial), "http://"+s.StoreAddress)
 	e.reflector = reflector.New(reflector.Options{
 		Store: store, FetchFromPeers: e.fetchFromPeers, HoldTime: e.holdTime, Sink: e.applyChange, Log: log.Named("feeder"),
 		IsRelay:  func() bool { return e.enroller.IsRelay() },
@@ -103,11 +119,8 @@
 		OnChange: func() { e.enroller.HeartbeatNow() },
 	})
 	e.enroller = enroller.New(time.Now(), enroller.Options{
-		Self: tracker.Member{
-			ID: s.ID, Domain: s.Domain, Address: s.CallerAddress, LinkAddress: s.LinkAddress,
-			Incarnation: strconv.FormatUint(rand.Uint64(), 36),
-		},
-		Store: store, Prefix: translator.ProjectKeyPrefix + "entries/", Pool: e.pool, Seeds: func() []string { return e.settings.Load().Peers }, Log: log.Named("enroller"),
+		Self:  registration(s),
+		Store: store, Prefix: entryPrefix, Pool: e.pool, Seeds: func() []string { return e.settings.Load().Peers }, Log: log.Named("enroller"),
 		StoreCache: e.reflector,
 	})
 	e.roller = roller.New(roller.Options{
@@ -116,8 +129,12 @@
 		Pool: e.pool, Exposure: e.exposureLimit,
 		EncodeStatus: translator.EncodeMoveStatus, Log: log.Named("roller"),
 	})
+	e.delegator = delegator.New(delegator.Options{
+		Self: s.ID, Domain: s.Domain, RequestID: translator.HeaderRequestID, Peers: e.delegationPeers,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) },
+	})
 	e.balancer = balancer.New(balancer.Options{
-		Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, EntryCount: e.enroller.MemberCount, Rank: e.enroller.Rank, Log: log.Named("steerer"),
+		Self: s.ID, Delegator: e.delegator, Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, EntryCount: e.enroller.MemberCount, Rank: e.enroller.Rank, Log: log.Named("steerer"),
 		OnAttempt: e.roller.Observe,
 		Headers: balancer.Headers{
 			RequestID: translator.HeaderRequestID, Instance: translator.HeaderExpectInstance, ReadDeadline: translator.ReadDeadline,
@@ -146,6 +163,12 @@
 		}
 		return 0
 	})
+	e.metrics.Gauge("servers_reached", "1 if any backend server answers this entry.", func() float64 {
+		if e.balancer.ReachesServers() {
+			return 1
+		}
+		return 0
+	})
 	e.metrics.Gauge("relay", "1 if the entry watches the store for its failure domain.", func() float64 {
 		if e.enroller.IsRelay() {
 			return 1
@@ -190,6 +213,16 @@
 	})
 }
 
+// delegationPeers returns the other entries that take requests from this one.
+func (e *entry) delegationPeers() (peers []delegator.Peer) {
+	for _, m := range e.enroller.UsableMembers(time.Now()) {
+		if m.ID != e.id && m.DelegationAddress != "" {
+			peers = append(peers, delegator.Peer{ID: m.ID, Domain: m.Domain, Address: m.DelegationAddress})
+		}
+	}
+	return peers
+}
+
 // retryLimits returns the retry budget in force.
 func (e *entry) retryLimits() balancer.Limits {
 	b := e.settings.Load().Bounds
--- a/steer/commander/entry_test.go
+++ b/steer/commander/entry_test.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return newEntry(s, chooser.ExpectedCompletion{}, hclog.NewNullLogger()), file
+	return newEntry(s, chooser.ExpectedCompletion{}, dialer().DialContext, hclog.NewNullLogger()), file
 }
 
 // TestReload checks that a changed settings file takes effect in a running entry, and
@@ -165,7 +165,7 @@
 		start := time.Now()
 		ended := make(chan time.Duration, 1)
 		go func() {
-			_ = e.stop(callers)
+			_ = e.stop(servers{callers: callers, delegated: e.server(e.balancer)})
 			ended <- time.Since(start)
 		}()
 		time.Sleep(2900 * time.Millisecond)
