balancer: lost links are not taken for crashes of servers

When an entry loses its links to the servers, its connections may be reset and new ones refused. That looked like a crash of each server under its request: two such requests with the same method, path and body, and all entries refused this request for ten minutes as one that kills servers (suspect, told to the others).

Cause: the crash of a server was told by its own silence alone. Found by the test of the partition, where half of all calls asked for one path. A crash now counts only if another server responds to this entry then.

--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -28,9 +28,10 @@
 	return errors.As(err, &wrong)
 }
 
-func isUnhealthy(err error) bool {
+// responded reports whether a probe failed by a response.
+func responded(err error) bool {
 	var unhealthy roundtripper.ErrUnhealthy
-	return errors.As(err, &unhealthy)
+	return errors.As(err, &unhealthy) || isWrongInstance(err)
 }
 
 // attemptResult is the result of one attempt. The response is nil unless the
--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -9,6 +9,7 @@
 	"samphiremux/entry/delegator"
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/roundtripper"
+	"samphiremux/entry/snapshotter"
 )
 
 // Values of the label "result" of requests that are passed on to other entries.
@@ -192,19 +193,33 @@
 	if view.Table == nil {
 		return
 	}
+	all := b.shuffledServers(view)
+	for _, srv := range all[:min(reachProbes, len(all))] {
+		if b.isReached(ctx, view, srv) {
+			return
+		}
+	}
+}
+
+// isReached reports whether a server responds to a probe within probeRoundTimeout.
+func (b *Balancer) isReached(ctx context.Context, view *snapshotter.Snapshot, srv candidate) (reached bool) {
+	for _, r := range b.probeRound(ctx, view, srv.Service, []candidate{srv}) {
+		r.release()
+		reached = reached || r.err == nil || responded(r.err)
+	}
+	return reached
+}
+
+// shuffledServers returns the servers of all services in random order.
+func (b *Balancer) shuffledServers(view *snapshotter.Snapshot) (all []candidate) {
 	now := time.Now()
-	var all []candidate
 	for _, servers := range view.Services {
 		for _, srv := range servers {
 			all = append(all, candidate{Backend: srv, state: srv.State.Snapshot(now)})
 		}
 	}
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	b.mu.Unlock()
-	for _, srv := range all[:min(reachProbes, len(all))] {
-		for _, r := range b.probeRound(ctx, view, srv.Service, []candidate{srv}) {
-			r.release()
-		}
-	}
+	return all
 }
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -203,7 +203,7 @@
 		b.observeReached()
 	case ctx.Err() == context.Canceled:
 		// The request ended first, which says nothing about the server.
-	case isUnhealthy(err):
+	case responded(err):
 		cand.State.Eject(now)
 		b.observeReached()
 	default:
--- a/entry/balancer/suspect.go
+++ b/entry/balancer/suspect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"syscall"
 	"time"
 
@@ -14,6 +15,10 @@
 // request is down.
 const crashProbeTimeout = 100 * time.Millisecond
 
+// maxWitnesses bounds the other servers that are probed to tell the crash of a server from
+// links that this entry has lost.
+const maxWitnesses = 6
+
 func (c *call) fingerprint() quarantiner.Fingerprint {
 	return quarantiner.FingerprintOf(c.service, c.method, c.target, c.body)
 }
@@ -29,7 +34,8 @@
 
 // detectCrash finds whether the server crashed while it ran the request. It
 // counts as crashed if it refuses connections after it broke off the one that
-// carried the request.
+// carried the request, while another server responds: otherwise this entry may have
+// lost its own links.
 func (b *Balancer) detectCrash(c *call, p *picked, outcome retrier.Outcome) {
 	switch outcome.(type) {
 	case retrier.ConnectionLost, retrier.Truncated:
@@ -43,7 +49,7 @@
 		p.State.Release(conn)
 		return
 	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	if !errors.Is(err, syscall.ECONNREFUSED) || !b.reachesOther(p.ID) {
 		return
 	}
 	p.State.Eject(time.Now())
@@ -53,6 +59,24 @@
 	b.opts.NotifySuspect(c.service, fingerprint, crashes)
 }
 
+// reachesOther reports whether any server but one responds to this entry. It is true if
+// there is no other.
+func (b *Balancer) reachesOther(id string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+	defer cancel()
+	view := b.opts.Snapshot()
+	others := slices.DeleteFunc(b.shuffledServers(view), func(srv candidate) bool { return srv.ID == id })
+	if len(others) == 0 {
+		return true
+	}
+	for _, srv := range others[:min(maxWitnesses, len(others))] {
+		if b.isReached(ctx, view, srv) {
+			return true
+		}
+	}
+	return false
+}
+
 func (b *Balancer) recordCrash(service string, fingerprint quarantiner.Fingerprint) (crashes int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/steer/commander/partition_test.go
+++ b/steer/commander/partition_test.go
@@ -45,6 +45,9 @@
 	entries []*entry
 	cancel  context.CancelFunc
 
+	// samePath makes all calls ask for the same path.
+	samePath bool
+
 	mu sync.Mutex
 	// runs counts the runs of each request by its id.
 	runs map[string]int
@@ -183,7 +186,10 @@
 			calls.Go(func() {
 				r := callResult{entry: i, id: fmt.Sprintf("r%d-%d", n, i), sent: time.Since(start), unsafe: n%2 == 1}
 				path := map[bool]string{false: "/look/", true: "/book/"}[r.unsafe]
-				r.served = f.call(i, path+r.id, r.id)
+				if !f.samePath {
+					path += r.id
+				}
+				r.served = f.call(i, path, r.id)
 				r.took = time.Since(start) - r.sent
 				mu.Lock()
 				defer mu.Unlock()
@@ -285,6 +291,21 @@
 	}
 }
 
+// TestPartitionTakenForCrashes guards against requests that are refused everywhere since an
+// entry took the reset of its connections for crashes of the servers.
+func TestPartitionTakenForCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.samePath = true
+		results := f.runCalls([]int{0, 1, 2, 3, 5}, resetting)
+		sent, served := count(results, func(r callResult) bool { return r.sent >= cutBegin+settleTime })
+		if served < sent {
+			t.Errorf("%d of %d calls were served from %v after the partition began", served, sent, settleTime)
+		}
+		f.stop()
+	})
+}
+
 // checkRuns fails the test if a request that must run once at most ran again.
 func (f *fleet) checkRuns(t *testing.T, results []callResult) {
 	t.Helper()
