balancer: servers that do not answer count although the request has ended

Links that carry nothing are silent: a probe ends at its own timeout of 60 ms. A request whose probes all stay silent is refused after 42 ms, which cancelled the probes, and a cancelled probe says nothing of the server. So an entry that was partitioned did not find out, and held every request that no other entry took for four rounds of probes.

Probes now end by their own timeout. TestIsolatedEntryHoldsRequests failed before: the third request and all later ones were held.

--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -49,6 +49,8 @@
 	// arrivedAt holds the arrival times of the requests.
 	arrivedAt []time.Time
 	crashed   bool
+	// silent makes new connections hang.
+	silent bool
 }
 
 func (b *backend) isCrashed() bool {
@@ -160,11 +162,15 @@
 		byID[b.id] = b
 	}
 	f.snapshotter = snapshotter.New(func(s describer.Server) *snapshotter.ServerState {
-		return snapshotter.NewServerState(roundtripper.New(s.ID, s.Address.String(), func(context.Context) (net.Conn, error) {
+		return snapshotter.NewServerState(roundtripper.New(s.ID, s.Address.String(), func(ctx context.Context) (net.Conn, error) {
 			b, ok := byID[s.ID]
 			if !ok || b.isCrashed() {
 				return nil, syscall.ECONNREFUSED
 			}
+			if b.silent {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
 			clientConn, serverConn := net.Pipe()
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -146,7 +146,8 @@
 // response.
 func (b *Balancer) probeRound(ctx context.Context, view *snapshotter.Snapshot, service string, batch []candidate) (results []probeResult) {
 	path := view.Table.Services[service].HealthPath
-	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	// Probes go on when the request ends first, so that servers that do not answer count.
+	probeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	pending := make(chan probeResult, len(batch))
 	for _, cand := range batch {
 		go func() {
