delegator: another entry is asked for its configuration before a request is passed on

An entry with an older configuration turned the request down only after it had been sent there, and three of them in a row left it refused. The probe now carries the version by which the request was accepted.

--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -50,7 +50,7 @@
 // once at most.
 func (b *Balancer) ServeDelegated(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == delegator.HealthPath {
-		b.serveHealth(w)
+		b.serveHealth(w, r)
 		return
 	}
 	h := readHop(r.Header)
@@ -59,10 +59,12 @@
 }
 
 // serveHealth answers the probe of another entry: 200 if this one takes requests.
-func (b *Balancer) serveHealth(w http.ResponseWriter) {
+func (b *Balancer) serveHealth(w http.ResponseWriter, r *http.Request) {
+	configuration, _ := strconv.ParseInt(r.URL.Query().Get(delegator.ConfigurationParameter), 10, 64)
+	table := b.opts.Snapshot().Table
 	w.Header().Set(delegator.EntryHeader, b.opts.Self)
 	w.Header().Set("Content-Length", "0")
-	if b.monitor.Isolated() || b.opts.Snapshot().Table == nil {
+	if b.monitor.Isolated() || table == nil || table.Version < configuration {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -19,8 +20,12 @@
 	"samphiremux/pkg/describer"
 )
 
-// HealthPath is the path of the probes between entries.
-const HealthPath = "/.samphire/health"
+// HealthPath is the path of the probes between entries, and ConfigurationParameter the
+// query parameter with the version of the configuration that the entry must have.
+const (
+	HealthPath             = "/.samphire/health"
+	ConfigurationParameter = "configuration"
+)
 
 // Headers between entries.
 const (
@@ -165,7 +170,7 @@
 	r.Header.Set(AttemptsHeader, strconv.Itoa(r.Attempts))
 	r.Header.Set(ConfigurationHeader, strconv.FormatInt(r.Configuration, 10))
 	for range maxTries {
-		p, conn := d.pick(ctx)
+		p, conn := d.pick(ctx, r.Configuration)
 		if p == nil {
 			return Unreached{}
 		}
@@ -217,16 +222,18 @@
 	return Refused{Entry: p.ID, Refusal: refusal}
 }
 
-// pick probes other entries until one answers that takes requests. It returns that entry
-// and the connection of the probe, or nil if there is none.
-func (d *Delegator) pick(ctx context.Context) (*peerState, *roundtripper.Conn) {
+// pick probes other entries until one answers that takes requests accepted by a version of
+// the configuration. It returns that entry and the connection of the probe, or nil if
+// there is none.
+func (d *Delegator) pick(ctx context.Context, configuration int64) (*peerState, *roundtripper.Conn) {
+	path := fmt.Sprintf("%s?%s=%d", HealthPath, ConfigurationParameter, configuration)
 	candidates := d.candidates(time.Now())
 	for range maxRounds {
 		if len(candidates) == 0 || ctx.Err() != nil {
 			break
 		}
 		n := min(probesPerRound, len(candidates))
-		if p, conn := probe(ctx, candidates[:n]); p != nil {
+		if p, conn := probe(ctx, path, candidates[:n]); p != nil {
 			return p, conn
 		}
 		candidates = candidates[n:]
@@ -271,12 +278,12 @@
 }
 
 // probe probes entries at once, and returns the first that takes requests.
-func probe(ctx context.Context, batch []*peerState) (*peerState, *roundtripper.Conn) {
+func probe(ctx context.Context, path string, batch []*peerState) (*peerState, *roundtripper.Conn) {
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	results := make(chan probed, len(batch))
 	for _, p := range batch {
 		go func() {
-			_, conn, err := p.Probe(probeCtx, HealthPath)
+			_, conn, err := p.Probe(probeCtx, path)
 			if err != nil {
 				conn = nil
 				if probeCtx.Err() != context.Canceled {
--- a/steer/commander/entry_test.go
+++ b/steer/commander/entry_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -100,8 +101,9 @@
 
 // pipeListener is a net.Listener of in-memory connections.
 type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
+	conns     chan net.Conn
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
 func newPipeListener() *pipeListener {
@@ -118,11 +120,7 @@
 }
 
 func (l *pipeListener) Close() error {
-	select {
-	case <-l.closed:
-	default:
-		close(l.closed)
-	}
+	l.closeOnce.Do(func() { close(l.closed) })
 	return nil
 }
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
--- a/steer/commander/partition_test.go
+++ b/steer/commander/partition_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -35,16 +36,21 @@
 	// served again.
 	settleTime = 3 * time.Second
 	callsEnd   = 15 * time.Second
-	// promptRefusal is the time within which a call is refused that nobody can serve.
-	promptRefusal = 100 * time.Millisecond
+	// promptRefusal is the time within which a call is refused that nobody can serve: an
+	// eighth of the latency objective.
+	promptRefusal = 25 * time.Millisecond
 )
 
 // fleet is a set of whole entries in front of backend servers, without a store.
 type fleet struct {
 	network *memoryNetwork
 	entries []*entry
+	servers []servers
 	cancel  context.CancelFunc
 
+	// respond answers requests at the backend servers. Nil means that each takes
+	// serverWork and succeeds.
+	respond http.HandlerFunc
 	// samePath makes all calls ask for the same path.
 	samePath bool
 
@@ -80,7 +86,7 @@
 		for key, value := range registrations {
 			e.enroller.ApplyChange(time.Now(), key, value, false)
 		}
-		e.startServers(ctx, f.listen(*e.settings.Load()))
+		f.servers = append(f.servers, e.startServers(ctx, f.listen(*e.settings.Load())))
 		go e.enroller.RunHeartbeats(ctx)
 		go e.closeUnused(ctx)
 		go e.balancer.RunReachChecks(ctx)
@@ -117,9 +123,13 @@
 			return
 		}
 		f.countRun(r.Header.Get(translator.HeaderRequestID))
-		time.Sleep(serverWork)
 		w.Header().Set(translator.HeaderRequestID, r.Header.Get(translator.HeaderRequestID))
 		w.Header().Set(translator.HeaderSignature, "s")
+		if f.respond != nil {
+			f.respond(w, r)
+			return
+		}
+		time.Sleep(serverWork)
 		_, _ = io.WriteString(w, "ok")
 	})}
 	go func() { _ = server.Serve(l) }()
@@ -146,27 +156,38 @@
 	unsafe bool
 }
 
-// call sends one request to an entry on a new connection.
+// call sends one request to an entry on a new connection. It reports whether it was served.
 func (f *fleet) call(i int, path, id string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	defer cancel()
+	resp, body, err := f.send(ctx, i, path, id, "")
+	return err == nil && resp.StatusCode == http.StatusOK && body == "ok"
+}
+
+// send sends one request to an entry on a new connection, and returns its response. The
+// method is POST if there is a body to send.
+func (f *fleet) send(ctx context.Context, i int, path, id, text string) (resp *http.Response, body string, err error) {
 	address := f.entries[i].settings.Load().CallerAddress
 	transport := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
 		return f.network.dialer("caller")(ctx, network, address)
 	}}
-	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://h"+path, http.NoBody)
+	method := http.MethodGet
+	if text != "" {
+		method = http.MethodPost
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://h"+path, strings.NewReader(text))
 	if err != nil {
-		return false
+		return nil, "", err
 	}
 	req.Header.Set(translator.HeaderRequestID, id)
 	translator.SetDeadline(req.Header, callerTimeout)
-	resp, err := transport.RoundTrip(req)
+	resp, err = transport.RoundTrip(req)
 	if err != nil {
-		return false
+		return nil, "", err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return err == nil && resp.StatusCode == http.StatusOK && string(body) == "ok"
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
 }
 
 // runCalls calls every entry again and again while some are cut off.
@@ -322,5 +343,5 @@
 func (f *fleet) stop() {
 	f.cancel()
 	f.network.close()
-	time.Sleep(time.Minute)
+	time.Sleep(2 * idleTimeout)
 }
