--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -74,12 +74,13 @@
 	for {
 		select {
 		case <-timer.C:
-			if second := b.hedge(ctx, c, state); second != nil {
-				c.traceChosen(Hedged, second)
-				b.metrics.retries.With(string(retrier.CauseHedge)).Inc()
-				running++
-				go func() { results <- b.send(ctx, c, second) }()
+			send := b.hedge(ctx, c, state)
+			if send == nil {
+				continue
 			}
+			b.metrics.retries.With(string(retrier.CauseHedge)).Inc()
+			running++
+			go func() { results <- send() }()
 		case last = <-results:
 			running--
 			c.traceEnded(last.server, last)
@@ -96,15 +97,21 @@
 	return max(byObjective, time.Duration(hedgeRatio*float64(p.expected)))
 }
 
-// hedge picks a second server. It returns nil if the route allows no further
-// attempt, if the server is full or too slow, or if the retry budget is used up.
-func (b *Balancer) hedge(ctx context.Context, c *call, state *attempts) *picked {
+// hedge picks a second server and returns the function that sends the request there. If
+// this entry reaches no server, the hedge is passed on to another entry. It returns nil if
+// the route allows no further attempt, if the server is full or too slow, or if the retry
+// budget is used up.
+func (b *Balancer) hedge(ctx context.Context, c *call, state *attempts) (send func() attemptResult) {
 	if state.sent+2 > c.route.MaxAttempts {
 		return nil
 	}
-	p, _ := b.pick(ctx, c)
+	p, reason := b.pick(ctx, c)
 	if p == nil {
-		return nil
+		if !b.mayDelegate(c, reason) || !b.tryWithdraw(c.service) {
+			return nil
+		}
+		sent := state.sent + 1
+		return func() attemptResult { return b.delegateHedge(ctx, c, sent) }
 	}
 	if p.slowness > goodSlowness || p.busy >= p.Slots || !b.tryWithdraw(c.service) {
 		if p.conn != nil {
@@ -113,7 +120,8 @@
 		return nil
 	}
 	c.tried[p.ID] = true
-	return p
+	c.traceChosen(Hedged, p)
+	return func() attemptResult { return b.send(ctx, c, p) }
 }
 
 // send sends one attempt and records what it shows about the server.
--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -8,6 +8,7 @@
 
 	"samphiremux/entry/delegator"
 	"samphiremux/entry/refuser"
+	"samphiremux/entry/retrier"
 	"samphiremux/entry/roundtripper"
 	"samphiremux/entry/snapshotter"
 )
@@ -92,13 +93,7 @@
 // delegate passes a request on to another entry, after a reason not to send it to a server
 // from here. It reports whether the request may be tried again.
 func (b *Balancer) delegate(ctx context.Context, c *call, state *attempts, reason refuser.Reason) (resp *roundtripper.Response, refusal *refuser.Refusal, retry bool) {
-	header := c.header.Clone()
-	b.opts.Headers.SetDeadline(header, time.Until(c.deadline))
-	result := b.opts.Delegator.Send(ctx, delegator.Request{
-		Request:  roundtripper.Request{Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id},
-		Attempts: state.sent, Configuration: c.view.Table.Version,
-	})
-	switch result := result.(type) {
+	switch result := b.sendToEntry(ctx, c, state.sent).(type) {
 	case delegator.Responded:
 		c.traceDelegated(result.Entry, delegatedResponded)
 		b.metrics.delegated.With(delegatedResponded).Inc()
@@ -133,6 +128,35 @@
 	}
 }
 
+// sendToEntry passes a request on that has been sent to servers a number of times.
+func (b *Balancer) sendToEntry(ctx context.Context, c *call, sent int) delegator.Result {
+	header := c.header.Clone()
+	b.opts.Headers.SetDeadline(header, time.Until(c.deadline))
+	return b.opts.Delegator.Send(ctx, delegator.Request{
+		Request:  roundtripper.Request{Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id},
+		Attempts: sent, Configuration: c.view.Table.Version,
+	})
+}
+
+// delegateHedge passes on the hedge of an idempotent request. A refusal counts as not sent,
+// so that the first attempt decides.
+func (b *Balancer) delegateHedge(ctx context.Context, c *call, sent int) attemptResult {
+	switch result := b.sendToEntry(ctx, c, sent).(type) {
+	case delegator.Responded:
+		b.metrics.delegated.With(delegatedResponded).Inc()
+		return attemptResult{server: result.Entry, response: result.Response, outcome: retrier.Answered{}}
+	case delegator.Lost:
+		b.metrics.delegated.With(delegatedLost).Inc()
+		return attemptResult{server: result.Entry, outcome: result.Outcome}
+	case delegator.Refused:
+		b.metrics.delegated.With(delegatedRefused).Inc()
+		return attemptResult{server: result.Entry, outcome: retrier.NotSent{Cause: result.Refusal}}
+	default:
+		b.metrics.delegated.With(delegatedUnreached).Inc()
+		return attemptResult{outcome: retrier.NotSent{}}
+	}
+}
+
 func (c *call) traceDelegated(entry, result string) {
 	c.trace.add(Delegated, "entry", entry, "result", result)
 }
--- a/steer/commander/delegation_test.go
+++ b/steer/commander/delegation_test.go
@@ -205,3 +205,21 @@
 		calls.Wait()
 	})
 }
+
+// TestRequestInFlightHeldByCut guards against idempotent requests that hang until their
+// deadline as the links to the servers are cut while they run.
+func TestRequestInFlightHeldByCut(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		var calls sync.WaitGroup
+		for n := range 6 {
+			calls.Go(func() {
+				if !f.call(0, "/look/a", fmt.Sprintf("r%d", n)) {
+					t.Errorf("call %d was not served", n)
+				}
+			})
+		}
+		time.Sleep(serverWork / 2)
+		f.setCuts([]int{0}, hanging)
+		calls.Wait()
+	})
+}
