reflector, balancer: an entry that knows its configuration to be old does not answer 404

An entry is outdated while a newer value of the configuration is named that it has not read, or while it has been behind another entry for more than a second. A request without a route then gets 503, not run, and when to come back.

Before: TestRouteOfNewerConfiguration got 404 (there was no such state).

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -48,6 +48,9 @@
 	RetryLimits func() Limits
 	// Snapshot returns the current snapshot.
 	Snapshot func() *snapshotter.Snapshot
+	// Outdated reports whether a newer configuration than the one in force may exist. It
+	// may be nil.
+	Outdated func() bool
 	// EntryCount returns the number of entries that share the limits, this one
 	// included.
 	EntryCount func() int
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -110,6 +110,9 @@
 
 // fixture is a balancer in front of scripted backend servers.
 type fixture struct {
+	// outdated reports that a newer configuration may exist.
+	outdated bool
+
 	t           *testing.T
 	balancer    *balancer.Balancer
 	snapshotter *snapshotter.Snapshotter
@@ -190,7 +193,7 @@
 		})
 	}
 	f.balancer = balancer.New(balancer.Options{
-		Domain: "a", Policy: policy, Snapshot: f.snapshotter.Snapshot, EntryCount: func() int { return fixtureEntries }, Rank: func(server string) (int, int) { return rankOf(entry, server), fixtureEntries }, Log: hclog.NewNullLogger(),
+		Domain: "a", Policy: policy, Snapshot: f.snapshotter.Snapshot, Outdated: func() bool { return f.outdated }, EntryCount: func() int { return fixtureEntries }, Rank: func(server string) (int, int) { return rankOf(entry, server), fixtureEntries }, Log: hclog.NewNullLogger(),
 		RetryLimits: func() balancer.Limits { return balancer.Limits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second} },
 		NotifySuspect: func(_ string, fingerprint quarantiner.Fingerprint, crashes int) {
 			f.mu.Lock()
@@ -309,6 +312,23 @@
 	}
 }
 
+// TestRouteOfNewerConfiguration guards against 404 for a route of a configuration that
+// this entry has not read yet.
+func TestRouteOfNewerConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, chooser.ExpectedCompletion{}, servers(1, respondOK)...)
+		f.outdated = true
+		w := f.send(http.MethodGet, "/else/1", "r1")
+		is.Equal(w.Code, http.StatusServiceUnavailable)
+		is.True(w.Header().Get("Retry-After") != "")
+		is.Equal(f.send(http.MethodGet, "/look/1", "r2").Code, http.StatusOK)
+		f.outdated = false
+		is.Equal(f.send(http.MethodGet, "/else/1", "r3").Code, http.StatusNotFound)
+		f.close()
+	})
+}
+
 func TestNoConfiguration(t *testing.T) {
 	is := is.New(t)
 	s := balancer.New(balancer.Options{
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -47,7 +47,10 @@
 		return nil, notRun(refuser.HeadersTooLarge)
 	}
 	route, ok := view.Table.Match(r.Host, path)
-	if !ok {
+	switch {
+	case !ok && b.opts.Outdated != nil && b.opts.Outdated():
+		return nil, notRun(refuser.Outdated)
+	case !ok:
 		return nil, notRun(refuser.NoSuchRoute)
 	}
 	id := r.Header.Get(b.opts.Headers.RequestID)
--- a/entry/balancer/response.go
+++ b/entry/balancer/response.go
@@ -13,12 +13,13 @@
 const (
 	// queueRetryAfter is long enough for a queue of a few requests to drain.
 	queueRetryAfter = 50 * time.Millisecond
-	// unconfiguredRetryAfter is for an entry that has no configuration yet.
+	// unconfiguredRetryAfter is for an entry that has no configuration yet, or not the
+	// newest.
 	unconfiguredRetryAfter = 300 * time.Millisecond
 )
 
 func retryAfter(reason refuser.Reason) time.Duration {
-	if reason == refuser.NoDocument {
+	if reason == refuser.NoDocument || reason == refuser.Outdated {
 		return unconfiguredRetryAfter
 	}
 	return queueRetryAfter
@@ -44,11 +45,12 @@
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 	inputs := []any{"kind", string(refusal.Kind), "reason", string(refusal.Reason), "status", status}
-	if table := b.opts.Snapshot().Table; refusal.Reason == refuser.NoSuchRoute && table != nil {
+	noRoute := refusal.Reason == refuser.NoSuchRoute || refusal.Reason == refuser.Outdated
+	if table := b.opts.Snapshot().Table; noRoute && table != nil {
 		inputs = append(inputs, "host", r.Host, "configuration", table.Version)
 	}
 	t.add(Refused, inputs...)
-	b.flush(r.Header.Get(b.opts.Headers.RequestID), t, refusal.Reason == refuser.NoSuchRoute)
+	b.flush(r.Header.Get(b.opts.Headers.RequestID), t, noRoute)
 }
 
 // writeResponse writes a server's response to the caller. If a streamed
--- a/entry/reflector/list_watch.go
+++ b/entry/reflector/list_watch.go
@@ -161,7 +161,11 @@
 func (r *Reflector) ObservePeerRevision(now time.Time, revision storer.Revision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if revision > r.revision && r.behindSince.IsZero() {
+	if revision <= r.revision {
+		return
+	}
+	r.gap.open(now, revision)
+	if r.behindSince.IsZero() {
 		r.behindSince = now
 	}
 }
--- a/entry/reflector/read.go
+++ b/entry/reflector/read.go
@@ -16,13 +16,30 @@
 	readRetryInterval = 100 * time.Millisecond
 )
 
+// omission is a value that another entry has named but not sent.
+type omission struct {
+	// revision is the one at which the other entry knows the value.
+	revision storer.Revision
+	since    time.Time
+}
+
+// with returns the omission with a revision that has been named too. It is as old as
+// before.
+func (o omission) with(now time.Time, revision storer.Revision) omission {
+	if o.since.IsZero() {
+		o.since = now
+	}
+	o.revision = max(o.revision, revision)
+	return o
+}
+
 // recordOmitted records which omitted values of a batch are newer than the copy, and
 // starts their reads. The caller holds the lock.
-func (r *Reflector) recordOmitted(b Batch) {
+func (r *Reflector) recordOmitted(now time.Time, b Batch) {
 	for _, c := range b.Omitted {
 		revision := linker.DecodeRevision(c.GetRevision(), c.GetEra(), b.Revision.Era())
 		if known, ok := r.keys[c.GetKey()]; !ok || known.revision < revision {
-			r.omitted[c.GetKey()] = max(r.omitted[c.GetKey()], revision)
+			r.omitted[c.GetKey()] = r.omitted[c.GetKey()].with(now, revision)
 		}
 	}
 	if len(r.omitted) == 0 {
@@ -40,7 +57,7 @@
 func (r *Reflector) beforeOmitted() (revision storer.Revision) {
 	revision = maxRevision
 	for _, omitted := range r.omitted {
-		revision = min(revision, omitted-1)
+		revision = min(revision, omitted.revision-1)
 	}
 	return revision
 }
--- a/entry/reflector/reflector.go
+++ b/entry/reflector/reflector.go
@@ -113,10 +113,12 @@
 	// one's, or zero. It is reset when this entry advances and when a watch starts or
 	// ends.
 	behindSince time.Time
-	held        map[string]heldChange
-	// omitted holds the keys to read from the store, with the revisions at which other
-	// entries know them. When all are read, the copy is complete up to omittedUpTo.
-	omitted     map[string]storer.Revision
+	// gap is what another entry knows and this one does not.
+	gap  gap
+	held map[string]heldChange
+	// omitted holds the keys to read from the store. When all are read, the copy is
+	// complete up to omittedUpTo.
+	omitted     map[string]omission
 	omittedUpTo storer.Revision
 	// wakeReads starts the reads of omitted values.
 	wakeReads chan struct{}
@@ -134,7 +136,7 @@
 func New(o Options) *Reflector {
 	return &Reflector{
 		o: o, keys: map[string]*keyState{}, held: map[string]heldChange{},
-		omitted: map[string]storer.Revision{}, wakeReads: make(chan struct{}, 1),
+		omitted: map[string]omission{}, wakeReads: make(chan struct{}, 1),
 	}
 }
 
@@ -222,7 +224,7 @@
 		// The changes between the two revisions are missing.
 		b.Revision = r.revision
 	}
-	r.recordOmitted(b)
+	r.recordOmitted(now, b)
 	r.advance(min(b.Revision, r.beforeOmitted()))
 }
 
@@ -266,6 +268,7 @@
 		}
 		r.revision = revision
 		r.behindSince = time.Time{}
+		r.gap.close(revision)
 	}
 }
 
@@ -300,7 +303,7 @@
 	}
 	r.keys[c.Key] = &keyState{value: c.Value, revision: c.Revision, deleted: c.Deleted, appliedAt: now}
 	r.o.Sink(now, c)
-	if wanted, ok := r.omitted[c.Key]; ok && c.Revision >= wanted {
+	if o, ok := r.omitted[c.Key]; ok && c.Revision >= o.revision {
 		r.endOmission(c.Key)
 	}
 }
--- a/entry/refuser/refuser.go
+++ b/entry/refuser/refuser.go
@@ -54,6 +54,9 @@
 	// RateLimitedServers means that only servers are available that state a rate limit,
 	// and that this entry has used up its part of it.
 	RateLimitedServers Reason = "servers-rate-limited"
+	// Outdated means that the configuration in force has no route for the request, and
+	// that a newer one may have.
+	Outdated Reason = "configuration-outdated"
 )
 
 // Reasons for refusals of kind OutcomeUnknown.
@@ -73,7 +76,7 @@
 	return []Reason{
 		BackendUnreachable, BackendShedding, BadRequest, BodyTooLarge, CallerDisconnected, CallerOverShare, DeadlinePassed,
 		DeadlineTooNear, EntryUnreachable, HeadersTooLarge, Isolated, KeyFromFuture, Misdirected, NoBackendServer, NoDocument,
-		NoSuchRoute, NoSuchService, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, RateLimitedServers, Suspect,
+		NoSuchRoute, NoSuchService, Outdated, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, RateLimitedServers, Suspect,
 	}
 }
 
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -117,7 +117,7 @@
 		EncodeStatus: translator.EncodeMoveStatus, Log: log.Named("roller"),
 	})
 	e.balancer = balancer.New(balancer.Options{
-		Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, EntryCount: e.enroller.MemberCount, Rank: e.enroller.Rank, Log: log.Named("steerer"),
+		Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, Outdated: e.isOutdated, EntryCount: e.enroller.MemberCount, Rank: e.enroller.Rank, Log: log.Named("steerer"),
 		OnAttempt: e.roller.Observe,
 		Headers: balancer.Headers{
 			RequestID: translator.HeaderRequestID, Instance: translator.HeaderExpectInstance, ReadDeadline: translator.ReadDeadline,
@@ -196,6 +196,11 @@
 	return balancer.Limits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}
 }
 
+// isOutdated reports whether another entry may know a newer configuration.
+func (e *entry) isOutdated() bool {
+	return e.reflector.Outdated(time.Now(), translator.ConfigurationKey)
+}
+
 // exposureLimit returns the bounds of a faulty version's requests in force.
 func (e *entry) exposureLimit() roller.ExposureLimit {
 	b := e.settings.Load().Bounds
