--- a/entry/refuser/refuser.go
+++ b/entry/refuser/refuser.go
@@ -59,6 +59,9 @@
 	// UnreachableServers means that this entry reaches no backend server of any service,
 	// and that no other entry took the request.
 	UnreachableServers Reason = "servers-unreachable"
+	// Outdated means that the configuration in force has no route for the request, and
+	// that a newer one may have.
+	Outdated Reason = "configuration-outdated"
 )
 
 // Reasons for refusals of kind OutcomeUnknown.
@@ -78,7 +81,7 @@
 	return []Reason{
 		BackendUnreachable, BackendShedding, BadRequest, BodyTooLarge, CallerDisconnected, CallerOverShare, DeadlinePassed,
 		DeadlineTooNear, EntryUnreachable, HeadersTooLarge, Isolated, KeyFromFuture, Misdirected, NoBackendServer, NoDocument,
-		NoSuchRoute, NoSuchService, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, RateLimitedServers, Suspect, UnreachableServers,
+		NoSuchRoute, NoSuchService, Outdated, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, RateLimitedServers, Suspect, UnreachableServers,
 	}
 }
 
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -134,7 +134,7 @@
 		Dial: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) },
 	})
 	e.balancer = balancer.New(balancer.Options{
-		Self: s.ID, Delegator: e.delegator, Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, EntryCount: e.enroller.MemberCount, Rank: e.enroller.Rank, Log: log.Named("steerer"),
+		Self: s.ID, Delegator: e.delegator, Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, Outdated: e.isOutdated, EntryCount: e.enroller.MemberCount, Rank: e.enroller.Rank, Log: log.Named("steerer"),
 		OnAttempt: e.roller.Observe,
 		Headers: balancer.Headers{
 			RequestID: translator.HeaderRequestID, Instance: translator.HeaderExpectInstance, ReadDeadline: translator.ReadDeadline,
@@ -229,6 +229,11 @@
 	return balancer.Limits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}
 }
 
+// isOutdated reports whether another entry may know a newer configuration.
+func (e *entry) isOutdated() bool {
+	return e.reflector.Outdated(time.Now(), translator.ConfigurationKey)
+}
+
 // exposureLimit returns the bounds of a faulty version's requests in force.
 func (e *entry) exposureLimit() roller.ExposureLimit {
 	b := e.settings.Load().Bounds
