balancer: metrics tell how probes failed, and how many servers answer

On an entry that lost its links to all servers, samphire_probes_total showed only that probes failed.

samphire_failed_probes_total counts the probes of result error by cause, and samphire_answering_backend_servers the servers that answered this entry in the last 5 s. Existing metrics keep their names and values.

--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -24,6 +24,7 @@
 
 	"samphiremux/entry/balancer"
 	"samphiremux/entry/chooser"
+	"samphiremux/entry/meter"
 	"samphiremux/entry/quarantiner"
 	"samphiremux/entry/roundtripper"
 	"samphiremux/entry/snapshotter"
@@ -40,6 +41,9 @@
 	// rateLimit is the value of the header that states a rate limit. Empty means that
 	// there is none.
 	rateLimit string
+	// probed responds to a probe in place of the usual response. It returns false to break
+	// the connection.
+	probed func(w io.Writer) bool
 	// respond answers a request that has arrived. It returns false to break the
 	// connection.
 	respond func(w io.Writer, id string) bool
@@ -66,6 +70,12 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
+		if req.URL.Path == "/health" && b.probed != nil {
+			if !b.probed(c) {
+				return
+			}
+			continue
+		}
 		if req.URL.Path == "/health" {
 			b.mu.Lock()
 			running, limit := b.running, b.rateLimit
@@ -114,6 +124,7 @@
 	balancer    *balancer.Balancer
 	snapshotter *snapshotter.Snapshotter
 	backends    []*backend
+	metrics     *meter.Registry
 
 	mu      sync.Mutex
 	conns   []net.Conn
@@ -154,7 +165,7 @@
 
 // newEntryFixture returns the fixture of one of several entries that share the backends.
 func newEntryFixture(t *testing.T, entry uint64, policy chooser.Policy, backends ...*backend) *fixture {
-	f := &fixture{t: t, backends: backends}
+	f := &fixture{t: t, backends: backends, metrics: meter.New()}
 	byID := map[string]*backend{}
 	for _, b := range backends {
 		byID[b.id] = b
@@ -190,7 +201,7 @@
 		})
 	}
 	f.balancer = balancer.New(balancer.Options{
-		Domain: "a", Policy: policy, Snapshot: f.snapshotter.Snapshot, EntryCount: func() int { return fixtureEntries }, Rank: func(server string) (int, int) { return rankOf(entry, server), fixtureEntries }, Log: hclog.NewNullLogger(),
+		Domain: "a", Policy: policy, Snapshot: f.snapshotter.Snapshot, EntryCount: func() int { return fixtureEntries }, Rank: func(server string) (int, int) { return rankOf(entry, server), fixtureEntries }, Log: hclog.NewNullLogger(), Metrics: f.metrics,
 		RetryLimits: func() balancer.Limits { return balancer.Limits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second} },
 		NotifySuspect: func(_ string, fingerprint quarantiner.Fingerprint, crashes int) {
 			f.mu.Lock()
--- a/entry/balancer/metrics.go
+++ b/entry/balancer/metrics.go
@@ -15,20 +15,23 @@
 	refusals *meter.CounterVec
 	retries  *meter.CounterVec
 	probes   *meter.CounterVec
-	dropped  *meter.CounterVec
-	latency  *meter.HistogramVec
+	// failedProbes counts the probes of result "error" by how they failed.
+	failedProbes *meter.CounterVec
+	dropped      *meter.CounterVec
+	latency      *meter.HistogramVec
 }
 
 // newMetrics registers the metrics. The counters of each refusal reason and retry
 // cause start at zero.
 func newMetrics(r *meter.Registry) metrics {
 	m := metrics{
-		requests: r.CounterVec("requests_total", "Requests that were answered, by service and status class.", "service", "class"),
-		refusals: r.CounterVec("refusals_total", "Requests that were refused, by kind and reason.", "kind", "reason"),
-		retries:  r.CounterVec("retries_total", "Requests sent again, by cause.", "cause"),
-		probes:   r.CounterVec("probes_total", "Probes of backend servers, by result.", "result"),
-		dropped:  r.CounterVec("dropped_lines_total", "Log lines of requests that were dropped by their rate.", "of"),
-		latency:  r.HistogramVec("request_seconds", "Time from arrival to answer, by service, route and status class.", "service", "route", "class"),
+		requests:     r.CounterVec("requests_total", "Requests that were answered, by service and status class.", "service", "class"),
+		refusals:     r.CounterVec("refusals_total", "Requests that were refused, by kind and reason.", "kind", "reason"),
+		retries:      r.CounterVec("retries_total", "Requests sent again, by cause.", "cause"),
+		probes:       r.CounterVec("probes_total", "Probes of backend servers, by result.", "result"),
+		failedProbes: r.CounterVec("failed_probes_total", "Probes of backend servers that failed, by cause.", "cause"),
+		dropped:      r.CounterVec("dropped_lines_total", "Log lines of requests that were dropped by their rate.", "of"),
+		latency:      r.HistogramVec("request_seconds", "Time from arrival to answer, by service, route and status class.", "service", "route", "class"),
 	}
 	for _, reason := range refuser.NotRunReasons() {
 		m.refusals.With(string(refuser.NotRun), string(reason))
@@ -39,6 +42,9 @@
 	for _, cause := range retrier.Causes() {
 		m.retries.With(string(cause))
 	}
+	for _, cause := range probeFailures() {
+		m.failedProbes.With(string(cause))
+	}
 	return m
 }
 
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -191,6 +191,7 @@
 	result := "ok"
 	if err != nil {
 		result = "error"
+		b.metrics.failedProbes.With(string(failureOf(ctx, err))).Inc()
 	}
 	b.metrics.probes.With(result).Inc()
 	switch {
--- /dev/null
+++ b/entry/balancer/probe_failure.go
@@ -0,0 +1,65 @@
+package balancer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+
+	"samphiremux/entry/roundtripper"
+)
+
+// probeFailure tells how a probe failed. It is a label value of a metric.
+type probeFailure string
+
+const (
+	// probeRefused means that the server's address refused the connection.
+	probeRefused probeFailure = "refused"
+	// probeReset means that the connection was reset or closed before the response.
+	probeReset probeFailure = "reset"
+	// probeUnanswered means that no response arrived in time.
+	probeUnanswered probeFailure = "no-answer"
+	// probeUnhealthy means that the server reported itself unhealthy.
+	probeUnhealthy probeFailure = "unhealthy"
+	// probeMisdirected means that another server responded.
+	probeMisdirected probeFailure = "wrong-instance"
+	// probeAbandoned means that the request ended before the response arrived.
+	probeAbandoned probeFailure = "request-ended"
+	// probeFailed means that the probe failed in another way, such as with a malformed
+	// response.
+	probeFailed probeFailure = "other"
+)
+
+// probeFailures returns all ways in which a probe fails.
+func probeFailures() []probeFailure {
+	return []probeFailure{probeRefused, probeReset, probeUnanswered, probeUnhealthy, probeMisdirected, probeAbandoned, probeFailed}
+}
+
+// failureOf returns how a probe failed that ended with err. Ctx is the context of the
+// probe.
+func failureOf(ctx context.Context, err error) probeFailure {
+	var unhealthy roundtripper.ErrUnhealthy
+	var timeout net.Error
+	switch {
+	case errors.As(err, &unhealthy):
+		return probeUnhealthy
+	case isWrongInstance(err):
+		return probeMisdirected
+	case ctx.Err() == context.Canceled:
+		return probeAbandoned
+	case ctx.Err() != nil || (errors.As(err, &timeout) && timeout.Timeout()):
+		return probeUnanswered
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return probeRefused
+	case isConnectionEnd(err):
+		return probeReset
+	default:
+		return probeFailed
+	}
+}
+
+// isConnectionEnd reports whether err means that the peer reset or closed the connection.
+func isConnectionEnd(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
--- a/entry/snapshotter/backend.go
+++ b/entry/snapshotter/backend.go
@@ -81,6 +81,9 @@
 	// Leaving reports whether the server is shutting down or has lost its address
 	// to another server.
 	Leaving bool
+	// HeardAt is the time of the last response to a probe, or to a request with a load
+	// report.
+	HeardAt time.Time
 	// RecentFailures is the number of failed attempts, decayed exponentially with
 	// their age.
 	RecentFailures float64
@@ -96,7 +99,7 @@
 	defer s.mu.Unlock()
 	return StateSnapshot{
 		InFlight: s.inFlight, Load: s.load, LoadFresh: !s.loadAt.IsZero() && now.Sub(s.loadAt) < loadMaxAge,
-		Cold: now.Before(s.coldUntil), ColdReady: s.coldLimiter.Ready(now), Ejected: now.Before(s.ejectedUntil), Leaving: s.leaving,
+		Cold: now.Before(s.coldUntil), ColdReady: s.coldLimiter.Ready(now), HeardAt: s.loadAt, Ejected: now.Before(s.ejectedUntil), Leaving: s.leaving,
 		RecentFailures: s.decayedFailures(now), RateLimit: s.rateLimit,
 		RateLimitFresh: now.Sub(s.rateLimitAt) < rateLimitMaxAge,
 	}
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -50,6 +50,10 @@
 	// stopMargin is the part of the grace period that is reserved for the exit of the
 	// process.
 	stopMargin = 200 * time.Millisecond
+	// answeredWindow is the time for which a backend server counts as answering after its
+	// last response. Within it, an entry with a few requests a second probes each server of
+	// its failure domain.
+	answeredWindow = 5 * time.Second
 	// maxLocateTTL is the time for which callers may cache the list of entries, unless
 	// the settings allow less.
 	maxLocateTTL = 2 * time.Second
@@ -177,17 +181,25 @@
 		return float64(n)
 	})
 	e.metrics.Gauge("backend_servers", "Backend servers that may get work.", func() float64 {
-		snap := e.snapshots.Snapshot()
-		n := 0
-		for _, servers := range snap.Services {
-			for _, b := range servers {
-				if snap.Eligible(b) {
-					n++
-				}
+		return float64(e.countServers(func(snapshotter.Backend) bool { return true }))
+	})
+	e.metrics.Gauge("answering_backend_servers", "Backend servers that may get work and answered this entry in the last 5 s.", func() float64 {
+		now := time.Now()
+		return float64(e.countServers(func(b snapshotter.Backend) bool { return now.Sub(b.State.Snapshot(now).HeardAt) < answeredWindow }))
+	})
+}
+
+// countServers returns the number of backend servers that may get work and match.
+func (e *entry) countServers(match func(snapshotter.Backend) bool) (n int) {
+	snap := e.snapshots.Snapshot()
+	for _, servers := range snap.Services {
+		for _, b := range servers {
+			if snap.Eligible(b) && match(b) {
+				n++
 			}
 		}
-		return float64(n)
-	})
+	}
+	return n
 }
 
 // retryLimits returns the retry budget in force.
