--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -192,6 +192,7 @@
 	result := "ok"
 	if err != nil {
 		result = "error"
+		b.metrics.failedProbes.With(string(failureOf(ctx, err))).Inc()
 	}
 	b.metrics.probes.With(result).Inc()
 	switch {
@@ -202,8 +203,6 @@
 	case isWrongInstance(err):
 		cand.State.SetLeaving()
 		b.observeReached()
-	case ctx.Err() == context.Canceled:
-		// The request ended first, which says nothing about the server.
 	case responded(err):
 		cand.State.Eject(now)
 		b.observeReached()
