roundtripper: only the request id makes a refusal the request's own

Cause: a response with neither request id nor signature counted as the request's, and with the header of refusals as a promise that it had not run. A copy of such a refusal, or a late one of a health probe, could arrive between the probe and the request or while a body was sent.

Servers echo the id of the request in all responses, so a response without it belongs to no request that an entry sends; like one with another id it is passed over now, and if nothing else comes, the request may have run. One exception: a 421 that names another instance than the one asked for, since that server runs nothing on this connection. A connection on which a request was refused does not carry the same id again, as a copy of the first refusal would look like the second.

Refusals with the id of another request were passed over already.

TestResponses sends its second request with another id, as callers do.

--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -96,11 +96,18 @@
 	return err == nil
 }
 
-func respondShed(w io.Writer, _ string) bool {
-	_, err := io.WriteString(w, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+func respondShed(w io.Writer, id string) bool {
+	_, err := fmt.Fprintf(w, "HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
 	return err == nil
 }
 
+// respondRefusalOfAnother answers a request with an earlier refusal once more, and breaks
+// the connection.
+func respondRefusalOfAnother(w io.Writer, _ string) bool {
+	_, _ = io.WriteString(w, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	return false
+}
+
 func respondError(w io.Writer, id string) bool {
 	_, err := fmt.Fprintf(w, "HTTP/1.1 500 Internal Server Error\r\nId: %s\r\nSignature: s\r\nContent-Length: 0\r\n\r\n", id)
 	return err == nil
@@ -259,6 +266,7 @@
 		{"a request that the server shed is retried", http.MethodPost, "/book/1", respondShed, 503, 2},
 		{"an idempotent request whose connection broke is retried", http.MethodGet, "/look/1", breakConn, 502, 2},
 		{"another request whose connection broke is not retried", http.MethodPost, "/book/1", breakConn, 502, 1},
+		{"another request that the server answers with an earlier refusal is not retried", http.MethodPost, "/book/1", respondRefusalOfAnother, 502, 1},
 		{"no such route", http.MethodGet, "/else/1", respondOK, 404, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/entry/roundtripper/conn.go
+++ b/entry/roundtripper/conn.go
@@ -44,6 +44,8 @@
 	writer    *bufio.Writer
 	idleUntil time.Time
 	fresh     bool
+	// refusedID is the id of the last request that the server refused on the connection.
+	refusedID string
 }
 
 func newConn(c net.Conn) *Conn {
--- a/entry/roundtripper/roundtripper_test.go
+++ b/entry/roundtripper/roundtripper_test.go
@@ -110,7 +110,9 @@
 				before := srv.dials
 				second, cancelSecond := context.WithTimeout(ctx, 10*time.Millisecond)
 				defer cancelSecond()
-				_, _ = cl.Send(second, nil, newRequest())
+				next := newRequest()
+				next.ID = "r2"
+				_, _ = cl.Send(second, nil, next)
 				is.Equal(srv.dials == before, c.Reused)
 				cl.Close()
 			})
@@ -155,7 +157,7 @@
 		go func() {
 			c := <-srv.conns
 			_, _ = bufio.NewReaderSize(c, 16).ReadString('\n')
-			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: r1\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 		}()
 		r := newRequest()
 		r.Method, r.Body = http.MethodPost, []byte(strings.Repeat("x", 100_000))
--- a/entry/roundtripper/send.go
+++ b/entry/roundtripper/send.go
@@ -50,13 +50,19 @@
 // outcome is Answered or Shed.
 func (cl *Client) Send(ctx context.Context, c *Conn, r Request) (resp *Response, o retrier.Outcome) {
 	if c == nil {
-		if c = cl.popIdle(time.Now()); c == nil {
-			opened, err := cl.open(ctx)
-			if err != nil {
-				return nil, retrier.NotSent{Cause: err}
-			}
-			c = opened
+		c = cl.popIdle(time.Now())
+	}
+	if c != nil && c.refusedID == r.ID {
+		// A second refusal with this id could not be told from a copy of the first.
+		c.close()
+		c = nil
+	}
+	if c == nil {
+		opened, err := cl.open(ctx)
+		if err != nil {
+			return nil, retrier.NotSent{Cause: err}
 		}
+		c = opened
 	}
 	stop := c.closeOnDone(ctx)
 	req := r.httpRequest()
@@ -66,11 +72,14 @@
 	} else {
 		written <- c.write(req)
 	}
-	rep, mismatchedID, err := cl.readMatching(c, req, r.ID)
+	rep, mismatched, mismatchedID, err := cl.readMatching(c, req, r.ID)
 	if err != nil {
 		c.close()
 		stop()
-		return nil, errorOutcome(ctx, mismatchedID, err)
+		return nil, errorOutcome(ctx, mismatched, mismatchedID, err)
+	}
+	if cl.isRefusal(rep.StatusCode, rep.Header) {
+		c.refusedID = r.ID
 	}
 	return cl.finish(ctx, c, rep, written, stop)
 }
@@ -94,33 +103,40 @@
 }
 
 // readMatching reads responses until one belongs to the request. Late responses to
-// earlier requests may precede it on a reused connection. A response with neither
-// a request id nor a signature, such as a refusal, counts as matching. On an error,
-// mismatchedID is the request id of the last response that did not match.
-func (cl *Client) readMatching(c *Conn, req *http.Request, id string) (rep reply, mismatchedID string, err error) {
+// earlier requests and copies of them may precede it on a reused connection, so only the
+// request id makes a response match. On an error, mismatched reports whether a response
+// came that did not match, and mismatchedID is the request id of the last one.
+func (cl *Client) readMatching(c *Conn, req *http.Request, id string) (rep reply, mismatched bool, mismatchedID string, err error) {
 	for range maxResponses {
 		rep, err = c.readResponse(req)
 		if err != nil {
-			return reply{}, mismatchedID, err
+			return reply{}, mismatched, mismatchedID, err
 		}
 		got := rep.Header.Get(cl.headers.RequestID)
-		if got == id || (got == "" && rep.Header.Get(cl.headers.Signature) == "") {
-			return rep, "", nil
+		if got == id || (got == "" && cl.isFromAnother(rep)) {
+			return rep, false, "", nil
 		}
-		mismatchedID = got
+		mismatched, mismatchedID = true, got
 		if _, whole, err := readBody(rep, maxBuffered); err != nil || !whole || rep.Close {
-			return reply{}, mismatchedID, errors.New("received a response to another request")
+			return reply{}, mismatched, mismatchedID, errors.New("received a response to another request")
 		}
 	}
-	return reply{}, mismatchedID, errors.New("received only responses to other requests")
+	return reply{}, mismatched, mismatchedID, errors.New("received only responses to other requests")
+}
+
+// isFromAnother reports whether a response shows that another server has the address. That
+// server runs no request on this connection, whichever one the response belongs to.
+func (cl *Client) isFromAnother(rep reply) bool {
+	instance := rep.Header.Get(cl.headers.Instance)
+	return rep.StatusCode == http.StatusMisdirectedRequest && instance != "" && instance != cl.id
 }
 
 // errorOutcome classifies an attempt without a matching response.
-func errorOutcome(ctx context.Context, mismatchedID string, err error) retrier.Outcome {
+func errorOutcome(ctx context.Context, mismatched bool, mismatchedID string, err error) retrier.Outcome {
 	switch {
 	case ctx.Err() != nil:
 		return retrier.TimedOut{}
-	case mismatchedID != "":
+	case mismatched:
 		return retrier.Mismatched{Got: mismatchedID}
 	default:
 		return retrier.ConnectionLost{Cause: err}
@@ -196,7 +212,7 @@
 // encoding that nobody requested, counts as truncated.
 func (cl *Client) outcome(resp *Response) retrier.Outcome {
 	switch {
-	case resp.Header.Get(cl.headers.NotExecuted) != "" || resp.Status == http.StatusMisdirectedRequest:
+	case cl.isRefusal(resp.Status, resp.Header):
 		return retrier.Shed{}
 	case resp.Header.Get(cl.headers.Signature) == "":
 		return retrier.Truncated{Cause: errors.New("response has no signature")}
@@ -207,6 +223,11 @@
 	}
 }
 
+// isRefusal reports whether a response states that the server did not run its request.
+func (cl *Client) isRefusal(status int, h http.Header) bool {
+	return h.Get(cl.headers.NotExecuted) != "" || status == http.StatusMisdirectedRequest
+}
+
 // streamedBody is the unread rest of a large response body.
 type streamedBody struct {
 	io.ReadCloser
