commander, balancer, drainer: requests that come late in a stop are not cut

Two causes here. A request whose head came early, and whose body ended late, was passed on whatever was left of the grace period. And http.Server.Shutdown, which ran from half of the grace period on, drops a request that it reads on a connection that was open already: the caller cannot know that it did not run.

From half of the grace period on, but at most 2.5 s, a request is now passed on only if its deadline lies before the end, and refused as not run ("stopping") otherwise, before its body is read and after. At half of it only the listener closes; the shutdown follows when no connection is left or the time is over. 0.3 s before the end of the grace period the context of all requests ends: those at a server are answered 504, uploads that are still being read 503; a streamed response is cut, as it must not look complete.

TestStop passes the listener to stop; its checks are the same.

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -55,6 +55,9 @@
 	// a server, and the number of entries. Entries that know the same entries agree on
 	// the order, which differs from server to server.
 	Rank func(server string) (rank, entries int)
+	// MayTake reports whether a request with this deadline may still be passed on. It may
+	// be nil.
+	MayTake func(deadline time.Time) bool
 	// OnAttempt is called with each attempt that was sent, once it has ended. It
 	// may be nil.
 	OnAttempt func(Attempt)
@@ -114,6 +117,9 @@
 	if opts.OnAttempt == nil {
 		opts.OnAttempt = func(Attempt) {}
 	}
+	if opts.MayTake == nil {
+		opts.MayTake = func(time.Time) bool { return true }
+	}
 	if opts.NotifySuspect == nil {
 		opts.NotifySuspect = func(string, quarantiner.Fingerprint, int) {}
 	}
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -1,9 +1,11 @@
 package balancer
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -58,19 +60,27 @@
 	if remaining, ok := b.opts.Headers.ReadDeadline(r.Header); ok {
 		timeout = min(timeout, remaining)
 	}
+	deadline := now.Add(timeout)
+	if !b.opts.MayTake(deadline) {
+		return nil, notRun(refuser.Stopping)
+	}
 	body, refusal := readBody(w, r, view.Table.Limits.BodyBytes)
 	if refusal != nil {
 		return nil, refusal
 	}
+	if !b.opts.MayTake(deadline) {
+		return nil, notRun(refuser.Stopping)
+	}
 	service := route.PickService(b.draw(route.Name))
 	return &call{
 		route: route, service: service, version: view.Splits[service].PickVersion(b.draw("version of " + service)),
-		view: view, arrived: now, deadline: now.Add(timeout), method: r.Method, host: r.Host, target: r.RequestURI,
+		view: view, arrived: now, deadline: deadline, method: r.Method, host: r.Host, target: r.RequestURI,
 		header: endToEndHeader(r.Header), body: body, id: id, tried: map[string]bool{},
 	}, nil
 }
 
-// readBody reads the whole body within the limit of the configuration.
+// readBody reads the whole body within the limit of the configuration, until the context
+// of the request ends.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refuser.Refusal) {
 	if r.ContentLength == 0 {
 		return nil, nil
@@ -81,6 +91,8 @@
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
+	stop := context.AfterFunc(r.Context(), func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
+	defer stop()
 	var body []byte
 	var err error
 	if r.ContentLength > 0 {
@@ -93,6 +105,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, notRun(refuser.BodyTooLarge)
+	case errors.Is(err, os.ErrDeadlineExceeded) && r.Context().Err() != nil:
+		return nil, notRun(refuser.Stopping)
 	case err != nil:
 		// The caller has disconnected, or its framing is malformed.
 		return nil, notRun(refuser.CallerDisconnected)
--- a/entry/expirer/expirer.go
+++ b/entry/expirer/expirer.go
@@ -67,6 +67,13 @@
 	}
 }
 
+// Open returns the number of connections that are open.
+func (e *Expirer) Open() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.conns)
+}
+
 // CloseExpired closes the connections that have exceeded a timeout.
 func (e *Expirer) CloseExpired(limits Timeouts) (closed Closed) {
 	now := e.now()
--- a/entry/refuser/refuser.go
+++ b/entry/refuser/refuser.go
@@ -54,6 +54,8 @@
 	// RateLimitedServers means that only servers are available that state a rate limit,
 	// and that this entry has used up its part of it.
 	RateLimitedServers Reason = "servers-rate-limited"
+	// Stopping means that the entry stops and might not complete the request.
+	Stopping Reason = "stopping"
 )
 
 // Reasons for refusals of kind OutcomeUnknown.
@@ -73,7 +75,7 @@
 	return []Reason{
 		BackendUnreachable, BackendShedding, BadRequest, BodyTooLarge, CallerDisconnected, CallerOverShare, DeadlinePassed,
 		DeadlineTooNear, EntryUnreachable, HeadersTooLarge, Isolated, KeyFromFuture, Misdirected, NoBackendServer, NoDocument,
-		NoSuchRoute, NoSuchService, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, RateLimitedServers, Suspect,
+		NoSuchRoute, NoSuchService, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, RateLimitedServers, Stopping, Suspect,
 	}
 }
 
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -12,6 +12,7 @@
 
 	"samphiremux/entry/balancer"
 	"samphiremux/entry/chooser"
+	"samphiremux/entry/drainer"
 	"samphiremux/entry/enroller"
 	"samphiremux/entry/expirer"
 	"samphiremux/entry/meter"
@@ -50,6 +51,9 @@
 	// stopMargin is the part of the grace period that is reserved for the exit of the
 	// process.
 	stopMargin = 200 * time.Millisecond
+	// connectionInterval is the time between two looks for open connections of callers
+	// while the entry stops.
+	connectionInterval = 20 * time.Millisecond
 	// maxLocateTTL is the time for which callers may cache the list of entries, unless
 	// the settings allow less.
 	maxLocateTTL = 2 * time.Second
@@ -71,6 +75,7 @@
 	metrics           *meter.Registry
 	uplink            throttler.ByteBudget
 	stopping          chan struct{}
+	drainer           *drainer.Drainer
 }
 
 // movePrefix is the key prefix of move records.
@@ -79,7 +84,7 @@
 func newEntry(s translator.Settings, policy chooser.Policy, log hclog.Logger) *entry {
 	d := dialer()
 	e := &entry{
-		id: s.ID, log: log, metrics: meter.New(), expirer: expirer.New(time.Now), stopping: make(chan struct{}),
+		id: s.ID, log: log, metrics: meter.New(), expirer: expirer.New(time.Now), stopping: make(chan struct{}), drainer: drainer.New(),
 		pool: linker.NewPool(func(ctx context.Context, address string) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp", address)
 		}),
@@ -118,7 +123,7 @@
 	})
 	e.balancer = balancer.New(balancer.Options{
 		Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, EntryCount: e.enroller.MemberCount, Rank: e.enroller.Rank, Log: log.Named("steerer"),
-		OnAttempt: e.roller.Observe,
+		OnAttempt: e.roller.Observe, MayTake: e.drainer.MayTake,
 		Headers: balancer.Headers{
 			RequestID: translator.HeaderRequestID, Instance: translator.HeaderExpectInstance, ReadDeadline: translator.ReadDeadline,
 			SetDeadline: translator.SetDeadline, SetRetryAfter: translator.SetRetryAfter,
--- a/steer/commander/entry_test.go
+++ b/steer/commander/entry_test.go
@@ -165,7 +165,7 @@
 		start := time.Now()
 		ended := make(chan time.Duration, 1)
 		go func() {
-			_ = e.stop(callers)
+			_ = e.stop(callers, l)
 			ended <- time.Since(start)
 		}()
 		time.Sleep(2900 * time.Millisecond)
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -34,18 +34,14 @@
 	go e.roller.Run(work)
 	go e.watchSettings(work, file)
 	go func() { _ = linker.Serve(work, listeners[3], &link{entry: e}) }()
-	callers := e.server(e.balancer)
-	// The configuration sets the timeouts of callers' connections and may change, so
-	// the expirer enforces them.
-	callers.ReadHeaderTimeout, callers.IdleTimeout = 0, 0
-	callers.ConnState = e.expirer.ConnState
+	callers := e.callerServer(e.balancer)
 	go func() { _ = callers.Serve(e.expirer.WrapListener(listeners[0])) }()
 	go func() { _ = e.server(http.HandlerFunc(e.serveReady)).Serve(listeners[1]) }()
 	go func() { _ = e.server(http.HandlerFunc(e.serveLocate)).Serve(listeners[2]) }()
 	e.serveMetrics(s.CallerAddress)
 	log.Info("Entry runs.", "id", s.ID, "domain", s.Domain, "policy", policy.String())
 	<-ctx.Done()
-	return e.stop(callers)
+	return e.stop(callers, listeners[0])
 }
 
 // metricsPort is the port of the metrics endpoint, on the address that serves callers.
@@ -82,27 +78,60 @@
 	}
 }
 
+// callerServer returns the server of callers' requests.
+func (e *entry) callerServer(h http.Handler) *http.Server {
+	callers := e.server(h)
+	// The configuration sets the timeouts of callers' connections and may change, so
+	// the expirer enforces them.
+	callers.ReadHeaderTimeout, callers.IdleTimeout = 0, 0
+	callers.ConnState = e.expirer.ConnState
+	callers.BaseContext = func(net.Listener) context.Context { return e.drainer.Requests() }
+	return callers
+}
+
 // stop drains the entry. For half of the grace period it still serves requests but is
 // not ready and no longer listed, since callers may hold cached answers that list this
-// entry and open connections to it. Then it accepts no more requests and returns when
-// the last one is answered or the grace period ends.
-func (e *entry) stop(callers *http.Server) error {
-	grace, cancel := context.WithTimeout(context.Background(), e.settings.Load().Bounds.GracePeriod-stopMargin)
+// entry and open connections to it. Then it accepts no more connections and returns when
+// the last request is answered or the grace period ends. The drainer refuses requests
+// that come so late that they might not be complete by then.
+func (e *entry) stop(callers *http.Server, l net.Listener) error {
+	return e.drain(callers, l, e.enroller.Deregister)
+}
+
+func (e *entry) drain(callers *http.Server, l net.Listener, deregister func(context.Context)) error {
+	now, period := time.Now(), e.settings.Load().Bounds.GracePeriod
+	exit := now.Add(period - stopMargin)
+	grace, cancel := context.WithDeadline(context.Background(), exit)
 	defer cancel()
+	e.drainer.Begin(now.Add(period/2), exit)
 	close(e.stopping)
 	e.log.Info("Entry stops.")
 	callers.SetKeepAlivesEnabled(false)
-	drain := time.NewTimer(e.settings.Load().Bounds.GracePeriod / 2)
-	defer drain.Stop()
-	e.enroller.Deregister(grace)
-	<-drain.C
+	deregister(grace)
+	time.Sleep(time.Until(now.Add(period / 2)))
+	// A shutdown would close a connection on which a request has just been read.
+	_ = l.Close()
+	e.awaitConnections(grace)
 	if err := callers.Shutdown(grace); err != nil {
-		e.log.Warn("Grace period ended with requests in flight.", "error", err)
+		e.log.Warn("Grace period ended with open connections.", "connections", e.expirer.Open(), "error", err)
 	}
 	e.log.Info("Entry stopped.")
 	return nil
 }
 
+// awaitConnections waits until callers have no open connection, or ctx ends.
+func (e *entry) awaitConnections(ctx context.Context) {
+	t := time.NewTicker(connectionInterval)
+	defer t.Stop()
+	for e.expirer.Open() > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (e *entry) isStopping() bool {
 	select {
 	case <-e.stopping:
