commander: a store that does not answer no longer delays the end of intake

If the store does not answer, the entry waits for its deregistration up to the end of the grace period, takes requests and connections all the while, and cuts them when it ends.

The deregistration now runs beside the drain. TestStopWithoutStore on the code before: a request 3.1 s after the signal, of a grace period of 6 s, was served and the stop had not ended when the test did ("blocked goroutines remain").

--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -107,7 +107,11 @@
 	close(e.stopping)
 	e.log.Info("Entry stops.")
 	callers.SetKeepAlivesEnabled(false)
-	deregister(grace)
+	deregistered := make(chan struct{})
+	go func() {
+		defer close(deregistered)
+		deregister(grace)
+	}()
 	time.Sleep(time.Until(now.Add(period / 2)))
 	// A shutdown would close a connection on which a request has just been read.
 	_ = l.Close()
@@ -115,6 +119,10 @@
 	if err := callers.Shutdown(grace); err != nil {
 		e.log.Warn("Grace period ended with open connections.", "connections", e.expirer.Open(), "error", err)
 	}
+	select {
+	case <-deregistered:
+	case <-grace.Done():
+	}
 	e.log.Info("Entry stopped.")
 	return nil
 }
--- a/steer/commander/stop_test.go
+++ b/steer/commander/stop_test.go
@@ -287,6 +287,25 @@
 	return ""
 }
 
+// TestStopWithoutStore guards against requests that are taken until the end of the grace
+// period because the store does not answer the deregistration.
+func TestStopWithoutStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e, _ := newTestEntry(t)
+		setGracePeriod(e, 6*time.Second)
+		l := newPipeListener()
+		callers := e.callerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		go func() { _ = callers.Serve(l) }()
+		go func() { _ = e.drain(callers, l, func(ctx context.Context) { <-ctx.Done() }) }()
+		time.Sleep(2900 * time.Millisecond)
+		is.True(l.get(context.Background()))
+		time.Sleep(200 * time.Millisecond)
+		is.True(!l.get(context.Background()))
+		time.Sleep(3 * time.Second)
+	})
+}
+
 func setGracePeriod(e *entry, period time.Duration) {
 	s := *e.settings.Load()
 	s.Bounds.GracePeriod = period
