--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -198,7 +198,15 @@
 
 // turnsDown reports whether another entry may take a request that was refused.
 func turnsDown(r refuser.Refusal) bool {
-	return r.Kind == refuser.NotRun && (r.Reason == refuser.UnreachableServers || r.Reason == refuser.NoDocument)
+	if r.Kind != refuser.NotRun {
+		return false
+	}
+	switch r.Reason {
+	case refuser.UnreachableServers, refuser.NoDocument, refuser.Stopping:
+		return true
+	default:
+		return false
+	}
 }
 
 // send sends a request to one entry.
--- a/entry/refuser/refuser.go
+++ b/entry/refuser/refuser.go
@@ -62,6 +62,8 @@
 	// Outdated means that the configuration in force has no route for the request, and
 	// that a newer one may have.
 	Outdated Reason = "configuration-outdated"
+	// Stopping means that the entry stops and might not complete the request.
+	Stopping Reason = "stopping"
 )
 
 // Reasons for refusals of kind OutcomeUnknown.
@@ -81,7 +83,7 @@
 	return []Reason{
 		BackendUnreachable, BackendShedding, BadRequest, BodyTooLarge, CallerDisconnected, CallerOverShare, DeadlinePassed,
 		DeadlineTooNear, EntryUnreachable, HeadersTooLarge, Isolated, KeyFromFuture, Misdirected, NoBackendServer, NoDocument,
-		NoSuchRoute, NoSuchService, Outdated, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, RateLimitedServers, Suspect, UnreachableServers,
+		NoSuchRoute, NoSuchService, Outdated, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, RateLimitedServers, Stopping, Suspect, UnreachableServers,
 	}
 }
 
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -13,6 +13,7 @@
 	"samphiremux/entry/balancer"
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/delegator"
+	"samphiremux/entry/drainer"
 	"samphiremux/entry/enroller"
 	"samphiremux/entry/expirer"
 	"samphiremux/entry/meter"
@@ -55,6 +56,9 @@
 	// last response. Within it, an entry with a few requests a second probes each server of
 	// its failure domain.
 	answeredWindow = 5 * time.Second
+	// connectionInterval is the time between two looks for open connections of callers
+	// while the entry stops.
+	connectionInterval = 20 * time.Millisecond
 	// maxLocateTTL is the time for which callers may cache the list of entries, unless
 	// the settings allow less.
 	maxLocateTTL = 2 * time.Second
@@ -77,6 +81,7 @@
 	metrics           *meter.Registry
 	uplink            throttler.ByteBudget
 	stopping          chan struct{}
+	drainer           *drainer.Drainer
 }
 
 const (
@@ -99,7 +104,7 @@
 
 func newEntry(s translator.Settings, policy chooser.Policy, dial dialFunc, log hclog.Logger) *entry {
 	e := &entry{
-		id: s.ID, log: log, metrics: meter.New(), expirer: expirer.New(time.Now), stopping: make(chan struct{}),
+		id: s.ID, log: log, metrics: meter.New(), expirer: expirer.New(time.Now), stopping: make(chan struct{}), drainer: drainer.New(),
 		pool: linker.NewPool(func(ctx context.Context, address string) (net.Conn, error) {
 			return dial(ctx, "tcp", address)
 		}),
@@ -139,7 +144,7 @@
 	})
 	e.balancer = balancer.New(balancer.Options{
 		Self: s.ID, Delegator: e.delegator, Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, Outdated: e.isOutdated, EntryCount: e.enroller.MemberCount, Rank: e.enroller.Rank, Log: log.Named("steerer"),
-		OnAttempt: e.roller.Observe,
+		OnAttempt: e.roller.Observe, MayTake: e.drainer.MayTake,
 		Headers: balancer.Headers{
 			RequestID: translator.HeaderRequestID, Instance: translator.HeaderExpectInstance, ReadDeadline: translator.ReadDeadline,
 			SetDeadline: translator.SetDeadline, SetRetryAfter: translator.SetRetryAfter,
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -43,25 +43,26 @@
 	return e.stop(running)
 }
 
-// servers are the servers of requests: of callers, and of entries that pass them on.
-type servers struct{ callers, delegated *http.Server }
+// servers are the servers of requests: of callers, with their listener, and of entries
+// that pass requests on.
+type servers struct {
+	callers, delegated *http.Server
+	listener           net.Listener
+}
 
 // startServers serves callers, the platform and other entries.
 func (e *entry) startServers(ctx context.Context, l listeners) servers {
 	go func() { _ = linker.Serve(ctx, l.link, &link{entry: e}) }()
-	callers := e.server(e.balancer)
-	// The configuration sets the timeouts of callers' connections and may change, so
-	// the expirer enforces them.
-	callers.ReadHeaderTimeout, callers.IdleTimeout = 0, 0
-	callers.ConnState = e.expirer.ConnState
+	callers := e.callerServer(e.balancer)
 	go func() { _ = callers.Serve(e.expirer.WrapListener(l.callers)) }()
 	go func() { _ = e.server(http.HandlerFunc(e.serveReady)).Serve(l.ready) }()
 	go func() { _ = e.server(http.HandlerFunc(e.serveLocate)).Serve(l.locate) }()
 	delegated := e.server(http.HandlerFunc(e.serveDelegated))
+	delegated.BaseContext = callers.BaseContext
 	if l.delegated != nil {
 		go func() { _ = delegated.Serve(l.delegated) }()
 	}
-	return servers{callers: callers, delegated: delegated}
+	return servers{callers: callers, delegated: delegated, listener: l.callers}
 }
 
 // metricsPort is the port of the metrics endpoint, on the address that serves callers.
@@ -107,28 +108,67 @@
 	}
 }
 
+// callerServer returns the server of callers' requests.
+func (e *entry) callerServer(h http.Handler) *http.Server {
+	callers := e.server(h)
+	// The configuration sets the timeouts of callers' connections and may change, so
+	// the expirer enforces them.
+	callers.ReadHeaderTimeout, callers.IdleTimeout = 0, 0
+	callers.ConnState = e.expirer.ConnState
+	callers.BaseContext = func(net.Listener) context.Context { return e.drainer.Requests() }
+	return callers
+}
+
 // stop drains the entry. For half of the grace period it still serves requests but is
 // not ready and no longer listed, since callers may hold cached answers that list this
-// entry and open connections to it. Then it accepts no more requests and returns when
-// the last one is answered or the grace period ends.
-func (e *entry) stop(s servers) error {
-	grace, cancel := context.WithTimeout(context.Background(), e.settings.Load().Bounds.GracePeriod-stopMargin)
+// entry and open connections to it. Then it accepts no more connections and returns when
+// the last request is answered or the grace period ends. The drainer refuses requests
+// that come so late that they might not be complete by then.
+func (e *entry) stop(s servers) error { return e.drain(s, e.enroller.Deregister) }
+
+func (e *entry) drain(s servers, deregister func(context.Context)) error {
+	now, period := time.Now(), e.settings.Load().Bounds.GracePeriod
+	exit := now.Add(period - stopMargin)
+	grace, cancel := context.WithDeadline(context.Background(), exit)
 	defer cancel()
+	e.drainer.Begin(now.Add(period/2), exit)
 	close(e.stopping)
 	e.log.Info("Entry stops.")
 	s.callers.SetKeepAlivesEnabled(false)
 	s.delegated.SetKeepAlivesEnabled(false)
-	drain := time.NewTimer(e.settings.Load().Bounds.GracePeriod / 2)
-	defer drain.Stop()
-	e.enroller.Deregister(grace)
-	<-drain.C
+	deregistered := make(chan struct{})
+	go func() {
+		defer close(deregistered)
+		deregister(grace)
+	}()
+	time.Sleep(time.Until(now.Add(period / 2)))
+	// A shutdown would close a connection on which a request has just been read.
+	_ = s.listener.Close()
+	e.awaitConnections(grace)
 	if err := errors.Join(s.callers.Shutdown(grace), s.delegated.Shutdown(grace)); err != nil {
-		e.log.Warn("Grace period ended with requests in flight.", "error", err)
+		e.log.Warn("Grace period ended with open connections.", "connections", e.expirer.Open(), "error", err)
+	}
+	select {
+	case <-deregistered:
+	case <-grace.Done():
 	}
 	e.log.Info("Entry stopped.")
 	return nil
 }
 
+// awaitConnections waits until callers have no open connection, or ctx ends.
+func (e *entry) awaitConnections(ctx context.Context) {
+	t := time.NewTicker(connectionInterval)
+	defer t.Stop()
+	for e.expirer.Open() > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (e *entry) isStopping() bool {
 	select {
 	case <-e.stopping:
