fuzzer: entries are partitioned from all backend servers, in three ways

The verbs cut-servers and mend-servers partition an entry from all servers: traffic is dropped, connections are reset, or only new ones are refused. The invariant server-cut compares the first tries at such entries from 3 s after the cut with those at the others, and checks that the others do not suffer. The injected bug cut-peers is found by it.

--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -107,10 +107,14 @@
 type Whole struct{ Entry netip.AddrPort }
 
 // Failed is a response of a backend server with a status other than 200.
-type Failed struct{ Status int }
+type Failed struct {
+	Entry  netip.AddrPort
+	Status int
+}
 
 // Refused is a refusal by an entry.
 type Refused struct {
+	Entry  netip.AddrPort
 	Kind   string
 	Reason string
 	Status int
@@ -118,10 +122,16 @@
 
 // Wrong is a response that belongs to another call, or that was truncated without an
 // error. Got is the start of its body.
-type Wrong struct{ Got string }
+type Wrong struct {
+	Entry netip.AddrPort
+	Got   string
+}
 
 // Broken is a call whose connection failed before the response was complete.
-type Broken struct{ Cause error }
+type Broken struct {
+	Entry netip.AddrPort
+	Cause error
+}
 
 // NoEntry is a call that was not sent, since no entry was found or could be reached.
 type NoEntry struct{ Cause error }
@@ -258,7 +268,7 @@
 		if (errors.As(err, &op) && op.Op == "dial") || strings.HasPrefix(err.Error(), "dial ") {
 			return NoEntry{Cause: err}, false
 		}
-		return Broken{Cause: err}, true
+		return Broken{Entry: entry, Cause: err}, true
 	}
 	defer resp.Body.Close()
 	return classify(call, entry, resp), true
@@ -267,17 +277,17 @@
 func classify(call Call, entry netip.AddrPort, resp *http.Response) Result {
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return Broken{Cause: err}
+		return Broken{Entry: entry, Cause: err}
 	}
 	if v := resp.Header.Get(refusalHeader); v != "" {
 		kind, reason, _ := strings.Cut(v, "; reason=")
-		return Refused{Kind: kind, Reason: reason, Status: resp.StatusCode}
+		return Refused{Entry: entry, Kind: kind, Reason: reason, Status: resp.StatusCode}
 	}
 	if resp.StatusCode != http.StatusOK {
-		return Failed{Status: resp.StatusCode}
+		return Failed{Entry: entry, Status: resp.StatusCode}
 	}
 	if want := responder.Body(call.ID); string(body) != want {
-		return Wrong{Got: strconv.Quote(string(body[:min(len(body), 60)]))}
+		return Wrong{Entry: entry, Got: strconv.Quote(string(body[:min(len(body), 60)]))}
 	}
 	return Whole{Entry: entry}
 }
--- a/standin/fuzzer/fuzzer_test.go
+++ b/standin/fuzzer/fuzzer_test.go
@@ -61,7 +61,7 @@
 	return rapid.Custom(func(t *rapid.T) fuzzer.Script {
 		s := fuzzer.Script{
 			Entries: rapid.IntRange(2, 5).Draw(t, "entries"), Seed: rapid.Uint64Range(1, 1000).Draw(t, "seed"),
-			CallsPerSecond: rapid.IntRange(10, 50).Draw(t, "load"), Length: 5 * time.Second,
+			CallsPerSecond: rapid.IntRange(10, 50).Draw(t, "load"), Length: fuzzer.ScriptLength(shard),
 		}
 		steps := rapid.IntRange(1, 7).Draw(t, "steps")
 		offset := time.Duration(0)
@@ -109,6 +109,7 @@
 	"never-heal":     "at 100ms apply",
 	"retry-storm":    "at 100ms apply",
 	"forget-writes":  "entries 2\nat 2s apply\nat 3s store-restore 2\nat 3500ms kill 1\nat 3500ms kill 2",
+	"cut-peers":      "length 10s\nat 100ms cut-servers 1 dropping\nat 100ms cut-servers 2 dropping",
 	"hide-limit":     "length 9s\nload 40\nat 100ms limit booking-1 1\nat 100ms limit booking-2 1",
 }
 
--- a/standin/fuzzer/generate.go
+++ b/standin/fuzzer/generate.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -26,6 +28,18 @@
 	{"store-restore", "store-restore", "apply", "apply", "domain-out", "domain-in", "move", "kill", "start", "store-down", "store-up", "cut-store", "mend-store"},
 }
 
+// serverCutProfile is the index of the profile that partitions entries from all servers.
+const serverCutProfile = 11
+
+// ScriptLength returns the length of a shard's scripts. A partition from all servers is
+// judged only when it has lasted for serverCutNotice.
+func ScriptLength(shard int) time.Duration {
+	if shard%ProfileCount == serverCutProfile {
+		return 10 * time.Second
+	}
+	return 5 * time.Second
+}
+
 // allVerbs lists the verbs of the steps that do not follow the shard's profile.
 var allVerbs = []string{
 	"crash", "turn-cold", "slow", "drain", "undrain", "cut-answers", "cross-answers", "silence", "poison", "kill",
@@ -60,6 +74,11 @@
 			return drawServer(choose)
 		}
 		return strconv.Itoa(choose(1, 10))
+	case "cut-servers":
+		if index == 0 {
+			return strconv.Itoa(choose(1, entries))
+		}
+		return slices.Sorted(maps.Keys(serverPartitions))[choose(0, len(serverPartitions)-1)]
 	case "poison", "move":
 		return []string{"catalogue", "booking"}[choose(0, 1)]
 	case "domain-out", "domain-in":
--- a/standin/fuzzer/injected_bugs.go
+++ b/standin/fuzzer/injected_bugs.go
@@ -32,6 +32,7 @@
 		"retry-storm":    invRetries,
 		"hide-limit":     invRateLimit,
 		"forget-writes":  invConfig,
+		"cut-peers":      invServerCut,
 	}
 }
 
--- a/standin/fuzzer/oracle.go
+++ b/standin/fuzzer/oracle.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -59,6 +60,7 @@
 	invService   = "service-returns"
 	invRetries   = "retry-budget"
 	invRateLimit = "rate-limit"
+	invServerCut = "server-cut"
 )
 
 // oracle checks a run against the invariants.
@@ -87,12 +89,19 @@
 	// membershipChanges counts the steps after which a service may be served by
 	// entries that do not know the suspects, the requests suspected of crashing servers.
 	membershipChanges int
+	// serverCuts holds the partitions of entries from all servers, by entry.
+	serverCuts map[netip.Addr][]serverCut
+	// settledFrom is the time from which an entry is in touch with the others again,
+	// by entry.
+	settledFrom map[netip.Addr]time.Time
+	firstTries  map[string]*firstTries
 }
 
 func newOracle(r *run) *oracle {
 	o := &oracle{
 		run: r, departures: map[string]departure{}, revisions: map[string]uint64{}, rolledBack: map[string]time.Time{},
-		finalFailures: map[string]int{},
+		finalFailures: map[string]int{}, serverCuts: map[netip.Addr][]serverCut{}, settledFrom: map[netip.Addr]time.Time{},
+		firstTries: map[string]*firstTries{},
 	}
 	has := map[string]bool{}
 	for _, st := range r.script.Steps {
@@ -341,6 +350,7 @@
 		}
 	}
 	o.checkRetries()
+	o.checkFirstTries()
 	o.run.cluster.RefreshRevision()
 	want := uint64(o.run.cluster.Revision())
 	for _, h := range o.run.cluster.Entries {
--- a/standin/fuzzer/run.go
+++ b/standin/fuzzer/run.go
@@ -154,6 +154,7 @@
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.Offset - b.Offset) })
 	for _, st := range steps {
 		time.Sleep(time.Until(began.Add(st.Offset)))
+		r.oracle.recordStep(st)
 		verbs[st.Verb].run(r, st.Args)
 	}
 	time.Sleep(time.Until(began.Add(r.script.Length)))
@@ -174,6 +175,7 @@
 	for i, h := range r.cluster.Entries {
 		r.net.Resume(h.Address)
 		h.SetStorePartitioned(false)
+		r.mendServers(h)
 		for _, other := range r.cluster.Entries[:i] {
 			r.net.Heal(h.Address, other.Address)
 		}
@@ -236,7 +238,12 @@
 		c := r.drawCall(rng, n, final, work)
 		sender := callers[rng.IntN(len(callers))]
 		resender := callers[rng.IntN(len(callers))]
-		all.Go(func() { r.oracle.checkCall(c, final, r.do(sender, resender, c)) })
+		all.Go(func() {
+			began := time.Now()
+			results := r.do(sender, resender, c)
+			r.oracle.checkCall(c, final, results)
+			r.oracle.countFirstTry(began, c.Service, results[0])
+		})
 	}
 	all.Wait()
 }
--- a/standin/fuzzer/verbs.go
+++ b/standin/fuzzer/verbs.go
@@ -10,6 +10,7 @@
 
 	"samphiremux/pkg/parser"
 	"samphiremux/pkg/publisher"
+	"samphiremux/standin/netemulator"
 	"samphiremux/standin/platformemulator"
 	"samphiremux/standin/simulator"
 )
@@ -38,19 +39,23 @@
 	// Callers send refused calls again without backoff, up to a number of times.
 	"repeat": {1, onCount(func(r *run, n int) { r.immediateRetries.Store(int64(n)) })},
 	// A server states a rate limit, in requests per second.
-	"limit":         {2, (*run).limit},
-	"unlimit":       {1, (*run).unlimit},
-	"silence":       {1, (*run).silence},
-	"poison":        {1, (*run).poison},
-	"kill":          {1, onEntry((*run).kill)},
-	"stop":          {1, onEntry((*run).stop)},
-	"start":         {1, onEntry((*run).start)},
-	"pause":         {1, onEntry((*run).pause)},
-	"resume":        {1, onEntry((*run).resume)},
-	"cut":           {2, onEntries(func(r *run, a, b netip.Addr) { r.net.Partition(a, b) })},
-	"mend":          {2, onEntries(func(r *run, a, b netip.Addr) { r.net.Heal(a, b) })},
-	"cut-store":     {1, onEntry(func(_ *run, h *simulator.Host) { h.SetStorePartitioned(true) })},
-	"mend-store":    {1, onEntry(func(_ *run, h *simulator.Host) { h.SetStorePartitioned(false) })},
+	"limit":      {2, (*run).limit},
+	"unlimit":    {1, (*run).unlimit},
+	"silence":    {1, (*run).silence},
+	"poison":     {1, (*run).poison},
+	"kill":       {1, onEntry((*run).kill)},
+	"stop":       {1, onEntry((*run).stop)},
+	"start":      {1, onEntry((*run).start)},
+	"pause":      {1, onEntry((*run).pause)},
+	"resume":     {1, onEntry((*run).resume)},
+	"cut":        {2, onEntries(func(r *run, a, b netip.Addr) { r.net.Partition(a, b) })},
+	"mend":       {2, onEntries(func(r *run, a, b netip.Addr) { r.net.Heal(a, b) })},
+	"cut-store":  {1, onEntry(func(_ *run, h *simulator.Host) { h.SetStorePartitioned(true) })},
+	"mend-store": {1, onEntry(func(_ *run, h *simulator.Host) { h.SetStorePartitioned(false) })},
+	// An entry is partitioned from all backend servers. The second argument says what
+	// becomes of its connections to them: dropping, resetting or refusing.
+	"cut-servers":   {2, (*run).cutServers},
+	"mend-servers":  {1, onEntry((*run).mendServers)},
 	"store-down":    {0, func(r *run, _ []string) { r.setStoreFaults(platformemulator.Faults{Down: true}) }},
 	"store-up":      {0, func(r *run, _ []string) { r.setStoreFaults(platformemulator.Faults{}) }},
 	"store-slow":    {0, func(r *run, _ []string) { r.setStoreFaults(platformemulator.Faults{SlowBy: 400 * time.Millisecond}) }},
@@ -180,6 +185,31 @@
 	})
 }
 
+// cutServers partitions an entry from all backend servers. An entry that is cut already
+// stays as it is.
+func (r *run) cutServers(args []string) {
+	onEntry(func(r *run, h *simulator.Host) {
+		p, ok := serverPartitions[args[1]]
+		if !ok || h.ServerPartition() != netemulator.Connected {
+			return
+		}
+		h.SetServerPartition(r.net, p)
+		r.oracle.recordServerCut(h.Address)
+		if r.script.InjectedBug == "cut-peers" {
+			for _, other := range r.cluster.Entries {
+				if other != h {
+					r.net.Partition(h.Address, other.Address)
+				}
+			}
+		}
+	})(r, args[:1])
+}
+
+func (r *run) mendServers(h *simulator.Host) {
+	h.SetServerPartition(r.net, netemulator.Connected)
+	r.oracle.recordServersMended(h.Address)
+}
+
 func (r *run) setStoreFaults(f platformemulator.Faults) { r.cluster.Store.SetFaults(f) }
 
 // pause stops all traffic of an entry, including that to the store.
--- a/standin/netemulator/netemulator.go
+++ b/standin/netemulator/netemulator.go
@@ -21,26 +21,26 @@
 	// delay returns the one-way delay between two locations.
 	delay func(from, to string) time.Duration
 
-	mu          sync.Mutex
-	locations   map[netip.Addr]string
-	listeners   map[netip.AddrPort]*listener
-	conns       map[*Conn]struct{}
-	partitioned map[[2]netip.Addr]bool
-	paused      map[netip.Addr]chan struct{}
-	links       map[netip.Addr]*link
-	ports       uint16
+	mu         sync.Mutex
+	locations  map[netip.Addr]string
+	listeners  map[netip.AddrPort]*listener
+	conns      map[*Conn]struct{}
+	partitions map[[2]netip.Addr]Partition
+	paused     map[netip.Addr]chan struct{}
+	links      map[netip.Addr]*link
+	ports      uint16
 }
 
 // New returns a network with the one-way delays between locations that delay returns.
 func New(delay func(from, to string) time.Duration) *Network {
 	return &Network{
-		delay:       delay,
-		locations:   map[netip.Addr]string{},
-		listeners:   map[netip.AddrPort]*listener{},
-		conns:       map[*Conn]struct{}{},
-		partitioned: map[[2]netip.Addr]bool{},
-		paused:      map[netip.Addr]chan struct{}{},
-		links:       map[netip.Addr]*link{},
+		delay:      delay,
+		locations:  map[netip.Addr]string{},
+		listeners:  map[netip.AddrPort]*listener{},
+		conns:      map[*Conn]struct{}{},
+		partitions: map[[2]netip.Addr]Partition{},
+		paused:     map[netip.Addr]chan struct{}{},
+		links:      map[netip.Addr]*link{},
 	}
 }
 
@@ -73,8 +73,8 @@
 }
 
 // Dial connects a host to an address. It takes one round trip, waits while either host
-// is paused when it begins, and across a partition blocks until ctx ends. Without a
-// listener it fails with syscall.ECONNREFUSED.
+// is paused when it begins, and across a Dropping partition blocks until ctx ends. Across
+// another partition, and without a listener, it fails with syscall.ECONNREFUSED.
 func (n *Network) Dial(ctx context.Context, from netip.Addr, to netip.AddrPort) (net.Conn, error) {
 	if err := n.awaitResume(ctx, from); err != nil {
 		return nil, fmt.Errorf("dial %s: %w", to, err)
@@ -84,17 +84,17 @@
 	}
 	n.mu.Lock()
 	l := n.listeners[to]
-	partitioned := n.isPartitioned(from, to.Addr())
+	partition := n.partitions[hostPair(from, to.Addr())]
 	delay := n.delay(n.locations[from], n.locations[to.Addr()])
 	n.mu.Unlock()
-	if partitioned {
+	if partition == Dropping {
 		<-ctx.Done()
 		return nil, fmt.Errorf("dial %s: %w", to, ctx.Err())
 	}
 	if err := sleep(ctx, 2*delay); err != nil {
 		return nil, fmt.Errorf("dial %s: %w", to, err)
 	}
-	if l == nil {
+	if l == nil || partition != Connected {
 		return nil, fmt.Errorf("dial %s: %w", to, syscall.ECONNREFUSED)
 	}
 	client, server := n.connect(from, to, delay)
@@ -141,22 +141,48 @@
 	return [2]netip.Addr{a, b}
 }
 
-func (n *Network) isPartitioned(a, b netip.Addr) bool { return n.partitioned[hostPair(a, b)] }
+// Partition is what a partition between two hosts does to their connections.
+type Partition int
 
-// Partition drops all traffic between two hosts, data in flight included, without an
-// error at either. Connections stay open.
-func (n *Network) Partition(a, b netip.Addr) { n.setPartitioned(a, b, true) }
+const (
+	// Connected means that there is no partition.
+	Connected Partition = iota
+	// Dropping drops all traffic, data in flight included, without an error at either
+	// host. Connections stay open, and dials hang.
+	Dropping
+	// Resetting resets the open connections and refuses new ones.
+	Resetting
+	// Refusing refuses new connections. Open ones work.
+	Refusing
+)
+
+// Partition drops all traffic between two hosts, as Dropping describes.
+func (n *Network) Partition(a, b netip.Addr) { n.SetPartition(a, b, Dropping) }
 
-// Heal ends a partition between two hosts. Connections that were open when it began
-// keep losing all data.
-func (n *Network) Heal(a, b netip.Addr) { n.setPartitioned(a, b, false) }
+// Heal ends a partition between two hosts. Connections whose traffic it dropped keep
+// losing all data.
+func (n *Network) Heal(a, b netip.Addr) { n.SetPartition(a, b, Connected) }
 
-func (n *Network) setPartitioned(a, b netip.Addr, partitioned bool) {
+// SetPartition sets the partition between two hosts.
+func (n *Network) SetPartition(a, b netip.Addr, p Partition) {
+	between := func(c *Conn) bool { return hostPair(c.local.Addr(), c.remote.Addr()) == hostPair(a, b) }
+	var broken []*Conn
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.partitioned[hostPair(a, b)] = partitioned
-	if partitioned {
-		n.blackholeLocked(func(c *Conn) bool { return hostPair(c.local.Addr(), c.remote.Addr()) == hostPair(a, b) })
+	n.partitions[hostPair(a, b)] = p
+	switch p {
+	case Dropping:
+		n.blackholeLocked(between)
+	case Resetting:
+		for c := range n.conns {
+			if between(c) {
+				broken = append(broken, c)
+			}
+		}
+	case Connected, Refusing:
+	}
+	n.mu.Unlock()
+	for _, c := range broken {
+		c.Abort()
 	}
 }
 
--- a/standin/simulator/partition.go
+++ b/standin/simulator/partition.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"samphiremux/pkg/storer"
+	"samphiremux/standin/netemulator"
 )
 
 // nullLog discards the messages of the backend servers' HTTP servers.
@@ -86,3 +87,15 @@
 		f(events, upTo)
 	})
 }
+
+// SetServerPartition sets the partition between the host and all backend servers on n,
+// the network of the cluster. Callers, the store and other entries still reach the host.
+func (h *Host) SetServerPartition(n *netemulator.Network, p netemulator.Partition) {
+	h.serverPartition = p
+	for _, b := range h.cluster.Servers {
+		n.SetPartition(h.Address, b.Declared.Address.Addr(), p)
+	}
+}
+
+// ServerPartition returns the partition between the host and all backend servers.
+func (h *Host) ServerPartition() netemulator.Partition { return h.serverPartition }
--- a/standin/simulator/simulator.go
+++ b/standin/simulator/simulator.go
@@ -23,6 +23,7 @@
 	"samphiremux/pkg/publisher"
 	"samphiremux/pkg/storer"
 	"samphiremux/standin/caller"
+	"samphiremux/standin/netemulator"
 	"samphiremux/standin/platformemulator"
 	"samphiremux/standin/responder"
 )
@@ -117,6 +118,7 @@
 
 	cluster          *Cluster
 	storePartitioned atomic.Bool
+	serverPartition  netemulator.Partition
 	starts           uint64
 }
 
