balancer, roundtripper: a server that says in a response that it leaves gets no new work

Servers on the users' platform may say in any response that they leave. No code read it, so an entry went on sending to such a server until the store told of it, and without the store for as long as the server answered.

The client of a server now passes on what the head of a response says, as soon as it is read, so that news in a response of a lost hedge, to a caller that left, with a body that breaks off or before an upload was read is not lost. It ends new work in the one state that a lost address ended before. The state belongs to one incarnation; a server that is removed while it leaves is remembered, so that an older record of the store does not bring it back. Log lines, the decision left-out, a gauge and explain show it.

Failed before: TestNoticeInAnyResponse (12 of 15 cases), TestServerUsedAfterItSaysItLeaves (21, 2, 2 and 2 requests, 1 expected), TestLeavingSaidByHedge (2 and 11, 1 expected), TestLeavingSaidToCallerThatLeft (2), TestLeavingServerRegisteredAgain (10, and 11 without the memory of removed servers), TestLeavingServerAfterRestartOfEntry (10), TestLeavingSaidInProbe (200, 503 expected). TestLateWordOfEarlierIncarnation passed before and guards the state of the next incarnation.

--- a/ctl/explainer/explainer.go
+++ b/ctl/explainer/explainer.go
@@ -36,7 +36,7 @@
 	// Steps are the logged decisions on the request.
 	Steps []Line `json:"steps"`
 	// StateChanges holds, for each entry on the path, the last state change of each
-	// kind up to the entry's last step.
+	// kind, and of each backend server, up to the entry's last step.
 	StateChanges []Line `json:"beliefs"`
 	// Verdict is the outcome of the request in one sentence.
 	Verdict string `json:"verdict"`
@@ -50,7 +50,7 @@
 	"Configuration in force.", "Configuration refused.", "Failure domain changed.", "Move changed.", "Move taken back.",
 	"Store does not answer; asking other entries.", "Store answers again.", "State taken from another entry.",
 	"Settings changed.", "Entry runs.", "Entry stops.", "Registered.", "Registration not renewed.",
-	"Backend server died under a request.",
+	"Backend server died under a request.", "Backend server is leaving by its own response.",
 }
 
 // Explainer collects log lines that concern one request. It is not safe for
@@ -136,16 +136,18 @@
 }
 
 // lastStateChanges returns, for each entry on the path, the last state change of each
-// kind up to the entry's last step. Steps and state changes must be sorted by time.
+// kind, and of each backend server, up to the entry's last step. Steps and state changes
+// must be sorted by time.
 func (e *Explainer) lastStateChanges() (last []Line) {
 	ends := map[string]time.Time{}
 	for _, l := range e.steps {
 		ends[l.Entry] = l.At
 	}
-	newest := map[[2]string]Line{}
+	newest := map[[3]string]Line{}
 	for _, c := range e.stateChanges {
 		if end, ok := ends[c.Entry]; ok && !c.At.After(end) {
-			newest[[2]string{c.Entry, c.Message}] = c
+			server, _ := c.Inputs["server"].(string)
+			newest[[3]string{c.Entry, c.Message, server}] = c
 		}
 	}
 	for _, c := range newest {
--- a/ctl/explainer/explainer_test.go
+++ b/ctl/explainer/explainer_test.go
@@ -56,3 +56,21 @@
 	is.Equal(x.Dropped, 12)
 	is.True(strings.Contains(strings.Join(x.Lines(), "\n"), "12 lines were dropped"))
 }
+
+// TestServersThatLeaveExplained guards against an explanation that names only the last of
+// several servers that got nothing, since each said that it leaves.
+func TestServersThatLeaveExplained(t *testing.T) {
+	is := is.New(t)
+	file, err := os.Open("_fixtures/leaving.log")
+	is.NoErr(err)
+	defer file.Close()
+	e := explainer.New("r1")
+	is.NoErr(e.Read("leaving.log", file))
+	x := e.Explain()
+	is.Equal(len(x.StateChanges), 2)
+	text := strings.Join(x.Lines(), "\n")
+	is.True(strings.Contains(text, "Backend server is leaving by its own response. server=i-1"))
+	is.True(strings.Contains(text, "Backend server is leaving by its own response. server=i-2"))
+	is.True(strings.Contains(text, "left-out leaving=i-1 i-2"))
+	is.True(strings.Contains(x.Verdict, "no-backend-server"))
+}
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -40,11 +40,14 @@
 	// rateLimit is the value of the header that states a rate limit. Empty means that
 	// there is none.
 	rateLimit string
+	// healthHeader holds further header lines of responses to probes, each with its end.
+	healthHeader string
 	// respond answers a request that has arrived. It returns false to break the
 	// connection.
 	respond func(w io.Writer, id string) bool
 
 	mu      sync.Mutex
+	probed  int
 	arrived []*http.Request
 	// arrivedAt holds the arrival times of the requests.
 	arrivedAt []time.Time
@@ -68,18 +71,20 @@
 		_, _ = io.Copy(io.Discard, req.Body)
 		if req.URL.Path == "/health" {
 			b.mu.Lock()
-			running, limit := b.running, b.rateLimit
+			running, limit, header := b.running, b.rateLimit, b.healthHeader
+			b.probed++
 			b.mu.Unlock()
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance: %s\r\nLoad: %d,%d\r\nCold: %d\r\nLimit: %s\r\nContent-Length: 0\r\n\r\n",
-				b.id, running, b.slowness, b.cold.Milliseconds(), limit)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance: %s\r\nLoad: %d,%d\r\nCold: %d\r\nLimit: %s\r\n%sContent-Length: 0\r\n\r\n",
+				b.id, running, b.slowness, b.cold.Milliseconds(), limit, header)
 			continue
 		}
 		b.mu.Lock()
 		b.arrived = append(b.arrived, req)
 		b.arrivedAt = append(b.arrivedAt, time.Now())
+		respond := b.respond
 		b.mu.Unlock()
 		time.Sleep(b.work)
-		if !b.respond(c, req.Header.Get("Id")) {
+		if !respond(c, req.Header.Get("Id")) {
 			return
 		}
 	}
@@ -134,6 +139,7 @@
 		return describer.Load{Running: n, Slots: 2, Slowness: float64(percent) / 100}, ok && err == nil && err2 == nil
 	},
 	ReadRateLimit: func(h http.Header) describer.RateLimit { return describer.ParseRateLimit(h.Get("Limit")) },
+	ReadLeaving:   func(h http.Header) bool { return h.Get("Leaving") == "1" },
 	ReadColdRemaining: func(h http.Header) time.Duration {
 		ms, _ := strconv.Atoi(h.Get("Cold"))
 		return time.Duration(ms) * time.Millisecond
--- a/entry/balancer/pick.go
+++ b/entry/balancer/pick.go
@@ -127,9 +127,12 @@
 		if !match(srv) || !view.Eligible(srv) || (c.version != "" && srv.Version != c.version) || c.tried[srv.ID] {
 			continue
 		}
-		if state := srv.State.Snapshot(now); !state.Leaving {
-			candidates = append(candidates, candidate{Backend: srv, state: state})
+		state := srv.State.Snapshot(now)
+		if state.Leaving {
+			c.leftOut.leaving = appendName(c.leftOut.leaving, srv.ID)
+			continue
 		}
+		candidates = append(candidates, candidate{Backend: srv, state: state})
 	}
 	return candidates
 }
@@ -157,7 +160,9 @@
 func (b *Balancer) pickInVersion(ctx context.Context, c *call) (*picked, refuser.Reason) {
 	view := b.opts.Snapshot()
 	now := time.Now()
+	c.leftOut = leftOut{}
 	candidates := b.eligible(now, c, view)
+	c.traceLeftOut()
 	if len(candidates) == 0 {
 		return nil, refuser.NoBackendServer
 	}
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -27,6 +27,7 @@
 	body     []byte
 	id       string
 	tried    map[string]bool
+	leftOut  leftOut
 	trace    trace
 }
 
--- a/entry/balancer/trace.go
+++ b/entry/balancer/trace.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,6 +21,8 @@
 	// Received means that the request was accepted and its route, service and
 	// version are known.
 	Received Decision = "received"
+	// LeftOut means that servers got no attempt, since they are leaving.
+	LeftOut Decision = "left-out"
 	// Chosen means that a server was picked for an attempt. It carries the
 	// state that the server reported.
 	Chosen Decision = "chosen"
@@ -35,7 +38,7 @@
 
 // Decisions returns every decision.
 func Decisions() []Decision {
-	return []Decision{Received, Chosen, Hedged, Ended, Answered, Refused}
+	return []Decision{Received, LeftOut, Chosen, Hedged, Ended, Answered, Refused}
 }
 
 const (
@@ -154,6 +157,27 @@
 		"configuration", c.view.Table.Version, "deadline-ms", c.deadline.Sub(c.arrived).Milliseconds())
 }
 
+// leftOut holds the ids of the servers that an attempt left out, the first maxLeftOut of
+// each kind.
+type leftOut struct{ leaving []string }
+
+// maxLeftOut bounds the servers that are named in a log line.
+const maxLeftOut = 8
+
+func appendName(names []string, name string) []string {
+	if len(names) < maxLeftOut {
+		names = append(names, name)
+	}
+	return names
+}
+
+// traceLeftOut records the servers that the attempt leaves out, if any.
+func (c *call) traceLeftOut() {
+	if len(c.leftOut.leaving) > 0 {
+		c.trace.add(LeftOut, "leaving", strings.Join(c.leftOut.leaving, " "))
+	}
+}
+
 // traceChosen records a picked server with the state that it reported just
 // before.
 func (c *call) traceChosen(d Decision, p *picked) {
--- /dev/null
+++ b/entry/roundtripper/notice_test.go
@@ -0,0 +1,76 @@
+package roundtripper_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/matryer/is"
+
+	"samphiremux/entry/roundtripper"
+)
+
+// TestNoticeInAnyResponse guards against what a server says of itself that is lost with
+// the response in which it says so.
+func TestNoticeInAnyResponse(t *testing.T) {
+	data, err := os.ReadFile("_fixtures/notices.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []struct {
+		Name      string `yaml:"name"`
+		Probe     bool   `yaml:"probe"`
+		Writes    string `yaml:"writes"`
+		Closes    bool   `yaml:"closes"`
+		BodyBytes int    `yaml:"body-bytes"`
+		Leaving   bool   `yaml:"leaving"`
+	}
+	if err := yaml.Unmarshal(data, &cases); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				cl, srv := newClient()
+				leaving := false
+				cl.OnNotice(func(n roundtripper.Notice) {
+					switch n.(type) {
+					case roundtripper.Leaving:
+						leaving = true
+					}
+				})
+				go func() {
+					conn := <-srv.conns
+					_, _ = http.ReadRequest(bufio.NewReaderSize(conn, 16))
+					_, _ = io.WriteString(conn, c.Writes)
+					if c.Closes {
+						_ = conn.Close()
+					}
+				}()
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				if c.Probe {
+					if _, conn, err := cl.Probe(ctx, "/health"); err == nil {
+						cl.Release(conn)
+					}
+				} else {
+					r := newRequest()
+					r.Body = []byte(strings.Repeat("b", c.BodyBytes))
+					_, _ = cl.Send(ctx, nil, r)
+				}
+				time.Sleep(time.Second)
+				synctest.Wait()
+				is.Equal(leaving, c.Leaving)
+				cl.Close()
+			})
+		})
+	}
+}
--- a/entry/roundtripper/probe.go
+++ b/entry/roundtripper/probe.go
@@ -90,6 +90,7 @@
 		if err != nil {
 			return Health{}, err
 		}
+		cl.observe(rep)
 		if _, whole, err := readBody(rep, maxBuffered); err != nil || !whole {
 			return Health{}, fmt.Errorf("response to the health probe truncated: %w", err)
 		}
--- a/entry/roundtripper/roundtripper.go
+++ b/entry/roundtripper/roundtripper.go
@@ -49,15 +49,18 @@
 	// ReadColdRemaining returns the remaining warm-up time that the server reports
 	// in the response to a probe.
 	ReadColdRemaining func(http.Header) time.Duration
+	// ReadLeaving reports whether the server says in a response that it is shutting down.
+	ReadLeaving func(http.Header) bool
 }
 
 // Client is an HTTP/1.1 client for one backend server. It pools idle connections,
 // and is safe for concurrent use.
 type Client struct {
-	id      string
-	host    string
-	dial    Dialer
-	headers Headers
+	id       string
+	host     string
+	dial     Dialer
+	headers  Headers
+	onNotice func(Notice)
 
 	mu   sync.Mutex
 	idle []*Conn // in the order of release, the latest last
@@ -67,7 +70,7 @@
 // must return in its responses to probes, and host the value of the Host header of
 // probes.
 func New(id, host string, dial Dialer, h Headers) *Client {
-	return &Client{id: id, host: host, dial: dial, headers: h}
+	return &Client{id: id, host: host, dial: dial, headers: h, onNotice: func(Notice) {}}
 }
 
 // Close closes the idle connections.
--- a/entry/roundtripper/roundtripper_test.go
+++ b/entry/roundtripper/roundtripper_test.go
@@ -27,6 +27,7 @@
 	ReadLoad:          func(http.Header) (describer.Load, bool) { return describer.Load{}, false },
 	ReadRateLimit:     func(http.Header) describer.RateLimit { return describer.RateLimit{} },
 	ReadColdRemaining: func(http.Header) time.Duration { return 0 },
+	ReadLeaving:       func(h http.Header) bool { return h.Get("Server-Leaving") == "1" },
 }
 
 // fakeServer holds the server's ends of the connections that the client dialed.
--- a/entry/roundtripper/send.go
+++ b/entry/roundtripper/send.go
@@ -103,6 +103,7 @@
 		if err != nil {
 			return reply{}, mismatchedID, err
 		}
+		cl.observe(rep)
 		got := rep.Header.Get(cl.headers.RequestID)
 		if got == id || (got == "" && rep.Header.Get(cl.headers.Signature) == "") {
 			return rep, "", nil
--- a/entry/snapshotter/backend.go
+++ b/entry/snapshotter/backend.go
@@ -42,6 +42,7 @@
 // concurrent use.
 type ServerState struct {
 	*roundtripper.Client
+	onChange func(roundtripper.Notice)
 
 	mu           sync.Mutex
 	inFlight     int
@@ -59,8 +60,27 @@
 	rateTokens   throttler.TokenBucket
 }
 
-// NewServerState returns the state of a server that has not been used yet.
-func NewServerState(c *roundtripper.Client) *ServerState { return &ServerState{Client: c} }
+// NewServerState returns the state of a server that has not been used yet. It follows
+// what the server says of itself in its responses.
+func NewServerState(c *roundtripper.Client) *ServerState {
+	s := &ServerState{Client: c, onChange: func(roundtripper.Notice) {}}
+	c.OnNotice(s.observeNotice)
+	return s
+}
+
+// OnChange sets the function that is called with each notice of the server that changes
+// the state. It must be called before the state is used.
+func (s *ServerState) OnChange(f func(roundtripper.Notice)) { s.onChange = f }
+
+// observeNotice records what the server says of itself in a response.
+func (s *ServerState) observeNotice(n roundtripper.Notice) {
+	switch n.(type) {
+	case roundtripper.Leaving:
+		if s.SetLeaving() {
+			s.onChange(n)
+		}
+	}
+}
 
 // StateSnapshot is a copy of a server's state at one moment.
 type StateSnapshot struct {
@@ -174,11 +194,21 @@
 }
 
 // SetLeaving records that the server is shutting down or that another server now
-// has its address.
-func (s *ServerState) SetLeaving() {
+// has its address. It reports whether that was not known before. Nothing ends it: a later
+// incarnation has a state of its own.
+func (s *ServerState) SetLeaving() (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	changed = !s.leaving
 	s.leaving = true
+	return changed
+}
+
+// Leaving reports whether the server is shutting down or has lost its address.
+func (s *ServerState) Leaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
 }
 
 // ObserveFailure records a failed attempt.
--- a/entry/snapshotter/snapshotter.go
+++ b/entry/snapshotter/snapshotter.go
@@ -46,13 +46,25 @@
 	excludedDomains map[string]bool
 	orders          map[string]describer.MoveOrder
 	records         map[string]MoveRecord
+	// departed holds removed servers that were leaving, so that an older record of the
+	// same incarnation does not bring them back.
+	departed map[string]departed
 }
 
+// departed is a removed server. It is forgotten after a time.
+type departed struct {
+	Backend
+	until time.Time
+}
+
+// departedMemory is the time for which a removed server that was leaving is remembered.
+const departedMemory = 10 * time.Minute
+
 // New returns an empty snapshotter. It calls connect to create the state of each new
 // server.
 func New(connect Connect) *Snapshotter {
 	s := &Snapshotter{
-		connect: connect, backends: map[string]Backend{}, excludedDomains: map[string]bool{},
+		connect: connect, backends: map[string]Backend{}, departed: map[string]departed{}, excludedDomains: map[string]bool{},
 		orders: map[string]describer.MoveOrder{}, records: map[string]MoveRecord{},
 	}
 	s.current.Store(&Snapshot{})
@@ -91,11 +103,17 @@
 }
 
 // PutServer adds or updates a backend server. A new incarnation or address starts
-// with an empty state. An older incarnation than the known one is ignored.
+// with an empty state. An older incarnation than the known one is ignored. A server that
+// was removed while it was leaving is still leaving if the same incarnation reappears.
 func (s *Snapshotter) PutServer(server describer.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known, ok := s.backends[server.ID]
+	if !ok {
+		var d departed
+		d, ok = s.departed[server.ID]
+		known = d.Backend
+	}
 	if ok && server.Incarnation < known.Incarnation {
 		return
 	}
@@ -107,6 +125,7 @@
 		b.State = s.connect(server)
 	}
 	b.State.SetCold(server.ColdUntil)
+	delete(s.departed, server.ID)
 	s.backends[server.ID] = b
 	s.stale.Store(true)
 }
@@ -121,6 +140,10 @@
 		return
 	}
 	delete(s.backends, id)
+	// Without its incarnation a server cannot be told from one that has restarted.
+	if b.Incarnation != 0 && b.State.Leaving() {
+		s.departed[id] = departed{Backend: b, until: time.Now().Add(departedMemory)}
+	}
 	b.State.Close()
 	s.stale.Store(true)
 }
@@ -167,13 +190,18 @@
 }
 
 // CloseIdle closes the connections to backend servers that have been idle for too
-// long.
+// long, and forgets servers that departed long ago.
 func (s *Snapshotter) CloseIdle(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, b := range s.backends {
 		b.State.CloseExpired(now)
 	}
+	for id, d := range s.departed {
+		if !now.Before(d.until) {
+			delete(s.departed, id)
+		}
+	}
 }
 
 // rebuild publishes a new snapshot if the current one is stale. The caller holds the
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -88,12 +88,15 @@
 	headers := roundtripper.Headers{
 		RequestID: translator.HeaderRequestID, Instance: translator.HeaderInstance, NotExecuted: translator.HeaderNotExecuted,
 		Signature: translator.HeaderSignature, ReadLoad: translator.Load, ReadRateLimit: translator.RateLimit, ReadColdRemaining: translator.ColdLeft,
+		ReadLeaving: translator.IsLeaving,
 	}
 	e.snapshots = snapshotter.New(func(server describer.Server) *snapshotter.ServerState {
 		address := server.Address.String()
-		return snapshotter.NewServerState(roundtripper.New(server.ID, address, func(ctx context.Context) (net.Conn, error) {
+		state := snapshotter.NewServerState(roundtripper.New(server.ID, address, func(ctx context.Context) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp", address)
 		}, headers))
+		state.OnChange(func(n roundtripper.Notice) { logNotice(log, server.ID, n) })
+		return state
 	})
 	store := storeadapter.New(d.DialContext, "http://"+s.StoreAddress)
 	e.reflector = reflector.New(reflector.Options{
@@ -166,28 +169,32 @@
 		return 0
 	})
 	e.metrics.Gauge("rate_limited_servers", "Backend servers that state a rate limit.", func() float64 {
-		n := 0
-		for _, servers := range e.snapshots.Snapshot().Services {
-			for _, b := range servers {
-				if b.State.Snapshot(time.Now()).RateLimit.Stated {
-					n++
-				}
-			}
-		}
-		return float64(n)
+		return e.countServers(func(_ *snapshotter.Snapshot, b snapshotter.Backend) bool {
+			return b.State.Snapshot(time.Now()).RateLimit.Stated
+		})
+	})
+	e.metrics.Gauge("leaving_servers", "Registered backend servers that are leaving by their responses.", func() float64 {
+		return e.countServers(func(_ *snapshotter.Snapshot, b snapshotter.Backend) bool { return b.State.Leaving() })
 	})
 	e.metrics.Gauge("backend_servers", "Backend servers that may get work.", func() float64 {
-		snap := e.snapshots.Snapshot()
-		n := 0
-		for _, servers := range snap.Services {
-			for _, b := range servers {
-				if snap.Eligible(b) {
-					n++
-				}
+		return e.countServers(func(snap *snapshotter.Snapshot, b snapshotter.Backend) bool {
+			return snap.Eligible(b) && !b.State.Leaving()
+		})
+	})
+}
+
+// countServers returns the number of backend servers that match.
+func (e *entry) countServers(match func(*snapshotter.Snapshot, snapshotter.Backend) bool) float64 {
+	snap := e.snapshots.Snapshot()
+	n := 0
+	for _, servers := range snap.Services {
+		for _, b := range servers {
+			if match(snap, b) {
+				n++
 			}
 		}
-		return float64(n)
-	})
+	}
+	return float64(n)
 }
 
 // retryLimits returns the retry budget in force.
--- /dev/null
+++ b/steer/commander/notice.go
@@ -0,0 +1,15 @@
+package commander
+
+import (
+	"github.com/hashicorp/go-hclog"
+
+	"samphiremux/entry/roundtripper"
+)
+
+// logNotice logs what a backend server said of itself in a response, if that is new.
+func logNotice(log hclog.Logger, server string, n roundtripper.Notice) {
+	switch n.(type) {
+	case roundtripper.Leaving:
+		log.Info("Backend server is leaving by its own response.", "server", server)
+	}
+}
