balancer, roundtripper: a server that refuses with Retry-After gets nothing for that time

A server on the users' platform that refuses a request with 503 may say for how long it wants nothing from this entry. The entry read it as any other refusal: it went on probing the server for each request and sent to it again, and when all servers refused, callers were told to come back after 50 ms.

The pause is read from the head of any response with status 503, kept as a deadline in the state of the server, and holds for probes, attempts, hedges and retries, also on connections whose probe was answered before. It is checked again after the probe and before the send. After it each entry returns at a time of its own. While all servers pause, requests are refused at once as servers-paused, with the time at which the first is used again.

--- a/ctl/explainer/explainer.go
+++ b/ctl/explainer/explainer.go
@@ -51,6 +51,7 @@
 	"Store does not answer; asking other entries.", "Store answers again.", "State taken from another entry.",
 	"Settings changed.", "Entry runs.", "Entry stops.", "Registered.", "Registration not renewed.",
 	"Backend server died under a request.", "Backend server is leaving by its own response.",
+	"Backend server asks for a pause.", "Pause of a backend server does not hold as stated.",
 }
 
 // Explainer collects log lines that concern one request. It is not safe for
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -143,7 +143,7 @@
 	defer cancel()
 	resp, refusal := b.run(ctx, c)
 	if refusal != nil {
-		b.refuse(w, r, *refusal, &c.trace)
+		b.refuse(w, r, b.withRetryTime(time.Now(), c, *refusal), &c.trace)
 		return
 	}
 	c.trace.add(Answered, "status", resp.Status, "took-ms", time.Since(c.arrived).Milliseconds())
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -42,13 +42,17 @@
 	rateLimit string
 	// healthHeader holds further header lines of responses to probes, each with its end.
 	healthHeader string
+	// probeDelay is the time that the server takes to answer a probe.
+	probeDelay time.Duration
 	// respond answers a request that has arrived. It returns false to break the
 	// connection.
 	respond func(w io.Writer, id string) bool
 
-	mu      sync.Mutex
-	probed  int
-	arrived []*http.Request
+	mu     sync.Mutex
+	probed int
+	// probedAt holds the arrival times of the probes.
+	probedAt []time.Time
+	arrived  []*http.Request
 	// arrivedAt holds the arrival times of the requests.
 	arrivedAt []time.Time
 	crashed   bool
@@ -73,7 +77,9 @@
 			b.mu.Lock()
 			running, limit, header := b.running, b.rateLimit, b.healthHeader
 			b.probed++
+			b.probedAt = append(b.probedAt, time.Now())
 			b.mu.Unlock()
+			time.Sleep(b.probeDelay)
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance: %s\r\nLoad: %d,%d\r\nCold: %d\r\nLimit: %s\r\n%sContent-Length: 0\r\n\r\n",
 				b.id, running, b.slowness, b.cold.Milliseconds(), limit, header)
 			continue
@@ -140,6 +146,7 @@
 	},
 	ReadRateLimit: func(h http.Header) describer.RateLimit { return describer.ParseRateLimit(h.Get("Limit")) },
 	ReadLeaving:   func(h http.Header) bool { return h.Get("Leaving") == "1" },
+	ReadPause:     func(now time.Time, h http.Header) describer.Pause { return describer.ParsePause(now, h.Get("Pause")) },
 	ReadColdRemaining: func(h http.Header) time.Duration {
 		ms, _ := strconv.Atoi(h.Get("Cold"))
 		return time.Duration(ms) * time.Millisecond
--- /dev/null
+++ b/entry/balancer/pause.go
@@ -0,0 +1,66 @@
+package balancer
+
+import (
+	"net/http"
+	"time"
+
+	"samphiremux/entry/refuser"
+	"samphiremux/entry/snapshotter"
+)
+
+const (
+	// retrySpread is the fraction of the time to the end of a pause, and maxRetrySpread
+	// the time, over which refused callers return after it.
+	retrySpread    = 0.25
+	maxRetrySpread = 250 * time.Millisecond
+)
+
+// unavailable returns the reason for a refusal if the server gets nothing from this entry
+// by its own word.
+func unavailable(s *snapshotter.ServerState) refuser.Reason {
+	state := s.Snapshot(time.Now())
+	switch {
+	case state.Leaving:
+		return refuser.NoBackendServer
+	case state.Paused:
+		return refuser.PausedServers
+	}
+	return ""
+}
+
+// resumption returns the first time at which this entry uses a server of the request's
+// service and version again, if it uses none before because all are paused.
+func (b *Balancer) resumption(now time.Time, c *call) (first time.Time, allPaused bool) {
+	view := b.opts.Snapshot()
+	for _, srv := range view.Services[c.service] {
+		if !view.Eligible(srv) || (c.version != "" && srv.Version != c.version) || srv.State.Leaving() {
+			continue
+		}
+		at, paused := srv.State.ResumesAt(now)
+		if !paused {
+			return time.Time{}, false
+		}
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	return first, !first.IsZero()
+}
+
+// withRetryTime adds the time at which the caller may be served to a refusal, if all
+// servers are paused. Callers are spread over some time after it.
+func (b *Balancer) withRetryTime(now time.Time, c *call, r refuser.Refusal) refuser.Refusal {
+	if r.Status() != http.StatusServiceUnavailable {
+		return r
+	}
+	first, allPaused := b.resumption(now, c)
+	if !allPaused {
+		return r
+	}
+	b.mu.Lock()
+	draw := b.rng.Float64()
+	b.mu.Unlock()
+	spread := draw * min(float64(maxRetrySpread), retrySpread*float64(first.Sub(now)))
+	// The time on the wire has whole milliseconds.
+	return r.WithRetryAt(first.Add(time.Duration(spread) + time.Millisecond))
+}
--- a/entry/balancer/pick.go
+++ b/entry/balancer/pick.go
@@ -128,9 +128,13 @@
 			continue
 		}
 		state := srv.State.Snapshot(now)
-		if state.Leaving {
+		switch {
+		case state.Leaving:
 			c.leftOut.leaving = appendName(c.leftOut.leaving, srv.ID)
 			continue
+		case state.Paused:
+			c.leftOut.paused = appendName(c.leftOut.paused, srv.ID)
+			continue
 		}
 		candidates = append(candidates, candidate{Backend: srv, state: state})
 	}
@@ -164,6 +168,9 @@
 	candidates := b.eligible(now, c, view)
 	c.traceLeftOut()
 	if len(candidates) == 0 {
+		if _, paused := b.resumption(now, c); paused {
+			return nil, refuser.PausedServers
+		}
 		return nil, refuser.NoBackendServer
 	}
 	if !chooser.Coordinated(b.opts.Policy) {
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -76,12 +76,13 @@
 
 // admit takes the tokens that the attempt needs: of a cold server and of one that states
 // a rate limit. Another request of this entry may have taken them since the server was
-// evaluated, or the server may have begun to leave; then it returns the reason for a
-// refusal.
+// evaluated, or the server may have begun to leave or asked for a pause; then it returns
+// the reason for a refusal.
 func (b *Balancer) admit(view *snapshotter.Snapshot, p *picked) refuser.Reason {
+	if reason := unavailable(p.State); reason != "" {
+		return reason
+	}
 	switch {
-	case p.State.Leaving():
-		return refuser.NoBackendServer
 	case !b.admitCold(view, p):
 		return refuser.ColdServers
 	case !b.takeRateToken(time.Now(), p.Backend, p.rateLimit):
@@ -111,8 +112,8 @@
 // part of the rate allows a request now. If that is why it may not, unusable is the
 // reason for a refusal.
 func (b *Balancer) evaluate(c *call, est routeEstimate, r probeResult) (p *picked, cost float64, unusable refuser.Reason) {
-	if r.State.Leaving() {
-		return nil, 0, refuser.NoBackendServer
+	if reason := unavailable(r.State); reason != "" {
+		return nil, 0, reason
 	}
 	if r.err != nil {
 		return nil, 0, ""
--- a/entry/balancer/response.go
+++ b/entry/balancer/response.go
@@ -17,8 +17,11 @@
 	unconfiguredRetryAfter = 300 * time.Millisecond
 )
 
-func retryAfter(reason refuser.Reason) time.Duration {
-	if reason == refuser.NoDocument {
+func retryAfter(now time.Time, refusal refuser.Refusal) time.Duration {
+	if refusal.RetryAt.After(now) {
+		return refusal.RetryAt.Sub(now)
+	}
+	if refusal.Reason == refuser.NoDocument {
 		return unconfiguredRetryAfter
 	}
 	return queueRetryAfter
@@ -38,7 +41,7 @@
 		status = http.StatusBadGateway
 	}
 	if status == http.StatusServiceUnavailable {
-		b.opts.Headers.SetRetryAfter(w.Header(), retryAfter(refusal.Reason))
+		b.opts.Headers.SetRetryAfter(w.Header(), retryAfter(time.Now(), refusal))
 	}
 	w.Header().Set(b.opts.Headers.RequestID, r.Header.Get(b.opts.Headers.RequestID))
 	w.Header().Set("Content-Length", "0")
--- a/entry/balancer/suspect.go
+++ b/entry/balancer/suspect.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"samphiremux/entry/quarantiner"
+	"samphiremux/entry/refuser"
 	"samphiremux/entry/retrier"
 )
 
@@ -36,6 +37,9 @@
 	default:
 		return
 	}
+	if unavailable(p.State) == refuser.PausedServers {
+		return // a probe is a request too
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
 	_, conn, err := p.State.Probe(ctx, c.view.Table.Services[c.service].HealthPath)
--- a/entry/balancer/trace.go
+++ b/entry/balancer/trace.go
@@ -21,7 +21,8 @@
 	// Received means that the request was accepted and its route, service and
 	// version are known.
 	Received Decision = "received"
-	// LeftOut means that servers got no attempt, since they are leaving.
+	// LeftOut means that servers got no attempt, since they are leaving or asked for a
+	// pause.
 	LeftOut Decision = "left-out"
 	// Chosen means that a server was picked for an attempt. It carries the
 	// state that the server reported.
@@ -159,7 +160,7 @@
 
 // leftOut holds the ids of the servers that an attempt left out, the first maxLeftOut of
 // each kind.
-type leftOut struct{ leaving []string }
+type leftOut struct{ leaving, paused []string }
 
 // maxLeftOut bounds the servers that are named in a log line.
 const maxLeftOut = 8
@@ -173,8 +174,8 @@
 
 // traceLeftOut records the servers that the attempt leaves out, if any.
 func (c *call) traceLeftOut() {
-	if len(c.leftOut.leaving) > 0 {
-		c.trace.add(LeftOut, "leaving", strings.Join(c.leftOut.leaving, " "))
+	if len(c.leftOut.leaving)+len(c.leftOut.paused) > 0 {
+		c.trace.add(LeftOut, "leaving", strings.Join(c.leftOut.leaving, " "), "paused", strings.Join(c.leftOut.paused, " "))
 	}
 }
 
--- a/entry/refuser/refuser.go
+++ b/entry/refuser/refuser.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 )
 
 // RefusalHeader is the response header with the kind and reason of a refusal, such as
@@ -54,6 +55,8 @@
 	// RateLimitedServers means that only servers are available that state a rate limit,
 	// and that this entry has used up its part of it.
 	RateLimitedServers Reason = "servers-rate-limited"
+	// PausedServers means that every server asked this entry for a pause.
+	PausedServers Reason = "servers-paused"
 )
 
 // Reasons for refusals of kind OutcomeUnknown.
@@ -73,7 +76,7 @@
 	return []Reason{
 		BackendUnreachable, BackendShedding, BadRequest, BodyTooLarge, CallerDisconnected, CallerOverShare, DeadlinePassed,
 		DeadlineTooNear, EntryUnreachable, HeadersTooLarge, Isolated, KeyFromFuture, Misdirected, NoBackendServer, NoDocument,
-		NoSuchRoute, NoSuchService, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, RateLimitedServers, Suspect,
+		NoSuchRoute, NoSuchService, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, PausedServers, RateLimitedServers, Suspect,
 	}
 }
 
@@ -91,6 +94,8 @@
 	Kind   Kind
 	Reason Reason
 	Detail string
+	// RetryAt is the time at which the caller may be served. It is zero if unknown.
+	RetryAt time.Time
 }
 
 // NewNotRun returns a refusal of a request that certainly did not run.
@@ -105,6 +110,12 @@
 	return r
 }
 
+// WithRetryAt returns a copy with the time at which the caller may be served.
+func (r Refusal) WithRetryAt(t time.Time) Refusal {
+	r.RetryAt = t
+	return r
+}
+
 func (r Refusal) Error() string {
 	if r.Detail == "" {
 		return fmt.Sprintf("%s: %s", r.Kind, r.Reason)
--- a/entry/roundtripper/notice.go
+++ b/entry/roundtripper/notice.go
@@ -1,6 +1,11 @@
 package roundtripper
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+
+	"samphiremux/pkg/describer"
+)
 
 // Notice is what a backend server says of itself in the head of a response, whatever
 // becomes of the request.
@@ -9,7 +14,12 @@
 // Leaving says that the server is shutting down.
 type Leaving struct{}
 
+// Paused says that the server refused a request and wants no more from this entry for some
+// time.
+type Paused struct{ describer.Pause }
+
 func (Leaving) isNotice() {}
+func (Paused) isNotice()  {}
 
 // OnNotice sets the function that is called with each notice of the server, possibly
 // concurrently. It must be called before the client is used.
@@ -26,4 +36,10 @@
 	if cl.headers.ReadLeaving(rep.Header) {
 		cl.onNotice(Leaving{})
 	}
+	if rep.StatusCode != http.StatusServiceUnavailable {
+		return
+	}
+	if p := cl.headers.ReadPause(time.Now(), rep.Header); p != (describer.Pause{}) {
+		cl.onNotice(Paused{p})
+	}
 }
--- a/entry/roundtripper/notice_test.go
+++ b/entry/roundtripper/notice_test.go
@@ -31,6 +31,7 @@
 		Closes    bool   `yaml:"closes"`
 		BodyBytes int    `yaml:"body-bytes"`
 		Leaving   bool   `yaml:"leaving"`
+		PauseMS   int64  `yaml:"pause-ms"`
 	}
 	if err := yaml.Unmarshal(data, &cases); err != nil {
 		t.Fatal(err)
@@ -41,10 +42,14 @@
 				is := is.New(t)
 				cl, srv := newClient()
 				leaving := false
+				began := time.Now()
+				var pause time.Duration
 				cl.OnNotice(func(n roundtripper.Notice) {
-					switch n.(type) {
+					switch n := n.(type) {
 					case roundtripper.Leaving:
 						leaving = true
+					case roundtripper.Paused:
+						pause = n.Until.Sub(began)
 					}
 				})
 				go func() {
@@ -69,6 +74,7 @@
 				time.Sleep(time.Second)
 				synctest.Wait()
 				is.Equal(leaving, c.Leaving)
+				is.Equal(pause.Milliseconds(), c.PauseMS)
 				cl.Close()
 			})
 		})
--- a/entry/roundtripper/roundtripper.go
+++ b/entry/roundtripper/roundtripper.go
@@ -51,6 +51,9 @@
 	ReadColdRemaining func(http.Header) time.Duration
 	// ReadLeaving reports whether the server says in a response that it is shutting down.
 	ReadLeaving func(http.Header) bool
+	// ReadPause returns the time for which the server wants no requests from this entry,
+	// as it says in a response with status 503 that was received at now.
+	ReadPause func(now time.Time, h http.Header) describer.Pause
 }
 
 // Client is an HTTP/1.1 client for one backend server. It pools idle connections,
--- a/entry/roundtripper/roundtripper_test.go
+++ b/entry/roundtripper/roundtripper_test.go
@@ -28,6 +28,9 @@
 	ReadRateLimit:     func(http.Header) describer.RateLimit { return describer.RateLimit{} },
 	ReadColdRemaining: func(http.Header) time.Duration { return 0 },
 	ReadLeaving:       func(h http.Header) bool { return h.Get("Server-Leaving") == "1" },
+	ReadPause: func(now time.Time, h http.Header) describer.Pause {
+		return describer.ParsePause(now, h.Get("Retry-After"))
+	},
 }
 
 // fakeServer holds the server's ends of the connections that the client dialed.
--- a/entry/snapshotter/backend.go
+++ b/entry/snapshotter/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -24,6 +25,13 @@
 	// rateLimitMaxAge is the age from which a rate limit that allows no request now is
 	// checked by a probe, since the server may have lifted it.
 	rateLimitMaxAge = 2 * time.Second
+	// resumeSpread is the fraction of a pause, and maxResumeSpread the time, over which
+	// entries return to a server after its pause.
+	resumeSpread    = 0.25
+	maxResumeSpread = 500 * time.Millisecond
+	// rejectedPauseInterval is the time between two reports of pauses that a server stated
+	// but that do not hold as stated.
+	rejectedPauseInterval = 10 * time.Second
 )
 
 // Backend is the registration of a backend server together with the state that
@@ -55,6 +63,11 @@
 	failures     float64
 	failuresAt   time.Time
 	leaving      bool
+	// pausedUntil is the end of the pause that the server asked for, and resumesAt the
+	// later time from which this entry uses it again.
+	pausedUntil  time.Time
+	resumesAt    time.Time
+	nextRejected time.Time
 	rateLimit    describer.RateLimit
 	rateLimitAt  time.Time
 	rateTokens   throttler.TokenBucket
@@ -74,11 +87,15 @@
 
 // observeNotice records what the server says of itself in a response.
 func (s *ServerState) observeNotice(n roundtripper.Notice) {
-	switch n.(type) {
+	switch n := n.(type) {
 	case roundtripper.Leaving:
 		if s.SetLeaving() {
 			s.onChange(n)
 		}
+	case roundtripper.Paused:
+		if s.observePause(time.Now(), n.Pause) {
+			s.onChange(n)
+		}
 	}
 }
 
@@ -101,6 +118,8 @@
 	// Leaving reports whether the server is shutting down or has lost its address
 	// to another server.
 	Leaving bool
+	// Paused reports whether the server asked for a pause that is not over.
+	Paused bool
 	// RecentFailures is the number of failed attempts, decayed exponentially with
 	// their age.
 	RecentFailures float64
@@ -117,7 +136,7 @@
 	return StateSnapshot{
 		InFlight: s.inFlight, Load: s.load, LoadFresh: !s.loadAt.IsZero() && now.Sub(s.loadAt) < loadMaxAge,
 		Cold: now.Before(s.coldUntil), ColdReady: s.coldLimiter.Ready(now), Ejected: now.Before(s.ejectedUntil), Leaving: s.leaving,
-		RecentFailures: s.decayedFailures(now), RateLimit: s.rateLimit,
+		Paused: now.Before(s.resumesAt), RecentFailures: s.decayedFailures(now), RateLimit: s.rateLimit,
 		RateLimitFresh: now.Sub(s.rateLimitAt) < rateLimitMaxAge,
 	}
 }
@@ -193,6 +212,34 @@
 	s.ejectedUntil = now.Add(wait)
 }
 
+// observePause extends the pause of the server. It never shortens it, since responses
+// may arrive in another order than they were sent. It reports whether a pause has begun, or
+// one that does not hold as stated is due to be reported.
+func (s *ServerState) observePause(now time.Time, p describer.Pause) (changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.Rejected != "" && !now.Before(s.nextRejected) {
+		s.nextRejected = now.Add(rejectedPauseInterval)
+		changed = true
+	}
+	if !p.Until.After(s.pausedUntil) {
+		return changed
+	}
+	changed = changed || !now.Before(s.resumesAt)
+	s.pausedUntil = p.Until
+	spread := min(float64(maxResumeSpread), resumeSpread*float64(p.Until.Sub(now)))
+	s.resumesAt = p.Until.Add(time.Duration(spread * rand.Float64()))
+	return changed
+}
+
+// ResumesAt returns the time until which the server gets nothing from this entry, probes
+// included, since it asked for a pause. Paused is false if it has not, or the time is over.
+func (s *ServerState) ResumesAt(now time.Time) (at time.Time, paused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.resumesAt, now.Before(s.resumesAt)
+}
+
 // SetLeaving records that the server is shutting down or that another server now
 // has its address. It reports whether that was not known before. Nothing ends it: a later
 // incarnation has a state of its own.
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -88,7 +88,7 @@
 	headers := roundtripper.Headers{
 		RequestID: translator.HeaderRequestID, Instance: translator.HeaderInstance, NotExecuted: translator.HeaderNotExecuted,
 		Signature: translator.HeaderSignature, ReadLoad: translator.Load, ReadRateLimit: translator.RateLimit, ReadColdRemaining: translator.ColdLeft,
-		ReadLeaving: translator.IsLeaving,
+		ReadLeaving: translator.IsLeaving, ReadPause: translator.Pause,
 	}
 	e.snapshots = snapshotter.New(func(server describer.Server) *snapshotter.ServerState {
 		address := server.Address.String()
@@ -176,6 +176,11 @@
 	e.metrics.Gauge("leaving_servers", "Registered backend servers that are leaving by their responses.", func() float64 {
 		return e.countServers(func(_ *snapshotter.Snapshot, b snapshotter.Backend) bool { return b.State.Leaving() })
 	})
+	e.metrics.Gauge("paused_servers", "Registered backend servers that asked this entry for a pause.", func() float64 {
+		return e.countServers(func(_ *snapshotter.Snapshot, b snapshotter.Backend) bool {
+			return b.State.Snapshot(time.Now()).Paused
+		})
+	})
 	e.metrics.Gauge("backend_servers", "Backend servers that may get work.", func() float64 {
 		return e.countServers(func(snap *snapshotter.Snapshot, b snapshotter.Backend) bool {
 			return snap.Eligible(b) && !b.State.Leaving()
