--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -167,7 +167,7 @@
 	defer cancel()
 	resp, refusal := b.run(ctx, c)
 	if refusal != nil {
-		b.refuse(w, r, h, *refusal, &c.trace)
+		b.refuse(w, r, h, b.withRetryTime(time.Now(), c, *refusal), &c.trace)
 		return
 	}
 	c.trace.add(Answered, "status", resp.Status, "took-ms", time.Since(c.arrived).Milliseconds())
@@ -176,7 +176,7 @@
 	}
 	b.flush(c.id, &c.trace, c.metObjective(resp.Status))
 	if h != nil {
-		resp.Header.Set(delegator.OutcomeHeader, delegator.Passed)
+		b.writeHopHeaders(c, resp)
 	}
 	b.writeResponse(w, resp)
 }
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -41,15 +41,22 @@
 	// rateLimit is the value of the header that states a rate limit. Empty means that
 	// there is none.
 	rateLimit string
-	// probed responds to a probe in place of the usual response. It returns false to break
+	// respondProbe responds to a probe in place of the usual response. It returns false to break
 	// the connection.
-	probed func(w io.Writer) bool
+	respondProbe func(w io.Writer) bool
+	// healthHeader holds further header lines of responses to probes, each with its end.
+	healthHeader string
+	// probeDelay is the time that the server takes to answer a probe.
+	probeDelay time.Duration
 	// respond answers a request that has arrived. It returns false to break the
 	// connection.
 	respond func(w io.Writer, id string) bool
 
-	mu      sync.Mutex
-	arrived []*http.Request
+	mu     sync.Mutex
+	probed int
+	// probedAt holds the arrival times of the probes.
+	probedAt []time.Time
+	arrived  []*http.Request
 	// arrivedAt holds the arrival times of the requests.
 	arrivedAt []time.Time
 	crashed   bool
@@ -72,26 +79,30 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
-		if req.URL.Path == "/health" && b.probed != nil {
-			if !b.probed(c) {
+		if req.URL.Path == "/health" && b.respondProbe != nil {
+			if !b.respondProbe(c) {
 				return
 			}
 			continue
 		}
 		if req.URL.Path == "/health" {
 			b.mu.Lock()
-			running, limit := b.running, b.rateLimit
+			running, limit, header := b.running, b.rateLimit, b.healthHeader
+			b.probed++
+			b.probedAt = append(b.probedAt, time.Now())
 			b.mu.Unlock()
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance: %s\r\nLoad: %d,%d\r\nCold: %d\r\nLimit: %s\r\nContent-Length: 0\r\n\r\n",
-				b.id, running, b.slowness, b.cold.Milliseconds(), limit)
+			time.Sleep(b.probeDelay)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance: %s\r\nLoad: %d,%d\r\nCold: %d\r\nLimit: %s\r\n%sContent-Length: 0\r\n\r\n",
+				b.id, running, b.slowness, b.cold.Milliseconds(), limit, header)
 			continue
 		}
 		b.mu.Lock()
 		b.arrived = append(b.arrived, req)
 		b.arrivedAt = append(b.arrivedAt, time.Now())
+		respond := b.respond
 		b.mu.Unlock()
 		time.Sleep(b.work)
-		if !b.respond(c, req.Header.Get("Id")) {
+		if !respond(c, req.Header.Get("Id")) {
 			return
 		}
 	}
@@ -157,6 +168,8 @@
 		return describer.Load{Running: n, Slots: 2, Slowness: float64(percent) / 100}, ok && err == nil && err2 == nil
 	},
 	ReadRateLimit: func(h http.Header) describer.RateLimit { return describer.ParseRateLimit(h.Get("Limit")) },
+	ReadLeaving:   func(h http.Header) bool { return h.Get("Leaving") == "1" },
+	ReadPause:     func(now time.Time, h http.Header) describer.Pause { return describer.ParsePause(now, h.Get("Pause")) },
 	ReadColdRemaining: func(h http.Header) time.Duration {
 		ms, _ := strconv.Atoi(h.Get("Cold"))
 		return time.Duration(ms) * time.Millisecond
--- a/entry/balancer/probe_failure_test.go
+++ b/entry/balancer/probe_failure_test.go
@@ -66,9 +66,9 @@
 				is := is.New(t)
 				all := servers(2, respondOK)
 				all[1].work = 100 * time.Millisecond
-				all[0].probed, all[0].crashed = c.probed, c.crashed
+				all[0].respondProbe, all[0].crashed = c.probed, c.crashed
 				if c.both {
-					all[1].probed = c.probed
+					all[1].respondProbe = c.probed
 				}
 				f := newFixture(t, chooser.ExpectedCompletion{}, all...)
 				is.Equal(f.send(http.MethodPost, "/book/1", "r1").Code, c.status)
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -29,8 +29,11 @@
 	body     []byte
 	id       string
 	tried    map[string]bool
+	leftOut  leftOut
 	// hop is nil for a request that comes from a caller.
 	hop *hop
+	// server is the id of the server whose response goes to the caller.
+	server string
 	// delegated is the id of the entry that the request was passed on to.
 	delegated string
 	trace     trace
--- a/entry/balancer/response.go
+++ b/entry/balancer/response.go
@@ -22,8 +22,11 @@
 	unreachableRetryAfter = 300 * time.Millisecond
 )
 
-func retryAfter(reason refuser.Reason) time.Duration {
-	switch reason {
+func retryAfter(now time.Time, refusal refuser.Refusal) time.Duration {
+	if refusal.RetryAt.After(now) {
+		return refusal.RetryAt.Sub(now)
+	}
+	switch refusal.Reason {
 	case refuser.NoDocument, refuser.Outdated:
 		return unconfiguredRetryAfter
 	case refuser.UnreachableServers:
@@ -47,10 +50,13 @@
 		status = http.StatusBadGateway
 	}
 	if status == http.StatusServiceUnavailable {
-		b.opts.Headers.SetRetryAfter(w.Header(), retryAfter(refusal.Reason))
+		b.opts.Headers.SetRetryAfter(w.Header(), retryAfter(time.Now(), refusal))
 	}
 	if h != nil {
 		w.Header().Set(delegator.OutcomeHeader, refusal.Header())
+		if !refusal.RetryAt.IsZero() {
+			w.Header().Set(delegator.RetryHeader, time.Until(refusal.RetryAt).String())
+		}
 	}
 	w.Header().Set(b.opts.Headers.RequestID, r.Header.Get(b.opts.Headers.RequestID))
 	w.Header().Set("Content-Length", "0")
--- a/entry/balancer/run.go
+++ b/entry/balancer/run.go
@@ -39,6 +39,7 @@
 		c.traceChosen(Chosen, p)
 		c.useStableVersion()
 		result := b.attempt(ctx, c, p, &state)
+		c.server = result.server
 		switch {
 		case result.isFinal(c.route.Idempotent):
 			return result.response, nil
--- a/entry/balancer/suspect.go
+++ b/entry/balancer/suspect.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"samphiremux/entry/quarantiner"
+	"samphiremux/entry/refuser"
 	"samphiremux/entry/retrier"
 )
 
@@ -42,6 +43,9 @@
 	default:
 		return
 	}
+	if unavailable(p.State) == refuser.PausedServers {
+		return // a probe is a request too
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
 	_, conn, err := p.State.Probe(ctx, c.view.Table.Services[c.service].HealthPath)
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -42,6 +42,12 @@
 	// OutcomeHeader tells what a response is: Passed, or a refusal as in
 	// refuser.Refusal.Header.
 	OutcomeHeader = "Samphire-Outcome"
+	// LeavingHeader carries the id of the server that sent a response, if it is shutting
+	// down.
+	LeavingHeader = "Samphire-Leaving-Server"
+	// RetryHeader carries the time after which a refused request may be served, as a Go
+	// duration. It is missing if that is not known.
+	RetryHeader = "Samphire-Retry"
 )
 
 // Passed is the value of OutcomeHeader for the response of a backend server.
@@ -99,6 +105,8 @@
 type Responded struct {
 	Entry    string
 	Response *roundtripper.Response
+	// Leaving is the id of the server if it is shutting down, or empty.
+	Leaving string
 }
 
 // Refused is the refusal of another entry.
@@ -160,6 +168,8 @@
 		ReadLoad:          func(http.Header) (describer.Load, bool) { return describer.Load{}, false },
 		ReadRateLimit:     func(http.Header) describer.RateLimit { return describer.RateLimit{} },
 		ReadColdRemaining: func(http.Header) time.Duration { return 0 },
+		ReadLeaving:       func(http.Header) bool { return false },
+		ReadPause:         func(time.Time, http.Header) describer.Pause { return describer.Pause{} },
 	}
 }
 
@@ -218,15 +228,19 @@
 	case resp == nil:
 		return Lost{Entry: p.ID, Outcome: outcome}
 	}
-	told := resp.Header.Get(OutcomeHeader)
+	told, leaving := resp.Header.Get(OutcomeHeader), resp.Header.Get(LeavingHeader)
 	resp.Header.Del(OutcomeHeader)
+	resp.Header.Del(LeavingHeader)
 	if told == Passed {
-		return Responded{Entry: p.ID, Response: resp}
+		return Responded{Entry: p.ID, Response: resp, Leaving: leaving}
 	}
 	refusal, err := refuser.ParseHeader(told)
 	if err != nil {
 		return Lost{Entry: p.ID, Outcome: retrier.Truncated{Cause: err}}
 	}
+	if wait, err := time.ParseDuration(resp.Header.Get(RetryHeader)); err == nil && wait > 0 {
+		refusal = refusal.WithRetryAt(time.Now().Add(wait))
+	}
 	return Refused{Entry: p.ID, Refusal: refusal}
 }
 
--- a/entry/roundtripper/send.go
+++ b/entry/roundtripper/send.go
@@ -112,6 +112,7 @@
 		if err != nil {
 			return reply{}, mismatched, mismatchedID, err
 		}
+		cl.observe(rep)
 		got := rep.Header.Get(cl.headers.RequestID)
 		if got == id || (got == "" && cl.isFromAnother(rep)) {
 			return rep, false, "", nil
--- a/steer/commander/delegation_test.go
+++ b/steer/commander/delegation_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"samphiremux/pkg/describer"
+	"samphiremux/platform/translator"
 )
 
 // isolationTime is the time in which an entry that is cut off finds that it is.
@@ -223,3 +224,22 @@
 		calls.Wait()
 	})
 }
+
+// TestLeavingServerUsedAfterDelegation guards against new work for a server whose response
+// another entry has passed on, and in which the server said that it leaves.
+func TestLeavingServerUsedAfterDelegation(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.isolate(0)
+		f.respond = func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(translator.HeaderLeaving, "1") }
+		_, _, err := f.send(t.Context(), 0, "/book/a", "r1", "")
+		is.NoErr(err)
+		leaving := 0
+		for _, srv := range f.entries[0].snapshots.Snapshot().Services["stock"] {
+			if srv.State.Leaving() {
+				leaving++
+			}
+		}
+		is.Equal(leaving, 1)
+	})
+}
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -113,12 +113,15 @@
 	headers := roundtripper.Headers{
 		RequestID: translator.HeaderRequestID, Instance: translator.HeaderInstance, NotExecuted: translator.HeaderNotExecuted,
 		Signature: translator.HeaderSignature, ReadLoad: translator.Load, ReadRateLimit: translator.RateLimit, ReadColdRemaining: translator.ColdLeft,
+		ReadLeaving: translator.IsLeaving, ReadPause: translator.Pause,
 	}
 	e.snapshots = snapshotter.New(func(server describer.Server) *snapshotter.ServerState {
 		address := server.Address.String()
-		return snapshotter.NewServerState(roundtripper.New(server.ID, address, func(ctx context.Context) (net.Conn, error) {
+		state := snapshotter.NewServerState(roundtripper.New(server.ID, address, func(ctx context.Context) (net.Conn, error) {
 			return dial(ctx, "tcp", address)
 		}, headers))
+		state.OnChange(func(n roundtripper.Notice) { logNotice(log, server.ID, n) })
+		return state
 	})
 	store := storeadapter.New(storeadapter.Dialer(dial), "http://"+s.StoreAddress)
 	e.reflector = reflector.New(reflector.Options{
@@ -198,36 +201,43 @@
 		return 0
 	})
 	e.metrics.Gauge("rate_limited_servers", "Backend servers that state a rate limit.", func() float64 {
-		n := 0
-		for _, servers := range e.snapshots.Snapshot().Services {
-			for _, b := range servers {
-				if b.State.Snapshot(time.Now()).RateLimit.Stated {
-					n++
-				}
-			}
-		}
-		return float64(n)
+		return e.countServers(func(_ *snapshotter.Snapshot, b snapshotter.Backend) bool {
+			return b.State.Snapshot(time.Now()).RateLimit.Stated
+		})
+	})
+	e.metrics.Gauge("leaving_servers", "Registered backend servers that are leaving by their responses.", func() float64 {
+		return e.countServers(func(_ *snapshotter.Snapshot, b snapshotter.Backend) bool { return b.State.Leaving() })
+	})
+	e.metrics.Gauge("paused_servers", "Registered backend servers that asked this entry for a pause.", func() float64 {
+		return e.countServers(func(_ *snapshotter.Snapshot, b snapshotter.Backend) bool {
+			return b.State.Snapshot(time.Now()).Paused
+		})
 	})
 	e.metrics.Gauge("backend_servers", "Backend servers that may get work.", func() float64 {
-		return float64(e.countServers(func(snapshotter.Backend) bool { return true }))
+		return e.countServers(func(snap *snapshotter.Snapshot, b snapshotter.Backend) bool {
+			return snap.Eligible(b) && !b.State.Leaving()
+		})
 	})
 	e.metrics.Gauge("answering_backend_servers", "Backend servers that may get work and answered this entry in the last 5 s.", func() float64 {
 		now := time.Now()
-		return float64(e.countServers(func(b snapshotter.Backend) bool { return now.Sub(b.State.Snapshot(now).HeardAt) < answeredWindow }))
+		return e.countServers(func(snap *snapshotter.Snapshot, b snapshotter.Backend) bool {
+			return snap.Eligible(b) && !b.State.Leaving() && now.Sub(b.State.Snapshot(now).HeardAt) < answeredWindow
+		})
 	})
 }
 
-// countServers returns the number of backend servers that may get work and match.
-func (e *entry) countServers(match func(snapshotter.Backend) bool) (n int) {
+// countServers returns the number of backend servers that match.
+func (e *entry) countServers(match func(*snapshotter.Snapshot, snapshotter.Backend) bool) float64 {
 	snap := e.snapshots.Snapshot()
+	n := 0
 	for _, servers := range snap.Services {
 		for _, b := range servers {
-			if snap.Eligible(b) && match(b) {
+			if match(snap, b) {
 				n++
 			}
 		}
 	}
-	return n
+	return float64(n)
 }
 
 // delegationPeers returns the other entries that take requests from this one.
--- a/steer/commander/stop_test.go
+++ b/steer/commander/stop_test.go
@@ -102,6 +102,8 @@
 		RequestID: idHeader, Instance: "Instance", NotExecuted: "Not-Run", Signature: "Signature",
 		ReadLoad:          func(http.Header) (describer.Load, bool) { return describer.Load{Slots: 100, Slowness: 1}, true },
 		ReadRateLimit:     func(http.Header) describer.RateLimit { return describer.RateLimit{} },
+		ReadLeaving:       func(http.Header) bool { return false },
+		ReadPause:         func(time.Time, http.Header) describer.Pause { return describer.Pause{} },
 		ReadColdRemaining: func(http.Header) time.Duration { return 0 },
 	}
 	snapshots := snapshotter.New(func(server describer.Server) *snapshotter.ServerState {
