snapshotter: requests do not read the state before a change while it is rebuilt

It is marked after it is published; reads in between wait for it. TestOlderConfigurationDuringRebuild failed before: the configuration before version 235 was read (and 432, and more of 2000 versions).

--- a/entry/snapshotter/snapshotter.go
+++ b/entry/snapshotter/snapshotter.go
@@ -207,7 +207,7 @@
 // rebuild publishes a new snapshot if the current one is stale. The caller holds the
 // lock.
 func (s *Snapshotter) rebuild() {
-	if !s.stale.Swap(false) {
+	if !s.stale.Load() {
 		return // another caller rebuilt it in the meantime
 	}
 	next := &Snapshot{Table: s.table, Services: map[string][]Backend{}, ExcludedDomains: map[string]bool{}, Splits: map[string]TrafficSplit{}}
@@ -222,4 +222,5 @@
 		next.ExcludedDomains[name] = true
 	}
 	s.current.Store(next)
+	s.stale.Store(false)
 }
--- a/entry/snapshotter/snapshotter_test.go
+++ b/entry/snapshotter/snapshotter_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -182,3 +183,24 @@
 	is.Equal(len(after.Services["stock"]), 3000)
 	is.True(after == s.Snapshot()) // not rebuilt without a change
 }
+
+// TestOlderConfigurationDuringRebuild guards against requests that read the state before a
+// change while another request rebuilds the snapshot.
+func TestOlderConfigurationDuringRebuild(t *testing.T) {
+	const readers = 8
+	s := snapshotter.New(nil)
+	for version := range int64(2000) {
+		if err := s.SetTable(describer.NewRouteTable(version+1, nil, nil, describer.Limits{})); err != nil {
+			t.Fatal(err)
+		}
+		var reads sync.WaitGroup
+		for range readers {
+			reads.Go(func() {
+				if table := s.Snapshot().Table; table == nil || table.Version <= version {
+					t.Errorf("the configuration before version %d was read", version+1)
+				}
+			})
+		}
+		reads.Wait()
+	}
+}
