--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -8,7 +8,9 @@
 
 	"samphiremux/entry/delegator"
 	"samphiremux/entry/refuser"
+	"samphiremux/entry/retrier"
 	"samphiremux/entry/roundtripper"
+	"samphiremux/entry/snapshotter"
 )
 
 // Values of the label "result" of requests that are passed on to other entries.
@@ -49,7 +51,7 @@
 // once at most.
 func (b *Balancer) ServeDelegated(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == delegator.HealthPath {
-		b.serveHealth(w)
+		b.serveHealth(w, r)
 		return
 	}
 	h := readHop(r.Header)
@@ -58,10 +60,12 @@
 }
 
 // serveHealth answers the probe of another entry: 200 if this one takes requests.
-func (b *Balancer) serveHealth(w http.ResponseWriter) {
+func (b *Balancer) serveHealth(w http.ResponseWriter, r *http.Request) {
+	configuration, _ := strconv.ParseInt(r.URL.Query().Get(delegator.ConfigurationParameter), 10, 64)
+	table := b.opts.Snapshot().Table
 	w.Header().Set(delegator.EntryHeader, b.opts.Self)
 	w.Header().Set("Content-Length", "0")
-	if b.monitor.Isolated() || b.opts.Snapshot().Table == nil {
+	if b.monitor.Isolated() || table == nil || table.Version < configuration {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -89,13 +93,7 @@
 // delegate passes a request on to another entry, after a reason not to send it to a server
 // from here. It reports whether the request may be tried again.
 func (b *Balancer) delegate(ctx context.Context, c *call, state *attempts, reason refuser.Reason) (resp *roundtripper.Response, refusal *refuser.Refusal, retry bool) {
-	header := c.header.Clone()
-	b.opts.Headers.SetDeadline(header, time.Until(c.deadline))
-	result := b.opts.Delegator.Send(ctx, delegator.Request{
-		Request:  roundtripper.Request{Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id},
-		Attempts: state.sent, Configuration: c.view.Table.Version,
-	})
-	switch result := result.(type) {
+	switch result := b.sendToEntry(ctx, c, state.sent).(type) {
 	case delegator.Responded:
 		c.traceDelegated(result.Entry, delegatedResponded)
 		b.metrics.delegated.With(delegatedResponded).Inc()
@@ -130,6 +128,35 @@
 	}
 }
 
+// sendToEntry passes a request on that has been sent to servers a number of times.
+func (b *Balancer) sendToEntry(ctx context.Context, c *call, sent int) delegator.Result {
+	header := c.header.Clone()
+	b.opts.Headers.SetDeadline(header, time.Until(c.deadline))
+	return b.opts.Delegator.Send(ctx, delegator.Request{
+		Request:  roundtripper.Request{Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id},
+		Attempts: sent, Configuration: c.view.Table.Version,
+	})
+}
+
+// delegateHedge passes on the hedge of an idempotent request. A refusal counts as not sent,
+// so that the first attempt decides.
+func (b *Balancer) delegateHedge(ctx context.Context, c *call, sent int) attemptResult {
+	switch result := b.sendToEntry(ctx, c, sent).(type) {
+	case delegator.Responded:
+		b.metrics.delegated.With(delegatedResponded).Inc()
+		return attemptResult{server: result.Entry, response: result.Response, outcome: retrier.Answered{}}
+	case delegator.Lost:
+		b.metrics.delegated.With(delegatedLost).Inc()
+		return attemptResult{server: result.Entry, outcome: result.Outcome}
+	case delegator.Refused:
+		b.metrics.delegated.With(delegatedRefused).Inc()
+		return attemptResult{server: result.Entry, outcome: retrier.NotSent{Cause: result.Refusal}}
+	default:
+		b.metrics.delegated.With(delegatedUnreached).Inc()
+		return attemptResult{outcome: retrier.NotSent{}}
+	}
+}
+
 func (c *call) traceDelegated(entry, result string) {
 	c.trace.add(Delegated, "entry", entry, "result", result)
 }
@@ -192,19 +219,33 @@
 	if view.Table == nil {
 		return
 	}
+	all := b.shuffledServers(view)
+	for _, srv := range all[:min(reachProbes, len(all))] {
+		if b.isReached(ctx, view, srv) {
+			return
+		}
+	}
+}
+
+// isReached reports whether a server responds to a probe within probeRoundTimeout.
+func (b *Balancer) isReached(ctx context.Context, view *snapshotter.Snapshot, srv candidate) (reached bool) {
+	for _, r := range b.probeRound(ctx, view, srv.Service, []candidate{srv}) {
+		r.release()
+		reached = reached || r.err == nil || responded(r.err)
+	}
+	return reached
+}
+
+// shuffledServers returns the servers of all services in random order.
+func (b *Balancer) shuffledServers(view *snapshotter.Snapshot) (all []candidate) {
 	now := time.Now()
-	var all []candidate
 	for _, servers := range view.Services {
 		for _, srv := range servers {
 			all = append(all, candidate{Backend: srv, state: srv.State.Snapshot(now)})
 		}
 	}
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	b.mu.Unlock()
-	for _, srv := range all[:min(reachProbes, len(all))] {
-		for _, r := range b.probeRound(ctx, view, srv.Service, []candidate{srv}) {
-			r.release()
-		}
-	}
+	return all
 }
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -146,7 +146,8 @@
 // response.
 func (b *Balancer) probeRound(ctx context.Context, view *snapshotter.Snapshot, service string, batch []candidate) (results []probeResult) {
 	path := view.Table.Services[service].HealthPath
-	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	// Probes go on when the request ends first, so that servers that do not answer count.
+	probeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	pending := make(chan probeResult, len(batch))
 	for _, cand := range batch {
 		go func() {
@@ -204,7 +205,7 @@
 		b.observeReached()
 	case ctx.Err() == context.Canceled:
 		// The request ended first, which says nothing about the server.
-	case isUnhealthy(err):
+	case responded(err):
 		cand.State.Eject(now)
 		b.observeReached()
 	default:
