--- a/entry/balancer/probe_failure.go
+++ b/entry/balancer/probe_failure.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"syscall"
+
+	"samphiremux/entry/roundtripper"
 )
 
 // probeFailure tells how a probe failed. It is a label value of a metric.
@@ -22,8 +24,6 @@
 	probeUnhealthy probeFailure = "unhealthy"
 	// probeMisdirected means that another server responded.
 	probeMisdirected probeFailure = "wrong-instance"
-	// probeAbandoned means that the request ended before the response arrived.
-	probeAbandoned probeFailure = "request-ended"
 	// probeFailed means that the probe failed in another way, such as with a malformed
 	// response.
 	probeFailed probeFailure = "other"
@@ -31,20 +31,19 @@
 
 // probeFailures returns all ways in which a probe fails.
 func probeFailures() []probeFailure {
-	return []probeFailure{probeRefused, probeReset, probeUnanswered, probeUnhealthy, probeMisdirected, probeAbandoned, probeFailed}
+	return []probeFailure{probeRefused, probeReset, probeUnanswered, probeUnhealthy, probeMisdirected, probeFailed}
 }
 
 // failureOf returns how a probe failed that ended with err. Ctx is the context of the
 // probe.
 func failureOf(ctx context.Context, err error) probeFailure {
+	var unhealthy roundtripper.ErrUnhealthy
 	var timeout net.Error
 	switch {
-	case isUnhealthy(err):
+	case errors.As(err, &unhealthy):
 		return probeUnhealthy
 	case isWrongInstance(err):
 		return probeMisdirected
-	case ctx.Err() == context.Canceled:
-		return probeAbandoned
 	case ctx.Err() != nil || (errors.As(err, &timeout) && timeout.Timeout()):
 		return probeUnanswered
 	case errors.Is(err, syscall.ECONNREFUSED):
