reflector, storeadapter: a large value comes once and whole

A relay on a link of 10 Mbit/s whose domain was behind another began its watch anew every 0.4 s and asked other entries besides, so 1 MiB (1.4 MB in base64) never came by the watch and then twice at once; a watch, a list or a read had 2 to 3 s in all, however late its response began. An entry that was fetching from others when its relay named the value read it from the store at the same time.

A response that has begun may take 2 s longer (storer.WithTransferTimeout); while parts of it arrive the watch does not count as lagging, for 2 s too, so that a link that only trickles does not hold up the entry; and the fetch from others ends when the value is read from the store.

The emulated network bounds what hosts receive too, and the entries of the test reach the store over it.

--- a/entry/reflector/list_watch.go
+++ b/entry/reflector/list_watch.go
@@ -9,8 +9,11 @@
 )
 
 const (
-	// listTimeout bounds one list of all keys.
+	// listTimeout bounds the wait for one list of all keys.
 	listTimeout = 2 * time.Second
+	// transferTimeout bounds the arrival of a response of the store. The largest takes
+	// 1.2 s on a link of 10 Mbit/s.
+	transferTimeout = 2 * time.Second
 	// initialBackoff and maxBackoff bound the exponential backoff between attempts
 	// to reach the store.
 	initialBackoff = 100 * time.Millisecond
@@ -95,7 +98,7 @@
 // listAndWatch lists all keys and then watches for changes until an error occurs.
 // While another entry relays changes, it does not watch.
 func (r *Reflector) listAndWatch(ctx context.Context) error {
-	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	listCtx, cancel := storer.WithTransferTimeout(ctx, time.Now().Add(listTimeout), transferTimeout)
 	pairs, at, err := r.o.Store.List(listCtx, r.o.Prefix)
 	cancel()
 	if err != nil {
@@ -122,9 +125,10 @@
 	if r.o.IsRelay() {
 		delay, timeout = relayBatchDelay, relayWatchTimeout
 	}
-	watchCtx, cancel := context.WithTimeout(ctx, timeout)
+	watchCtx, cancel := storer.WithTransferTimeout(ctx, time.Now().Add(timeout), transferTimeout)
 	defer cancel()
 	r.setWatchCancel(cancel)
+	watchCtx = storer.WithProgress(watchCtx, r.observeProgress)
 	answered, changed := false, false
 	err := r.o.Store.Watch(watchCtx, r.o.Prefix, r.watchRevision(), func(events []storer.Event, upTo storer.Revision) {
 		r.setWatchCancel(nil)
@@ -153,7 +157,21 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cancelWatch = cancel
-	r.behindSince = time.Time{}
+	r.behindSince, r.receivingSince = time.Time{}, time.Time{}
+}
+
+// observeProgress resets the lag of the watch, since a part of its response has arrived. It
+// does so for transferTimeout.
+func (r *Reflector) observeProgress() {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.receivingSince.IsZero() {
+		r.receivingSince = now
+	}
+	if now.Sub(r.receivingSince) < transferTimeout {
+		r.behindSince = time.Time{}
+	}
 }
 
 // ObservePeerRevision records the revision up to which another entry knows the store.
@@ -198,11 +216,23 @@
 	go r.runTimers(ctx)
 	for sleep(ctx, peerSyncInterval) {
 		if r.needsPeerSync(time.Now()) {
-			r.fetch(ctx)
+			fetchCtx, cancel := context.WithCancel(ctx)
+			r.setFetchCancel(cancel)
+			r.fetch(fetchCtx)
+			r.setFetchCancel(nil)
+			cancel()
 		}
 	}
 }
 
+// setFetchCancel records the function that cancels the fetch under way, or nil if there is
+// none.
+func (r *Reflector) setFetchCancel(cancel context.CancelFunc) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cancelFetch = cancel
+}
+
 // runTimers applies held changes and drops tombstones that are due, until ctx ends.
 func (r *Reflector) runTimers(ctx context.Context) {
 	for sleep(ctx, peerSyncInterval) {
--- a/entry/reflector/read.go
+++ b/entry/reflector/read.go
@@ -45,6 +45,10 @@
 	if len(r.omitted) == 0 {
 		return
 	}
+	if r.cancelFetch != nil && !r.storeLost {
+		// The value would come twice over the same link.
+		r.cancelFetch()
+	}
 	r.omittedUpTo = max(r.omittedUpTo, b.Revision)
 	select {
 	case r.wakeReads <- struct{}{}:
@@ -113,7 +117,7 @@
 // readOmitted reads keys from the store. It reports whether the store answered.
 func (r *Reflector) readOmitted(ctx context.Context, keys []string) bool {
 	for _, key := range keys {
-		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		readCtx, cancel := storer.WithTransferTimeout(ctx, time.Now().Add(readTimeout), transferTimeout)
 		pair, err := r.o.Store.Get(readCtx, key)
 		cancel()
 		var noSuchKey storer.ErrNoSuchKey
--- a/entry/reflector/reflector.go
+++ b/entry/reflector/reflector.go
@@ -113,9 +113,13 @@
 	// one's, or zero. It is reset when this entry advances and when a watch starts or
 	// ends.
 	behindSince time.Time
+	// receivingSince is when the response of the watch began to arrive, or zero.
+	receivingSince time.Time
 	// gap is what another entry knows and this one does not.
 	gap  gap
 	held map[string]heldChange
+	// cancelFetch cancels the fetch of a stalled watch. It is nil if there is none.
+	cancelFetch context.CancelFunc
 	// omitted holds the keys to read from the store. When all are read, the copy is
 	// complete up to omittedUpTo.
 	omitted     map[string]omission
--- a/standin/measurer/relay_test.go
+++ b/standin/measurer/relay_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -16,10 +18,12 @@
 
 	"samphiremux/entry/enroller"
 	"samphiremux/entry/reflector"
+	"samphiremux/entry/throttler"
 	"samphiremux/entry/tracker"
 	"samphiremux/pkg/linker"
 	"samphiremux/pkg/linker/linkpb"
 	"samphiremux/pkg/storer"
+	"samphiremux/platform/storeadapter"
 	"samphiremux/standin/netemulator"
 	"samphiremux/standin/platformemulator"
 )
@@ -31,10 +35,19 @@
 	largeValue = 245_000
 )
 
-// copyFleet is a fleet of entries reduced to their copies of the store.
+// copyDomain is a failure domain of a copyFleet. The bandwidth of its entries' links is in
+// bytes per second, in each direction.
+type copyDomain struct {
+	size      int
+	bandwidth float64
+}
+
+// copyFleet is a fleet of entries reduced to their copies of the store, which they reach
+// over their links.
 type copyFleet struct {
 	network *netemulator.Network
 	store   *platformemulator.Store
+	server  *http.Server
 	entries []*copyEntry
 	cancel  context.CancelFunc
 }
@@ -43,8 +56,12 @@
 type copyEntry struct {
 	linkpb.DRPCLinkUnimplementedServer
 	host      netip.Addr
+	domain    string
+	bandwidth float64
 	reflector *reflector.Reflector
 	enroller  *enroller.Enroller
+	pool      *linker.Pool
+	uplink    throttler.ByteBudget
 }
 
 // Beat implements linkpb.DRPCLinkServer.
@@ -52,59 +69,109 @@
 	return e.enroller.HandleHeartbeat(r), nil
 }
 
-// newCopyFleet starts entries in one failure domain, whose links have a bandwidth in bytes
-// per second.
-func newCopyFleet(t *testing.T, size int, bandwidth float64) *copyFleet {
+// Fetch implements linkpb.DRPCLinkServer. Large batches take half of the link.
+func (e *copyEntry) Fetch(_ context.Context, r *linkpb.FetchRequest) (*linkpb.FetchResponse, error) {
+	b := e.reflector.ChangesSince(storer.NewRevision(r.GetEra(), int64(r.GetAboveRevision())), 0)
+	if !e.uplink.Take(time.Now(), b.Size(), e.bandwidth/2) {
+		return &linkpb.FetchResponse{}, nil
+	}
+	return &linkpb.FetchResponse{Changes: b.Changes, Revision: uint64(b.Revision.Number()), Era: b.Revision.Era(), Whole: b.Full}, nil
+}
+
+// fetch asks other entries, in random order, for the changes above a revision.
+func (e *copyEntry) fetch(ctx context.Context, above storer.Revision) (b reflector.Batch, err error) {
+	peers := e.enroller.PeerAddresses(time.Now())
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, address := range peers {
+		peerCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		err = e.pool.Call(peerCtx, address, func(ctx context.Context, c linkpb.DRPCLinkClient) error {
+			resp, err := c.Fetch(ctx, &linkpb.FetchRequest{AboveRevision: uint64(above.Number()), Era: above.Era()})
+			b = reflector.Batch{
+				Changes: resp.GetChanges(), Revision: storer.NewRevision(resp.GetEra(), int64(resp.GetRevision())), Full: resp.GetWhole(),
+			}
+			return err
+		})
+		cancel()
+		if err == nil && b.Revision > above {
+			return b, nil
+		}
+	}
+	return reflector.Batch{}, err
+}
+
+// storeAddress is the address of the store in the emulated network.
+const storeAddress = "10.9.0.1:2379"
+
+// newCopyFleet starts a store with a link of 1 Gbit/s, and entries in failure domains a, b
+// and so on.
+func newCopyFleet(t *testing.T, domains ...copyDomain) *copyFleet {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &copyFleet{
 		network: netemulator.New(func(string, string) time.Duration { return 500 * time.Microsecond }),
 		store:   platformemulator.NewStore(), cancel: cancel,
 	}
-	for i := range size {
-		host := netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)})
-		f.network.SetBandwidth(host, bandwidth)
-		address := netip.AddrPortFrom(host, 7000)
-		l, err := f.network.Listen(address)
-		if err != nil {
-			t.Fatal(err)
+	address := netip.MustParseAddrPort(storeAddress)
+	f.network.SetBandwidth(address.Addr(), 1e9/8)
+	l, err := f.network.Listen(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.server = &http.Server{Handler: storeadapter.Handler(f.store)}
+	go func() { _ = f.server.Serve(l) }()
+	for i, d := range domains {
+		for j := range d.size {
+			f.start(ctx, t, &copyEntry{
+				host: netip.AddrFrom4([4]byte{10, 0, byte(i), byte(j + 1)}), domain: string(rune('a' + i)), bandwidth: d.bandwidth,
+			})
 		}
-		e := &copyEntry{host: host}
-		e.reflector = reflector.New(reflector.Options{
-			Store: f.store, Log: hclog.NewNullLogger(),
-			FetchFromPeers: func(context.Context, storer.Revision) (reflector.Batch, error) {
-				return reflector.Batch{}, nil
-			},
-			IsRelay:  func() bool { return e.enroller.IsRelay() },
-			HasRelay: func() bool { return e.enroller.HasRelay() },
-			HoldTime: func(string, bool) time.Duration { return 0 },
-			OnChange: func() { e.enroller.HeartbeatNow() },
-			Sink: func(now time.Time, c reflector.Change) {
-				e.enroller.ApplyChange(now, c.Key, c.Value, c.Deleted)
-			},
-		})
-		e.enroller = enroller.New(time.Now(), enroller.Options{
-			Self: tracker.Member{
-				ID: fmt.Sprintf("entry-%02d", i), Domain: "a", Address: host.String(), LinkAddress: address.String(),
-			},
-			Store: f.store, Prefix: "entries/", StoreCache: e.reflector, Log: hclog.NewNullLogger(),
-			Seeds: func() []string { return nil },
-			Pool: linker.NewPool(func(ctx context.Context, to string) (net.Conn, error) {
-				return f.network.Dial(ctx, host, netip.MustParseAddrPort(to))
-			}),
-		})
-		f.entries = append(f.entries, e)
-		go func() { _ = linker.Serve(ctx, l, e) }()
-		go e.reflector.Run(ctx)
-		go e.reflector.RunPeerSync(ctx)
-		go e.enroller.RunRegistration(ctx)
-		go e.enroller.RunHeartbeats(ctx)
 	}
 	return f
 }
 
+// start starts an entry with a host, domain and bandwidth.
+func (f *copyFleet) start(ctx context.Context, t *testing.T, e *copyEntry) {
+	t.Helper()
+	f.network.SetBandwidth(e.host, e.bandwidth)
+	address := netip.AddrPortFrom(e.host, 7000)
+	l, err := f.network.Listen(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := storeadapter.New(func(ctx context.Context, _, to string) (net.Conn, error) {
+		return f.network.Dial(ctx, e.host, netip.MustParseAddrPort(to))
+	}, "http://"+storeAddress)
+	e.pool = linker.NewPool(func(ctx context.Context, to string) (net.Conn, error) {
+		return f.network.Dial(ctx, e.host, netip.MustParseAddrPort(to))
+	})
+	e.reflector = reflector.New(reflector.Options{
+		Store: store, Log: hclog.NewNullLogger(), FetchFromPeers: e.fetch,
+		IsRelay:  func() bool { return e.enroller.IsRelay() },
+		HasRelay: func() bool { return e.enroller.HasRelay() },
+		HoldTime: func(string, bool) time.Duration { return 0 },
+		OnChange: func() { e.enroller.HeartbeatNow() },
+		Sink: func(now time.Time, c reflector.Change) {
+			e.enroller.ApplyChange(now, c.Key, c.Value, c.Deleted)
+		},
+	})
+	e.enroller = enroller.New(time.Now(), enroller.Options{
+		Self: tracker.Member{
+			ID: fmt.Sprintf("entry-%s-%02d", e.domain, e.host.As4()[3]), Domain: e.domain, Address: e.host.String(), LinkAddress: address.String(),
+		},
+		Store: store, Prefix: "entries/", StoreCache: e.reflector, Log: hclog.NewNullLogger(),
+		Seeds: func() []string { return nil }, Pool: e.pool,
+	})
+	f.entries = append(f.entries, e)
+	go func() { _ = linker.Serve(ctx, l, e) }()
+	go e.reflector.Run(ctx)
+	go e.reflector.RunPeerSync(ctx)
+	go e.enroller.RunRegistration(ctx)
+	go e.enroller.RunHeartbeats(ctx)
+}
+
 func (f *copyFleet) close() {
 	f.cancel()
+	_ = f.server.Close()
 	for _, e := range f.entries {
 		f.network.Crash(e.host)
 	}
@@ -166,7 +233,7 @@
 func TestRelayFillsItsLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newCopyFleet(t, 22, slowLink)
+		f := newCopyFleet(t, copyDomain{22, slowLink})
 		time.Sleep(5 * time.Second)
 		relay := f.relay()
 		is.True(relay != nil)
@@ -182,3 +249,32 @@
 		f.close()
 	})
 }
+
+// configurationDeadline is the time after which the users expect a configuration to be in
+// force at large sites.
+const configurationDeadline = 2500 * time.Millisecond
+
+// TestRelayRestartsItsWatch guards against a relay with a slow link that begins its watch
+// anew while a large configuration is on the way, since other entries know it already.
+func TestRelayRestartsItsWatch(t *testing.T) {
+	for _, size := range []int{250_000, 800_000, 1 << 20} {
+		for _, moment := range []time.Duration{0, 700 * time.Millisecond, 1950 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%d bytes after %s", size, moment), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newCopyFleet(t, copyDomain{22, slowLink}, copyDomain{22, 20 * slowLink})
+					time.Sleep(5*time.Second + moment)
+					value := bytes.Repeat([]byte("r"), size)
+					f.store.PutUnguarded("op/config", value)
+					start := time.Now()
+					for f.knowing("op/config", value) < len(f.entries) && time.Since(start) < 4*configurationDeadline {
+						time.Sleep(10 * time.Millisecond)
+					}
+					if took := time.Since(start); took > configurationDeadline {
+						t.Errorf("%d of %d entries knew the configuration after %s", f.knowing("op/config", value), len(f.entries), took)
+					}
+					f.close()
+				})
+			})
+		}
+	}
+}
--- a/standin/netemulator/conn.go
+++ b/standin/netemulator/conn.go
@@ -79,8 +79,8 @@
 // pipe is one direction of a connection.
 type pipe struct {
 	delay time.Duration
-	// link is the link of the sender, or nil if its bandwidth is not bounded.
-	link *link
+	// links are those of the sender and of the receiver whose bandwidth is bounded.
+	links []*link
 
 	mu       sync.Mutex
 	chunks   []chunk
@@ -91,8 +91,14 @@
 	changed  chan struct{} // closed and replaced by each update
 }
 
-func newPipe(delay time.Duration, l *link) *pipe {
-	return &pipe{delay: delay, link: l, changed: make(chan struct{})}
+func newPipe(delay time.Duration, uplink, downlink *link) *pipe {
+	p := &pipe{delay: delay, changed: make(chan struct{})}
+	for _, l := range []*link{uplink, downlink} {
+		if l != nil {
+			p.links = append(p.links, l)
+		}
+	}
+	return p
 }
 
 // update runs f under the lock and wakes readers.
@@ -104,14 +110,21 @@
 	p.changed = make(chan struct{})
 }
 
-// write sends data in segments, each once the link of the sender has carried it.
+// write sends data in segments, each once the links of both hosts have carried it.
 func (p *pipe) write(b []byte) (n int, err error) {
-	if p.link == nil {
+	if len(p.links) == 0 {
 		return p.send(b)
 	}
 	for n < len(b) {
 		segment := b[n:min(len(b), n+segmentSize)]
-		if err := p.awaitSent(p.link.reserve(time.Now(), len(segment))); err != nil {
+		now := time.Now()
+		carried := now
+		for _, l := range p.links {
+			if at := l.reserve(now, len(segment)); at.After(carried) {
+				carried = at
+			}
+		}
+		if err := p.awaitSent(carried); err != nil {
 			return n, err
 		}
 		sent, err := p.send(segment)
--- a/standin/netemulator/link.go
+++ b/standin/netemulator/link.go
@@ -9,8 +9,8 @@
 // have their turn.
 const segmentSize = 16 << 10
 
-// link is the connection of a host to the network. All connections of the host share its
-// bandwidth.
+// link is one direction of the connection of a host to the network. All connections of the
+// host share its bandwidth.
 type link struct {
 	bytesPerSecond float64
 
--- a/standin/netemulator/netemulator.go
+++ b/standin/netemulator/netemulator.go
@@ -27,7 +27,8 @@
 	conns       map[*Conn]struct{}
 	partitioned map[[2]netip.Addr]bool
 	paused      map[netip.Addr]chan struct{}
-	links       map[netip.Addr]*link
+	uplinks     map[netip.Addr]*link
+	downlinks   map[netip.Addr]*link
 	ports       uint16
 }
 
@@ -40,7 +41,8 @@
 		conns:       map[*Conn]struct{}{},
 		partitioned: map[[2]netip.Addr]bool{},
 		paused:      map[netip.Addr]chan struct{}{},
-		links:       map[netip.Addr]*link{},
+		uplinks:     map[netip.Addr]*link{},
+		downlinks:   map[netip.Addr]*link{},
 	}
 }
 
@@ -51,12 +53,13 @@
 	n.locations[host] = location
 }
 
-// SetBandwidth bounds what a host sends over all its connections, in bytes per second. It
-// applies to connections that are opened later.
+// SetBandwidth bounds what a host sends over all its connections, and what it receives, in
+// bytes per second each. It applies to connections that are opened later.
 func (n *Network) SetBandwidth(host netip.Addr, bytesPerSecond float64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.links[host] = &link{bytesPerSecond: bytesPerSecond}
+	n.uplinks[host] = &link{bytesPerSecond: bytesPerSecond}
+	n.downlinks[host] = &link{bytesPerSecond: bytesPerSecond}
 }
 
 // Listen opens a listener at an address. It fails with syscall.EADDRINUSE if there is
@@ -126,7 +129,8 @@
 	defer n.mu.Unlock()
 	n.ports++
 	source := netip.AddrPortFrom(from, n.ports)
-	toServer, toClient := newPipe(delay, n.links[from]), newPipe(delay, n.links[to.Addr()])
+	host := to.Addr()
+	toServer, toClient := newPipe(delay, n.uplinks[from], n.downlinks[host]), newPipe(delay, n.uplinks[host], n.downlinks[from])
 	client = &Conn{network: n, local: source, remote: to, in: toClient, out: toServer}
 	server = &Conn{network: n, local: to, remote: source, in: toServer, out: toClient}
 	n.conns[client] = struct{}{}
