--- /dev/null
+++ b/standin/measurer/relay_fault_test.go
@@ -0,0 +1,80 @@
+package measurer_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"samphiremux/standin/platformemulator"
+)
+
+// TestLargeValueWhileEntriesDiffer guards against entries of an earlier version that never
+// learn a value that their relay only names.
+func TestLargeValueWhileEntriesDiffer(t *testing.T) {
+	for _, size := range []int{50_000, largeValue, 600_000} {
+		t.Run(fmt.Sprintf("%d bytes", size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newCopyFleet(t, copyDomain{22, slowLink}, copyDomain{22, 20 * slowLink})
+				for i, e := range f.entries {
+					e.earlier = i%2 == 0
+				}
+				time.Sleep(5 * time.Second)
+				value := bytes.Repeat([]byte("r"), size)
+				f.store.PutUnguarded("op/config", value)
+				f.expectKnown(t, "op/config", value, time.Now().Add(configurationDeadline))
+				f.close()
+			})
+		})
+	}
+}
+
+// TestLargeValueBeforeOutage guards against entries that lack a value because the store is
+// down from shortly after it was written.
+func TestLargeValueBeforeOutage(t *testing.T) {
+	const outageDeadline = configurationDeadline + 5*time.Second
+	for _, size := range []int{largeValue, 600_000} {
+		for _, after := range []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%d bytes, %s after the first entry knew it", size, after), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newCopyFleet(t, copyDomain{22, slowLink}, copyDomain{22, slowLink})
+					time.Sleep(5 * time.Second)
+					value := bytes.Repeat([]byte("r"), size)
+					f.store.PutUnguarded("op/config", value)
+					deadline := time.Now().Add(outageDeadline)
+					for f.knowing("op/config", value) == 0 {
+						time.Sleep(10 * time.Millisecond)
+					}
+					time.Sleep(after)
+					f.store.SetFaults(platformemulator.Faults{Down: true})
+					f.expectKnown(t, "op/config", value, deadline)
+					f.close()
+				})
+			})
+		}
+	}
+}
+
+// TestAllEntriesStartWithLargeValue guards against entries that start together and list the
+// store again and again, each time for less long than the list takes.
+func TestAllEntriesStartWithLargeValue(t *testing.T) {
+	for _, slow := range []time.Duration{0, 300 * time.Millisecond, time.Second} {
+		t.Run(fmt.Sprintf("store slow by %s", slow), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newCopyFleet(t)
+				value := bytes.Repeat([]byte("r"), 1<<20)
+				f.store.PutUnguarded("op/config", value)
+				for i := range 300 {
+					f.store.PutUnguarded(fmt.Sprintf("servers/i-%03d", i), bytes.Repeat([]byte("s"), 300))
+				}
+				f.store.SetFaults(platformemulator.Faults{SlowBy: slow})
+				for i := range 4 {
+					f.startDomain(t, i, copyDomain{29, slowLink})
+				}
+				f.expectKnown(t, "op/config", value, time.Now().Add(8*time.Second)) // callers come after 8 s
+				f.close()
+			})
+		})
+	}
+}
--- a/standin/measurer/relay_test.go
+++ b/standin/measurer/relay_test.go
@@ -49,6 +49,7 @@
 	store   *platformemulator.Store
 	server  *http.Server
 	entries []*copyEntry
+	ctx     context.Context
 	cancel  context.CancelFunc
 }
 
@@ -62,10 +63,15 @@
 	enroller  *enroller.Enroller
 	pool      *linker.Pool
 	uplink    throttler.ByteBudget
+	// earlier reports that the entry reads heartbeats as the version before did.
+	earlier bool
 }
 
-// Beat implements linkpb.DRPCLinkServer.
+// Beat implements linkpb.DRPCLinkServer. An earlier version knows no omitted values.
 func (e *copyEntry) Beat(_ context.Context, r *linkpb.BeatRequest) (*linkpb.BeatResponse, error) {
+	if e.earlier {
+		r.Omitted, r.CoveredRevision, r.AboveRevision = nil, 0, 0
+	}
 	return e.enroller.HandleHeartbeat(r), nil
 }
 
@@ -109,7 +115,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &copyFleet{
 		network: netemulator.New(func(string, string) time.Duration { return 500 * time.Microsecond }),
-		store:   platformemulator.NewStore(), cancel: cancel,
+		store:   platformemulator.NewStore(), ctx: ctx, cancel: cancel,
 	}
 	address := netip.MustParseAddrPort(storeAddress)
 	f.network.SetBandwidth(address.Addr(), 1e9/8)
@@ -120,18 +126,25 @@
 	f.server = &http.Server{Handler: storeadapter.Handler(f.store)}
 	go func() { _ = f.server.Serve(l) }()
 	for i, d := range domains {
-		for j := range d.size {
-			f.start(ctx, t, &copyEntry{
-				host: netip.AddrFrom4([4]byte{10, 0, byte(i), byte(j + 1)}), domain: string(rune('a' + i)), bandwidth: d.bandwidth,
-			})
-		}
+		f.startDomain(t, i, d)
 	}
 	return f
 }
 
+// startDomain starts the entries of the failure domain with an index.
+func (f *copyFleet) startDomain(t *testing.T, index int, d copyDomain) {
+	t.Helper()
+	for i := range d.size {
+		f.start(t, &copyEntry{
+			host: netip.AddrFrom4([4]byte{10, 0, byte(index), byte(i + 1)}), domain: string(rune('a' + index)), bandwidth: d.bandwidth,
+		})
+	}
+}
+
 // start starts an entry with a host, domain and bandwidth.
-func (f *copyFleet) start(ctx context.Context, t *testing.T, e *copyEntry) {
+func (f *copyFleet) start(t *testing.T, e *copyEntry) {
 	t.Helper()
+	ctx := f.ctx
 	f.network.SetBandwidth(e.host, e.bandwidth)
 	address := netip.AddrPortFrom(e.host, 7000)
 	l, err := f.network.Listen(address)
@@ -199,6 +212,18 @@
 	return n
 }
 
+// expectKnown waits until all entries know a value of a key, and reports an error if that is
+// later than a deadline.
+func (f *copyFleet) expectKnown(t *testing.T, key string, value []byte, deadline time.Time) {
+	t.Helper()
+	for f.knowing(key, value) < len(f.entries) && time.Since(deadline) < 10*time.Second {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if late := time.Since(deadline); late > 0 {
+		t.Errorf("%d of %d entries knew %s %s after the deadline", f.knowing(key, value), len(f.entries), key, late)
+	}
+}
+
 // worstSendTime sends 1 KB from a host every 50 ms for a time, and returns the longest time
 // until it arrived.
 func (f *copyFleet) worstSendTime(t *testing.T, from netip.Addr, lasts time.Duration) (worst time.Duration) {
@@ -266,12 +291,7 @@
 					value := bytes.Repeat([]byte("r"), size)
 					f.store.PutUnguarded("op/config", value)
 					start := time.Now()
-					for f.knowing("op/config", value) < len(f.entries) && time.Since(start) < 4*configurationDeadline {
-						time.Sleep(10 * time.Millisecond)
-					}
-					if took := time.Since(start); took > configurationDeadline {
-						t.Errorf("%d of %d entries knew the configuration after %s", f.knowing("op/config", value), len(f.entries), took)
-					}
+					f.expectKnown(t, "op/config", value, start.Add(configurationDeadline))
 					f.close()
 				})
 			})
