--- /dev/null
+++ b/entry/balancer/broken_off_test.go
@@ -0,0 +1,96 @@
+package balancer_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/hashicorp/go-hclog"
+
+	"samphiremux/entry/balancer"
+	"samphiremux/entry/chooser"
+)
+
+// oneConnListener accepts one connection.
+type oneConnListener struct{ conns chan net.Conn }
+
+func (l *oneConnListener) Accept() (net.Conn, error) {
+	c, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+func (l *oneConnListener) Close() error   { return nil }
+func (l *oneConnListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// exchange sends a request to the balancer over a connection. It returns an error if the
+// response is not whole.
+func exchange(b *balancer.Balancer, method, path string) (status int, signed bool, body string, err error) {
+	l := &oneConnListener{conns: make(chan net.Conn, 1)}
+	server := &http.Server{Handler: b, ErrorLog: hclog.NewNullLogger().StandardLogger(&hclog.StandardLoggerOptions{})}
+	go func() { _ = server.Serve(l) }()
+	defer server.Close()
+	defer close(l.conns)
+	c, serverConn := net.Pipe()
+	defer c.Close()
+	l.conns <- serverConn
+	if _, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: h\r\nId: r1\r\nLeft: 400ms\r\nContent-Length: 0\r\n\r\n", method, path); err != nil {
+		return 0, false, "", err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
+	if err != nil {
+		return 0, false, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header.Get("Signature") != "", string(data), err
+}
+
+// TestBrokenOffResponseLooksWhole guards against a success with an empty or short body
+// after a server has stopped in the middle of its response.
+func TestBrokenOffResponseLooksWhole(t *testing.T) {
+	large := strings.Repeat("0123456789abcde\n", 20_000)
+	for _, c := range []struct {
+		name, method, path, text, body string
+		status                         int
+	}{
+		{"with a length", http.MethodGet, "/look/1", "HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\nContent-Length: 12\r\n\r\nhello\r\nworld", "hello\r\nworld", 200},
+		{"with a length, not repeated", http.MethodPost, "/book/1", "HTTP/1.1 201 Created\r\nId: r1\r\nSignature: s\r\nContent-Length: 12\r\n\r\nhello\r\nworld", "hello\r\nworld", 201},
+		{"in chunks", http.MethodPost, "/book/1", "HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "hello", 200},
+		{"no content", http.MethodPost, "/book/1", "HTTP/1.1 204 No Content\r\nId: r1\r\nSignature: s\r\n\r\n", "", 204},
+		{"to HEAD", http.MethodHead, "/look/1", "HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\nContent-Length: 12\r\n\r\n", "", 200},
+		{"streamed with a length", http.MethodPost, "/book/1", fmt.Sprintf("HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\nContent-Length: %d\r\n\r\n%s", len(large), large), large, 200},
+		{"streamed in chunks", http.MethodPost, "/book/1", fmt.Sprintf("HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(large), large), large, 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for length := 1; length <= len(c.text); length++ {
+				if length > 200 && length < len(c.text)-20 {
+					length = min(length+30_011, len(c.text)-20)
+				}
+				synctest.Test(t, func(t *testing.T) {
+					all := servers(2, func(w io.Writer, _ string) bool {
+						_, _ = io.WriteString(w, c.text[:length])
+						return false
+					})
+					f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+					status, signed, body, err := exchange(f.balancer, c.method, c.path)
+					switch {
+					case length == len(c.text):
+						if err != nil || status != c.status || !signed || body != c.body {
+							t.Errorf("whole: status %d, signed %v, %d bytes, %v", status, signed, len(body), err)
+						}
+					case err == nil && (status < 500 || signed):
+						t.Errorf("cut after %d of %d bytes: status %d, signed %v, %d bytes", length, len(c.text), status, signed, len(body))
+					}
+					f.close()
+				})
+			}
+		})
+	}
+}
