sender: a refusal without an id is not taken for that of a later request

For services without (echoes-request-id: false, the default) the copy was taken for the refusal of the next request.

A non-idempotent request of such a service now leaves connections on which a request was refused: if the transport chooses one, it is closed before anything is written and the request takes another. If the refusal comes while the next request holds the connection already, a second refusal there counts as the response to another request. Idempotent requests go on as before, as they may run twice; so does the refusal of a service that echoes ids.

Evidence: TestRepeatedRefusal on the code before: "without an id, none required POST: false != true" (the second request, on the same connection, was taken for not run). TestResponseBrokenOff cuts ten responses at every byte, as in package roundtripper: none looks whole, before and after. Not covered: a copy that arrives before the transport has handed over the refusal itself, while another request takes the connection.

--- a/entry/sender/sender.go
+++ b/entry/sender/sender.go
@@ -98,7 +98,11 @@
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 			defer cancel()
-			return s.dial(ctx, address)
+			c, err := s.dial(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: c}, nil
 		},
 		MaxConnsPerHost:        connections,
 		MaxIdleConnsPerHost:    connections,
@@ -185,10 +189,21 @@
 	RateLimit describer.RateLimit
 }
 
+// conn is a connection to a server.
+type conn struct {
+	net.Conn
+	// refused is set once the server has refused a request on the connection.
+	refused atomic.Bool
+}
+
 // attempt tracks the progress of one attempt.
 type attempt struct {
-	body        *requestBody // nil if the request has none
-	conn        atomic.Pointer[net.Conn]
+	body *requestBody // nil if the request has none
+	conn atomic.Pointer[net.Conn]
+	// mayDiscard is set if a connection on which a request was refused must not be used,
+	// and discarded if such a one was closed before anything was written.
+	mayDiscard  bool
+	discarded   atomic.Bool
 	confirmed   chan struct{} // closed on 100 Continue or the start of a response
 	confirmOnce sync.Once
 	started     atomic.Bool // a header was written
@@ -203,6 +218,11 @@
 			a.conn.Store(&info.Conn)
 			a.started.Store(false)
 			a.writeFailed.Store(false)
+			c, ok := info.Conn.(*conn)
+			a.discarded.Store(ok && a.mayDiscard && c.refused.Load())
+			if a.discarded.Load() {
+				_ = c.Close()
+			}
 		},
 		WroteHeaderField: func(string, []string) { a.started.Store(true) },
 		Got100Continue:   a.confirm,
@@ -224,10 +244,34 @@
 	}
 }
 
+// markRefused records that a request was refused on the connection. It reports whether
+// one was before.
+func (a *attempt) markRefused() (before bool) {
+	if p := a.conn.Load(); p != nil {
+		if c, ok := (*p).(*conn); ok {
+			return c.refused.Swap(true)
+		}
+	}
+	return false
+}
+
 // Send sends a request and waits for its response until ctx is done. The response is nil
 // unless the outcome is Answered or Shed.
 func (s *Sender) Send(ctx context.Context, r Request) (resp *Response, o retrier.Outcome) {
-	a := &attempt{confirmed: make(chan struct{})}
+	for {
+		resp, o, discarded := s.sendOnce(ctx, r)
+		if !discarded || ctx.Err() != nil {
+			return resp, o
+		}
+	}
+}
+
+// sendOnce is Send. Discarded is set if nothing was sent, because the transport chose a
+// connection that must not be used.
+func (s *Sender) sendOnce(ctx context.Context, r Request) (resp *Response, o retrier.Outcome, discarded bool) {
+	// Without an id, a copy of an earlier refusal on the connection looks like a refusal
+	// of this request.
+	a := &attempt{confirmed: make(chan struct{}), mayDiscard: !r.Idempotent && !r.EchoRequired}
 	sendCtx, cancel := context.WithCancelCause(httptrace.WithClientTrace(ctx, a.trace()))
 	req, expectsContinue := r.httpRequest(sendCtx, a)
 	p := s.pool(r.Address, r.MaxConnections)
@@ -242,10 +286,13 @@
 	httpResp, err := transport.RoundTrip(req)
 	if err != nil {
 		cancel(nil)
-		return nil, a.errorOutcome(ctx, expectsContinue, err)
+		if a.discarded.Load() {
+			return nil, retrier.NotSent{Cause: err}, true
+		}
+		return nil, a.errorOutcome(ctx, expectsContinue, err), false
 	}
 	resp, o = r.readResponse(httpResp, a, cancel)
-	return resp, o
+	return resp, o, false
 }
 
 // httpRequest builds the HTTP request. It has no GetBody, so that http.Transport never
@@ -312,6 +359,13 @@
 		cancel(nil)
 		return nil, retrier.Mismatched{Got: got}
 	}
+	isRefusal := slices.Contains(r.SheddingStatuses, httpResp.StatusCode) && httpResp.Header.Get(refuser.RefusalHeader) == ""
+	if isRefusal && a.markRefused() && a.mayDiscard {
+		// Another request was refused on the connection after this one had taken it.
+		a.closeConn()
+		cancel(nil)
+		return nil, retrier.Mismatched{}
+	}
 	body, err := io.ReadAll(io.LimitReader(httpResp.Body, MaxBufferedBytes+1))
 	if err != nil {
 		a.closeConn()
@@ -329,7 +383,7 @@
 	}
 	_ = httpResp.Body.Close()
 	cancel(nil)
-	if slices.Contains(r.SheddingStatuses, httpResp.StatusCode) && httpResp.Header.Get(refuser.RefusalHeader) == "" {
+	if isRefusal {
 		return resp, retrier.Shed{}
 	}
 	return resp, retrier.Answered{}
