--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -190,7 +190,7 @@
 // observeReached records that a server has responded. If the entry was isolated from the
 // servers, all of them may be used again at once.
 func (b *Balancer) observeReached() {
-	if !b.monitor.ObserveResponse() {
+	if !b.monitor.ObserveResponse(time.Now()) {
 		return
 	}
 	for _, servers := range b.opts.Snapshot().Services {
@@ -208,7 +208,7 @@
 	for _, servers := range b.opts.Snapshot().Services {
 		known += len(servers)
 	}
-	if b.monitor.ObserveFailure(server, known) {
+	if b.monitor.ObserveFailure(time.Now(), server, known) {
 		b.opts.Log.Warn("No backend server reached; requests are passed on to other entries.", "servers", known)
 	}
 }
--- a/entry/snapshotter/backend.go
+++ b/entry/snapshotter/backend.go
@@ -215,10 +215,8 @@
 	s.ejectedUntil = now.Add(wait)
 }
 
-// Readmit ends an ejection and closes the idle connections, after the entry itself could
-// not reach any server.
+// Readmit ends an ejection, after the entry itself could not reach any server.
 func (s *ServerState) Readmit() {
-	s.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ejections = 0
