delegator: a request goes on if the entry it was passed on to does not reach the servers

The other entry may be cut off too without knowing it yet, or have no connection left for this service; entries of the own failure domain are asked first and are often cut off together.

Up to three entries are asked now, those of other domains before those of a domain in which one has turned the request down. TestUnreachingEntryEndsRequest failed before: 2 of 10 calls were not served.

--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -179,44 +179,39 @@
 	r.Header.Set(HopHeader, d.opts.Self)
 	r.Header.Set(AttemptsHeader, strconv.Itoa(r.Attempts))
 	r.Header.Set(ConfigurationHeader, strconv.FormatInt(r.Configuration, 10))
-	for range maxTries {
-		p, conn := d.pick(ctx, r.Configuration)
+	var last Result = Unreached{}
+	var tried []*peerState
+	for len(tried) < maxTries {
+		p, conn := d.pick(ctx, r.Configuration, tried)
 		if p == nil {
-			return Unreached{}
+			return last
 		}
-		result := p.send(ctx, conn, r)
-		switch result := result.(type) {
+		tried = append(tried, p)
+		last = p.send(ctx, conn, r)
+		switch result := last.(type) {
+		case Responded:
+			return result
 		case Lost:
 			if ctx.Err() != context.Canceled {
 				p.avoid(time.Now())
 			}
 			return result
 		case Refused:
-			if turnsDown(result.Refusal) {
-				p.avoid(time.Now())
+			if result.Refusal.Kind != refuser.NotRun {
+				return result
+			}
+			switch result.Refusal.Reason {
+			case refuser.BackendUnreachable:
+				// It reaches servers, but none of this service.
 				continue
+			case refuser.UnreachableServers, refuser.NoDocument, refuser.Stopping:
+			default:
+				return result
 			}
-			return result
-		case Unreached:
-			p.avoid(time.Now())
-		default:
-			return result
 		}
+		p.avoid(time.Now())
 	}
-	return Unreached{}
-}
-
-// turnsDown reports whether another entry may take a request that was refused.
-func turnsDown(r refuser.Refusal) bool {
-	if r.Kind != refuser.NotRun {
-		return false
-	}
-	switch r.Reason {
-	case refuser.UnreachableServers, refuser.NoDocument, refuser.Stopping:
-		return true
-	default:
-		return false
-	}
+	return last
 }
 
 // send sends a request to one entry.
@@ -246,10 +241,10 @@
 
 // pick probes other entries until one answers that takes requests accepted by a version of
 // the configuration. It returns that entry and the connection of the probe, or nil if
-// there is none.
-func (d *Delegator) pick(ctx context.Context, configuration int64) (*peerState, *roundtripper.Conn) {
+// there is none. Those that have turned the request down are left out.
+func (d *Delegator) pick(ctx context.Context, configuration int64, tried []*peerState) (*peerState, *roundtripper.Conn) {
 	path := fmt.Sprintf("%s?%s=%d", HealthPath, ConfigurationParameter, configuration)
-	candidates := d.candidates(time.Now())
+	candidates := d.candidates(time.Now(), tried)
 	for range maxRounds {
 		if len(candidates) == 0 || ctx.Err() != nil {
 			break
@@ -264,8 +259,9 @@
 }
 
 // candidates returns the other entries in random order, those of the own failure domain
-// first, and those that failed lately last.
-func (d *Delegator) candidates(now time.Time) (candidates []*peerState) {
+// first, and those that failed lately last. Entries of domains in which one has turned the
+// request down come after others.
+func (d *Delegator) candidates(now time.Time, tried []*peerState) (candidates []*peerState) {
 	peers := d.opts.Peers()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -277,7 +273,9 @@
 			}, d.headers())}
 			d.peers[p] = state
 		}
-		candidates = append(candidates, state)
+		if !slices.Contains(tried, state) {
+			candidates = append(candidates, state)
+		}
 	}
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	rank := map[*peerState]int{}
@@ -285,9 +283,12 @@
 		if p.Domain != d.opts.Domain {
 			rank[p]++
 		}
-		if p.avoided(now) {
+		if slices.ContainsFunc(tried, func(t *peerState) bool { return t.Domain == p.Domain }) {
 			rank[p] += 2
 		}
+		if p.avoided(now) {
+			rank[p] += 4
+		}
 	}
 	slices.SortStableFunc(candidates, func(a, b *peerState) int { return rank[a] - rank[b] })
 	return candidates
--- a/steer/commander/delegation_test.go
+++ b/steer/commander/delegation_test.go
@@ -243,3 +243,21 @@
 		is.Equal(leaving, 1)
 	})
 }
+
+// TestUnreachingEntryEndsRequest guards against a request that is refused since the first
+// entry to which it was passed on does not reach the servers either.
+func TestUnreachingEntryEndsRequest(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		f.isolate(0)
+		f.setCuts([]int{3}, hanging) // the other one of its failure domain, which does not know yet
+		var calls sync.WaitGroup
+		for n := range 10 {
+			calls.Go(func() {
+				if !f.call(0, "/book/a", fmt.Sprintf("r%d", n)) {
+					t.Errorf("call %d was not served", n)
+				}
+			})
+		}
+		calls.Wait()
+	})
+}
