--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -67,6 +67,8 @@
 	avoidTime = time.Second
 	// maxTries bounds the entries that may turn one request down.
 	maxTries = 3
+	// unreachedTime is the time for which no entry is probed after none took requests.
+	unreachedTime = 100 * time.Millisecond
 )
 
 // Peer is another entry that takes requests.
@@ -135,6 +137,8 @@
 
 	mu    sync.Mutex
 	peers map[Peer]*peerState
+	// unreachedUntil is the time until which no entry is probed.
+	unreachedUntil time.Time
 }
 
 // peerState is what this entry keeps of another one.
@@ -245,6 +249,7 @@
 func (d *Delegator) pick(ctx context.Context, configuration int64, tried []*peerState) (*peerState, *roundtripper.Conn) {
 	path := fmt.Sprintf("%s?%s=%d", HealthPath, ConfigurationParameter, configuration)
 	candidates := d.candidates(time.Now(), tried)
+	probed := 0
 	for range maxRounds {
 		if len(candidates) == 0 || ctx.Err() != nil {
 			break
@@ -254,6 +259,12 @@
 			return p, conn
 		}
 		candidates = candidates[n:]
+		probed += n
+	}
+	if probed > 0 && ctx.Err() == nil && len(tried) == 0 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.unreachedUntil = time.Now().Add(unreachedTime)
 	}
 	return nil, nil
 }
@@ -265,6 +276,9 @@
 	peers := d.opts.Peers()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if now.Before(d.unreachedUntil) {
+		return nil
+	}
 	for _, p := range peers {
 		state, ok := d.peers[p]
 		if !ok {
