explainer: the verdict names the entry to which a request was passed on

Without it a request that another entry sent was said not to have been sent. TestDelegatedRequestExplained failed before.

--- a/ctl/explainer/explainer.go
+++ b/ctl/explainer/explainer.go
@@ -168,18 +168,25 @@
 	}
 	last := e.steps[len(e.steps)-1]
 	sends := 0
-	cause := ""
+	cause, passedOn := "", ""
 	for _, l := range e.steps {
 		switch l.Event {
 		case "chosen", "hedged":
 			sends++
+		case "delegated":
+			passedOn = fmt.Sprintf("passed on to %v (%v)", l.Inputs["entry"], l.Inputs["result"])
 		case "ended":
 			cause = fmt.Sprintf("the attempt at %v ended as %v", l.Inputs["server"], l.Inputs["outcome"])
 		}
 	}
 	attempts := fmt.Sprintf("after %d sends; %s", sends, cause)
-	if sends == 0 {
+	switch {
+	case sends == 0 && passedOn != "":
+		attempts = passedOn + "; the log of that entry tells what it did"
+	case sends == 0:
 		attempts = "without being sent to a backend server"
+	case passedOn != "":
+		attempts += "; " + passedOn
 	}
 	switch last.Event {
 	case "answered":
--- a/ctl/explainer/explainer_test.go
+++ b/ctl/explainer/explainer_test.go
@@ -1,6 +1,7 @@
 package explainer_test
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -74,3 +75,27 @@
 	is.True(strings.Contains(text, "left-out leaving=i-1 i-2"))
 	is.True(strings.Contains(x.Verdict, "no-backend-server"))
 }
+
+// TestDelegatedRequestExplained guards against an explanation that says that a request was
+// not sent although another entry sent it.
+func TestDelegatedRequestExplained(t *testing.T) {
+	const (
+		line   = `{"@message":"Request.","@module":"samphire.steerer","id":"r1","at":"2026-01-01T00:00:0%s`
+		passed = `0Z","event":"delegated","entry":"e2","result":"responded"}`
+		ended  = `3Z","event":"answered","status":200,"took-ms":70}`
+		chosen = `1Z","event":"chosen","server":"i-1"}`
+		server = `2Z","event":"ended","server":"i-1","outcome":"answered"}`
+	)
+	logOf := func(texts ...string) (text string) {
+		for _, t := range texts {
+			text += fmt.Sprintf(line, t) + "\n"
+		}
+		return text
+	}
+	is := is.New(t)
+	e := explainer.New("r1")
+	is.NoErr(e.Read("e1", strings.NewReader(logOf(passed, ended))))
+	is.Equal(e.Explain().Verdict, "Answered with status 200 after 70 ms, passed on to e2 (responded); the log of that entry tells what it did.")
+	is.NoErr(e.Read("e2", strings.NewReader(logOf(chosen, server))))
+	is.Equal(e.Explain().Verdict, "Answered with status 200 after 70 ms, after 1 sends; the attempt at i-1 ended as answered; passed on to e2 (responded).")
+}
