entry: an entry that reaches no backend server passes requests on

What callers saw: while an entry was partitioned from all servers, callers of the other entries of the service were refused too.

Cause: each connection that failed made the partitioned entry report its server as suspect cold, and an owner took each server whose probe was not answered for cold. Both restart the slow start for all holders. Requests in flight at the moment of a reset made their fingerprints suspects on all entries.

The dispatcher now keeps the contact with the servers (detector). A failure, or 250 ms in which attempts wait and none is answered, makes a check due: the checker connects to up to eight servers, and if none accepts, the contact is lost. Until a check has reached a server, a suspicion is kept back, since it may be the entry's own fault. While the contact is lost, requests go to another member of the subset, or are refused at once as servers-unreachable; floors are given up with the next report; probes and broken connections are held against no server and no request. When a server accepts again, ejections end, idle connections are closed and grants are asked for at once. An owner that had no contact for 0.5 s takes as cold only servers of which no holder reported a response meanwhile. A forwarded request carries its caller's address, so that callers of a partitioned entry keep their own shares of a queue.

Ruled out: a lack of capacity (all are served by the remaining member), and membership, which does not change.

--- a/entry/assembler/assembler.go
+++ b/entry/assembler/assembler.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 
+	"samphiremux/entry/checker"
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/collector"
 	"samphiremux/entry/coordinator"
@@ -185,7 +186,11 @@
 	reg := registrar.New(e.node, e.deps.Store, e.identity.Environment, log.Named("registrar"))
 	beat := heartbeater.New(e.node, e.pool, deriveRand(rng), fetch)
 	report := reporter.New(e.node, e.pool, owner)
-	grant := granter.New(e.node, e.probe, func(r granter.ProbeResult) { granterActor.TrySend(r) }, log.Named("granter"))
+	checks := checker.New(e.node, e.servers.Reachable, func(sv *reconciler.Service) {
+		e.closeIdle(sv)
+		reporterActor.Trigger()
+	}, rand.New(rand.NewPCG(e.identity.Seed, 2)), log.Named("checker"))
+	grant := granter.New(e.node, e.probe, checks.Reaches, func(r granter.ProbeResult) { granterActor.TrySend(r) }, log.Named("granter"))
 	coord := coordinator.New(e.node, e.deps.Store, owner, e.identity.Environment, e.deps.Announce, log.Named("coordinator"))
 
 	heartbeaterActor = e.spawner.Spawn("beater", func(m any) { beat.Receive(ctx, m) })
@@ -194,6 +199,8 @@
 	notifierActor := e.spawner.Spawn("teller", func(m any) { notify.Receive(ctx, m) })
 	notify.Send = notifierActor.Send
 	e.node.OnRollback(notify.NotifyRollback)
+	checkerActor := e.spawner.Spawn("checker", func(m any) { checks.Receive(ctx, m) })
+	e.node.OnDoubt(checkerActor.Trigger)
 	watcherActor = e.spawner.Spawn("follower", func(m any) { watch.Receive(ctx, m) })
 	e.registrar = e.spawner.Spawn("registrar", func(m any) { reg.Receive(ctx, m) })
 	coordinatorActor := e.spawner.Spawn("coordinator", func(m any) { coord.Receive(ctx, m) })
@@ -204,10 +211,20 @@
 	e.tickEvery(ctx, granterActor, granter.ProbeCheckInterval, rng)
 	e.tickEvery(ctx, e.registrar, registrar.Interval, rng)
 	e.tickEvery(ctx, coordinatorActor, coordinator.Interval, rng)
+	e.tickEvery(ctx, checkerActor, checker.Interval, rng)
 	e.wg.Go(func() { watch.Run(ctx, watcherActor.Send) })
 	e.wg.Go(func() { _ = linker.Serve(ctx, e.deps.LinkListener, linkhandler.New(e.node, owner, fetch)) })
 	e.wg.Go(func() { e.pollVMs(ctx) })
-	e.serveCallers(notify)
+	e.serveCallers(notify, checks)
+}
+
+// closeIdle closes the idle connections to the servers of a service, which may lose all
+// data since the entry was cut off.
+func (e *Entry) closeIdle(sv *reconciler.Service) {
+	for _, srv := range sv.Spec.Servers {
+		e.servers.CloseIdle(srv.Address)
+		e.probes.CloseIdle(srv.Address)
+	}
 }
 
 // tickEvery sends an actor a Tick at the given interval, with jitter.
@@ -217,10 +234,10 @@
 }
 
 // serveCallers serves locate queries and forwards all other requests.
-func (e *Entry) serveCallers(notify forwarder.Notifier) {
+func (e *Entry) serveCallers(notify forwarder.Notifier, checks *checker.Checker) {
 	mux := http.NewServeMux()
 	mux.Handle(locator.Path, locator.New(e.node))
-	mux.Handle("/", forwarder.New(e.node, e.servers, e.peers, notify, e.deps.Log.Named("forwarder")))
+	mux.Handle("/", forwarder.New(e.node, e.servers, e.peers, notify, checks.Reaches, e.deps.Log.Named("forwarder")))
 	e.http = &http.Server{
 		Handler: mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
--- a/entry/collector/collector.go
+++ b/entry/collector/collector.go
@@ -31,6 +31,8 @@
 	// WaitingRequests is the number of requests that wait for a backend server, by
 	// service.
 	WaitingRequests *prometheus.GaugeVec
+	// ServersUnreachable is 1 while the entry reaches no backend server, by the service that found it out.
+	ServersUnreachable *prometheus.GaugeVec
 	// Probes counts health probes by result.
 	Probes *prometheus.CounterVec
 	// Reports counts the reports to the owners of backend servers, by result.
@@ -77,6 +79,7 @@
 		Namespace: "samphire", Name: "request_seconds", Help: "Time from a request's arrival to its answer.",
 		Buckets: prometheus.ExponentialBuckets(0.001, 1.6, 20),
 	}, []string{"service"})
+	m.ServersUnreachable = m.gaugeVec("servers_unreachable", "1 while no backend server of the service is reached.", "service")
 	m.WaitingRequests = m.gaugeVec("waiting_requests", "Requests that wait for a backend server.", "service")
 	m.Suspects = m.gaugeVec("suspects", "Requests under suspicion.", "service")
 	m.MoveShare = m.gaugeVec("move_share_percent", "Share of the new version of a move.", "service", "phase")
--- a/entry/dispatcher/control.go
+++ b/entry/dispatcher/control.go
@@ -30,13 +30,16 @@
 	if n := len(d.servers); n > 0 {
 		waiting = (waiting + n - 1) / n
 	}
+	if d.unserved {
+		waiting, d.unserved = max(waiting, 1), false
+	}
 	mean := d.mean.Value()
 	for _, s := range d.servers {
 		if s.placement.Owner == "" {
 			continue
 		}
 		reports = append(reports, OwnerReport{
-			Owner: s.placement.Owner, Server: s.placement.Server.Name, Report: s.report(now, d.id, waiting, mean),
+			Owner: s.placement.Owner, Server: s.placement.Server.Name, Report: s.report(now, d.id, waiting, mean, d.contact),
 		})
 	}
 	return reports
@@ -49,7 +52,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if s, ok := d.byName[o.Server]; ok {
-		s.suspectCold = s.suspectCold || o.Report.SuspectCold
+		if o.Report.SuspectCold && !s.suspectCold {
+			s.suspectCold, s.suspectedAt = true, time.Time{}
+		}
 		s.rateLimitUnreported = s.rateLimitUnreported || o.Report.RateLimitKnown
 	}
 }
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"samphiremux/entry/chooser"
+	"samphiremux/entry/detector"
 	"samphiremux/entry/estimator"
 	"samphiremux/entry/limiter"
 	"samphiremux/entry/quarantiner"
@@ -104,6 +105,12 @@
 	// responses counts the successful responses since the start.
 	responses int
 	observer  Observer
+	contact   *detector.Contact
+	// onDoubt is called when a check of the contact becomes due. It may be nil.
+	onDoubt func()
+	// unserved is true if requests went to other entries since the last report, since
+	// this one holds no grants.
+	unserved bool
 }
 
 // Observer is notified how each attempt ended. Observe is called with the
@@ -137,6 +144,7 @@
 		queues:    map[string]*queuer.Queue{},
 		budget:    retrier.NewBudget(0),
 		suspects:  quarantiner.New(),
+		contact:   detector.New(now()),
 		rotatedAt: now(),
 		latencies: hdrhistogram.NewWindowed(histogramWindows, minLatencyMicroseconds,
 			maxLatency.Microseconds(), histogramDigits),
@@ -180,7 +188,7 @@
 	}
 	if s.placement.DomainOut && !placement.DomainOut {
 		s.allotment = limiter.NewAllotment(now)
-		s.suspectCold = true
+		s.suspectCold, s.suspectedAt = true, time.Time{}
 		s.failures, s.ejections, s.ejectedUntil = 0, 0, time.Time{}
 	}
 }
@@ -223,8 +231,9 @@
 		d.mu.Unlock()
 		return nil, refusalOf(reason)
 	}
+	silent := d.contact.Silent()
 	d.mu.Unlock()
-	return d.await(ctx, q, item, r.Deadline, done)
+	return d.await(ctx, q, item, r.Deadline, done, silent)
 }
 
 // result is the permit for a queued request, or nil if the chooser found no server.
@@ -237,8 +246,11 @@
 }
 
 // await waits for the permit of a queued request. A permit that arrives together
-// with the deadline or the end of ctx is abandoned.
-func (d *Dispatcher) await(ctx context.Context, q *queuer.Queue, item *queuer.Item, deadline time.Time, done <-chan result) (*Permit, *refuser.Refusal) {
+// with the deadline, the end of ctx or the loss of contact with the servers is
+// abandoned.
+func (d *Dispatcher) await(
+	ctx context.Context, q *queuer.Queue, item *queuer.Item, deadline time.Time, done <-chan result, silent <-chan struct{},
+) (*Permit, *refuser.Refusal) {
 	timer := time.NewTimer(deadline.Sub(d.now()))
 	defer timer.Stop()
 	reason := refuser.DeadlinePassed
@@ -249,6 +261,8 @@
 		}
 	case <-ctx.Done():
 		reason = refuser.CallerDisconnected
+	case <-silent:
+		reason = refuser.ServersUnreachable
 	case <-timer.C:
 	}
 	d.mu.Lock()
@@ -490,7 +504,10 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	p.state.end(p.start)
-	p.state.recordOutcome(now, p.start, o, failedResponse, d.mean.Value())
+	d.recordContact(now, o)
+	if !d.blameless(p.start, o) {
+		p.state.recordOutcome(now, p.start, o, failedResponse, d.mean.Value())
+	}
 	_, answered := o.(retrier.Answered)
 	latency := now.Sub(p.start)
 	if answered && !failedResponse {
--- a/entry/dispatcher/server.go
+++ b/entry/dispatcher/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"samphiremux/entry/chooser"
+	"samphiremux/entry/detector"
 	"samphiremux/entry/estimator"
 	"samphiremux/entry/limiter"
 	"samphiremux/entry/retrier"
@@ -87,6 +88,8 @@
 	failed    int
 	// suspectCold is true if the server may have turned cold since the last report.
 	suspectCold bool
+	// suspectedAt is the time of the first sign that it has.
+	suspectedAt time.Time
 	// drainUnreported is true if the server announced that it is leaving after the
 	// last report. A grant does not overrule that.
 	drainUnreported bool
@@ -204,7 +207,9 @@
 // markSuspectCold handles a connection that failed or broke: the server may have
 // restarted cold.
 func (s *server) markSuspectCold(now time.Time) {
-	s.suspectCold = true
+	if !s.suspectCold {
+		s.suspectCold, s.suspectedAt = true, now
+	}
 	s.allotment = s.allotment.WithoutFloor().WithCap(now.Add(suspectColdCap))
 }
 
@@ -220,12 +225,19 @@
 	s.ejections = min(s.ejections+1, 10)
 }
 
-// report returns what was seen since the last report, and resets the counters.
-func (s *server) report(now time.Time, holder string, waiting int, mean time.Duration) limiter.Report {
+// report returns what was seen since the last report, and resets the counters. A
+// suspicion is kept back until a check has confirmed that it is not the entry that is cut
+// off. An entry without contact has no use for its part of the limit.
+func (s *server) report(now time.Time, holder string, waiting int, mean time.Duration, contact *detector.Contact) limiter.Report {
+	if contact.Lost() {
+		s.peak, waiting = len(s.starts), 0
+		s.idleReports = releaseAfter
+	}
 	s.idleReports++
 	if s.peak+waiting > 0 {
 		s.idleReports = 0
 	}
+	suspectCold := s.suspectCold && contact.ConfirmedSince(s.suspectedAt)
 	if s.idleReports >= releaseAfter {
 		s.allotment = s.allotment.WithFloorReleased(true)
 	}
@@ -237,16 +249,17 @@
 		Completed:   s.completed,
 		Refused:     s.refused,
 		Failed:      s.failed,
-		SuspectCold: s.suspectCold,
+		SuspectCold: suspectCold,
 		Draining:    s.draining,
 		Released:    s.idleReports >= releaseAfter,
-		Warm:        s.allotment.Warm(now) && !s.suspectCold,
+		Warm:        s.allotment.Warm(now) && !s.suspectCold && !contact.Lost(),
 		Slow:        s.slowness.Value(now, mean, s.starts) > slowReportRatio,
 
 		RateLimitKnown: s.rateLimitUnreported,
 		RateLimit:      s.rateLimit,
 	}
 	s.peak, s.completed, s.refused, s.failed = len(s.starts), 0, 0, 0
-	s.suspectCold, s.drainUnreported, s.rateLimitUnreported = false, false, false
+	s.suspectCold = s.suspectCold && !suspectCold
+	s.drainUnreported, s.rateLimitUnreported = false, false
 	return r
 }
--- a/entry/forwarder/attempt.go
+++ b/entry/forwarder/attempt.go
@@ -36,8 +36,20 @@
 	d.RecordFirstAttempt()
 	state := retrier.Request{Idempotent: c.route.Idempotent, Deadline: c.deadline, OuterAttempt: c.outerAttempt}
 	acquire := dispatcher.Request{Route: c.route.Name, Caller: c.caller, Importance: c.route.Importance, Deadline: c.deadline}
+	passed := false
 	for attempt := c.outerAttempt; ; attempt++ {
+		if d.ContactLost() && !passed {
+			response, refusal = f.passOn(ctx, c, state, attempt)
+			if refusal == nil || refusal.Reason != refuser.ServersUnreachable || !d.Answering() {
+				return response, refusal
+			}
+			// Nobody else takes it, but open connections may still work.
+			passed = true
+		}
 		permit, rejection := d.Acquire(ctx, acquire)
+		if rejection != nil && rejection.Reason == refuser.ServersUnreachable {
+			return f.passOn(ctx, c, state, attempt)
+		}
 		if rejection != nil {
 			r := state.Refusal(rejection.Reason)
 			return nil, &r
@@ -56,6 +68,12 @@
 		case retrier.Respond:
 			return result.response, nil
 		case retrier.Refuse:
+			if dec.Refusal.Reason == refuser.BackendUnreachable && !passed {
+				response, refusal = f.passOn(ctx, c, state, attempt+1)
+				if refusal == nil || refusal.Reason != refuser.ServersUnreachable {
+					return response, refusal
+				}
+			}
 			return nil, &dec.Refusal
 		case retrier.Retry:
 			f.node.Metrics().Retried(dec.Cause)
@@ -128,6 +146,7 @@
 	msg.Address = srv.Address
 	msg.EchoRequired = declared.EchoesRequestID
 	msg.SheddingStatuses = declared.SheddingStatuses
+	msg.Lost = c.service.Dispatcher.Silent()
 	msg.MaxConnections = max(1, srv.ConnectionLimit/max(1, permit.Server.Holders))
 	start := f.node.Now()
 	result.server = srv.Name
@@ -222,6 +241,9 @@
 	if f.servers.Reachable(ctx, address) {
 		return
 	}
+	if !f.reaches(context.Background(), c.service, address) {
+		return
+	}
 	deaths := 0
 	c.withSuspects(func(now time.Time, s *quarantiner.Suspects) { deaths = s.RecordCrash(now, c.fingerprint) })
 	if deaths == 0 {
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -33,6 +34,9 @@
 	// AttemptHeader carries the attempt number of the sending layer, starting
 	// at 1.
 	AttemptHeader = "Samphire-Attempt"
+	// CallerHeader carries the IP address of the caller of a request that another entry
+	// forwarded, so that callers keep their own shares of the queue.
+	CallerHeader = "Samphire-Caller"
 	// HopHeader marks a request that another entry forwarded. It carries the id
 	// of that entry.
 	HopHeader = "Samphire-Hop"
@@ -54,14 +58,19 @@
 	NotifySuspect(service string, f quarantiner.Fingerprint, crashes int)
 }
 
+// Reaches checks for a service whether this entry reaches any server but one.
+type Reaches func(ctx context.Context, sv *reconciler.Service, except netip.AddrPort) bool
+
 // Forwarder handles requests from callers and from other entries. It implements
 // http.Handler.
 type Forwarder struct {
-	node     *reconciler.Node
-	servers  *sender.Sender
-	peers    *sender.Sender
-	notifier Notifier
-	log      hclog.Logger
+	node      *reconciler.Node
+	servers   *sender.Sender
+	peers     *sender.Sender
+	notifier  Notifier
+	reaches   Reaches
+	log       hclog.Logger
+	lostPeers lostPeers
 	// attemptIDPrefix makes attempt ids unique across entries and restarts.
 	attemptIDPrefix string
 	attempts        atomic.Uint64
@@ -69,10 +78,11 @@
 
 // New returns a forwarder. It sends requests to backend servers through
 // servers, and to other entries through peers.
-func New(n *reconciler.Node, servers, peers *sender.Sender, notifier Notifier, log hclog.Logger) *Forwarder {
+func New(n *reconciler.Node, servers, peers *sender.Sender, notifier Notifier, reaches Reaches, log hclog.Logger) *Forwarder {
 	self := n.Self()
 	return &Forwarder{
-		node: n, servers: servers, peers: peers, notifier: notifier, log: log, attemptIDPrefix: self.ID + "." + self.Incarnation + ".",
+		node: n, servers: servers, peers: peers, notifier: notifier, reaches: reaches, log: log,
+		lostPeers: lostPeers{until: map[peerService]time.Time{}}, attemptIDPrefix: self.ID + "." + self.Incarnation + ".",
 	}
 }
 
@@ -84,8 +94,8 @@
 	deadline time.Time
 	// outerAttempt is the attempt number that an outer layer gave, or 1.
 	outerAttempt int
-	// forwarded is true if another entry forwarded the request.
-	forwarded bool
+	// forwarder is the id of the entry that forwarded the request, or empty.
+	forwarder string
 	// idempotencyKey is empty if the route is idempotent, since its requests
 	// may run more than once.
 	idempotencyKey string
@@ -145,8 +155,8 @@
 		return nil, notRun(refuser.NoSuchRoute)
 	}
 	c = &call{
-		service: service, route: route, caller: callerOf(r), deadline: now.Add(route.TimeLimit), outerAttempt: 1,
-		forwarded: r.Header.Get(HopHeader) != "", method: r.Method, uri: r.URL.RequestURI(), header: endToEndHeader(r.Header),
+		service: service, route: route, caller: f.callerOf(r), deadline: now.Add(route.TimeLimit), outerAttempt: 1,
+		forwarder: r.Header.Get(HopHeader), method: r.Method, uri: r.URL.RequestURI(), header: endToEndHeader(r.Header),
 	}
 	if !route.Idempotent {
 		c.idempotencyKey = r.Header.Get(IdempotencyKeyHeader)
@@ -202,19 +212,26 @@
 	return nil
 }
 
-// callerOf returns the IP address of the caller.
-func callerOf(r *http.Request) string {
+// callerOf returns the IP address of the caller. CallerHeader counts only if it comes
+// from the address of a member.
+func (f *Forwarder) callerOf(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
 		return r.RemoteAddr
 	}
+	caller := r.Header.Get(CallerHeader)
+	if m, ok := f.node.Member(r.Header.Get(HopHeader)); ok && caller != "" {
+		if address, err := netip.ParseAddrPort(m.Address); err == nil && address.Addr().String() == host {
+			return caller
+		}
+	}
 	return host
 }
 
 // endToEndHeader returns a copy of h without hop-by-hop headers and without the
 // headers that are used only between entries.
 func endToEndHeader(h http.Header) http.Header {
-	return sanitizer.StripHopByHop(h, HopHeader, sender.AttemptIDHeader)
+	return sanitizer.StripHopByHop(h, HopHeader, CallerHeader, sender.AttemptIDHeader)
 }
 
 // serve runs the request here, or forwards it to the entry that has to run it.
@@ -223,12 +240,13 @@
 	case c.idempotencyKey != "":
 		return f.serveKeyed(ctx, c)
 	case !c.service.InSubset || c.service.Dispatcher == nil:
-		if c.forwarded {
+		if c.forwarded() {
 			return nil, notRun(refuser.Misdirected)
 		}
 		return f.forwardToPeers(ctx, c, c.service.Subset)
-	case !c.forwarded && f.lacksGrants(c):
-		if response, refusal := f.forwardToPeers(ctx, c, c.service.Subset); refusal == nil || refusal.Reason != refuser.EntryUnreachable {
+	case !c.forwarded() && !c.service.Dispatcher.ContactLost() && f.lacksGrants(c):
+		c.service.Dispatcher.RecordUnserved()
+		if response, refusal := f.forwardToPeers(ctx, c, c.service.Subset); refusal == nil || !foundNoPeer(refusal.Reason) {
 			return response, refusal
 		}
 	}
@@ -241,6 +259,9 @@
 	return len(c.service.Subset) > 1 && c.service.Dispatcher.Capacity() == 0
 }
 
+// forwarded reports whether another entry forwarded the request.
+func (c *call) forwarded() bool { return c.forwarder != "" }
+
 // newRequest returns the request to send to a backend server or another entry.
 // Each call assigns a new attempt id.
 func (f *Forwarder) newRequest(c *call, attempt int) sender.Request {
@@ -296,19 +317,34 @@
 // answers. It stops early if the request may have run and its route is not
 // idempotent.
 func (f *Forwarder) forwardToPeers(ctx context.Context, c *call, members []tracker.Member) (response *sender.Response, refusal *refuser.Refusal) {
-	tried := false
 	state := retrier.Request{Idempotent: c.route.Idempotent, Deadline: c.deadline, OuterAttempt: c.outerAttempt}
-	for _, m := range f.usablePeers(members) {
+	return f.forwardFrom(ctx, c, members, state)
+}
+
+// forwardFrom does the work of forwardToPeers for a request with a state.
+func (f *Forwarder) forwardFrom(ctx context.Context, c *call, members []tracker.Member, state retrier.Request) (response *sender.Response, refusal *refuser.Refusal) {
+	reason := refuser.EntryUnreachable
+	peers, lost := f.usablePeers(members, c.service.Spec.Name)
+	if lost {
+		reason = refuser.ServersUnreachable
+	}
+	tried := false
+	for _, m := range peers {
 		if tried {
 			f.node.Metrics().Retried(retrier.CauseForward)
 		}
 		tried = true
 		response, o := f.sendToPeer(ctx, c, m)
 		if _, ok := o.(retrier.Answered); ok {
-			if isMisdirected(response) {
+			if isMisdirected(response) || hasRefusal(response, refuser.BackendUnreachable) {
+				continue
+			}
+			if isCutOff(response) {
+				f.lostPeers.record(f.node.Now(), m.ID, c.service.Spec.Name)
+				reason = refuser.ServersUnreachable
 				continue
 			}
-			if r := state.Refusal(refuser.EntryUnreachable); r.Kind == refuser.OutcomeUnknown && isNotRun(response) {
+			if r := state.Refusal(reason); r.Kind == refuser.OutcomeUnknown && isNotRun(response) {
 				// The peer does not know of earlier attempts, which may have run.
 				return nil, &r
 			}
@@ -319,18 +355,33 @@
 			return nil, outcomeUnknown(refuser.PeerLost)
 		}
 	}
-	r := state.Refusal(refuser.EntryUnreachable)
+	r := state.Refusal(reason)
 	return nil, &r
 }
 
+// foundNoPeer reports whether a refusal for a reason means that no other member could run
+// the request.
+func foundNoPeer(reason refuser.Reason) bool {
+	return reason == refuser.EntryUnreachable || reason == refuser.ServersUnreachable
+}
+
 // isNotRun reports whether another entry answered that it did not run the
 // request.
 func isNotRun(a *sender.Response) bool {
 	return strings.HasPrefix(a.Header.Get(refuser.RefusalHeader), string(refuser.NotRun))
 }
 
+// isCutOff reports whether another entry declined the request because it reaches no
+// server of the service.
+func isCutOff(a *sender.Response) bool { return hasRefusal(a, refuser.ServersUnreachable) }
+
+// hasRefusal reports whether another entry refused the request as not run for a reason.
+func hasRefusal(a *sender.Response, reason refuser.Reason) bool {
+	return a.Header.Get(refuser.RefusalHeader) == refuser.NewNotRun(reason).Header()
+}
+
 // isMisdirected reports whether another entry declined the request because it
 // is not the one that has to run it.
 func isMisdirected(a *sender.Response) bool {
-	return a.Header.Get(refuser.RefusalHeader) == refuser.NewNotRun(refuser.Misdirected).Header()
+	return hasRefusal(a, refuser.Misdirected)
 }
--- a/entry/forwarder/peer.go
+++ b/entry/forwarder/peer.go
@@ -22,18 +22,23 @@
 	ownerRetryInterval = 100 * time.Millisecond
 )
 
-// usablePeers returns the members that can take a request, without this entry,
-// in the order given.
-func (f *Forwarder) usablePeers(members []tracker.Member) (peers []tracker.Member) {
+// usablePeers returns the members that can take a request for a service, without this
+// entry, in the order given. Lost is true if a usable member is left out since it said
+// that it reaches no server.
+func (f *Forwarder) usablePeers(members []tracker.Member, service string) (peers []tracker.Member, lost bool) {
 	f.node.WithTracker(func(now time.Time, t *tracker.Tracker) bool {
 		for _, m := range members {
-			if m.ID != f.node.Self().ID && t.Usable(now, m.ID) {
+			switch {
+			case m.ID == f.node.Self().ID || !t.Usable(now, m.ID):
+			case f.lostPeers.has(now, m.ID, service):
+				lost = true
+			default:
 				peers = append(peers, m)
 			}
 		}
 		return false
 	})
-	return peers
+	return peers, lost
 }
 
 // sendToPeer forwards the request to one other entry.
@@ -44,6 +49,7 @@
 	}
 	msg := f.newRequest(c, c.outerAttempt)
 	msg.Header.Set(HopHeader, f.node.Self().ID)
+	msg.Header.Set(CallerHeader, c.caller)
 	msg.Address = address
 	msg.EchoRequired = true
 	msg.MaxConnections = peerConnections
@@ -83,7 +89,10 @@
 	switch {
 	case !found:
 		return nil, notRun(refuser.EntryUnreachable)
-	case owner.ID != f.node.Self().ID && c.forwarded:
+	case owner.ID != f.node.Self().ID && c.forwarder == owner.ID:
+		// The owner, which remembers the outcome, passes on what it cannot run.
+		return f.runForOwner(ctx, c)
+	case owner.ID != f.node.Self().ID && c.forwarded():
 		return nil, notRun(refuser.Misdirected)
 	case owner.ID != f.node.Self().ID:
 		return f.forwardToOwner(ctx, c, owner)
@@ -102,6 +111,14 @@
 	return f.runKeyed(ctx, c)
 }
 
+// runForOwner runs a request for the owner of its key.
+func (f *Forwarder) runForOwner(ctx context.Context, c *call) (*sender.Response, *refuser.Refusal) {
+	if c.service.Dispatcher == nil {
+		return nil, notRun(refuser.Misdirected)
+	}
+	return f.run(ctx, c)
+}
+
 // runKeyed runs the first request with a key. It continues after the caller
 // disconnects, so that the outcome is known when the caller retries.
 func (f *Forwarder) runKeyed(ctx context.Context, c *call) (response *sender.Response, refusal *refuser.Refusal) {
--- a/entry/granter/granter.go
+++ b/entry/granter/granter.go
@@ -31,6 +31,9 @@
 type ProbeResult struct {
 	Server    string
 	Reachable bool
+	// NoContact is true if the entry reaches no other server either, so
+	// that the result says nothing about the server.
+	NoContact bool
 	Draining  bool
 	RateLimit describer.RateLimit
 }
@@ -38,9 +41,22 @@
 // Probe asks a server for its health. The granter fills in the server's name.
 type Probe func(ctx context.Context, address netip.AddrPort) ProbeResult
 
+// Reaches checks for a service whether this entry reaches any server but one.
+type Reaches func(ctx context.Context, sv *reconciler.Service, except netip.AddrPort) bool
+
+// unseenLimit is the time without contact from which the entry does not know whether a
+// server restarted, unless a holder has reported responses of it meanwhile.
+const unseenLimit = 500 * time.Millisecond
+
 // ownedServer is the state of one server that this entry owns.
 type ownedServer struct {
-	server parser.Server
+	server  parser.Server
+	service *reconciler.Service
+	// completedAt is the time of the last report of a response.
+	completedAt time.Time
+	// lostAt is the time from which this entry has had no contact with the servers of
+	// the service, or zero.
+	lostAt time.Time
 	// holders lists the ids of the holders in the order of their rank.
 	holders  []string
 	owner    *limiter.Owner
@@ -54,6 +70,7 @@
 	node          *reconciler.Node
 	log           hclog.Logger
 	probe         Probe
+	reaches       Reaches
 	onProbeResult func(ProbeResult)
 	// servers holds the owned servers by name.
 	servers  map[string]*ownedServer
@@ -72,9 +89,9 @@
 
 // New returns a granter. OnProbeResult must send the result of a probe to the actor
 // as a message; it is called from the goroutine of the probe.
-func New(n *reconciler.Node, p Probe, onProbeResult func(ProbeResult), log hclog.Logger) *Granter {
+func New(n *reconciler.Node, p Probe, reaches Reaches, onProbeResult func(ProbeResult), log hclog.Logger) *Granter {
 	return &Granter{
-		node: n, log: log, probe: p, onProbeResult: onProbeResult, servers: map[string]*ownedServer{},
+		node: n, log: log, probe: p, reaches: reaches, onProbeResult: onProbeResult, servers: map[string]*ownedServer{},
 		evidence: map[string]map[string]tally{},
 	}
 }
@@ -94,6 +111,7 @@
 // Receive handles a message of the actor.
 func (g *Granter) Receive(ctx context.Context, msg any) {
 	g.syncServers()
+	g.syncContact()
 	switch m := msg.(type) {
 	case reportMessage:
 		m.reply <- g.report(m.request)
@@ -138,7 +156,7 @@
 					schedule: prober.New(now, srv.Slots, sv.Spec.ProbeBudget),
 				}
 			}
-			o.server, o.holders = srv, holders
+			o.server, o.service, o.holders = srv, sv, holders
 			o.owner.Retain(now, holders)
 			next[srv.Name] = o
 		}
@@ -146,6 +164,19 @@
 	g.servers = next
 }
 
+// syncContact treats servers as cold that may have restarted unseen: while this entry had
+// no contact with them, and no holder reported a response.
+func (g *Granter) syncContact() {
+	for name, o := range g.servers {
+		lostAt := o.service.Dispatcher.ContactLostAt()
+		if lostAt.IsZero() && !o.lostAt.IsZero() && g.node.Now().Sub(o.lostAt) >= unseenLimit && o.completedAt.Before(o.lostAt) {
+			g.log.Info("Backend server was used by no entry while this one was cut off; treating it as cold.", "server", name)
+			o.owner.MarkCold(g.node.Now())
+		}
+		o.lostAt = lostAt
+	}
+}
+
 // report applies a holder's report and returns the grants for the servers in it
 // that this entry owns.
 func (g *Granter) report(r *linkpb.ReportRequest) *linkpb.ReportResponse {
@@ -158,6 +189,7 @@
 		}
 		if sr.GetCompleted() > 0 {
 			o.schedule = o.schedule.WithResponse(now)
+			o.completedAt = now
 		}
 		grant := o.owner.HandleReport(now, decodeReport(r.GetEntryId(), sr), o.holders)
 		resp.Grants = append(resp.Grants, &linkpb.Grant{
@@ -216,7 +248,7 @@
 }
 
 // startDueProbes starts a goroutine for each probe that is due.
-func (g *Granter) startDueProbes(ctx context.Context) {
+func (g *Granter) startDueProbes(entryCtx context.Context) {
 	now := g.node.Now()
 	for name, o := range g.servers {
 		unhealthy := o.unreachable || o.owner.Cold() || o.owner.Draining() || o.owner.RateLimit().Stated
@@ -224,11 +256,13 @@
 			continue
 		}
 		o.schedule = o.schedule.WithProbe(now)
+		sv := o.service
 		go func() {
-			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+			ctx, cancel := context.WithTimeout(entryCtx, probeTimeout)
 			defer cancel()
 			result := g.probe(ctx, o.server.Address)
 			result.Server = name
+			result.NoContact = !result.Reachable && !g.reaches(entryCtx, sv, o.server.Address)
 			g.onProbeResult(result)
 		}()
 	}
@@ -249,6 +283,9 @@
 	if !ok {
 		return
 	}
+	if r.NoContact {
+		return
+	}
 	if !r.Reachable && !o.unreachable {
 		g.log.Warn("Backend server did not answer its probe; treating it as cold.", "server", r.Server)
 		o.owner.MarkCold(g.node.Now())
--- a/entry/reconciler/moves.go
+++ b/entry/reconciler/moves.go
@@ -126,6 +126,14 @@
 	n.onRollback = f
 }
 
+// OnDoubt sets the function that is called when the contact with the servers of a service
+// is in doubt. It must not block, and must be set before the first document.
+func (n *Node) OnDoubt(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.onDoubt = f
+}
+
 // handleHarm rolls a move back after the detector found harm, and notifies the
 // other entries unless the move had already ended.
 func (n *Node) handleHarm(service, move, reason string) {
--- a/entry/reconciler/node.go
+++ b/entry/reconciler/node.go
@@ -68,6 +68,7 @@
 	records     map[string]mover.Record
 	leavingVMs  map[string]bool
 	onRollback  func(service, move, reason string)
+	onDoubt     func()
 
 	keysMu sync.Mutex
 	keys   *deduplicator.KeyTable
@@ -234,6 +235,7 @@
 		// again.
 		delete(n.dispatchers, s.Name)
 		delete(n.observers, s.Name)
+		n.options.Metrics.ServersUnreachable.DeleteLabelValues(s.Name)
 		return sv
 	}
 	d, ok := n.dispatchers[s.Name]
@@ -241,6 +243,7 @@
 		o := newObserver(n, s.Name)
 		rng := rand.New(rand.NewPCG(n.options.Seed, placer.Weight(s.Name, n.options.Self.ID)))
 		d = dispatcher.New(n.options.Self.ID, n.options.Policy, rng, n.options.Now, o)
+		d.OnDoubt(n.onDoubt)
 		n.dispatchers[s.Name] = d
 		n.observers[s.Name] = o
 	}
--- a/entry/refuser/refuser.go
+++ b/entry/refuser/refuser.go
@@ -40,6 +40,9 @@
 	NoBackendServer    Reason = "no-backend-server"
 	BackendShedding    Reason = "backend-shedding"
 	BackendUnreachable Reason = "backend-unreachable"
+	// ServersUnreachable means that this entry reaches no server, and that
+	// no other entry took the request.
+	ServersUnreachable Reason = "servers-unreachable"
 	RetryBudgetSpent   Reason = "retry-budget-spent"
 	Suspect            Reason = "suspect"
 	CallerDisconnected Reason = "caller-gone"
@@ -73,7 +76,7 @@
 	return []Reason{
 		BackendUnreachable, BackendShedding, BadRequest, BodyTooLarge, CallerDisconnected, CallerOverShare, DeadlinePassed,
 		DeadlineTooNear, EntryUnreachable, HeadersTooLarge, Isolated, KeyFromFuture, Misdirected, NoBackendServer, NoDocument,
-		NoSuchRoute, NoSuchService, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, RateLimitedServers, Suspect,
+		NoSuchRoute, NoSuchService, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, RateLimitedServers, ServersUnreachable, Suspect,
 	}
 }
 
--- a/entry/sender/sender.go
+++ b/entry/sender/sender.go
@@ -57,6 +57,9 @@
 	transportContinueTimeout = 24 * time.Hour
 )
 
+// errLost ends attempts at servers that cannot be reached any more.
+var errLost = errors.New("no server can be reached")
+
 // Dialer opens a connection to a backend server.
 type Dialer func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 
@@ -163,6 +166,10 @@
 	// SheddingStatuses are the HTTP statuses by which the server refuses requests
 	// without running them.
 	SheddingStatuses []int
+	// Lost is closed when the servers cannot be reached any more. The attempt then ends
+	// unless it has been sent and must not be repeated, in which case the response may
+	// still come. It may be nil.
+	Lost <-chan struct{}
 	// Address is the address of the server.
 	Address netip.AddrPort
 	// MaxConnections bounds the connections to the server. It takes effect when the
@@ -239,6 +246,10 @@
 		stop := a.watchContinue(cancel)
 		defer stop()
 	}
+	if r.Lost != nil {
+		stop := a.watchLost(r, cancel)
+		defer stop()
+	}
 	httpResp, err := transport.RoundTrip(req)
 	if err != nil {
 		cancel(nil)
@@ -286,6 +297,21 @@
 	return func() { timer.Stop() }
 }
 
+// watchLost cancels the attempt when r.Lost is closed, as described there.
+func (a *attempt) watchLost(r Request, cancel context.CancelCauseFunc) (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-r.Lost:
+			if r.Idempotent || !a.started.Load() {
+				cancel(errLost)
+			}
+		case <-done:
+		}
+	}()
+	return func() { close(done) }
+}
+
 // errorOutcome classifies an attempt without a response, and closes its connection.
 func (a *attempt) errorOutcome(ctx context.Context, expectsContinue bool, err error) retrier.Outcome {
 	defer a.closeConn()
--- a/standin/fuzzer/generate.go
+++ b/standin/fuzzer/generate.go
@@ -9,7 +9,7 @@
 )
 
 // ProfileCount is the number of fault profiles from which scripts are generated.
-const ProfileCount = 11
+const ProfileCount = 12
 
 // profiles lists the verbs that each shard draws more often than others. Verbs that only
 // the last profiles have, such as store-delay, are also kept out of allVerbs: a longer list
@@ -26,6 +26,10 @@
 	{"store-delay", "extra-answers", "repeat", "slow", "crash", "apply", "cross-answers", "lapse-all"},
 	{"limit", "limit", "unlimit", "slow", "drain", "turn-cold", "crash", "apply"},
 	{"store-restore", "store-restore", "apply", "apply", "domain-out", "domain-in", "move", "kill", "start", "store-down", "store-up", "cut-store", "mend-store"},
+	{
+		"cut-servers", "cut-servers", "cut-servers", "cut-servers", "mend-servers", "store-down", "store-up", "move", "drain", "kill",
+		"start", "slow", "apply",
+	},
 }
 
 // serverCutProfile is the index of the profile that partitions entries from all servers.
