sender, dispatcher: a pause that a server asks for holds in samphire-entry too

A server that refused with status 503 and Retry-After got the next request as if it had said nothing, and requests stayed in the queue until their deadlines when all servers refused.

The sender reads the head of each response as soon as it has it, also of those whose bodies break off or that belong to another attempt; that a server drains is read there too. The dispatcher gives a pausing server nothing and refuses queued requests at once if no other is left, with the time at which the first is used again. What concerns one entry is not reported to others.

--- a/entry/assembler/assembler.go
+++ b/entry/assembler/assembler.go
@@ -232,6 +232,9 @@
 // probe sends a health probe to a backend server. Probes have a connection pool
 // of their own, apart from the one for requests.
 func (e *Entry) probe(ctx context.Context, address netip.AddrPort) granter.ProbeResult {
+	if e.servers.Paused(address) || e.probes.Paused(address) {
+		return granter.ProbeResult{Paused: true}
+	}
 	return sendProbe(ctx, e.probes, address)
 }
 
--- a/entry/balancer/pause.go
+++ b/entry/balancer/pause.go
@@ -6,13 +6,7 @@
 
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/snapshotter"
-)
-
-const (
-	// retrySpread is the fraction of the time to the end of a pause, and maxRetrySpread
-	// the time, over which refused callers return after it.
-	retrySpread    = 0.25
-	maxRetrySpread = 250 * time.Millisecond
+	"samphiremux/entry/throttler"
 )
 
 // unavailable returns the reason for a refusal if the server gets nothing from this entry
@@ -60,7 +54,5 @@
 	b.mu.Lock()
 	draw := b.rng.Float64()
 	b.mu.Unlock()
-	spread := draw * min(float64(maxRetrySpread), retrySpread*float64(first.Sub(now)))
-	// The time on the wire has whole milliseconds.
-	return r.WithRetryAt(first.Add(time.Duration(spread) + time.Millisecond))
+	return r.WithRetryAt(throttler.RetryAt(now, first, draw))
 }
--- a/entry/dispatcher/control.go
+++ b/entry/dispatcher/control.go
@@ -6,6 +6,7 @@
 	"samphiremux/entry/limiter"
 	"samphiremux/entry/quarantiner"
 	"samphiremux/entry/retrier"
+	"samphiremux/entry/sender"
 	"samphiremux/pkg/describer"
 )
 
@@ -97,13 +98,24 @@
 	}
 }
 
-// MarkDraining records that the server itself announced that it is leaving.
-func (p *Permit) MarkDraining() {
+// ObserveHead records what the server said of itself in the head of a response. If it
+// asked for a pause and no other server is left, queued requests are refused.
+func (p *Permit) ObserveHead(h sender.Head) {
 	d := p.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p.state.draining = true
-	p.state.drainUnreported = true
+	if h.Draining {
+		p.state.draining = true
+		p.state.drainUnreported = true
+	}
+	if h.Pause.Until.IsZero() {
+		return
+	}
+	now := d.now()
+	p.state.pause.Extend(now, h.Pause.Until, d.rng.Float64())
+	d.drainQueues(now)
+	at, _ := p.state.pause.ResumesAt(now)
+	time.AfterFunc(at.Sub(now), d.resume)
 }
 
 // ObserveRateLimit records the rate limit that the server stated in its response.
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -212,12 +212,13 @@
 		return p, nil
 	}
 	if !waitable {
+		refusal = d.noServerRefusal(now, version)
 		d.mu.Unlock()
-		return nil, refusalOf(refuser.NoBackendServer)
+		return nil, refusal
 	}
 	done := make(chan result, 1)
 	item := &queuer.Item{Caller: r.Caller, Importance: r.Importance, Deadline: r.Deadline}
-	item.OnReady = func() { done <- result{permit: d.serveQueued(r, version)} }
+	item.OnReady = func() { done <- d.serveQueued(r, version) }
 	q := d.queue(version)
 	if reason, ok := q.Push(now, item, d.load(now, version)); !ok {
 		d.mu.Unlock()
@@ -227,8 +228,12 @@
 	return d.await(ctx, q, item, r.Deadline, done)
 }
 
-// result is the permit for a queued request, or nil if the chooser found no server.
-type result struct{ permit *Permit }
+// result is the permit for a queued request, or nil if the chooser found no server. Then
+// refusal says why, if the servers pause.
+type result struct {
+	permit  *Permit
+	refusal *refuser.Refusal
+}
 
 // refusalOf returns the refusal of a request that did not run.
 func refusalOf(reason refuser.Reason) *refuser.Refusal {
@@ -244,8 +249,8 @@
 	reason := refuser.DeadlinePassed
 	select {
 	case res := <-done:
-		if res.permit != nil {
-			return res.permit, nil
+		if res.permit != nil || res.refusal != nil {
+			return res.permit, res.refusal
 		}
 	case <-ctx.Done():
 		reason = refuser.CallerDisconnected
@@ -335,14 +340,14 @@
 }
 
 // candidates lists the servers of a version that may get a request, without those
-// that are leaving. The server to avoid is listed only if no other is left, and
+// that are leaving or pause. The server to avoid is listed only if no other is left, and
 // ejected servers only if no server is left that is not ejected.
 func (d *Dispatcher) candidates(now time.Time, version, avoid string) []chooser.Candidate {
 	all := make([]chooser.Candidate, 0, len(d.servers))
 	var ejected, avoided []chooser.Candidate
 	mean := d.mean.Value()
 	for i, s := range d.servers {
-		if s.placement.Server.Version != version || s.leaving() {
+		if s.placement.Server.Version != version || s.leaving() || s.paused(now) {
 			continue
 		}
 		c := s.candidate(now, i, mean)
@@ -370,7 +375,7 @@
 	capacity := 0
 	mean := d.mean.Value()
 	for _, s := range d.servers {
-		if s.placement.Server.Version == version && !s.leaving() && !s.ejected(now) {
+		if s.placement.Server.Version == version && !s.leaving() && !s.paused(now) && !s.ejected(now) {
 			capacity += s.quota(now, s.slowness.Value(now, mean, s.starts))
 		}
 	}
@@ -388,18 +393,24 @@
 	return capacity
 }
 
-// serveQueued returns the permit for a queued request. The lock must be held.
-func (d *Dispatcher) serveQueued(r Request, version string) *Permit {
-	p, _ := d.choose(d.now(), r, version)
-	return p
+// serveQueued returns the permit for a queued request, or its refusal if all servers pause.
+// The lock must be held.
+func (d *Dispatcher) serveQueued(r Request, version string) result {
+	now := d.now()
+	if d.allPaused(now, version) {
+		return result{refusal: d.noServerRefusal(now, version)}
+	}
+	p, _ := d.choose(now, r, version)
+	return result{permit: p}
 }
 
-// drainQueues serves queued requests while servers are free. The lock must be held.
+// drainQueues serves queued requests while servers are free, and refuses them if all
+// servers pause. The lock must be held.
 func (d *Dispatcher) drainQueues(now time.Time) {
 	for version, q := range d.queues {
 		for q.Len() > 0 {
 			candidates := d.candidates(now, version, "")
-			if !anyFree(candidates) {
+			if !anyFree(candidates) && !d.allPaused(now, version) {
 				break
 			}
 			// The timer of an expired request refuses it.
--- /dev/null
+++ b/entry/dispatcher/pause_test.go
@@ -0,0 +1,74 @@
+package dispatcher_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"samphiremux/entry/chooser"
+	"samphiremux/entry/dispatcher"
+	"samphiremux/entry/limiter"
+	"samphiremux/entry/refuser"
+	"samphiremux/entry/retrier"
+	"samphiremux/entry/sender"
+	"samphiremux/pkg/describer"
+	"samphiremux/pkg/parser"
+)
+
+func newDispatcher() *dispatcher.Dispatcher {
+	d := dispatcher.New("e1", chooser.ExpectedCompletion{}, rand.New(rand.NewPCG(1, 1)), time.Now, nil)
+	d.Update(dispatcher.Plan{
+		Placements: []dispatcher.Placement{{Server: parser.Server{Name: "s1", Version: "v1", Slots: 1}, SameDomain: true, Holders: 1}},
+		Versions:   []dispatcher.VersionWeight{{Version: "v1", Weight: 1}},
+	})
+	d.ApplyGrant("s1", limiter.Grant{Slots: 1, Deadline: time.Now().Add(time.Hour)})
+	return d
+}
+
+// TestQueuedRequestWaitsThroughPause guards against queued and later requests that wait
+// until their deadlines while all servers pause, and against a server that stays unused.
+func TestQueuedRequestWaitsThroughPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher()
+		request := func(wait time.Duration) dispatcher.Request {
+			return dispatcher.Request{Caller: "c", Importance: 10, Deadline: time.Now().Add(wait)}
+		}
+		var permits []*dispatcher.Permit
+		for {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+			p, refusal := d.Acquire(ctx, request(time.Second))
+			cancel()
+			if refusal != nil {
+				break
+			}
+			permits = append(permits, p)
+		}
+		is.True(len(permits) > 0)
+		refused := make(chan *refuser.Refusal, 1)
+		go func() {
+			_, refusal := d.Acquire(context.Background(), request(time.Second))
+			refused <- refusal
+		}()
+		synctest.Wait()
+		began := time.Now()
+		permits[0].ObserveHead(sender.Head{Pause: describer.Pause{Until: began.Add(2 * time.Second)}})
+		queued := <-refused
+		is.Equal(queued.Reason, refuser.PausedServers)
+		is.Equal(time.Since(began), time.Duration(0))
+		for _, p := range permits {
+			p.Done(retrier.Shed{}, false)
+		}
+		_, later := d.Acquire(context.Background(), request(time.Second))
+		is.Equal(later.Reason, refuser.PausedServers)
+		is.True(later.RetryAt.Sub(began) >= 2*time.Second && later.RetryAt.Sub(began) < 3*time.Second)
+		time.Sleep(time.Until(later.RetryAt))
+		_, refusal := d.Acquire(context.Background(), request(time.Second))
+		is.True(refusal == nil)
+		time.Sleep(time.Second)
+	})
+}
--- a/entry/forwarder/attempt.go
+++ b/entry/forwarder/attempt.go
@@ -39,7 +39,7 @@
 	for attempt := c.outerAttempt; ; attempt++ {
 		permit, rejection := d.Acquire(ctx, acquire)
 		if rejection != nil {
-			r := state.Refusal(rejection.Reason)
+			r := state.Refusal(rejection.Reason).WithRetryAt(rejection.RetryAt)
 			return nil, &r
 		}
 		if reason, ok := f.mayBegin(c); !ok {
@@ -129,15 +129,13 @@
 	msg.EchoRequired = declared.EchoesRequestID
 	msg.SheddingStatuses = declared.SheddingStatuses
 	msg.MaxConnections = max(1, srv.ConnectionLimit/max(1, permit.Server.Holders))
+	msg.OnHead = permit.ObserveHead
 	start := f.node.Now()
 	result.server = srv.Name
 	result.response, result.outcome = f.servers.Send(ctx, msg)
 	if result.response != nil {
 		permit.ObserveRateLimit(result.response.RateLimit)
 	}
-	if result.response != nil && result.response.Draining {
-		permit.MarkDraining()
-	}
 	if ctx.Err() == context.Canceled && !isAnswered(result.outcome) {
 		if f.node.Now().Sub(start) > unresponsiveRatio*c.service.Dispatcher.MeanLatency() {
 			f.servers.CloseIdle(srv.Address)
--- a/entry/granter/granter.go
+++ b/entry/granter/granter.go
@@ -32,6 +32,8 @@
 	Server    string
 	Reachable bool
 	Draining  bool
+	// Paused is true if the server was not probed, since it asked for a pause.
+	Paused    bool
 	RateLimit describer.RateLimit
 }
 
@@ -237,6 +239,9 @@
 // handleProbeResult counts a probe and applies its result. A server that becomes
 // unreachable is treated as cold.
 func (g *Granter) handleProbeResult(r ProbeResult) {
+	if r.Paused {
+		return
+	}
 	result := "ok"
 	switch {
 	case !r.Reachable:
--- a/entry/refuser/refuser.go
+++ b/entry/refuser/refuser.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -13,6 +14,9 @@
 // "not-run; reason=queue-full".
 const RefusalHeader = "Samphire-Refusal"
 
+// RetryAfterHeader is the header with the seconds after which a request may be sent again.
+const RetryAfterHeader = "Retry-After"
+
 // Kind states whether the refused request may have run.
 type Kind string
 
@@ -147,6 +151,9 @@
 // Write sends the refusal to the caller as a plain text response.
 func (r Refusal) Write(w http.ResponseWriter) {
 	w.Header().Set(RefusalHeader, r.Header())
+	if wait := time.Until(r.RetryAt); wait > 0 && r.Status() == http.StatusServiceUnavailable {
+		w.Header().Set(RetryAfterHeader, strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(r.Status())
 	_, _ = fmt.Fprintln(w, r.Error())
--- a/entry/sender/sender.go
+++ b/entry/sender/sender.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -19,6 +20,7 @@
 
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/retrier"
+	"samphiremux/entry/throttler"
 	"samphiremux/pkg/describer"
 )
 
@@ -74,6 +76,7 @@
 type pool struct {
 	idempotent    *http.Transport
 	nonIdempotent *http.Transport
+	pause         throttler.Pause
 }
 
 // New returns a sender without connections.
@@ -168,6 +171,18 @@
 	// MaxConnections bounds the connections to the server. It takes effect when the
 	// first request is sent to the address.
 	MaxConnections int
+	// OnHead is called with what the head of a response says of the server, as soon as it
+	// is read. It may be nil.
+	OnHead func(Head)
+}
+
+// Head is what a server says of itself in the head of a response, whatever becomes of the
+// request.
+type Head struct {
+	// Draining reports that the server is draining.
+	Draining bool
+	// Pause is the time for which it wants no more requests from this entry.
+	Pause describer.Pause
 }
 
 // Response is the response of a backend server.
@@ -244,10 +259,43 @@
 		cancel(nil)
 		return nil, a.errorOutcome(ctx, expectsContinue, err)
 	}
+	s.observeHead(r, httpResp)
 	resp, o = r.readResponse(httpResp, a, cancel)
 	return resp, o
 }
 
+// observeHead reads what a response says of the server itself. A pause counts with status
+// 503, but not in a refusal that the server passes on.
+func (s *Sender) observeHead(r Request, httpResp *http.Response) {
+	now := time.Now()
+	head := Head{Draining: httpResp.Header.Get(DrainingHeader) != ""}
+	if httpResp.StatusCode == http.StatusServiceUnavailable && httpResp.Header.Get(refuser.RefusalHeader) == "" {
+		head.Pause = describer.ParsePause(now, httpResp.Header.Get(refuser.RetryAfterHeader))
+		s.pauseServer(now, r.Address, head.Pause.Until)
+	}
+	if r.OnHead != nil {
+		r.OnHead(head)
+	}
+}
+
+func (s *Sender) pauseServer(now time.Time, address netip.AddrPort, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p, ok := s.pools[address]; ok {
+		p.pause.Extend(now, until, rand.Float64())
+	}
+}
+
+// Paused reports whether the server asked this entry for a pause that is not over.
+func (s *Sender) Paused(address netip.AddrPort) (paused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p, ok := s.pools[address]; ok {
+		_, paused = p.pause.ResumesAt(time.Now())
+	}
+	return paused
+}
+
 // httpRequest builds the HTTP request. It has no GetBody, so that http.Transport never
 // resends a request with a body on its own. It may resend a request without one, such as
 // GET, HEAD or OPTIONS, when a reused connection breaks. ExpectsContinue is set if the
--- a/entry/snapshotter/backend.go
+++ b/entry/snapshotter/backend.go
@@ -25,10 +25,6 @@
 	// rateLimitMaxAge is the age from which a rate limit that allows no request now is
 	// checked by a probe, since the server may have lifted it.
 	rateLimitMaxAge = 2 * time.Second
-	// resumeSpread is the fraction of a pause, and maxResumeSpread the time, over which
-	// entries return to a server after its pause.
-	resumeSpread    = 0.25
-	maxResumeSpread = 500 * time.Millisecond
 	// rejectedPauseInterval is the time between two reports of pauses that a server stated
 	// but that do not hold as stated.
 	rejectedPauseInterval = 10 * time.Second
@@ -63,10 +59,7 @@
 	failures     float64
 	failuresAt   time.Time
 	leaving      bool
-	// pausedUntil is the end of the pause that the server asked for, and resumesAt the
-	// later time from which this entry uses it again.
-	pausedUntil  time.Time
-	resumesAt    time.Time
+	pause        throttler.Pause
 	nextRejected time.Time
 	rateLimit    describer.RateLimit
 	rateLimitAt  time.Time
@@ -133,10 +126,11 @@
 func (s *ServerState) Snapshot(now time.Time) StateSnapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	_, paused := s.pause.ResumesAt(now)
 	return StateSnapshot{
 		InFlight: s.inFlight, Load: s.load, LoadFresh: !s.loadAt.IsZero() && now.Sub(s.loadAt) < loadMaxAge,
 		Cold: now.Before(s.coldUntil), ColdReady: s.coldLimiter.Ready(now), Ejected: now.Before(s.ejectedUntil), Leaving: s.leaving,
-		Paused: now.Before(s.resumesAt), RecentFailures: s.decayedFailures(now), RateLimit: s.rateLimit,
+		Paused: paused, RecentFailures: s.decayedFailures(now), RateLimit: s.rateLimit,
 		RateLimitFresh: now.Sub(s.rateLimitAt) < rateLimitMaxAge,
 	}
 }
@@ -212,8 +206,7 @@
 	s.ejectedUntil = now.Add(wait)
 }
 
-// observePause extends the pause of the server. It never shortens it, since responses
-// may arrive in another order than they were sent. It reports whether a pause has begun, or
+// observePause extends the pause of the server. It reports whether a pause has begun, or
 // one that does not hold as stated is due to be reported.
 func (s *ServerState) observePause(now time.Time, p describer.Pause) (changed bool) {
 	s.mu.Lock()
@@ -222,14 +215,8 @@
 		s.nextRejected = now.Add(rejectedPauseInterval)
 		changed = true
 	}
-	if !p.Until.After(s.pausedUntil) {
-		return changed
-	}
-	changed = changed || !now.Before(s.resumesAt)
-	s.pausedUntil = p.Until
-	spread := min(float64(maxResumeSpread), resumeSpread*float64(p.Until.Sub(now)))
-	s.resumesAt = p.Until.Add(time.Duration(spread * rand.Float64()))
-	return changed
+	begun := s.pause.Extend(now, p.Until, rand.Float64())
+	return changed || begun
 }
 
 // ResumesAt returns the time until which the server gets nothing from this entry, probes
@@ -237,7 +224,7 @@
 func (s *ServerState) ResumesAt(now time.Time) (at time.Time, paused bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.resumesAt, now.Before(s.resumesAt)
+	return s.pause.ResumesAt(now)
 }
 
 // SetLeaving records that the server is shutting down or that another server now
