standin: servers ask for pauses, and the drawn scripts check that entries keep them

A stand-in server can refuse everything for some seconds and ask each entry for a pause until then (verb shed); it counts what an entry sends nevertheless, probes included. A twelfth profile draws it with draining, outages of the store and moves; profiles before it draw what they drew. The oracle checks at most two requests of an entry in a pause from half a second on; scripts that restart, freeze or cut entries are excused. Two injected bugs are found: a server that drains and does not say so (hide-drain, no-new-work), and a pause that no response states (hide-pause, pause).

--- a/standin/fuzzer/fuzzer_test.go
+++ b/standin/fuzzer/fuzzer_test.go
@@ -109,6 +109,8 @@
 	"never-heal":     "at 100ms apply",
 	"retry-storm":    "at 100ms apply",
 	"forget-writes":  "entries 2\nat 2s apply\nat 3s store-restore 2\nat 3500ms kill 1\nat 3500ms kill 2",
+	"hide-drain":     "length 6s\nat 100ms drain booking-1",
+	"hide-pause":     "length 6s\nat 100ms shed booking-1 4",
 	"hide-limit":     "length 9s\nload 40\nat 100ms limit booking-1 1\nat 100ms limit booking-2 1",
 }
 
--- a/standin/fuzzer/generate.go
+++ b/standin/fuzzer/generate.go
@@ -7,7 +7,7 @@
 )
 
 // ProfileCount is the number of fault profiles from which scripts are generated.
-const ProfileCount = 11
+const ProfileCount = 12
 
 // profiles lists the verbs that each shard draws more often than others. Verbs that only
 // the last profiles have, such as store-delay, are also kept out of allVerbs: a longer list
@@ -24,6 +24,7 @@
 	{"store-delay", "extra-answers", "repeat", "slow", "crash", "apply", "cross-answers", "lapse-all"},
 	{"limit", "limit", "unlimit", "slow", "drain", "turn-cold", "crash", "apply"},
 	{"store-restore", "store-restore", "apply", "apply", "domain-out", "domain-in", "move", "kill", "start", "store-down", "store-up", "cut-store", "mend-store"},
+	{"shed", "shed", "shed", "drain", "undrain", "leave", "slow", "crash", "cut-answers", "store-down", "store-up", "move"},
 }
 
 // allVerbs lists the verbs of the steps that do not follow the shard's profile.
@@ -55,7 +56,7 @@
 	switch verb {
 	case "crash", "turn-cold", "drain", "undrain", "leave", "unlimit":
 		return drawServer(choose)
-	case "slow", "cut-answers", "cross-answers", "extra-answers", "limit":
+	case "slow", "cut-answers", "cross-answers", "extra-answers", "limit", "shed":
 		if index == 0 {
 			return drawServer(choose)
 		}
--- a/standin/fuzzer/injected_bugs.go
+++ b/standin/fuzzer/injected_bugs.go
@@ -31,6 +31,8 @@
 		"never-heal":     invService,
 		"retry-storm":    invRetries,
 		"hide-limit":     invRateLimit,
+		"hide-drain":     invNoNewWork,
+		"hide-pause":     invPause,
 		"forget-writes":  invConfig,
 	}
 }
@@ -59,6 +61,10 @@
 		o.KeepListenersOpen = true
 	case "hide-limit":
 		o.HideRateLimits = true
+	case "hide-drain":
+		o.HideDraining = true
+	case "hide-pause":
+		o.HidePauses = true
 	case "ignore-verdict":
 		o.Fault = func(srv parser.Server) func(*http.Request, float64) responder.Fault {
 			return func(*http.Request, float64) responder.Fault {
--- a/standin/fuzzer/oracle.go
+++ b/standin/fuzzer/oracle.go
@@ -37,6 +37,9 @@
 	rateLimitWindow = 4 * time.Second
 	rateLimitFactor = 1.5
 	rateLimitSlack  = 5
+	// maxDuringPause is the number of requests and probes that an entry may send to a server
+	// that asked it for a pause, from half a second later to the end of the pause.
+	maxDuringPause = 2
 	// minFinalAnswered is the fraction of the calls that must be answered after all
 	// faults have ended.
 	minFinalAnswered = 0.97
@@ -59,6 +62,7 @@
 	invService   = "service-returns"
 	invRetries   = "retry-budget"
 	invRateLimit = "rate-limit"
+	invPause     = "pause"
 )
 
 // oracle checks a run against the invariants.
@@ -335,6 +339,9 @@
 		if stats.OverloadCrashes > 0 {
 			o.addViolation(invCold, "server %s crashed %d times from overload while cold; it held up to %d requests over its capacity", b.Name(), stats.OverloadCrashes, stats.MaxOverload)
 		}
+		if o.membershipChanges == 0 && stats.MaxDuringPause > maxDuringPause {
+			o.addViolation(invPause, "server %s got %d requests of one entry during a pause", b.Name(), stats.MaxDuringPause)
+		}
 		allowed := probeBudget*float64(b.Declared.Slots)*float64(elapsed) + float64(probeCost)
 		if used := float64(stats.Probes) * float64(probeCost); used > allowed {
 			o.addViolation(invProbes, "server %s spent %v on probes, %v allowed", b.Name(), time.Duration(used), time.Duration(allowed))
--- a/standin/fuzzer/run.go
+++ b/standin/fuzzer/run.go
@@ -182,6 +182,7 @@
 	r.oracle.checkRateLimits()
 	for _, b := range r.cluster.Servers {
 		b.ClearRateLimit()
+		b.ClearPause()
 		b.SetSlowdown(1)
 		b.TruncateNext(0)
 		b.SwapNext(0)
--- a/standin/fuzzer/verbs.go
+++ b/standin/fuzzer/verbs.go
@@ -38,8 +38,12 @@
 	// Callers send refused calls again without backoff, up to a number of times.
 	"repeat": {1, onCount(func(r *run, n int) { r.immediateRetries.Store(int64(n)) })},
 	// A server states a rate limit, in requests per second.
-	"limit":         {2, (*run).limit},
-	"unlimit":       {1, (*run).unlimit},
+	"limit":   {2, (*run).limit},
+	"unlimit": {1, (*run).unlimit},
+	// A server refuses all requests for some seconds and wants none meanwhile.
+	"shed": {2, func(r *run, args []string) {
+		r.applyToServer(args, func(b *simulator.Backend, n float64) { b.ShedFor(time.Duration(n * float64(time.Second))) })
+	}},
 	"silence":       {1, (*run).silence},
 	"poison":        {1, (*run).poison},
 	"kill":          {1, onEntry((*run).kill)},
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -24,9 +24,11 @@
 	attemptIDHeader = "Samphire-Attempt-Id"
 	drainingHeader  = "Samphire-Draining"
 	rateLimitHeader = "Samphire-Rate-Limit"
-	requestIDHeader = "X-Request-Id"
-	deadlineHeader  = "Samphire-Deadline"
-	loadHeader      = "Endpoint-Load-Metrics"
+	// retryAfterHeader asks for a pause, in seconds, with status 503.
+	retryAfterHeader = "Retry-After"
+	requestIDHeader  = "X-Request-Id"
+	deadlineHeader   = "Samphire-Deadline"
+	loadHeader       = "Endpoint-Load-Metrics"
 )
 
 const (
@@ -67,6 +69,10 @@
 	SwapWithMatchingID bool
 	// HideRateLimit keeps the rate limit out of responses.
 	HideRateLimit bool
+	// HideDraining and HidePause keep the announcement of draining, and the time for which
+	// the server wants no requests, out of responses.
+	HideDraining bool
+	HidePause    bool
 	// Crash takes the server off the network. Its owner calls Restart later.
 	Crash func()
 	// Fault returns the fault of the server's version for a request, given the share
@@ -115,6 +121,8 @@
 	reportedLoad    float64
 	// rateLimit is the rate limit in force, or nil.
 	rateLimit *RateLimit
+	// pause is the time for which the server refuses all requests, or nil.
+	pause *pause
 }
 
 // Stats counts what a server did.
@@ -139,6 +147,9 @@
 	LastStart time.Time
 	// MaxInFlight is the largest number of requests held, running and queued.
 	MaxInFlight int
+	// MaxDuringPause is the largest number of requests and probes that one entry sent
+	// during a pause that it was asked for.
+	MaxDuringPause int
 }
 
 // New returns a warm server.
@@ -215,7 +226,7 @@
 	s.extraNext = n
 }
 
-// Restart brings a crashed server back, cold, without requests and without a rate limit.
+// Restart brings a crashed server back, cold, without requests, a rate limit and a pause.
 func (s *Server) Restart() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -226,6 +237,7 @@
 	s.coldSince = time.Now()
 	s.overloadedSince = time.Time{}
 	s.rateLimit = nil
+	s.pause = nil
 	s.notifySpeedChange()
 }
 
@@ -289,7 +301,7 @@
 		w.Header().Set(attemptIDHeader, id)
 	}
 	s.mu.Lock()
-	if s.draining {
+	if s.draining && !s.options.HideDraining {
 		w.Header().Set(drainingHeader, "true")
 	}
 	if s.rateLimit != nil && !s.options.HideRateLimit {
@@ -297,6 +309,7 @@
 	}
 	w.Header().Set(loadHeader, fmt.Sprintf("TEXT application_utilization=%.3f", s.reportedLoad))
 	s.mu.Unlock()
+	s.recordDuringPause(time.Now(), r)
 	if r.URL.Path == "/healthz" {
 		s.health(w)
 		return
@@ -305,6 +318,9 @@
 		return
 	}
 	s.recordArrival(time.Now())
+	if s.refuseForPause(w, r) {
+		return
+	}
 	if !s.acquireSlot(r.Context()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/standin/simulator/simulator.go
+++ b/standin/simulator/simulator.go
@@ -65,7 +65,11 @@
 	// backend servers; see responder.Options.
 	ColdOverloadTimeout time.Duration
 	// HideRateLimits keeps the rate limits of servers out of their responses.
-	HideRateLimits     bool
+	HideRateLimits bool
+	// HideDraining and HidePauses keep out of the responses of servers that they drain,
+	// and for how long they want no requests.
+	HideDraining       bool
+	HidePauses         bool
 	ColdCapacityDelta  int
 	SwapWithMatchingID bool
 	// KeepListenersOpen makes a crashed backend server restart at once, with its
@@ -147,7 +151,7 @@
 		Name: srv.Name, Version: srv.Version, Slots: srv.Slots, QueueLimit: queueLimit, WarmUp: c.options.WarmUp,
 		ReportLag: reportLag, Executions: c.Executions, Crash: b.crash, ColdOverloadTimeout: c.options.ColdOverloadTimeout,
 		ColdCapacityDelta: c.options.ColdCapacityDelta, SwapWithMatchingID: c.options.SwapWithMatchingID,
-		HideRateLimit: c.options.HideRateLimits,
+		HideRateLimit: c.options.HideRateLimits, HideDraining: c.options.HideDraining, HidePause: c.options.HidePauses,
 	}
 	if c.options.Fault != nil {
 		o.Fault = c.options.Fault(srv)
