--- a/entry/forwarder/attempt.go
+++ b/entry/forwarder/attempt.go
@@ -51,7 +51,7 @@
 			return f.passOn(ctx, c, state, attempt)
 		}
 		if rejection != nil {
-			r := state.Refusal(rejection.Reason)
+			r := state.Refusal(rejection.Reason).WithRetryAt(rejection.RetryAt)
 			return nil, &r
 		}
 		if reason, ok := f.mayBegin(c); !ok {
@@ -148,15 +148,13 @@
 	msg.SheddingStatuses = declared.SheddingStatuses
 	msg.Lost = c.service.Dispatcher.Silent()
 	msg.MaxConnections = max(1, srv.ConnectionLimit/max(1, permit.Server.Holders))
+	msg.OnHead = permit.ObserveHead
 	start := f.node.Now()
 	result.server = srv.Name
 	result.response, result.outcome = f.servers.Send(ctx, msg)
 	if result.response != nil {
 		permit.ObserveRateLimit(result.response.RateLimit)
 	}
-	if result.response != nil && result.response.Draining {
-		permit.MarkDraining()
-	}
 	if ctx.Err() == context.Canceled && !isAnswered(result.outcome) {
 		if f.node.Now().Sub(start) > unresponsiveRatio*c.service.Dispatcher.MeanLatency() {
 			f.servers.CloseIdle(srv.Address)
--- a/entry/granter/granter.go
+++ b/entry/granter/granter.go
@@ -35,6 +35,8 @@
 	// that the result says nothing about the server.
 	NoContact bool
 	Draining  bool
+	// Paused is true if the server was not probed, since it asked for a pause.
+	Paused    bool
 	RateLimit describer.RateLimit
 }
 
@@ -271,6 +273,9 @@
 // handleProbeResult counts a probe and applies its result. A server that becomes
 // unreachable is treated as cold.
 func (g *Granter) handleProbeResult(r ProbeResult) {
+	if r.Paused {
+		return
+	}
 	result := "ok"
 	switch {
 	case !r.Reachable:
--- a/standin/fuzzer/generate.go
+++ b/standin/fuzzer/generate.go
@@ -9,7 +9,7 @@
 )
 
 // ProfileCount is the number of fault profiles from which scripts are generated.
-const ProfileCount = 12
+const ProfileCount = 13
 
 // profiles lists the verbs that each shard draws more often than others. Verbs that only
 // the last profiles have, such as store-delay, are also kept out of allVerbs: a longer list
@@ -30,6 +30,7 @@
 		"cut-servers", "cut-servers", "cut-servers", "cut-servers", "mend-servers", "store-down", "store-up", "move", "drain", "kill",
 		"start", "slow", "apply",
 	},
+	{"shed", "shed", "shed", "drain", "undrain", "leave", "slow", "crash", "cut-answers", "store-down", "store-up", "move"},
 }
 
 // serverCutProfile is the index of the profile that partitions entries from all servers.
@@ -73,7 +74,7 @@
 	switch verb {
 	case "crash", "turn-cold", "drain", "undrain", "leave", "unlimit":
 		return drawServer(choose)
-	case "slow", "cut-answers", "cross-answers", "extra-answers", "limit":
+	case "slow", "cut-answers", "cross-answers", "extra-answers", "limit", "shed":
 		if index == 0 {
 			return drawServer(choose)
 		}
