enroller: an entry watches the store while its relay's heartbeats are full

A heartbeat of a relay carries 8 KB of changes since large values are read from the store. When more changes than that came at once (servers that register again after an outage, a release of many), entries followed in steps of 8 KB every 0.3 s. Each step reset the lag after which they would have asked others, and nothing told them how much was waiting, so they went seconds behind, with servers that leave among what they lacked.

An entry now does without its relay after a heartbeat that is more than half full, and watches the store until one is not; one call brings what is waiting.

--- a/entry/enroller/enroller_test.go
+++ b/entry/enroller/enroller_test.go
@@ -375,3 +375,25 @@
 		f.close()
 	})
 }
+
+// TestRelayWithMoreChangesThanFit guards against entries that wait for their relay while its
+// heartbeats cannot carry all changes.
+func TestRelayWithMoreChangesThanFit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet("a")
+		beat := func(size int) {
+			f.entries[0].HandleHeartbeat(&linkpb.BeatRequest{
+				EntryId: "e9", StoreReached: true, Scout: true, DocumentRevision: 9, Era: 1,
+				Changes: []*linkpb.Change{{Key: "k", Value: make([]byte, size), Revision: 9, Era: 1}},
+			})
+		}
+		beat(1 << 10)
+		is.True(f.entries[0].HasRelay())
+		beat(7 << 10)
+		is.True(!f.entries[0].HasRelay())
+		beat(1 << 10)
+		is.True(f.entries[0].HasRelay())
+		f.close()
+	})
+}
--- a/entry/enroller/heartbeat.go
+++ b/entry/enroller/heartbeat.go
@@ -23,7 +23,7 @@
 	relayTimeout = 700 * time.Millisecond
 	// maxChangeBytes bounds the changes in one heartbeat of a relay, so that heartbeats
 	// to 22 entries take half of a link of 10 Mbit/s. Entries read larger values from
-	// the store, and fetch what does not fit from any other entry.
+	// the store, and watch it themselves while more changes than that come.
 	maxChangeBytes = 8 << 10
 )
 
@@ -228,13 +228,15 @@
 }
 
 // handleRelay applies the changes that a relay forwards, which are complete up to a
-// revision apart from the omitted ones. The relay counts as alive only if the store answers it and its copy is not
-// older than this entry's.
+// revision apart from the omitted ones. The relay counts as alive only if the store answers
+// it and its copy is not older than this entry's, and only while its changes fit in its
+// heartbeats: after one that is full, more are waiting.
 func (e *Enroller) handleRelay(now time.Time, r *linkpb.BeatRequest, upTo storer.Revision) {
-	if len(r.GetChanges()) > 0 || len(r.GetOmitted()) > 0 || r.GetWhole() {
-		e.o.StoreCache.ApplyBatch(now, reflector.Batch{
-			Changes: r.GetChanges(), Omitted: r.GetOmitted(), Above: storer.Revision(r.GetAboveRevision()), Revision: upTo, Full: r.GetWhole(),
-		})
+	b := reflector.Batch{
+		Changes: r.GetChanges(), Omitted: r.GetOmitted(), Above: storer.Revision(r.GetAboveRevision()), Revision: upTo, Full: r.GetWhole(),
+	}
+	if len(b.Changes) > 0 || len(b.Omitted) > 0 || b.Full {
+		e.o.StoreCache.ApplyBatch(now, b)
 	}
 	if !r.GetStoreReached() || upTo < e.o.StoreCache.Revision() {
 		return
@@ -242,4 +244,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.relayUntil = now.Add(relayTimeout)
+	if len(b.Omitted) == 0 && b.Size() > maxChangeBytes/2 {
+		e.relayUntil = now
+	}
 }
--- a/standin/measurer/relay_fault_test.go
+++ b/standin/measurer/relay_fault_test.go
@@ -10,6 +10,10 @@
 	"samphiremux/standin/platformemulator"
 )
 
+// drainDeadline is the time after which a server that leaves gets no more requests at large
+// sites.
+const drainDeadline = 2500 * time.Millisecond
+
 // TestLargeValueWhileEntriesDiffer guards against entries of an earlier version that never
 // learn a value that their relay only names.
 func TestLargeValueWhileEntriesDiffer(t *testing.T) {
@@ -78,3 +82,22 @@
 		})
 	}
 }
+
+// TestManySmallChangesLate guards against entries that follow a relay in small steps, each
+// within the lag that is allowed, and fall seconds behind.
+func TestManySmallChangesLate(t *testing.T) {
+	for _, servers := range []int{100, 400, 1000, 2700} {
+		t.Run(fmt.Sprintf("%d servers", servers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newCopyFleet(t, copyDomain{22, slowLink}, copyDomain{22, 20 * slowLink})
+				time.Sleep(5 * time.Second)
+				value := bytes.Repeat([]byte("s"), 300)
+				for i := range servers {
+					f.store.PutUnguarded(fmt.Sprintf("servers/i-%04d", i), value)
+				}
+				f.expectKnown(t, fmt.Sprintf("servers/i-%04d", servers-1), value, time.Now().Add(drainDeadline))
+				f.close()
+			})
+		})
+	}
+}
