--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -28,12 +28,14 @@
 	return errors.As(err, &wrong)
 }
 
-// responded reports whether a probe failed by a response.
-func responded(err error) bool {
+func isUnhealthy(err error) bool {
 	var unhealthy roundtripper.ErrUnhealthy
-	return errors.As(err, &unhealthy) || isWrongInstance(err)
+	return errors.As(err, &unhealthy)
 }
 
+// responded reports whether a probe failed by a response.
+func responded(err error) bool { return isUnhealthy(err) || isWrongInstance(err) }
+
 // attemptResult is the result of one attempt. The response is nil unless the
 // outcome is retrier.Answered or retrier.Shed.
 type attemptResult struct {
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -52,6 +52,9 @@
 	RetryLimits func() Limits
 	// Snapshot returns the current snapshot.
 	Snapshot func() *snapshotter.Snapshot
+	// Outdated reports whether a newer configuration than the one in force may exist. It
+	// may be nil.
+	Outdated func() bool
 	// EntryCount returns the number of entries that share the limits, this one
 	// included.
 	EntryCount func() int
@@ -59,6 +62,9 @@
 	// a server, and the number of entries. Entries that know the same entries agree on
 	// the order, which differs from server to server.
 	Rank func(server string) (rank, entries int)
+	// MayTake reports whether a request with this deadline may still be passed on. It may
+	// be nil.
+	MayTake func(deadline time.Time) bool
 	// OnAttempt is called with each attempt that was sent, once it has ended. It
 	// may be nil.
 	OnAttempt func(Attempt)
@@ -125,6 +131,9 @@
 	if opts.OnAttempt == nil {
 		opts.OnAttempt = func(Attempt) {}
 	}
+	if opts.MayTake == nil {
+		opts.MayTake = func(time.Time) bool { return true }
+	}
 	if opts.NotifySuspect == nil {
 		opts.NotifySuspect = func(string, quarantiner.Fingerprint, int) {}
 	}
@@ -158,7 +167,7 @@
 	defer cancel()
 	resp, refusal := b.run(ctx, c)
 	if refusal != nil {
-		b.refuse(w, r, h, *refusal, &c.trace)
+		b.refuse(w, r, h, b.withRetryTime(time.Now(), c, *refusal), &c.trace)
 		return
 	}
 	c.trace.add(Answered, "status", resp.Status, "took-ms", time.Since(c.arrived).Milliseconds())
@@ -167,7 +176,7 @@
 	}
 	b.flush(c.id, &c.trace, c.metObjective(resp.Status))
 	if h != nil {
-		resp.Header.Set(delegator.OutcomeHeader, delegator.Passed)
+		b.writeHopHeaders(c, resp)
 	}
 	b.writeResponse(w, resp)
 }
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -41,15 +41,22 @@
 	// rateLimit is the value of the header that states a rate limit. Empty means that
 	// there is none.
 	rateLimit string
-	// probed responds to a probe in place of the usual response. It returns false to break
+	// respondProbe responds to a probe in place of the usual response. It returns false to break
 	// the connection.
-	probed func(w io.Writer) bool
+	respondProbe func(w io.Writer) bool
+	// healthHeader holds further header lines of responses to probes, each with its end.
+	healthHeader string
+	// probeDelay is the time that the server takes to answer a probe.
+	probeDelay time.Duration
 	// respond answers a request that has arrived. It returns false to break the
 	// connection.
 	respond func(w io.Writer, id string) bool
 
-	mu      sync.Mutex
-	arrived []*http.Request
+	mu     sync.Mutex
+	probed int
+	// probedAt holds the arrival times of the probes.
+	probedAt []time.Time
+	arrived  []*http.Request
 	// arrivedAt holds the arrival times of the requests.
 	arrivedAt []time.Time
 	crashed   bool
@@ -72,26 +79,30 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
-		if req.URL.Path == "/health" && b.probed != nil {
-			if !b.probed(c) {
+		if req.URL.Path == "/health" && b.respondProbe != nil {
+			if !b.respondProbe(c) {
 				return
 			}
 			continue
 		}
 		if req.URL.Path == "/health" {
 			b.mu.Lock()
-			running, limit := b.running, b.rateLimit
+			running, limit, header := b.running, b.rateLimit, b.healthHeader
+			b.probed++
+			b.probedAt = append(b.probedAt, time.Now())
 			b.mu.Unlock()
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance: %s\r\nLoad: %d,%d\r\nCold: %d\r\nLimit: %s\r\nContent-Length: 0\r\n\r\n",
-				b.id, running, b.slowness, b.cold.Milliseconds(), limit)
+			time.Sleep(b.probeDelay)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance: %s\r\nLoad: %d,%d\r\nCold: %d\r\nLimit: %s\r\n%sContent-Length: 0\r\n\r\n",
+				b.id, running, b.slowness, b.cold.Milliseconds(), limit, header)
 			continue
 		}
 		b.mu.Lock()
 		b.arrived = append(b.arrived, req)
 		b.arrivedAt = append(b.arrivedAt, time.Now())
+		respond := b.respond
 		b.mu.Unlock()
 		time.Sleep(b.work)
-		if !b.respond(c, req.Header.Get("Id")) {
+		if !respond(c, req.Header.Get("Id")) {
 			return
 		}
 	}
@@ -108,11 +119,18 @@
 	return err == nil
 }
 
-func respondShed(w io.Writer, _ string) bool {
-	_, err := io.WriteString(w, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+func respondShed(w io.Writer, id string) bool {
+	_, err := fmt.Fprintf(w, "HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
 	return err == nil
 }
 
+// respondRefusalOfAnother answers a request with an earlier refusal once more, and breaks
+// the connection.
+func respondRefusalOfAnother(w io.Writer, _ string) bool {
+	_, _ = io.WriteString(w, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	return false
+}
+
 func respondError(w io.Writer, id string) bool {
 	_, err := fmt.Fprintf(w, "HTTP/1.1 500 Internal Server Error\r\nId: %s\r\nSignature: s\r\nContent-Length: 0\r\n\r\n", id)
 	return err == nil
@@ -122,6 +140,9 @@
 
 // fixture is a balancer in front of scripted backend servers.
 type fixture struct {
+	// outdated reports that a newer configuration may exist.
+	outdated bool
+
 	t           *testing.T
 	balancer    *balancer.Balancer
 	snapshotter *snapshotter.Snapshotter
@@ -147,6 +168,8 @@
 		return describer.Load{Running: n, Slots: 2, Slowness: float64(percent) / 100}, ok && err == nil && err2 == nil
 	},
 	ReadRateLimit: func(h http.Header) describer.RateLimit { return describer.ParseRateLimit(h.Get("Limit")) },
+	ReadLeaving:   func(h http.Header) bool { return h.Get("Leaving") == "1" },
+	ReadPause:     func(now time.Time, h http.Header) describer.Pause { return describer.ParsePause(now, h.Get("Pause")) },
 	ReadColdRemaining: func(h http.Header) time.Duration {
 		ms, _ := strconv.Atoi(h.Get("Cold"))
 		return time.Duration(ms) * time.Millisecond
@@ -207,7 +230,7 @@
 		})
 	}
 	f.balancer = balancer.New(balancer.Options{
-		Domain: "a", Policy: policy, Snapshot: f.snapshotter.Snapshot, EntryCount: func() int { return fixtureEntries }, Rank: func(server string) (int, int) { return rankOf(entry, server), fixtureEntries }, Log: hclog.NewNullLogger(), Metrics: f.metrics,
+		Domain: "a", Policy: policy, Snapshot: f.snapshotter.Snapshot, Outdated: func() bool { return f.outdated }, EntryCount: func() int { return fixtureEntries }, Rank: func(server string) (int, int) { return rankOf(entry, server), fixtureEntries }, Log: hclog.NewNullLogger(), Metrics: f.metrics,
 		RetryLimits: func() balancer.Limits { return balancer.Limits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second} },
 		NotifySuspect: func(_ string, fingerprint quarantiner.Fingerprint, crashes int) {
 			f.mu.Lock()
@@ -276,6 +299,7 @@
 		{"a request that the server shed is retried", http.MethodPost, "/book/1", respondShed, 503, 2},
 		{"an idempotent request whose connection broke is retried", http.MethodGet, "/look/1", breakConn, 502, 2},
 		{"another request whose connection broke is not retried", http.MethodPost, "/book/1", breakConn, 502, 1},
+		{"another request that the server answers with an earlier refusal is not retried", http.MethodPost, "/book/1", respondRefusalOfAnother, 502, 1},
 		{"no such route", http.MethodGet, "/else/1", respondOK, 404, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -326,6 +350,23 @@
 	}
 }
 
+// TestRouteOfNewerConfiguration guards against 404 for a route of a configuration that
+// this entry has not read yet.
+func TestRouteOfNewerConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, chooser.ExpectedCompletion{}, servers(1, respondOK)...)
+		f.outdated = true
+		w := f.send(http.MethodGet, "/else/1", "r1")
+		is.Equal(w.Code, http.StatusServiceUnavailable)
+		is.True(w.Header().Get("Retry-After") != "")
+		is.Equal(f.send(http.MethodGet, "/look/1", "r2").Code, http.StatusOK)
+		f.outdated = false
+		is.Equal(f.send(http.MethodGet, "/else/1", "r3").Code, http.StatusNotFound)
+		f.close()
+	})
+}
+
 func TestNoConfiguration(t *testing.T) {
 	is := is.New(t)
 	s := balancer.New(balancer.Options{
--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -98,6 +98,7 @@
 		c.traceDelegated(result.Entry, delegatedResponded)
 		b.metrics.delegated.With(delegatedResponded).Inc()
 		c.delegated = result.Entry
+		b.setLeaving(c.service, result.Leaving)
 		return result.Response, nil, false
 	case delegator.Refused:
 		c.traceDelegated(result.Entry, result.Refusal.Header())
@@ -110,7 +111,8 @@
 			b.unreachableUntil[c.service] = time.Now().Add(unreachableTime)
 			b.mu.Unlock()
 		}
-		return nil, state.refusal(result.Refusal.Reason), false
+		told := state.refusal(result.Refusal.Reason).WithRetryAt(result.Refusal.RetryAt)
+		return nil, &told, false
 	case delegator.Lost:
 		c.traceDelegated(result.Entry, outcomeName(result.Outcome))
 		b.metrics.delegated.With(delegatedLost).Inc()
@@ -128,6 +130,27 @@
 	}
 }
 
+// setLeaving records that a server of a service is shutting down by a response that another
+// entry has passed on.
+func (b *Balancer) setLeaving(service, id string) {
+	for _, srv := range b.opts.Snapshot().Services[service] {
+		if id != "" && srv.ID == id {
+			srv.State.SetLeaving()
+		}
+	}
+}
+
+// writeHopHeaders adds what another entry is to know of a response that is passed on to it.
+func (b *Balancer) writeHopHeaders(c *call, resp *roundtripper.Response) {
+	resp.Header.Set(delegator.OutcomeHeader, delegator.Passed)
+	resp.Header.Del(delegator.LeavingHeader)
+	for _, srv := range c.view.Services[c.service] {
+		if srv.ID == c.server && srv.State.Leaving() {
+			resp.Header.Set(delegator.LeavingHeader, c.server)
+		}
+	}
+}
+
 // sendToEntry passes a request on that has been sent to servers a number of times.
 func (b *Balancer) sendToEntry(ctx context.Context, c *call, sent int) delegator.Result {
 	header := c.header.Clone()
@@ -236,12 +259,15 @@
 	return reached
 }
 
-// shuffledServers returns the servers of all services in random order.
+// shuffledServers returns the servers of all services in random order, without those that
+// want nothing from this entry.
 func (b *Balancer) shuffledServers(view *snapshotter.Snapshot) (all []candidate) {
 	now := time.Now()
 	for _, servers := range view.Services {
 		for _, srv := range servers {
-			all = append(all, candidate{Backend: srv, state: srv.State.Snapshot(now)})
+			if unavailable(srv.State) == "" {
+				all = append(all, candidate{Backend: srv, state: srv.State.Snapshot(now)})
+			}
 		}
 	}
 	b.mu.Lock()
--- a/entry/balancer/probe_failure.go
+++ b/entry/balancer/probe_failure.go
@@ -6,8 +6,6 @@
 	"io"
 	"net"
 	"syscall"
-
-	"samphiremux/entry/roundtripper"
 )
 
 // probeFailure tells how a probe failed. It is a label value of a metric.
@@ -37,10 +35,9 @@
 // failureOf returns how a probe failed that ended with err. Ctx is the context of the
 // probe.
 func failureOf(ctx context.Context, err error) probeFailure {
-	var unhealthy roundtripper.ErrUnhealthy
 	var timeout net.Error
 	switch {
-	case errors.As(err, &unhealthy):
+	case isUnhealthy(err):
 		return probeUnhealthy
 	case isWrongInstance(err):
 		return probeMisdirected
--- a/entry/balancer/probe_failure_test.go
+++ b/entry/balancer/probe_failure_test.go
@@ -40,6 +40,9 @@
 	}
 }
 
+// probeEnd is longer than a probe may take.
+const probeEnd = 100 * time.Millisecond
+
 // TestFailedProbeCauses sends one request while one of two servers fails its probes. The
 // other one works for 100 ms, which is longer than a probe may take, unless both fail.
 func TestFailedProbeCauses(t *testing.T) {
@@ -53,25 +56,23 @@
 		{cause: "refused", crashed: true, status: 200},
 		{cause: "reset", probed: probeBreak, status: 200},
 		{cause: "no-answer", probed: probeSilent, status: 200},
-		{cause: "no-answer", probed: probeSilent, both: true, status: 503},
+		{cause: "no-answer", probed: probeSilent, both: true, status: 503}, // the request ends first
 		{cause: "unhealthy", probed: probeRespond("503 Service Unavailable", "i-0"), status: 200},
 		{cause: "wrong-instance", probed: probeRespond("200 OK", "i-7"), status: 200},
 		{cause: "other", probed: func(w io.Writer) bool { _, err := io.WriteString(w, "no response\r\n\r\n"); return err == nil }, status: 200},
 	} {
-		t.Run(fmt.Sprintf("%s both=%t", c.cause, c.both), func(t *testing.T) {
+		t.Run(c.cause, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				all := servers(2, respondOK)
 				all[1].work = 100 * time.Millisecond
-				all[0].probed, all[0].crashed = c.probed, c.crashed
+				all[0].respondProbe, all[0].crashed = c.probed, c.crashed
 				if c.both {
-					all[1].probed = c.probed
+					all[1].respondProbe = c.probed
 				}
 				f := newFixture(t, chooser.ExpectedCompletion{}, all...)
 				is.Equal(f.send(http.MethodPost, "/book/1", "r1").Code, c.status)
-				// A probe may go on after the request was refused.
-				time.Sleep(60 * time.Millisecond)
-				synctest.Wait()
+				time.Sleep(probeEnd)
 				is.Equal(f.failedProbes(), []string{c.cause})
 				f.close()
 			})
--- a/entry/refuser/refuser.go
+++ b/entry/refuser/refuser.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 )
 
 // RefusalHeader is the response header with the kind and reason of a refusal, such as
@@ -59,6 +60,13 @@
 	// UnreachableServers means that this entry reaches no backend server of any service,
 	// and that no other entry took the request.
 	UnreachableServers Reason = "servers-unreachable"
+	// Outdated means that the configuration in force has no route for the request, and
+	// that a newer one may have.
+	Outdated Reason = "configuration-outdated"
+	// Stopping means that the entry stops and might not complete the request.
+	Stopping Reason = "stopping"
+	// PausedServers means that every server asked this entry for a pause.
+	PausedServers Reason = "servers-paused"
 )
 
 // Reasons for refusals of kind OutcomeUnknown.
@@ -78,7 +86,7 @@
 	return []Reason{
 		BackendUnreachable, BackendShedding, BadRequest, BodyTooLarge, CallerDisconnected, CallerOverShare, DeadlinePassed,
 		DeadlineTooNear, EntryUnreachable, HeadersTooLarge, Isolated, KeyFromFuture, Misdirected, NoBackendServer, NoDocument,
-		NoSuchRoute, NoSuchService, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, RateLimitedServers, Suspect, UnreachableServers,
+		NoSuchRoute, NoSuchService, Outdated, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, PausedServers, RateLimitedServers, Stopping, Suspect, UnreachableServers,
 	}
 }
 
@@ -96,6 +104,8 @@
 	Kind   Kind
 	Reason Reason
 	Detail string
+	// RetryAt is the time at which the caller may be served. It is zero if unknown.
+	RetryAt time.Time
 }
 
 // NewNotRun returns a refusal of a request that certainly did not run.
@@ -110,6 +120,12 @@
 	return r
 }
 
+// WithRetryAt returns a copy with the time at which the caller may be served.
+func (r Refusal) WithRetryAt(t time.Time) Refusal {
+	r.RetryAt = t
+	return r
+}
+
 func (r Refusal) Error() string {
 	if r.Detail == "" {
 		return fmt.Sprintf("%s: %s", r.Kind, r.Reason)
--- a/entry/roundtripper/conn.go
+++ b/entry/roundtripper/conn.go
@@ -44,6 +44,8 @@
 	writer    *bufio.Writer
 	idleUntil time.Time
 	fresh     bool
+	// refusedID is the id of the last request that the server refused on the connection.
+	refusedID string
 }
 
 func newConn(c net.Conn) *Conn {
@@ -169,6 +171,10 @@
 			_ = rep.Body.Close()
 		}
 	}()
+	if rep.Body == http.NoBody {
+		// The response to HEAD has no body, though it may state a length.
+		return nil, true, nil
+	}
 	if rep.ContentLength >= 0 && rep.ContentLength <= limit {
 		body = make([]byte, rep.ContentLength)
 		_, err = io.ReadFull(rep.Body, body)
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -13,6 +13,7 @@
 	"samphiremux/entry/balancer"
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/delegator"
+	"samphiremux/entry/drainer"
 	"samphiremux/entry/enroller"
 	"samphiremux/entry/expirer"
 	"samphiremux/entry/meter"
@@ -55,6 +56,9 @@
 	// last response. Within it, an entry with a few requests a second probes each server of
 	// its failure domain.
 	answeredWindow = 5 * time.Second
+	// connectionInterval is the time between two looks for open connections of callers
+	// while the entry stops.
+	connectionInterval = 20 * time.Millisecond
 	// maxLocateTTL is the time for which callers may cache the list of entries, unless
 	// the settings allow less.
 	maxLocateTTL = 2 * time.Second
@@ -77,6 +81,7 @@
 	metrics           *meter.Registry
 	uplink            throttler.ByteBudget
 	stopping          chan struct{}
+	drainer           *drainer.Drainer
 }
 
 const (
@@ -99,7 +104,7 @@
 
 func newEntry(s translator.Settings, policy chooser.Policy, dial dialFunc, log hclog.Logger) *entry {
 	e := &entry{
-		id: s.ID, log: log, metrics: meter.New(), expirer: expirer.New(time.Now), stopping: make(chan struct{}),
+		id: s.ID, log: log, metrics: meter.New(), expirer: expirer.New(time.Now), stopping: make(chan struct{}), drainer: drainer.New(),
 		pool: linker.NewPool(func(ctx context.Context, address string) (net.Conn, error) {
 			return dial(ctx, "tcp", address)
 		}),
@@ -108,12 +113,15 @@
 	headers := roundtripper.Headers{
 		RequestID: translator.HeaderRequestID, Instance: translator.HeaderInstance, NotExecuted: translator.HeaderNotExecuted,
 		Signature: translator.HeaderSignature, ReadLoad: translator.Load, ReadRateLimit: translator.RateLimit, ReadColdRemaining: translator.ColdLeft,
+		ReadLeaving: translator.IsLeaving, ReadPause: translator.Pause,
 	}
 	e.snapshots = snapshotter.New(func(server describer.Server) *snapshotter.ServerState {
 		address := server.Address.String()
-		return snapshotter.NewServerState(roundtripper.New(server.ID, address, func(ctx context.Context) (net.Conn, error) {
+		state := snapshotter.NewServerState(roundtripper.New(server.ID, address, func(ctx context.Context) (net.Conn, error) {
 			return dial(ctx, "tcp", address)
 		}, headers))
+		state.OnChange(func(n roundtripper.Notice) { logNotice(log, server.ID, n) })
+		return state
 	})
 	store := storeadapter.New(storeadapter.Dialer(dial), "http://"+s.StoreAddress)
 	e.reflector = reflector.New(reflector.Options{
@@ -138,8 +146,8 @@
 		Dial: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) },
 	})
 	e.balancer = balancer.New(balancer.Options{
-		Self: s.ID, Delegator: e.delegator, Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, EntryCount: e.enroller.MemberCount, Rank: e.enroller.Rank, Log: log.Named("steerer"),
-		OnAttempt: e.roller.Observe,
+		Self: s.ID, Delegator: e.delegator, Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, Outdated: e.isOutdated, EntryCount: e.enroller.MemberCount, Rank: e.enroller.Rank, Log: log.Named("steerer"),
+		OnAttempt: e.roller.Observe, MayTake: e.drainer.MayTake,
 		Headers: balancer.Headers{
 			RequestID: translator.HeaderRequestID, Instance: translator.HeaderExpectInstance, ReadDeadline: translator.ReadDeadline,
 			SetDeadline: translator.SetDeadline, SetRetryAfter: translator.SetRetryAfter,
@@ -193,36 +201,43 @@
 		return 0
 	})
 	e.metrics.Gauge("rate_limited_servers", "Backend servers that state a rate limit.", func() float64 {
-		n := 0
-		for _, servers := range e.snapshots.Snapshot().Services {
-			for _, b := range servers {
-				if b.State.Snapshot(time.Now()).RateLimit.Stated {
-					n++
-				}
-			}
-		}
-		return float64(n)
+		return e.countServers(func(_ *snapshotter.Snapshot, b snapshotter.Backend) bool {
+			return b.State.Snapshot(time.Now()).RateLimit.Stated
+		})
+	})
+	e.metrics.Gauge("leaving_servers", "Registered backend servers that are leaving by their responses.", func() float64 {
+		return e.countServers(func(_ *snapshotter.Snapshot, b snapshotter.Backend) bool { return b.State.Leaving() })
+	})
+	e.metrics.Gauge("paused_servers", "Registered backend servers that asked this entry for a pause.", func() float64 {
+		return e.countServers(func(_ *snapshotter.Snapshot, b snapshotter.Backend) bool {
+			return b.State.Snapshot(time.Now()).Paused
+		})
 	})
 	e.metrics.Gauge("backend_servers", "Backend servers that may get work.", func() float64 {
-		return float64(e.countServers(func(snapshotter.Backend) bool { return true }))
+		return e.countServers(func(snap *snapshotter.Snapshot, b snapshotter.Backend) bool {
+			return snap.Eligible(b) && !b.State.Leaving()
+		})
 	})
 	e.metrics.Gauge("answering_backend_servers", "Backend servers that may get work and answered this entry in the last 5 s.", func() float64 {
 		now := time.Now()
-		return float64(e.countServers(func(b snapshotter.Backend) bool { return now.Sub(b.State.Snapshot(now).HeardAt) < answeredWindow }))
+		return e.countServers(func(snap *snapshotter.Snapshot, b snapshotter.Backend) bool {
+			return snap.Eligible(b) && !b.State.Leaving() && now.Sub(b.State.Snapshot(now).HeardAt) < answeredWindow
+		})
 	})
 }
 
-// countServers returns the number of backend servers that may get work and match.
-func (e *entry) countServers(match func(snapshotter.Backend) bool) (n int) {
+// countServers returns the number of backend servers that match.
+func (e *entry) countServers(match func(*snapshotter.Snapshot, snapshotter.Backend) bool) float64 {
 	snap := e.snapshots.Snapshot()
+	n := 0
 	for _, servers := range snap.Services {
 		for _, b := range servers {
-			if snap.Eligible(b) && match(b) {
+			if match(snap, b) {
 				n++
 			}
 		}
 	}
-	return n
+	return float64(n)
 }
 
 // delegationPeers returns the other entries that take requests from this one.
@@ -241,6 +256,11 @@
 	return balancer.Limits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}
 }
 
+// isOutdated reports whether another entry may know a newer configuration.
+func (e *entry) isOutdated() bool {
+	return e.reflector.Outdated(time.Now(), translator.ConfigurationKey)
+}
+
 // exposureLimit returns the bounds of a faulty version's requests in force.
 func (e *entry) exposureLimit() roller.ExposureLimit {
 	b := e.settings.Load().Bounds
