--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"samphiremux/entry/chooser"
+	"samphiremux/entry/detector"
 	"samphiremux/entry/estimator"
 	"samphiremux/entry/limiter"
 	"samphiremux/entry/quarantiner"
@@ -104,6 +105,12 @@
 	// responses counts the successful responses since the start.
 	responses int
 	observer  Observer
+	contact   *detector.Contact
+	// onDoubt is called when a check of the contact becomes due. It may be nil.
+	onDoubt func()
+	// unserved is true if requests went to other entries since the last report, since
+	// this one holds no grants.
+	unserved bool
 }
 
 // Observer is notified how each attempt ended. Observe is called with the
@@ -137,6 +144,7 @@
 		queues:    map[string]*queuer.Queue{},
 		budget:    retrier.NewBudget(0),
 		suspects:  quarantiner.New(),
+		contact:   detector.New(now()),
 		rotatedAt: now(),
 		latencies: hdrhistogram.NewWindowed(histogramWindows, minLatencyMicroseconds,
 			maxLatency.Microseconds(), histogramDigits),
@@ -180,7 +188,7 @@
 	}
 	if s.placement.DomainOut && !placement.DomainOut {
 		s.allotment = limiter.NewAllotment(now)
-		s.suspectCold = true
+		s.suspectCold, s.suspectedAt = true, time.Time{}
 		s.failures, s.ejections, s.ejectedUntil = 0, 0, time.Time{}
 	}
 }
@@ -212,23 +220,29 @@
 		return p, nil
 	}
 	if !waitable {
+		refusal = d.noServerRefusal(now, version)
 		d.mu.Unlock()
-		return nil, refusalOf(refuser.NoBackendServer)
+		return nil, refusal
 	}
 	done := make(chan result, 1)
 	item := &queuer.Item{Caller: r.Caller, Importance: r.Importance, Deadline: r.Deadline}
-	item.OnReady = func() { done <- result{permit: d.serveQueued(r, version)} }
+	item.OnReady = func() { done <- d.serveQueued(r, version) }
 	q := d.queue(version)
 	if reason, ok := q.Push(now, item, d.load(now, version)); !ok {
 		d.mu.Unlock()
 		return nil, refusalOf(reason)
 	}
+	silent := d.contact.Silent()
 	d.mu.Unlock()
-	return d.await(ctx, q, item, r.Deadline, done)
+	return d.await(ctx, q, item, r.Deadline, done, silent)
 }
 
-// result is the permit for a queued request, or nil if the chooser found no server.
-type result struct{ permit *Permit }
+// result is the permit for a queued request, or nil if the chooser found no server. Then
+// refusal says why, if the servers pause.
+type result struct {
+	permit  *Permit
+	refusal *refuser.Refusal
+}
 
 // refusalOf returns the refusal of a request that did not run.
 func refusalOf(reason refuser.Reason) *refuser.Refusal {
@@ -237,18 +251,23 @@
 }
 
 // await waits for the permit of a queued request. A permit that arrives together
-// with the deadline or the end of ctx is abandoned.
-func (d *Dispatcher) await(ctx context.Context, q *queuer.Queue, item *queuer.Item, deadline time.Time, done <-chan result) (*Permit, *refuser.Refusal) {
+// with the deadline, the end of ctx or the loss of contact with the servers is
+// abandoned.
+func (d *Dispatcher) await(
+	ctx context.Context, q *queuer.Queue, item *queuer.Item, deadline time.Time, done <-chan result, silent <-chan struct{},
+) (*Permit, *refuser.Refusal) {
 	timer := time.NewTimer(deadline.Sub(d.now()))
 	defer timer.Stop()
 	reason := refuser.DeadlinePassed
 	select {
 	case res := <-done:
-		if res.permit != nil {
-			return res.permit, nil
+		if res.permit != nil || res.refusal != nil {
+			return res.permit, res.refusal
 		}
 	case <-ctx.Done():
 		reason = refuser.CallerDisconnected
+	case <-silent:
+		reason = refuser.UnreachableServers
 	case <-timer.C:
 	}
 	d.mu.Lock()
@@ -335,14 +354,14 @@
 }
 
 // candidates lists the servers of a version that may get a request, without those
-// that are leaving. The server to avoid is listed only if no other is left, and
+// that are leaving or pause. The server to avoid is listed only if no other is left, and
 // ejected servers only if no server is left that is not ejected.
 func (d *Dispatcher) candidates(now time.Time, version, avoid string) []chooser.Candidate {
 	all := make([]chooser.Candidate, 0, len(d.servers))
 	var ejected, avoided []chooser.Candidate
 	mean := d.mean.Value()
 	for i, s := range d.servers {
-		if s.placement.Server.Version != version || s.leaving() {
+		if s.placement.Server.Version != version || s.leaving() || s.paused(now) {
 			continue
 		}
 		c := s.candidate(now, i, mean)
@@ -370,7 +389,7 @@
 	capacity := 0
 	mean := d.mean.Value()
 	for _, s := range d.servers {
-		if s.placement.Server.Version == version && !s.leaving() && !s.ejected(now) {
+		if s.placement.Server.Version == version && !s.leaving() && !s.paused(now) && !s.ejected(now) {
 			capacity += s.quota(now, s.slowness.Value(now, mean, s.starts))
 		}
 	}
@@ -388,18 +407,24 @@
 	return capacity
 }
 
-// serveQueued returns the permit for a queued request. The lock must be held.
-func (d *Dispatcher) serveQueued(r Request, version string) *Permit {
-	p, _ := d.choose(d.now(), r, version)
-	return p
+// serveQueued returns the permit for a queued request, or its refusal if all servers pause.
+// The lock must be held.
+func (d *Dispatcher) serveQueued(r Request, version string) result {
+	now := d.now()
+	if d.allPaused(now, version) {
+		return result{refusal: d.noServerRefusal(now, version)}
+	}
+	p, _ := d.choose(now, r, version)
+	return result{permit: p}
 }
 
-// drainQueues serves queued requests while servers are free. The lock must be held.
+// drainQueues serves queued requests while servers are free, and refuses them if all
+// servers pause. The lock must be held.
 func (d *Dispatcher) drainQueues(now time.Time) {
 	for version, q := range d.queues {
 		for q.Len() > 0 {
 			candidates := d.candidates(now, version, "")
-			if !anyFree(candidates) {
+			if !anyFree(candidates) && !d.allPaused(now, version) {
 				break
 			}
 			// The timer of an expired request refuses it.
@@ -490,7 +515,10 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	p.state.end(p.start)
-	p.state.recordOutcome(now, p.start, o, failedResponse, d.mean.Value())
+	d.recordContact(now, o)
+	if !d.blameless(p.start, o) {
+		p.state.recordOutcome(now, p.start, o, failedResponse, d.mean.Value())
+	}
 	_, answered := o.(retrier.Answered)
 	latency := now.Sub(p.start)
 	if answered && !failedResponse {
