entry: without contact, open connections are used only while servers answer on them

Cause: a partitioned entry to which others passed a request took its connections for usable until an attempt hung, and queued the request for quotas that it had given up. Now an answer after the contact was lost has to show that connections still work, and such a request does not wait.

--- a/entry/detector/detector.go
+++ b/entry/detector/detector.go
@@ -11,6 +11,9 @@
 	UnansweredLimit = 250 * time.Millisecond
 	// minCheckGap is the minimum time between the starts of two checks.
 	minCheckGap = 100 * time.Millisecond
+	// answeringFor is the time after an answer for which more may come on open
+	// connections.
+	answeringFor = time.Second
 )
 
 // Contact is what an entry knows of its contact with servers, by the attempts of one
@@ -111,8 +114,11 @@
 // server, so that a failure at that time is the failing server's own.
 func (c *Contact) ConfirmedSince(at time.Time) bool { return !c.reachedAt.Before(at) }
 
-// Answering reports whether servers may still answer on open connections.
-func (c *Contact) Answering() bool { return !c.isSilent }
+// Answering reports whether servers still answer on open connections although the contact
+// is lost.
+func (c *Contact) Answering(now time.Time) bool {
+	return c.Lost() && !c.isSilent && c.lastAnswer.After(c.lostAt) && now.Sub(c.lastAnswer) < answeringFor
+}
 
 // Silent returns a channel that is closed when the entry is cut off and no server
 // answers on open connections either.
--- a/entry/detector/detector_test.go
+++ b/entry/detector/detector_test.go
@@ -41,7 +41,7 @@
 	case "lost?":
 		return yesNo(c.Lost())
 	case "answering?":
-		return yesNo(c.Answering())
+		return yesNo(c.Answering(now))
 	default:
 		return "unknown word " + word
 	}
--- a/entry/dispatcher/contact.go
+++ b/entry/dispatcher/contact.go
@@ -32,7 +32,7 @@
 func (d *Dispatcher) Answering() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.contact.Answering()
+	return d.contact.Answering(d.now())
 }
 
 // Silent returns a channel that is closed when the entry reaches no server and none
@@ -142,6 +142,7 @@
 func (s *server) lose(confirmed bool) {
 	s.suspectCold = s.suspectCold && confirmed
 	s.allotment = s.allotment.WithoutFloor()
+	s.peak = len(s.starts)
 }
 
 // regain makes the server usable at once, since its failures were due to the entry. The
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -78,6 +78,8 @@
 	// AvoidServer names a server that an earlier attempt used. It is chosen only if
 	// no other server is left that is not ejected.
 	AvoidServer string
+	// NoWait states that the request must not wait in the queue.
+	NoWait bool
 }
 
 // Dispatcher is the state of one service at one entry. Its methods may be called
@@ -223,6 +225,11 @@
 		d.mu.Unlock()
 		return nil, refusalOf(refuser.NoBackendServer)
 	}
+	if r.NoWait {
+		d.unserved = true
+		d.mu.Unlock()
+		return nil, refusalOf(refuser.ServersUnreachable)
+	}
 	done := make(chan result, 1)
 	item := &queuer.Item{Caller: r.Caller, Importance: r.Importance, Deadline: r.Deadline}
 	item.OnReady = func() { done <- result{permit: d.serveQueued(r, version)} }
--- a/entry/forwarder/attempt.go
+++ b/entry/forwarder/attempt.go
@@ -44,10 +44,10 @@
 				return response, refusal
 			}
 			// Nobody else takes it, but open connections may still work.
-			passed = true
+			passed, acquire.NoWait = true, true
 		}
 		permit, rejection := d.Acquire(ctx, acquire)
-		if rejection != nil && rejection.Reason == refuser.ServersUnreachable {
+		if rejection != nil && rejection.Reason == refuser.ServersUnreachable && !passed {
 			return f.passOn(ctx, c, state, attempt)
 		}
 		if rejection != nil {
