dispatcher: a floor is taken back only with the report that says so

When the contact with the servers returned, the count of idle reports was reset at once; the answer to a report that had given the floor up could then restore it before its owner knew. Attempts that failed for lack of contact count as censored for version moves.

--- a/entry/dispatcher/contact.go
+++ b/entry/dispatcher/contact.go
@@ -150,7 +150,6 @@
 func (s *server) regain() {
 	s.failures, s.ejections, s.ejectedUntil = 0, 0, time.Time{}
 	s.allotment = s.allotment.WithCap(time.Time{})
-	s.idleReports = 0
 	s.peak = max(s.peak, 1)
 }
 
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -512,7 +512,8 @@
 	now := d.now()
 	p.state.end(p.start)
 	d.recordContact(now, o)
-	if !d.blameless(p.start, o) {
+	blameless := d.blameless(p.start, o)
+	if !blameless {
 		p.state.recordOutcome(now, p.start, o, failedResponse, d.mean.Value())
 	}
 	_, answered := o.(retrier.Answered)
@@ -521,7 +522,7 @@
 		d.mean.Add(latency)
 		d.recordLatency(now, latency)
 	}
-	p.observe(now, failedResponse || (!answered && retrier.MayHaveRun(o)), false)
+	p.observe(now, failedResponse || (!answered && !blameless && retrier.MayHaveRun(o)), blameless)
 	d.drainQueues(now)
 }
 
