assembler: requests that come after the listener has closed are not dropped

When the last locate answers had expired, http.Server.Shutdown ran, and a request that was read after that on a connection that was open already was dropped without an answer. The caller could not know that it had not run.

Stop now closes the listener alone, lets each response close its connection, and waits until no connection is left; requests whose deadline lies beyond the end of the drain are refused as not run (stopping), and what is left at its end is answered before the process exits.

Not covered: a request with an idempotency key still at work at the end of the drain, which does not end with it.

--- a/entry/assembler/assembler.go
+++ b/entry/assembler/assembler.go
@@ -19,6 +19,7 @@
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/collector"
 	"samphiremux/entry/coordinator"
+	"samphiremux/entry/drainer"
 	"samphiremux/entry/forwarder"
 	"samphiremux/entry/granter"
 	"samphiremux/entry/heartbeater"
@@ -115,9 +116,11 @@
 	// pool holds the link connections to other entries.
 	pool *linker.Pool
 	// http serves callers.
-	http      *http.Server
-	registrar spawner.Actor
-	cancel    context.CancelFunc
+	http        *http.Server
+	drainer     *drainer.Drainer
+	connections drainer.Connections
+	registrar   spawner.Actor
+	cancel      context.CancelFunc
 	// wg counts the background goroutines that are not actors.
 	wg sync.WaitGroup
 }
@@ -134,7 +137,7 @@
 	metrics := collector.New()
 	node := reconciler.New(reconciler.Options{Self: self, Policy: id.Policy, Seed: id.Seed, Now: deps.Now, Metrics: metrics})
 	e := &Entry{
-		node: node, deps: deps, identity: id,
+		node: node, deps: deps, identity: id, drainer: drainer.New(),
 		spawner: spawner.New(deps.Log, metrics),
 		servers: sender.New(deps.DialServer),
 		probes:  sender.New(deps.DialServer),
@@ -220,11 +223,12 @@
 func (e *Entry) serveCallers(notify forwarder.Notifier) {
 	mux := http.NewServeMux()
 	mux.Handle(locator.Path, locator.New(e.node))
-	mux.Handle("/", forwarder.New(e.node, e.servers, e.peers, notify, e.deps.Log.Named("forwarder")))
+	mux.Handle("/", forwarder.New(e.node, e.servers, e.peers, notify, e.drainer.MayTake, e.deps.Log.Named("forwarder")))
 	e.http = &http.Server{
 		Handler: mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog:       e.deps.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		MaxHeaderBytes: maxHeaderBytes, ConnState: e.connections.ConnState,
+		BaseContext: func(net.Listener) context.Context { return e.drainer.Requests() },
+		ErrorLog:    e.deps.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	e.wg.Go(func() { _ = e.http.Serve(e.deps.CallerListener) })
 }
@@ -274,9 +278,9 @@
 
 // Stop shuts the entry down gracefully. The entry deregisters and is no longer
 // named in locate answers, but keeps serving until the answers that name it have
-// expired, since callers may use them until then. It then waits up to drainTimeout
-// for the requests in flight and aborts those that remain. If ctx ends, Stop skips
-// the remaining waits.
+// expired, since callers may use them until then. It then closes its listener, waits up
+// to drainTimeout until callers have no more connections, and ends the requests that
+// remain. If ctx ends, Stop skips the remaining waits.
 func (e *Entry) Stop(ctx context.Context) {
 	e.node.WithTracker(func(now time.Time, t *tracker.Tracker) bool {
 		t.SetStopping()
@@ -294,7 +298,12 @@
 	}
 	drainCtx, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
-	_ = e.http.Shutdown(drainCtx)
+	exit, _ := drainCtx.Deadline()
+	e.drainer.Begin(time.Now(), exit)
+	// A shutdown would close a connection on which a request has just been read.
+	_ = e.deps.CallerListener.Close()
+	e.http.SetKeepAlivesEnabled(false)
+	drainer.AwaitClosed(drainCtx, e.connections.Open)
 	e.Kill()
 }
 
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -61,18 +61,21 @@
 	servers  *sender.Sender
 	peers    *sender.Sender
 	notifier Notifier
-	log      hclog.Logger
+	// mayTake reports whether a request with this deadline may be passed on.
+	mayTake func(deadline time.Time) bool
+	log     hclog.Logger
 	// attemptIDPrefix makes attempt ids unique across entries and restarts.
 	attemptIDPrefix string
 	attempts        atomic.Uint64
 }
 
 // New returns a forwarder. It sends requests to backend servers through
-// servers, and to other entries through peers.
-func New(n *reconciler.Node, servers, peers *sender.Sender, notifier Notifier, log hclog.Logger) *Forwarder {
+// servers, and to other entries through peers. MayTake reports whether a request with this
+// deadline may still be passed on.
+func New(n *reconciler.Node, servers, peers *sender.Sender, notifier Notifier, mayTake func(deadline time.Time) bool, log hclog.Logger) *Forwarder {
 	self := n.Self()
 	return &Forwarder{
-		node: n, servers: servers, peers: peers, notifier: notifier, log: log, attemptIDPrefix: self.ID + "." + self.Incarnation + ".",
+		node: n, servers: servers, peers: peers, notifier: notifier, mayTake: mayTake, log: log, attemptIDPrefix: self.ID + "." + self.Incarnation + ".",
 	}
 }
 
@@ -160,6 +163,8 @@
 		return nil, notRun(refuser.CallerDisconnected)
 	case len(c.body) > maxBodyBytes:
 		return nil, notRun(refuser.BodyTooLarge)
+	case !f.mayTake(c.deadline):
+		return nil, notRun(refuser.Stopping)
 	}
 	c.fingerprint = quarantiner.FingerprintOf(name, c.method, c.uri, c.body)
 	return c, nil
--- /dev/null
+++ b/standin/measurer/stop_test.go
@@ -0,0 +1,77 @@
+package measurer_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"samphiremux/entry/locator"
+	"samphiremux/standin/simulator"
+)
+
+// TestLateRequestsLost guards against requests that come after an entry has closed its
+// listener and are read and dropped, or cut when the entry ends.
+func TestLateRequestsLost(t *testing.T) {
+	d := simulator.Trust().WithOnlyService("booking")
+	withCluster(t, simulator.Options{Deployment: d, Entries: 3}, d.Document("test"), func(t *testing.T, cl testCluster) {
+		is := is.New(t)
+		host := cl.Entries[0]
+		const closing = locator.AnswerTTL + time.Second
+		start := time.Now()
+		results := make(chan string, 1000)
+		sent := 0
+		for at := closing - time.Second; at < closing+4*time.Second; at += 50 * time.Millisecond {
+			for _, early := range []int{0, 20, -2} {
+				sent++
+				go func() { results <- sendLate(cl, host, start, at, early) }()
+			}
+		}
+		stopped := make(chan time.Duration, 1)
+		entry := host.Entry
+		host.Entry = nil
+		go func() {
+			entry.Stop(context.Background())
+			stopped <- time.Since(start)
+		}()
+		for range sent {
+			if fault := <-results; fault != "" {
+				t.Error(fault)
+			}
+		}
+		is.True(<-stopped < 45*time.Second)
+	})
+}
+
+// sendLate opens a connection 4 s before at, sends a part of a request then, the rest at
+// the given time after start, and returns what was wrong with the response.
+func sendLate(cl testCluster, h *simulator.Host, start time.Time, at time.Duration, early int) (fault string) {
+	time.Sleep(time.Until(start.Add(at - 4*time.Second)))
+	c, err := cl.net.Dial(cl.ctx, netip.MustParseAddr("127.0.9.9"), netip.AddrPortFrom(h.Address, simulator.CallerPort))
+	if err != nil {
+		return fmt.Sprintf("opened at %v: %v", at-4*time.Second, err)
+	}
+	defer c.Close()
+	text := "POST /bookings/1 HTTP/1.1\r\nHost: booking\r\nX-Request-Id: r" + at.String() + "\r\nContent-Length: 4\r\n\r\nbody"
+	early = (early + len(text)) % len(text)
+	if _, err := io.WriteString(c, text[:early]); err != nil {
+		return err.Error()
+	}
+	time.Sleep(time.Until(start.Add(at)))
+	_, _ = io.WriteString(c, text[early:])
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return fmt.Sprintf("sent at %v, %d bytes of it early: %v", at, early, err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return fmt.Sprintf("sent at %v, %d bytes of it early: %v", at, early, err)
+	}
+	return ""
+}
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -51,9 +51,6 @@
 	// stopMargin is the part of the grace period that is reserved for the exit of the
 	// process.
 	stopMargin = 200 * time.Millisecond
-	// connectionInterval is the time between two looks for open connections of callers
-	// while the entry stops.
-	connectionInterval = 20 * time.Millisecond
 	// maxLocateTTL is the time for which callers may cache the list of entries, unless
 	// the settings allow less.
 	maxLocateTTL = 2 * time.Second
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"samphiremux/entry/chooser"
+	"samphiremux/entry/drainer"
 	"samphiremux/entry/expirer"
 	"samphiremux/pkg/linker"
 	"samphiremux/platform/translator"
@@ -115,7 +116,7 @@
 	time.Sleep(time.Until(now.Add(period / 2)))
 	// A shutdown would close a connection on which a request has just been read.
 	_ = l.Close()
-	e.awaitConnections(grace)
+	drainer.AwaitClosed(grace, e.expirer.Open)
 	if err := callers.Shutdown(grace); err != nil {
 		e.log.Warn("Grace period ended with open connections.", "connections", e.expirer.Open(), "error", err)
 	}
@@ -127,19 +128,6 @@
 	return nil
 }
 
-// awaitConnections waits until callers have no open connection, or ctx ends.
-func (e *entry) awaitConnections(ctx context.Context) {
-	t := time.NewTicker(connectionInterval)
-	defer t.Stop()
-	for e.expirer.Open() > 0 {
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 func (e *entry) isStopping() bool {
 	select {
 	case <-e.stopping:
