--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -64,11 +64,13 @@
 // Forwarder handles requests from callers and from other entries. It implements
 // http.Handler.
 type Forwarder struct {
-	node      *reconciler.Node
-	servers   *sender.Sender
-	peers     *sender.Sender
-	notifier  Notifier
-	reaches   Reaches
+	node     *reconciler.Node
+	servers  *sender.Sender
+	peers    *sender.Sender
+	notifier Notifier
+	reaches  Reaches
+	// mayTake reports whether a request with this deadline may be passed on.
+	mayTake   func(deadline time.Time) bool
 	log       hclog.Logger
 	lostPeers lostPeers
 	// attemptIDPrefix makes attempt ids unique across entries and restarts.
@@ -77,11 +79,12 @@
 }
 
 // New returns a forwarder. It sends requests to backend servers through
-// servers, and to other entries through peers.
-func New(n *reconciler.Node, servers, peers *sender.Sender, notifier Notifier, reaches Reaches, log hclog.Logger) *Forwarder {
+// servers, and to other entries through peers. MayTake reports whether a request with this
+// deadline may still be passed on.
+func New(n *reconciler.Node, servers, peers *sender.Sender, notifier Notifier, mayTake func(deadline time.Time) bool, reaches Reaches, log hclog.Logger) *Forwarder {
 	self := n.Self()
 	return &Forwarder{
-		node: n, servers: servers, peers: peers, notifier: notifier, reaches: reaches, log: log,
+		node: n, servers: servers, peers: peers, notifier: notifier, mayTake: mayTake, reaches: reaches, log: log,
 		lostPeers: lostPeers{until: map[peerService]time.Time{}}, attemptIDPrefix: self.ID + "." + self.Incarnation + ".",
 	}
 }
@@ -170,6 +173,8 @@
 		return nil, notRun(refuser.CallerDisconnected)
 	case len(c.body) > maxBodyBytes:
 		return nil, notRun(refuser.BodyTooLarge)
+	case !f.mayTake(c.deadline):
+		return nil, notRun(refuser.Stopping)
 	}
 	c.fingerprint = quarantiner.FingerprintOf(name, c.method, c.uri, c.body)
 	return c, nil
