--- a/standin/fuzzer/run.go
+++ b/standin/fuzzer/run.go
@@ -186,6 +186,8 @@
 		b.TruncateNext(0)
 		b.SwapNext(0)
 		b.SendExtraNext(0)
+		b.RepeatRefusalNext(0)
+		b.StopInHeadNext(0)
 	}
 }
 
--- a/standin/fuzzer/verbs.go
+++ b/standin/fuzzer/verbs.go
@@ -27,14 +27,16 @@
 // verbs maps the name of each verb to its implementation. Steps that name an unknown
 // server or entry have no effect.
 var verbs = map[string]verb{
-	"crash":         {1, onServer(func(b *simulator.Backend) { b.Crash() })},
-	"turn-cold":     {1, onServer(func(b *simulator.Backend) { b.TurnCold() })},
-	"slow":          {2, (*run).slow},
-	"drain":         {1, (*run).drain},
-	"undrain":       {1, (*run).undrain},
-	"cut-answers":   {2, (*run).cutAnswers},
-	"cross-answers": {2, (*run).crossAnswers},
-	"extra-answers": {2, (*run).extraAnswers},
+	"crash":          {1, onServer(func(b *simulator.Backend) { b.Crash() })},
+	"turn-cold":      {1, onServer(func(b *simulator.Backend) { b.TurnCold() })},
+	"slow":           {2, (*run).slow},
+	"drain":          {1, (*run).drain},
+	"undrain":        {1, (*run).undrain},
+	"cut-answers":    {2, (*run).cutAnswers},
+	"cross-answers":  {2, (*run).crossAnswers},
+	"extra-answers":  {2, (*run).extraAnswers},
+	"repeat-refusal": {2, (*run).repeatRefusal},
+	"stop-in-head":   {2, (*run).stopInHead},
 	// Callers send refused calls again without backoff, up to a number of times.
 	"repeat": {1, onCount(func(r *run, n int) { r.immediateRetries.Store(int64(n)) })},
 	// A server states a rate limit, in requests per second.
@@ -155,6 +157,16 @@
 	r.applyToServer(args, func(b *simulator.Backend, n float64) { b.SendExtraNext(int(n)) })
 }
 
+// repeatRefusal makes a backend server write an earlier refusal before its next responses.
+func (r *run) repeatRefusal(args []string) {
+	r.applyToServer(args, func(b *simulator.Backend, n float64) { b.RepeatRefusalNext(int(n)) })
+}
+
+// stopInHead makes a backend server stop in the head of its next responses.
+func (r *run) stopInHead(args []string) {
+	r.applyToServer(args, func(b *simulator.Backend, n float64) { b.StopInHeadNext(int(n)) })
+}
+
 func (r *run) limit(args []string) {
 	r.oracle.checkRateLimits()
 	r.applyToServer(args, func(b *simulator.Backend, n float64) { b.SetRateLimit(n) })
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -110,6 +110,8 @@
 	truncateNext    int
 	swapNext        int
 	extraNext       int
+	repeatNext      int
+	stopInHeadNext  int
 	lastID          string
 	stats           Stats
 	reportedLoad    float64
@@ -215,6 +217,22 @@
 	s.extraNext = n
 }
 
+// RepeatRefusalNext makes the server write the refusal of an earlier attempt once more
+// before it executes each of the next n requests.
+func (s *Server) RepeatRefusalNext(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.repeatNext = n
+}
+
+// StopInHeadNext makes the server stop in the middle of the head of its next n responses,
+// and close.
+func (s *Server) StopInHeadNext(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopInHeadNext = n
+}
+
 // Restart brings a crashed server back, cold, without requests and without a rate limit.
 func (s *Server) Restart() {
 	s.mu.Lock()
@@ -309,7 +327,54 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	s.writeResponse(w, r, s.execute(r))
+	s.mu.Lock()
+	repeat, stopInHead := s.repeatNext > 0, s.stopInHeadNext > 0
+	if repeat {
+		s.repeatNext--
+	} else if stopInHead {
+		s.stopInHeadNext--
+	}
+	s.mu.Unlock()
+	switch {
+	case repeat:
+		s.repeatRefusal(w, r)
+	case stopInHead:
+		s.execute(r)
+		stopInTheHead(w)
+	default:
+		s.writeResponse(w, r, s.execute(r))
+	}
+}
+
+// repeatRefusal writes the refusal of another attempt, and then executes the request and
+// responds to it.
+func (s *Server) repeatRefusal(w http.ResponseWriter, r *http.Request) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = fmt.Fprintf(buffered, "HTTP/1.1 503 Service Unavailable\r\n%s: another\r\nContent-Length: 0\r\n\r\n", attemptIDHeader)
+	_ = buffered.Flush()
+	s.execute(r)
+	body := Body(r.Header.Get(requestIDHeader))
+	_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(buffered)
+	_, _ = fmt.Fprintf(buffered, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	_ = buffered.Flush()
+	time.AfterFunc(extraResponseLinger, func() { _ = conn.Close() })
+}
+
+// stopInTheHead writes a part of the head of a response and closes the connection.
+func stopInTheHead(w http.ResponseWriter) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(buffered)
+	_, _ = buffered.WriteString("\r")
+	_ = buffered.Flush()
+	_ = conn.Close()
 }
 
 func (s *Server) health(w http.ResponseWriter) {
