--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -28,6 +28,14 @@
 	return errors.As(err, &wrong)
 }
 
+func isUnhealthy(err error) bool {
+	var unhealthy roundtripper.ErrUnhealthy
+	return errors.As(err, &unhealthy)
+}
+
+// responded reports whether a probe failed by a response.
+func responded(err error) bool { return isUnhealthy(err) || isWrongInstance(err) }
+
 // attemptResult is the result of one attempt. The response is nil unless the
 // outcome is retrier.Answered or retrier.Shed.
 type attemptResult struct {
@@ -68,12 +76,13 @@
 	for {
 		select {
 		case <-timer.C:
-			if second := b.hedge(ctx, c, state); second != nil {
-				c.traceChosen(Hedged, second)
-				b.metrics.retries.With(string(retrier.CauseHedge)).Inc()
-				running++
-				go func() { results <- b.send(ctx, c, second) }()
+			send := b.hedge(ctx, c, state)
+			if send == nil {
+				continue
 			}
+			b.metrics.retries.With(string(retrier.CauseHedge)).Inc()
+			running++
+			go func() { results <- send() }()
 		case last = <-results:
 			running--
 			c.traceEnded(last.server, last)
@@ -90,15 +99,21 @@
 	return max(byObjective, time.Duration(hedgeRatio*float64(p.expected)))
 }
 
-// hedge picks a second server. It returns nil if the route allows no further
-// attempt, if the server is full or too slow, or if the retry budget is used up.
-func (b *Balancer) hedge(ctx context.Context, c *call, state *attempts) *picked {
+// hedge picks a second server and returns the function that sends the request there. If
+// this entry reaches no server, the hedge is passed on to another entry. It returns nil if
+// the route allows no further attempt, if the server is full or too slow, or if the retry
+// budget is used up.
+func (b *Balancer) hedge(ctx context.Context, c *call, state *attempts) (send func() attemptResult) {
 	if state.sent+2 > c.route.MaxAttempts {
 		return nil
 	}
-	p, _ := b.pick(ctx, c)
+	p, reason := b.pick(ctx, c)
 	if p == nil {
-		return nil
+		if !b.mayDelegate(c, reason) || !b.tryWithdraw(c.service) {
+			return nil
+		}
+		sent := state.sent + 1
+		return func() attemptResult { return b.delegateHedge(ctx, c, sent) }
 	}
 	if p.slowness > goodSlowness || p.busy >= p.Slots || !b.tryWithdraw(c.service) {
 		if p.conn != nil {
@@ -107,7 +122,8 @@
 		return nil
 	}
 	c.tried[p.ID] = true
-	return p
+	c.traceChosen(Hedged, p)
+	return func() attemptResult { return b.send(ctx, c, p) }
 }
 
 // send sends one attempt and records what it shows about the server.
@@ -135,6 +151,7 @@
 		p.State.ObserveLoad(now, resp.Load)
 	}
 	if resp != nil {
+		b.observeReached()
 		b.observeRateLimit(now, p.Backend, resp.RateLimit)
 	}
 	failed := false
@@ -157,6 +174,7 @@
 		failed = true
 	case retrier.NotSent:
 		p.State.Eject(now)
+		b.observeUnreached(p.ID)
 		return
 	default:
 		failed = true
--- a/entry/balancer/pick.go
+++ b/entry/balancer/pick.go
@@ -127,9 +127,16 @@
 		if !match(srv) || !view.Eligible(srv) || (c.version != "" && srv.Version != c.version) || c.tried[srv.ID] {
 			continue
 		}
-		if state := srv.State.Snapshot(now); !state.Leaving {
-			candidates = append(candidates, candidate{Backend: srv, state: state})
+		state := srv.State.Snapshot(now)
+		switch {
+		case state.Leaving:
+			c.leftOut.leaving = appendName(c.leftOut.leaving, srv.ID)
+			continue
+		case state.Paused:
+			c.leftOut.paused = appendName(c.leftOut.paused, srv.ID)
+			continue
 		}
+		candidates = append(candidates, candidate{Backend: srv, state: state})
 	}
 	return candidates
 }
@@ -144,6 +151,9 @@
 // pick picks the server for the next attempt. If there is none, it returns the
 // reason for a refusal.
 func (b *Balancer) pick(ctx context.Context, c *call) (*picked, refuser.Reason) {
+	if b.monitor.Isolated() {
+		return nil, refuser.UnreachableServers
+	}
 	p, reason := b.pickInVersion(ctx, c)
 	if p == nil && c.version != c.view.Splits[c.service].Stable {
 		// The target version of a move has no usable server yet.
@@ -157,8 +167,13 @@
 func (b *Balancer) pickInVersion(ctx context.Context, c *call) (*picked, refuser.Reason) {
 	view := b.opts.Snapshot()
 	now := time.Now()
+	c.leftOut = leftOut{}
 	candidates := b.eligible(now, c, view)
+	c.traceLeftOut()
 	if len(candidates) == 0 {
+		if _, paused := b.resumption(now, c); paused {
+			return nil, refuser.PausedServers
+		}
 		return nil, refuser.NoBackendServer
 	}
 	if !chooser.Coordinated(b.opts.Policy) {
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -76,8 +76,12 @@
 
 // admit takes the tokens that the attempt needs: of a cold server and of one that states
 // a rate limit. Another request of this entry may have taken them since the server was
-// evaluated; then it returns the reason for a refusal.
+// evaluated, or the server may have begun to leave or asked for a pause; then it returns
+// the reason for a refusal.
 func (b *Balancer) admit(view *snapshotter.Snapshot, p *picked) refuser.Reason {
+	if reason := unavailable(p.State); reason != "" {
+		return reason
+	}
 	switch {
 	case !b.admitCold(view, p):
 		return refuser.ColdServers
@@ -108,6 +112,9 @@
 // part of the rate allows a request now. If that is why it may not, unusable is the
 // reason for a refusal.
 func (b *Balancer) evaluate(c *call, est routeEstimate, r probeResult) (p *picked, cost float64, unusable refuser.Reason) {
+	if reason := unavailable(r.State); reason != "" {
+		return nil, 0, reason
+	}
 	if r.err != nil {
 		return nil, 0, ""
 	}
@@ -146,7 +153,8 @@
 // response.
 func (b *Balancer) probeRound(ctx context.Context, view *snapshotter.Snapshot, service string, batch []candidate) (results []probeResult) {
 	path := view.Table.Services[service].HealthPath
-	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	// Probes go on when the request ends first, so that servers that do not answer count.
+	probeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	pending := make(chan probeResult, len(batch))
 	for _, cand := range batch {
 		go func() {
@@ -191,17 +199,22 @@
 	result := "ok"
 	if err != nil {
 		result = "error"
+		b.metrics.failedProbes.With(string(failureOf(ctx, err))).Inc()
 	}
 	b.metrics.probes.With(result).Inc()
 	switch {
 	case err == nil:
 		cand.State.ObserveProbe(now, h)
 		b.observeRateLimit(now, cand.Backend, h.RateLimit)
+		b.observeReached()
 	case isWrongInstance(err):
 		cand.State.SetLeaving()
-	case ctx.Err() == context.Canceled:
-		// The request ended first, which says nothing about the server.
+		b.observeReached()
+	case responded(err):
+		cand.State.Eject(now)
+		b.observeReached()
 	default:
 		cand.State.Eject(now)
+		b.observeUnreached(cand.ID)
 	}
 }
--- a/entry/balancer/trace.go
+++ b/entry/balancer/trace.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,11 +21,17 @@
 	// Received means that the request was accepted and its route, service and
 	// version are known.
 	Received Decision = "received"
+	// LeftOut means that servers got no attempt, since they are leaving or asked for a
+	// pause.
+	LeftOut Decision = "left-out"
 	// Chosen means that a server was picked for an attempt. It carries the
 	// state that the server reported.
 	Chosen Decision = "chosen"
 	// Hedged means that a second server was picked to hedge the first.
 	Hedged Decision = "hedged"
+	// Delegated means that the request was passed on to another entry. It carries what
+	// became of it there.
+	Delegated Decision = "delegated"
 	// Ended means that an attempt ended. It carries the outcome.
 	Ended Decision = "ended"
 	// Answered means that a server's response goes to the caller.
@@ -35,7 +42,7 @@
 
 // Decisions returns every decision.
 func Decisions() []Decision {
-	return []Decision{Received, Chosen, Hedged, Ended, Answered, Refused}
+	return []Decision{Received, LeftOut, Chosen, Hedged, Delegated, Ended, Answered, Refused}
 }
 
 const (
@@ -150,10 +157,35 @@
 
 // traceReceived records the request and its route.
 func (c *call) traceReceived() {
-	c.trace.add(Received, "route", c.route.Name, "service", c.service, "version", c.version,
+	from := ""
+	if c.hop != nil {
+		from = c.hop.from
+	}
+	c.trace.add(Received, "from", from, "route", c.route.Name, "service", c.service, "version", c.version,
 		"configuration", c.view.Table.Version, "deadline-ms", c.deadline.Sub(c.arrived).Milliseconds())
 }
 
+// leftOut holds the ids of the servers that an attempt left out, the first maxLeftOut of
+// each kind.
+type leftOut struct{ leaving, paused []string }
+
+// maxLeftOut bounds the servers that are named in a log line.
+const maxLeftOut = 8
+
+func appendName(names []string, name string) []string {
+	if len(names) < maxLeftOut {
+		names = append(names, name)
+	}
+	return names
+}
+
+// traceLeftOut records the servers that the attempt leaves out, if any.
+func (c *call) traceLeftOut() {
+	if len(c.leftOut.leaving)+len(c.leftOut.paused) > 0 {
+		c.trace.add(LeftOut, "leaving", strings.Join(c.leftOut.leaving, " "), "paused", strings.Join(c.leftOut.paused, " "))
+	}
+}
+
 // traceChosen records a picked server with the state that it reported just
 // before.
 func (c *call) traceChosen(d Decision, p *picked) {
--- /dev/null
+++ b/entry/delegator/delegator.go
@@ -0,0 +1,375 @@
+// Package delegator passes requests on to other entries, for an entry that reaches no
+// backend server itself. It probes an entry over the connection that the request then
+// takes, as a balancer does with servers.
+package delegator
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"samphiremux/entry/refuser"
+	"samphiremux/entry/retrier"
+	"samphiremux/entry/roundtripper"
+	"samphiremux/pkg/describer"
+)
+
+// HealthPath is the path of the probes between entries, and ConfigurationParameter the
+// query parameter with the version of the configuration that the entry must have.
+const (
+	HealthPath             = "/.samphire/health"
+	ConfigurationParameter = "configuration"
+)
+
+// Headers between entries.
+const (
+	// HopHeader carries the id of the entry that passes a request on.
+	HopHeader = "Samphire-Hop"
+	// AttemptsHeader carries the number of attempts of a request that have reached
+	// backend servers.
+	AttemptsHeader = "Samphire-Attempts"
+	// ConfigurationHeader carries the version of the configuration by which a request
+	// was accepted.
+	ConfigurationHeader = "Samphire-Configuration"
+	// EntryHeader carries the id of the entry that answers a probe.
+	EntryHeader = "Samphire-Entry"
+	// OutcomeHeader tells what a response is: Passed, or a refusal as in
+	// refuser.Refusal.Header.
+	OutcomeHeader = "Samphire-Outcome"
+	// LeavingHeader carries the id of the server that sent a response, if it is shutting
+	// down.
+	LeavingHeader = "Samphire-Leaving-Server"
+	// RetryHeader carries the time after which a refused request may be served, as a Go
+	// duration. It is missing if that is not known.
+	RetryHeader = "Samphire-Retry"
+)
+
+// Passed is the value of OutcomeHeader for the response of a backend server.
+const Passed = "passed"
+
+const (
+	// probesPerRound is the number of entries that are probed at once.
+	probesPerRound = 2
+	// maxRounds bounds the rounds of probes for one request.
+	maxRounds = 8
+	// probeTimeout bounds the wait for the response to a probe, and roundTimeout the
+	// wait until the next round starts.
+	probeTimeout = 60 * time.Millisecond
+	roundTimeout = 10 * time.Millisecond
+	// avoidTime is the time for which an entry is probed last after it failed a probe or
+	// lost a request.
+	avoidTime = time.Second
+	// maxTries bounds the entries that may turn one request down.
+	maxTries = 3
+	// unreachedTime is the time for which no entry is probed after none took requests.
+	unreachedTime = 100 * time.Millisecond
+)
+
+// Peer is another entry that takes requests.
+type Peer struct {
+	ID     string
+	Domain string
+	// Address is where it listens for requests of other entries.
+	Address string
+}
+
+// Options configures a Delegator.
+type Options struct {
+	// Self is the id of this entry, and Domain its failure domain.
+	Self   string
+	Domain string
+	// RequestID is the name of the header with the id of a request.
+	RequestID string
+	// Peers returns the other entries that may be running.
+	Peers func() []Peer
+	Dial  func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// Request is a request that is passed on.
+type Request struct {
+	roundtripper.Request
+	// Attempts is the number of attempts that have reached backend servers.
+	Attempts int
+	// Configuration is the version of the configuration by which it was accepted.
+	Configuration int64
+}
+
+// Result is what became of a request: Responded, Refused, Lost or Unreached.
+type Result interface{ result() }
+
+// Responded is the response of a backend server that another entry has passed on.
+type Responded struct {
+	Entry    string
+	Response *roundtripper.Response
+	// Leaving is the id of the server if it is shutting down, or empty.
+	Leaving string
+}
+
+// Refused is the refusal of another entry.
+type Refused struct {
+	Entry   string
+	Refusal refuser.Refusal
+}
+
+// Lost is a request that another entry took without a complete response. It may have run.
+type Lost struct {
+	Entry   string
+	Outcome retrier.Outcome
+}
+
+// Unreached is a request that no other entry took.
+type Unreached struct{}
+
+func (Responded) result() {}
+func (Refused) result()   {}
+func (Lost) result()      {}
+func (Unreached) result() {}
+
+// Delegator passes requests on to other entries. It is safe for concurrent use.
+type Delegator struct {
+	opts Options
+
+	mu    sync.Mutex
+	peers map[Peer]*peerState
+	// unreachedUntil is the time until which no entry is probed.
+	unreachedUntil time.Time
+}
+
+// peerState is what this entry keeps of another one.
+type peerState struct {
+	Peer
+	*roundtripper.Client
+
+	mu         sync.Mutex
+	avoidUntil time.Time
+}
+
+func (p *peerState) avoid(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.avoidUntil = now.Add(avoidTime)
+}
+
+func (p *peerState) avoided(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.avoidUntil)
+}
+
+// New returns a delegator without connections.
+func New(o Options) *Delegator { return &Delegator{opts: o, peers: map[Peer]*peerState{}} }
+
+// headers returns the headers of responses between entries.
+func (d *Delegator) headers() roundtripper.Headers {
+	return roundtripper.Headers{
+		RequestID: d.opts.RequestID, Instance: EntryHeader, Signature: OutcomeHeader,
+		ReadLoad:          func(http.Header) (describer.Load, bool) { return describer.Load{}, false },
+		ReadRateLimit:     func(http.Header) describer.RateLimit { return describer.RateLimit{} },
+		ReadColdRemaining: func(http.Header) time.Duration { return 0 },
+		ReadLeaving:       func(http.Header) bool { return false },
+		ReadPause:         func(time.Time, http.Header) describer.Pause { return describer.Pause{} },
+	}
+}
+
+// Send passes a request on until ctx is done. An entry that turns it down unsent makes
+// room for the next one.
+func (d *Delegator) Send(ctx context.Context, r Request) Result {
+	r.Header.Set(HopHeader, d.opts.Self)
+	r.Header.Set(AttemptsHeader, strconv.Itoa(r.Attempts))
+	r.Header.Set(ConfigurationHeader, strconv.FormatInt(r.Configuration, 10))
+	var last Result = Unreached{}
+	var tried []*peerState
+	for len(tried) < maxTries {
+		p, conn := d.pick(ctx, r.Configuration, tried)
+		if p == nil {
+			return last
+		}
+		tried = append(tried, p)
+		last = p.send(ctx, conn, r)
+		switch result := last.(type) {
+		case Responded:
+			return result
+		case Lost:
+			if ctx.Err() != context.Canceled {
+				p.avoid(time.Now())
+			}
+			return result
+		case Refused:
+			if result.Refusal.Kind != refuser.NotRun {
+				return result
+			}
+			switch result.Refusal.Reason {
+			case refuser.BackendUnreachable:
+				// It reaches servers, but none of this service.
+				continue
+			case refuser.UnreachableServers, refuser.NoDocument, refuser.Stopping:
+			default:
+				return result
+			}
+		}
+		p.avoid(time.Now())
+	}
+	return last
+}
+
+// send sends a request to one entry.
+func (p *peerState) send(ctx context.Context, conn *roundtripper.Conn, r Request) Result {
+	resp, outcome := p.Send(ctx, conn, r.Request)
+	switch {
+	case !retrier.MayHaveRun(outcome):
+		return Unreached{}
+	case resp == nil:
+		return Lost{Entry: p.ID, Outcome: outcome}
+	}
+	told, leaving := resp.Header.Get(OutcomeHeader), resp.Header.Get(LeavingHeader)
+	resp.Header.Del(OutcomeHeader)
+	resp.Header.Del(LeavingHeader)
+	if told == Passed {
+		return Responded{Entry: p.ID, Response: resp, Leaving: leaving}
+	}
+	refusal, err := refuser.ParseHeader(told)
+	if err != nil {
+		return Lost{Entry: p.ID, Outcome: retrier.Truncated{Cause: err}}
+	}
+	if wait, err := time.ParseDuration(resp.Header.Get(RetryHeader)); err == nil && wait > 0 {
+		refusal = refusal.WithRetryAt(time.Now().Add(wait))
+	}
+	return Refused{Entry: p.ID, Refusal: refusal}
+}
+
+// pick probes other entries until one answers that takes requests accepted by a version of
+// the configuration. It returns that entry and the connection of the probe, or nil if
+// there is none. Those that have turned the request down are left out.
+func (d *Delegator) pick(ctx context.Context, configuration int64, tried []*peerState) (*peerState, *roundtripper.Conn) {
+	path := fmt.Sprintf("%s?%s=%d", HealthPath, ConfigurationParameter, configuration)
+	candidates := d.candidates(time.Now(), tried)
+	probed := 0
+	for range maxRounds {
+		if len(candidates) == 0 || ctx.Err() != nil {
+			break
+		}
+		n := min(probesPerRound, len(candidates))
+		if p, conn := probe(ctx, path, candidates[:n]); p != nil {
+			return p, conn
+		}
+		candidates = candidates[n:]
+		probed += n
+	}
+	if probed > 0 && ctx.Err() == nil && len(tried) == 0 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.unreachedUntil = time.Now().Add(unreachedTime)
+	}
+	return nil, nil
+}
+
+// candidates returns the other entries in random order, those of the own failure domain
+// first, and those that failed lately last. Entries of domains in which one has turned the
+// request down come after others.
+func (d *Delegator) candidates(now time.Time, tried []*peerState) (candidates []*peerState) {
+	peers := d.opts.Peers()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now.Before(d.unreachedUntil) {
+		return nil
+	}
+	for _, p := range peers {
+		state, ok := d.peers[p]
+		if !ok {
+			state = &peerState{Peer: p, Client: roundtripper.New(p.ID, p.Address, func(ctx context.Context) (net.Conn, error) {
+				return d.opts.Dial(ctx, p.Address)
+			}, d.headers())}
+			d.peers[p] = state
+		}
+		if !slices.Contains(tried, state) {
+			candidates = append(candidates, state)
+		}
+	}
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	rank := map[*peerState]int{}
+	for _, p := range candidates {
+		if p.Domain != d.opts.Domain {
+			rank[p]++
+		}
+		if slices.ContainsFunc(tried, func(t *peerState) bool { return t.Domain == p.Domain }) {
+			rank[p] += 2
+		}
+		if p.avoided(now) {
+			rank[p] += 4
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *peerState) int { return rank[a] - rank[b] })
+	return candidates
+}
+
+// probed is the result of a probe.
+type probed struct {
+	peer *peerState
+	conn *roundtripper.Conn
+}
+
+// probe probes entries at once, and returns the first that takes requests.
+func probe(ctx context.Context, path string, batch []*peerState) (*peerState, *roundtripper.Conn) {
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	results := make(chan probed, len(batch))
+	for _, p := range batch {
+		go func() {
+			_, conn, err := p.Probe(probeCtx, path)
+			if err != nil {
+				conn = nil
+				if probeCtx.Err() != context.Canceled {
+					p.avoid(time.Now())
+				}
+			}
+			results <- probed{p, conn}
+		}()
+	}
+	limit := time.NewTimer(roundTimeout)
+	defer limit.Stop()
+	pending := len(batch)
+	defer func() { go release(results, pending, cancel) }()
+	for pending > 0 {
+		select {
+		case r := <-results:
+			pending--
+			if r.conn != nil {
+				return r.peer, r.conn
+			}
+		case <-limit.C:
+			return nil, nil
+		}
+	}
+	return nil, nil
+}
+
+// release releases the connections of n probes that end later.
+func release(results <-chan probed, n int, cancel context.CancelFunc) {
+	defer cancel()
+	for range n {
+		if r := <-results; r.conn != nil {
+			r.peer.Release(r.conn)
+		}
+	}
+}
+
+// CloseExpired closes connections that have been idle for too long, and those to entries
+// that are gone.
+func (d *Delegator) CloseExpired(now time.Time) {
+	peers := d.opts.Peers()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for p, state := range d.peers {
+		if slices.Contains(peers, p) {
+			state.CloseExpired(now)
+			continue
+		}
+		state.Close()
+		delete(d.peers, p)
+	}
+}
--- a/entry/refuser/refuser.go
+++ b/entry/refuser/refuser.go
@@ -6,6 +6,9 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
+	"time"
 )
 
 // RefusalHeader is the response header with the kind and reason of a refusal, such as
@@ -54,8 +57,16 @@
 	// RateLimitedServers means that only servers are available that state a rate limit,
 	// and that this entry has used up its part of it.
 	RateLimitedServers Reason = "servers-rate-limited"
+	// UnreachableServers means that this entry reaches no backend server of any service,
+	// and that no other entry took the request.
+	UnreachableServers Reason = "servers-unreachable"
+	// Outdated means that the configuration in force has no route for the request, and
+	// that a newer one may have.
+	Outdated Reason = "configuration-outdated"
 	// Stopping means that the entry stops and might not complete the request.
 	Stopping Reason = "stopping"
+	// PausedServers means that every server asked this entry for a pause.
+	PausedServers Reason = "servers-paused"
 )
 
 // Reasons for refusals of kind OutcomeUnknown.
@@ -75,7 +86,7 @@
 	return []Reason{
 		BackendUnreachable, BackendShedding, BadRequest, BodyTooLarge, CallerDisconnected, CallerOverShare, DeadlinePassed,
 		DeadlineTooNear, EntryUnreachable, HeadersTooLarge, Isolated, KeyFromFuture, Misdirected, NoBackendServer, NoDocument,
-		NoSuchRoute, NoSuchService, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, RateLimitedServers, Stopping, Suspect,
+		NoSuchRoute, NoSuchService, Outdated, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, PausedServers, RateLimitedServers, Stopping, Suspect, UnreachableServers,
 	}
 }
 
@@ -93,6 +104,8 @@
 	Kind   Kind
 	Reason Reason
 	Detail string
+	// RetryAt is the time at which the caller may be served. It is zero if unknown.
+	RetryAt time.Time
 }
 
 // NewNotRun returns a refusal of a request that certainly did not run.
@@ -107,6 +120,12 @@
 	return r
 }
 
+// WithRetryAt returns a copy with the time at which the caller may be served.
+func (r Refusal) WithRetryAt(t time.Time) Refusal {
+	r.RetryAt = t
+	return r
+}
+
 func (r Refusal) Error() string {
 	if r.Detail == "" {
 		return fmt.Sprintf("%s: %s", r.Kind, r.Reason)
@@ -117,6 +136,23 @@
 // Header returns the value of RefusalHeader.
 func (r Refusal) Header() string { return fmt.Sprintf("%s; reason=%s", r.Kind, r.Reason) }
 
+// ErrInvalidHeader reports a value of RefusalHeader that cannot be parsed.
+type ErrInvalidHeader struct{ Value string }
+
+func (e ErrInvalidHeader) Error() string { return fmt.Sprintf("%q is not a refusal", e.Value) }
+
+// ParseHeader returns the refusal with a value of RefusalHeader, or ErrInvalidHeader.
+func ParseHeader(value string) (Refusal, error) {
+	kind, reason, ok := strings.Cut(value, "; reason=")
+	r := Refusal{Kind: Kind(kind), Reason: Reason(reason)}
+	known := r.Kind == NotRun && slices.Contains(NotRunReasons(), r.Reason) ||
+		r.Kind == OutcomeUnknown && slices.Contains(OutcomeUnknownReasons(), r.Reason)
+	if !ok || !known {
+		return Refusal{}, ErrInvalidHeader{Value: value}
+	}
+	return r, nil
+}
+
 // Status returns the HTTP status code of the refusal.
 func (r Refusal) Status() int {
 	switch r.Reason {
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -12,6 +12,7 @@
 
 	"samphiremux/entry/balancer"
 	"samphiremux/entry/chooser"
+	"samphiremux/entry/delegator"
 	"samphiremux/entry/drainer"
 	"samphiremux/entry/enroller"
 	"samphiremux/entry/expirer"
@@ -51,6 +52,10 @@
 	// stopMargin is the part of the grace period that is reserved for the exit of the
 	// process.
 	stopMargin = 200 * time.Millisecond
+	// answeredWindow is the time for which a backend server counts as answering after its
+	// last response. Within it, an entry with a few requests a second probes each server of
+	// its failure domain.
+	answeredWindow = 5 * time.Second
 	// maxLocateTTL is the time for which callers may cache the list of entries, unless
 	// the settings allow less.
 	maxLocateTTL = 2 * time.Second
@@ -66,6 +71,7 @@
 	reflector         *reflector.Reflector
 	enroller          *enroller.Enroller
 	balancer          *balancer.Balancer
+	delegator         *delegator.Delegator
 	expirer           *expirer.Expirer
 	connectionsClosed *meter.CounterVec
 	roller            *roller.Roller
@@ -75,29 +81,46 @@
 	drainer           *drainer.Drainer
 }
 
-// movePrefix is the key prefix of move records.
-const movePrefix = translator.ProjectKeyPrefix + "moves/"
+const (
+	// movePrefix is the key prefix of move records.
+	movePrefix = translator.ProjectKeyPrefix + "moves/"
+	// entryPrefix is the key prefix of the entries' registrations.
+	entryPrefix = translator.ProjectKeyPrefix + "entries/"
+)
 
-func newEntry(s translator.Settings, policy chooser.Policy, log hclog.Logger) *entry {
-	d := dialer()
+// registration returns the registration of an entry that starts with the settings.
+func registration(s translator.Settings) tracker.Member {
+	return tracker.Member{
+		ID: s.ID, Domain: s.Domain, Address: s.CallerAddress, LinkAddress: s.LinkAddress, DelegationAddress: s.DelegationAddress,
+		Incarnation: strconv.FormatUint(rand.Uint64(), 36),
+	}
+}
+
+// dialFunc opens a connection to an address.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func newEntry(s translator.Settings, policy chooser.Policy, dial dialFunc, log hclog.Logger) *entry {
 	e := &entry{
 		id: s.ID, log: log, metrics: meter.New(), expirer: expirer.New(time.Now), stopping: make(chan struct{}), drainer: drainer.New(),
 		pool: linker.NewPool(func(ctx context.Context, address string) (net.Conn, error) {
-			return d.DialContext(ctx, "tcp", address)
+			return dial(ctx, "tcp", address)
 		}),
 	}
 	e.settings.Store(&s)
 	headers := roundtripper.Headers{
 		RequestID: translator.HeaderRequestID, Instance: translator.HeaderInstance, NotExecuted: translator.HeaderNotExecuted,
 		Signature: translator.HeaderSignature, ReadLoad: translator.Load, ReadRateLimit: translator.RateLimit, ReadColdRemaining: translator.ColdLeft,
+		ReadLeaving: translator.IsLeaving, ReadPause: translator.Pause,
 	}
 	e.snapshots = snapshotter.New(func(server describer.Server) *snapshotter.ServerState {
 		address := server.Address.String()
-		return snapshotter.NewServerState(roundtripper.New(server.ID, address, func(ctx context.Context) (net.Conn, error) {
-			return d.DialContext(ctx, "tcp", address)
+		state := snapshotter.NewServerState(roundtripper.New(server.ID, address, func(ctx context.Context) (net.Conn, error) {
+			return dial(ctx, "tcp", address)
 		}, headers))
+		state.OnChange(func(n roundtripper.Notice) { logNotice(log, server.ID, n) })
+		return state
 	})
-	store := storeadapter.New(d.DialContext, "http://"+s.StoreAddress)
+	store := storeadapter.New(storeadapter.Dialer(dial), "http://"+s.StoreAddress)
 	e.reflector = reflector.New(reflector.Options{
 		Store: store, FetchFromPeers: e.fetchFromPeers, HoldTime: e.holdTime, Sink: e.applyChange, Log: log.Named("feeder"),
 		IsRelay:  func() bool { return e.enroller.IsRelay() },
@@ -105,11 +128,8 @@
 		OnChange: func() { e.enroller.HeartbeatNow() },
 	})
 	e.enroller = enroller.New(time.Now(), enroller.Options{
-		Self: tracker.Member{
-			ID: s.ID, Domain: s.Domain, Address: s.CallerAddress, LinkAddress: s.LinkAddress,
-			Incarnation: strconv.FormatUint(rand.Uint64(), 36),
-		},
-		Store: store, Prefix: translator.ProjectKeyPrefix + "entries/", Pool: e.pool, Seeds: func() []string { return e.settings.Load().Peers }, Log: log.Named("enroller"),
+		Self:  registration(s),
+		Store: store, Prefix: entryPrefix, Pool: e.pool, Seeds: func() []string { return e.settings.Load().Peers }, Log: log.Named("enroller"),
 		StoreCache: e.reflector,
 	})
 	e.roller = roller.New(roller.Options{
@@ -118,8 +138,12 @@
 		Pool: e.pool, Exposure: e.exposureLimit,
 		EncodeStatus: translator.EncodeMoveStatus, Log: log.Named("roller"),
 	})
+	e.delegator = delegator.New(delegator.Options{
+		Self: s.ID, Domain: s.Domain, RequestID: translator.HeaderRequestID, Peers: e.delegationPeers,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) },
+	})
 	e.balancer = balancer.New(balancer.Options{
-		Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, EntryCount: e.enroller.MemberCount, Rank: e.enroller.Rank, Log: log.Named("steerer"),
+		Self: s.ID, Delegator: e.delegator, Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, Outdated: e.isOutdated, EntryCount: e.enroller.MemberCount, Rank: e.enroller.Rank, Log: log.Named("steerer"),
 		OnAttempt: e.roller.Observe, MayTake: e.drainer.MayTake,
 		Headers: balancer.Headers{
 			RequestID: translator.HeaderRequestID, Instance: translator.HeaderExpectInstance, ReadDeadline: translator.ReadDeadline,
@@ -148,6 +172,12 @@
 		}
 		return 0
 	})
+	e.metrics.Gauge("servers_reached", "1 if any backend server answers this entry.", func() float64 {
+		if e.balancer.ReachesServers() {
+			return 1
+		}
+		return 0
+	})
 	e.metrics.Gauge("relay", "1 if the entry watches the store for its failure domain.", func() float64 {
 		if e.enroller.IsRelay() {
 			return 1
@@ -168,28 +198,53 @@
 		return 0
 	})
 	e.metrics.Gauge("rate_limited_servers", "Backend servers that state a rate limit.", func() float64 {
-		n := 0
-		for _, servers := range e.snapshots.Snapshot().Services {
-			for _, b := range servers {
-				if b.State.Snapshot(time.Now()).RateLimit.Stated {
-					n++
-				}
-			}
-		}
-		return float64(n)
+		return e.countServers(func(_ *snapshotter.Snapshot, b snapshotter.Backend) bool {
+			return b.State.Snapshot(time.Now()).RateLimit.Stated
+		})
+	})
+	e.metrics.Gauge("leaving_servers", "Registered backend servers that are leaving by their responses.", func() float64 {
+		return e.countServers(func(_ *snapshotter.Snapshot, b snapshotter.Backend) bool { return b.State.Leaving() })
+	})
+	e.metrics.Gauge("paused_servers", "Registered backend servers that asked this entry for a pause.", func() float64 {
+		return e.countServers(func(_ *snapshotter.Snapshot, b snapshotter.Backend) bool {
+			return b.State.Snapshot(time.Now()).Paused
+		})
 	})
 	e.metrics.Gauge("backend_servers", "Backend servers that may get work.", func() float64 {
-		snap := e.snapshots.Snapshot()
-		n := 0
-		for _, servers := range snap.Services {
-			for _, b := range servers {
-				if snap.Eligible(b) {
-					n++
-				}
+		return e.countServers(func(snap *snapshotter.Snapshot, b snapshotter.Backend) bool {
+			return snap.Eligible(b) && !b.State.Leaving()
+		})
+	})
+	e.metrics.Gauge("answering_backend_servers", "Backend servers that may get work and answered this entry in the last 5 s.", func() float64 {
+		now := time.Now()
+		return e.countServers(func(snap *snapshotter.Snapshot, b snapshotter.Backend) bool {
+			return snap.Eligible(b) && !b.State.Leaving() && now.Sub(b.State.Snapshot(now).HeardAt) < answeredWindow
+		})
+	})
+}
+
+// countServers returns the number of backend servers that match.
+func (e *entry) countServers(match func(*snapshotter.Snapshot, snapshotter.Backend) bool) float64 {
+	snap := e.snapshots.Snapshot()
+	n := 0
+	for _, servers := range snap.Services {
+		for _, b := range servers {
+			if match(snap, b) {
+				n++
 			}
 		}
-		return float64(n)
-	})
+	}
+	return float64(n)
+}
+
+// delegationPeers returns the other entries that take requests from this one.
+func (e *entry) delegationPeers() (peers []delegator.Peer) {
+	for _, m := range e.enroller.UsableMembers(time.Now()) {
+		if m.ID != e.id && m.DelegationAddress != "" {
+			peers = append(peers, delegator.Peer{ID: m.ID, Domain: m.Domain, Address: m.DelegationAddress})
+		}
+	}
+	return peers
 }
 
 // retryLimits returns the retry budget in force.
@@ -198,6 +253,11 @@
 	return balancer.Limits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}
 }
 
+// isOutdated reports whether another entry may know a newer configuration.
+func (e *entry) isOutdated() bool {
+	return e.reflector.Outdated(time.Now(), translator.ConfigurationKey)
+}
+
 // exposureLimit returns the bounds of a faulty version's requests in force.
 func (e *entry) exposureLimit() roller.ExposureLimit {
 	b := e.settings.Load().Bounds
--- a/steer/commander/stop_test.go
+++ b/steer/commander/stop_test.go
@@ -102,6 +102,8 @@
 		RequestID: idHeader, Instance: "Instance", NotExecuted: "Not-Run", Signature: "Signature",
 		ReadLoad:          func(http.Header) (describer.Load, bool) { return describer.Load{Slots: 100, Slowness: 1}, true },
 		ReadRateLimit:     func(http.Header) describer.RateLimit { return describer.RateLimit{} },
+		ReadLeaving:       func(http.Header) bool { return false },
+		ReadPause:         func(time.Time, http.Header) describer.Pause { return describer.Pause{} },
 		ReadColdRemaining: func(http.Header) time.Duration { return 0 },
 	}
 	snapshots := snapshotter.New(func(server describer.Server) *snapshotter.ServerState {
@@ -239,7 +241,7 @@
 		go func() { results <- r.send(start, l) }()
 	}
 	time.Sleep(time.Until(start))
-	is.NoErr(e.stop(callers, l))
+	is.NoErr(e.stop(servers{callers: callers, delegated: e.server(e.balancer), listener: l}))
 	exit := time.Since(start)
 	is.True(exit < period)
 	_ = callers.Close() // as the exit of the process does
@@ -297,7 +299,9 @@
 		l := newPipeListener()
 		callers := e.callerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 		go func() { _ = callers.Serve(l) }()
-		go func() { _ = e.drain(callers, l, func(ctx context.Context) { <-ctx.Done() }) }()
+		go func() {
+			_ = e.drain(servers{callers: callers, delegated: e.server(e.balancer), listener: l}, func(ctx context.Context) { <-ctx.Done() })
+		}()
 		time.Sleep(2900 * time.Millisecond)
 		is.True(l.get(context.Background()))
 		time.Sleep(200 * time.Millisecond)
@@ -364,7 +368,7 @@
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		_ = e.stop(callers, l)
+		_ = e.stop(servers{callers: callers, delegated: e.server(e.balancer), listener: l})
 		_ = callers.Close()
 	}()
 	time.Sleep(200 * time.Millisecond)
