--- a/entry/enroller/heartbeat.go
+++ b/entry/enroller/heartbeat.go
@@ -25,6 +25,8 @@
 	// to 22 entries take half of a link of 10 Mbit/s. Entries read larger values from
 	// the store, and watch it themselves while more changes than that come.
 	maxChangeBytes = 8 << 10
+	// fullBytes is the size from which the changes of a heartbeat may have been cut short.
+	fullBytes = maxChangeBytes - 512
 )
 
 // IsRelay reports whether this entry watches the store for the other entries of its
@@ -244,7 +246,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.relayUntil = now.Add(relayTimeout)
-	if len(b.Omitted) == 0 && b.Size() > maxChangeBytes/2 {
+	if len(b.Omitted) == 0 && b.Size() > fullBytes {
 		e.relayUntil = now
 	}
 }
