--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -78,6 +78,8 @@
 	// AvoidServer names a server that an earlier attempt used. It is chosen only if
 	// no other server is left that is not ejected.
 	AvoidServer string
+	// NoWait states that the request must not wait in the queue.
+	NoWait bool
 }
 
 // Dispatcher is the state of one service at one entry. Its methods may be called
@@ -224,6 +226,11 @@
 		d.mu.Unlock()
 		return nil, refusal
 	}
+	if r.NoWait {
+		d.unserved = true
+		d.mu.Unlock()
+		return nil, refusalOf(refuser.UnreachableServers)
+	}
 	done := make(chan result, 1)
 	item := &queuer.Item{Caller: r.Caller, Importance: r.Importance, Deadline: r.Deadline}
 	item.OnReady = func() { done <- d.serveQueued(r, version) }
@@ -516,7 +523,8 @@
 	now := d.now()
 	p.state.end(p.start)
 	d.recordContact(now, o)
-	if !d.blameless(p.start, o) {
+	blameless := d.blameless(p.start, o)
+	if !blameless {
 		p.state.recordOutcome(now, p.start, o, failedResponse, d.mean.Value())
 	}
 	_, answered := o.(retrier.Answered)
@@ -525,7 +533,7 @@
 		d.mean.Add(latency)
 		d.recordLatency(now, latency)
 	}
-	p.observe(now, failedResponse || (!answered && retrier.MayHaveRun(o)), false)
+	p.observe(now, failedResponse || (!answered && !blameless && retrier.MayHaveRun(o)), blameless)
 	d.drainQueues(now)
 }
 
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -56,9 +56,6 @@
 	// last response. Within it, an entry with a few requests a second probes each server of
 	// its failure domain.
 	answeredWindow = 5 * time.Second
-	// connectionInterval is the time between two looks for open connections of callers
-	// while the entry stops.
-	connectionInterval = 20 * time.Millisecond
 	// maxLocateTTL is the time for which callers may cache the list of entries, unless
 	// the settings allow less.
 	maxLocateTTL = 2 * time.Second
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -13,6 +13,7 @@
 
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/delegator"
+	"samphiremux/entry/drainer"
 	"samphiremux/entry/expirer"
 	"samphiremux/pkg/linker"
 	"samphiremux/platform/translator"
@@ -144,7 +145,7 @@
 	time.Sleep(time.Until(now.Add(period / 2)))
 	// A shutdown would close a connection on which a request has just been read.
 	_ = s.listener.Close()
-	e.awaitConnections(grace)
+	drainer.AwaitClosed(grace, e.expirer.Open)
 	if err := errors.Join(s.callers.Shutdown(grace), s.delegated.Shutdown(grace)); err != nil {
 		e.log.Warn("Grace period ended with open connections.", "connections", e.expirer.Open(), "error", err)
 	}
@@ -156,19 +157,6 @@
 	return nil
 }
 
-// awaitConnections waits until callers have no open connection, or ctx ends.
-func (e *entry) awaitConnections(ctx context.Context) {
-	t := time.NewTicker(connectionInterval)
-	defer t.Stop()
-	for e.expirer.Open() > 0 {
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 func (e *entry) isStopping() bool {
 	select {
 	case <-e.stopping:
