--- a/entry/assembler/assembler.go
+++ b/entry/assembler/assembler.go
@@ -16,9 +16,11 @@
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 
+	"samphiremux/entry/checker"
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/collector"
 	"samphiremux/entry/coordinator"
+	"samphiremux/entry/drainer"
 	"samphiremux/entry/forwarder"
 	"samphiremux/entry/granter"
 	"samphiremux/entry/heartbeater"
@@ -115,9 +117,11 @@
 	// pool holds the link connections to other entries.
 	pool *linker.Pool
 	// http serves callers.
-	http      *http.Server
-	registrar spawner.Actor
-	cancel    context.CancelFunc
+	http        *http.Server
+	drainer     *drainer.Drainer
+	connections drainer.Connections
+	registrar   spawner.Actor
+	cancel      context.CancelFunc
 	// wg counts the background goroutines that are not actors.
 	wg sync.WaitGroup
 }
@@ -134,7 +138,7 @@
 	metrics := collector.New()
 	node := reconciler.New(reconciler.Options{Self: self, Policy: id.Policy, Seed: id.Seed, Now: deps.Now, Metrics: metrics})
 	e := &Entry{
-		node: node, deps: deps, identity: id,
+		node: node, deps: deps, identity: id, drainer: drainer.New(),
 		spawner: spawner.New(deps.Log, metrics),
 		servers: sender.New(deps.DialServer),
 		probes:  sender.New(deps.DialServer),
@@ -185,7 +189,11 @@
 	reg := registrar.New(e.node, e.deps.Store, e.identity.Environment, log.Named("registrar"))
 	beat := heartbeater.New(e.node, e.pool, deriveRand(rng), fetch)
 	report := reporter.New(e.node, e.pool, owner)
-	grant := granter.New(e.node, e.probe, func(r granter.ProbeResult) { granterActor.TrySend(r) }, log.Named("granter"))
+	checks := checker.New(e.node, e.servers.Reachable, func(sv *reconciler.Service) {
+		e.closeIdle(sv)
+		reporterActor.Trigger()
+	}, rand.New(rand.NewPCG(e.identity.Seed, 2)), log.Named("checker"))
+	grant := granter.New(e.node, e.probe, checks.Reaches, func(r granter.ProbeResult) { granterActor.TrySend(r) }, log.Named("granter"))
 	coord := coordinator.New(e.node, e.deps.Store, owner, e.identity.Environment, e.deps.Announce, log.Named("coordinator"))
 
 	heartbeaterActor = e.spawner.Spawn("beater", func(m any) { beat.Receive(ctx, m) })
@@ -194,6 +202,8 @@
 	notifierActor := e.spawner.Spawn("teller", func(m any) { notify.Receive(ctx, m) })
 	notify.Send = notifierActor.Send
 	e.node.OnRollback(notify.NotifyRollback)
+	checkerActor := e.spawner.Spawn("checker", func(m any) { checks.Receive(ctx, m) })
+	e.node.OnDoubt(checkerActor.Trigger)
 	watcherActor = e.spawner.Spawn("follower", func(m any) { watch.Receive(ctx, m) })
 	e.registrar = e.spawner.Spawn("registrar", func(m any) { reg.Receive(ctx, m) })
 	coordinatorActor := e.spawner.Spawn("coordinator", func(m any) { coord.Receive(ctx, m) })
@@ -204,10 +214,20 @@
 	e.tickEvery(ctx, granterActor, granter.ProbeCheckInterval, rng)
 	e.tickEvery(ctx, e.registrar, registrar.Interval, rng)
 	e.tickEvery(ctx, coordinatorActor, coordinator.Interval, rng)
+	e.tickEvery(ctx, checkerActor, checker.Interval, rng)
 	e.wg.Go(func() { watch.Run(ctx, watcherActor.Send) })
 	e.wg.Go(func() { _ = linker.Serve(ctx, e.deps.LinkListener, linkhandler.New(e.node, owner, fetch)) })
 	e.wg.Go(func() { e.pollVMs(ctx) })
-	e.serveCallers(notify)
+	e.serveCallers(notify, checks)
+}
+
+// closeIdle closes the idle connections to the servers of a service, which may lose all
+// data since the entry was cut off.
+func (e *Entry) closeIdle(sv *reconciler.Service) {
+	for _, srv := range sv.Spec.Servers {
+		e.servers.CloseIdle(srv.Address)
+		e.probes.CloseIdle(srv.Address)
+	}
 }
 
 // tickEvery sends an actor a Tick at the given interval, with jitter.
@@ -217,14 +237,15 @@
 }
 
 // serveCallers serves locate queries and forwards all other requests.
-func (e *Entry) serveCallers(notify forwarder.Notifier) {
+func (e *Entry) serveCallers(notify forwarder.Notifier, checks *checker.Checker) {
 	mux := http.NewServeMux()
 	mux.Handle(locator.Path, locator.New(e.node))
-	mux.Handle("/", forwarder.New(e.node, e.servers, e.peers, notify, e.deps.Log.Named("forwarder")))
+	mux.Handle("/", forwarder.New(e.node, e.servers, e.peers, notify, e.drainer.MayTake, checks.Reaches, e.deps.Log.Named("forwarder")))
 	e.http = &http.Server{
 		Handler: mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog:       e.deps.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		MaxHeaderBytes: maxHeaderBytes, ConnState: e.connections.ConnState,
+		BaseContext: func(net.Listener) context.Context { return e.drainer.Requests() },
+		ErrorLog:    e.deps.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	e.wg.Go(func() { _ = e.http.Serve(e.deps.CallerListener) })
 }
@@ -277,9 +298,9 @@
 
 // Stop shuts the entry down gracefully. The entry deregisters and is no longer
 // named in locate answers, but keeps serving until the answers that name it have
-// expired, since callers may use them until then. It then waits up to drainTimeout
-// for the requests in flight and aborts those that remain. If ctx ends, Stop skips
-// the remaining waits.
+// expired, since callers may use them until then. It then closes its listener, waits up
+// to drainTimeout until callers have no more connections, and ends the requests that
+// remain. If ctx ends, Stop skips the remaining waits.
 func (e *Entry) Stop(ctx context.Context) {
 	e.node.WithTracker(func(now time.Time, t *tracker.Tracker) bool {
 		t.SetStopping()
@@ -297,7 +318,12 @@
 	}
 	drainCtx, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
-	_ = e.http.Shutdown(drainCtx)
+	exit, _ := drainCtx.Deadline()
+	e.drainer.Begin(time.Now(), exit)
+	// A shutdown would close a connection on which a request has just been read.
+	_ = e.deps.CallerListener.Close()
+	e.http.SetKeepAlivesEnabled(false)
+	drainer.AwaitClosed(drainCtx, e.connections.Open)
 	e.Kill()
 }
 
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -13,8 +13,10 @@
 	"github.com/hashicorp/go-hclog"
 
 	"samphiremux/entry/chooser"
+	"samphiremux/entry/delegator"
 	"samphiremux/entry/estimator"
 	"samphiremux/entry/meter"
+	"samphiremux/entry/monitor"
 	"samphiremux/entry/quarantiner"
 	"samphiremux/entry/snapshotter"
 	"samphiremux/entry/throttler"
@@ -41,6 +43,8 @@
 
 // Options configures a Balancer.
 type Options struct {
+	// Self is the id of this entry.
+	Self    string
 	Domain  string
 	Policy  chooser.Policy
 	Headers Headers
@@ -48,6 +52,9 @@
 	RetryLimits func() Limits
 	// Snapshot returns the current snapshot.
 	Snapshot func() *snapshotter.Snapshot
+	// Outdated reports whether a newer configuration than the one in force may exist. It
+	// may be nil.
+	Outdated func() bool
 	// EntryCount returns the number of entries that share the limits, this one
 	// included.
 	EntryCount func() int
@@ -55,6 +62,9 @@
 	// a server, and the number of entries. Entries that know the same entries agree on
 	// the order, which differs from server to server.
 	Rank func(server string) (rank, entries int)
+	// MayTake reports whether a request with this deadline may still be passed on. It may
+	// be nil.
+	MayTake func(deadline time.Time) bool
 	// OnAttempt is called with each attempt that was sent, once it has ended. It
 	// may be nil.
 	OnAttempt func(Attempt)
@@ -62,6 +72,9 @@
 	// it ran a request, and how many crashes this entry has seen for it. It may be
 	// nil.
 	NotifySuspect func(service string, fingerprint quarantiner.Fingerprint, crashes int)
+	// Delegator passes requests on to other entries while this one reaches no backend
+	// server. It may be nil.
+	Delegator *delegator.Delegator
 	// Metrics registers the metrics of the request path. It may be nil.
 	Metrics *meter.Registry
 	Log     hclog.Logger
@@ -84,6 +97,7 @@
 type Balancer struct {
 	opts    Options
 	metrics metrics
+	monitor monitor.Monitor
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -98,6 +112,9 @@
 	// suspects has no element for a service until one of its servers crashes
 	// under a request.
 	suspects map[string]*quarantiner.Suspects
+	// unreachableUntil is the time until which requests of a service are not passed on to
+	// other entries, since one of them did not reach its servers either.
+	unreachableUntil map[string]time.Time
 }
 
 // routeStats holds the running means of a route's responses.
@@ -114,6 +131,9 @@
 	if opts.OnAttempt == nil {
 		opts.OnAttempt = func(Attempt) {}
 	}
+	if opts.MayTake == nil {
+		opts.MayTake = func(time.Time) bool { return true }
+	}
 	if opts.NotifySuspect == nil {
 		opts.NotifySuspect = func(string, quarantiner.Fingerprint, int) {}
 	}
@@ -124,6 +144,7 @@
 		opts: opts, metrics: newMetrics(opts.Metrics), rng: rng, chooser: chooser.New(opts.Policy, rng),
 		badLines: lineBucket{perSecond: badLinesPerSecond}, goodLines: lineBucket{perSecond: goodLinesPerSecond},
 		budgets: map[string]*throttler.RetryBudget{}, routes: map[string]*routeStats{}, draws: map[string]float64{}, suspects: map[string]*quarantiner.Suspects{},
+		unreachableUntil: map[string]time.Time{},
 	}
 }
 
@@ -132,10 +153,13 @@
 const deadlineSlack = 20 * time.Millisecond
 
 // ServeHTTP implements http.Handler.
-func (b *Balancer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c, refusal := b.receive(w, r)
+func (b *Balancer) ServeHTTP(w http.ResponseWriter, r *http.Request) { b.serve(w, r, nil) }
+
+// serve serves a request of a caller, or one that another entry passes on.
+func (b *Balancer) serve(w http.ResponseWriter, r *http.Request, h *hop) {
+	c, refusal := b.receive(w, r, h)
 	if refusal != nil {
-		b.refuse(w, r, *refusal, &trace{})
+		b.refuse(w, r, h, *refusal, &trace{})
 		return
 	}
 	c.traceReceived()
@@ -143,11 +167,16 @@
 	defer cancel()
 	resp, refusal := b.run(ctx, c)
 	if refusal != nil {
-		b.refuse(w, r, b.withRetryTime(time.Now(), c, *refusal), &c.trace)
+		b.refuse(w, r, h, b.withRetryTime(time.Now(), c, *refusal), &c.trace)
 		return
 	}
 	c.trace.add(Answered, "status", resp.Status, "took-ms", time.Since(c.arrived).Milliseconds())
-	b.countAnswered(c, resp.Status)
+	if c.delegated == "" {
+		b.countAnswered(c, resp.Status)
+	}
 	b.flush(c.id, &c.trace, c.metObjective(resp.Status))
+	if h != nil {
+		b.writeHopHeaders(c, resp)
+	}
 	b.writeResponse(w, resp)
 }
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -24,6 +24,7 @@
 
 	"samphiremux/entry/balancer"
 	"samphiremux/entry/chooser"
+	"samphiremux/entry/meter"
 	"samphiremux/entry/quarantiner"
 	"samphiremux/entry/roundtripper"
 	"samphiremux/entry/snapshotter"
@@ -40,6 +41,9 @@
 	// rateLimit is the value of the header that states a rate limit. Empty means that
 	// there is none.
 	rateLimit string
+	// respondProbe responds to a probe in place of the usual response. It returns false to break
+	// the connection.
+	respondProbe func(w io.Writer) bool
 	// healthHeader holds further header lines of responses to probes, each with its end.
 	healthHeader string
 	// probeDelay is the time that the server takes to answer a probe.
@@ -56,6 +60,8 @@
 	// arrivedAt holds the arrival times of the requests.
 	arrivedAt []time.Time
 	crashed   bool
+	// silent makes new connections hang.
+	silent bool
 }
 
 func (b *backend) isCrashed() bool {
@@ -73,6 +79,12 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
+		if req.URL.Path == "/health" && b.respondProbe != nil {
+			if !b.respondProbe(c) {
+				return
+			}
+			continue
+		}
 		if req.URL.Path == "/health" {
 			b.mu.Lock()
 			running, limit, header := b.running, b.rateLimit, b.healthHeader
@@ -107,11 +119,18 @@
 	return err == nil
 }
 
-func respondShed(w io.Writer, _ string) bool {
-	_, err := io.WriteString(w, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+func respondShed(w io.Writer, id string) bool {
+	_, err := fmt.Fprintf(w, "HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
 	return err == nil
 }
 
+// respondRefusalOfAnother answers a request with an earlier refusal once more, and breaks
+// the connection.
+func respondRefusalOfAnother(w io.Writer, _ string) bool {
+	_, _ = io.WriteString(w, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	return false
+}
+
 func respondError(w io.Writer, id string) bool {
 	_, err := fmt.Fprintf(w, "HTTP/1.1 500 Internal Server Error\r\nId: %s\r\nSignature: s\r\nContent-Length: 0\r\n\r\n", id)
 	return err == nil
@@ -121,10 +140,14 @@
 
 // fixture is a balancer in front of scripted backend servers.
 type fixture struct {
+	// outdated reports that a newer configuration may exist.
+	outdated bool
+
 	t           *testing.T
 	balancer    *balancer.Balancer
 	snapshotter *snapshotter.Snapshotter
 	backends    []*backend
+	metrics     *meter.Registry
 
 	mu      sync.Mutex
 	conns   []net.Conn
@@ -167,17 +190,21 @@
 
 // newEntryFixture returns the fixture of one of several entries that share the backends.
 func newEntryFixture(t *testing.T, entry uint64, policy chooser.Policy, backends ...*backend) *fixture {
-	f := &fixture{t: t, backends: backends}
+	f := &fixture{t: t, backends: backends, metrics: meter.New()}
 	byID := map[string]*backend{}
 	for _, b := range backends {
 		byID[b.id] = b
 	}
 	f.snapshotter = snapshotter.New(func(s describer.Server) *snapshotter.ServerState {
-		return snapshotter.NewServerState(roundtripper.New(s.ID, s.Address.String(), func(context.Context) (net.Conn, error) {
+		return snapshotter.NewServerState(roundtripper.New(s.ID, s.Address.String(), func(ctx context.Context) (net.Conn, error) {
 			b, ok := byID[s.ID]
 			if !ok || b.isCrashed() {
 				return nil, syscall.ECONNREFUSED
 			}
+			if b.silent {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
 			clientConn, serverConn := net.Pipe()
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -203,7 +230,7 @@
 		})
 	}
 	f.balancer = balancer.New(balancer.Options{
-		Domain: "a", Policy: policy, Snapshot: f.snapshotter.Snapshot, EntryCount: func() int { return fixtureEntries }, Rank: func(server string) (int, int) { return rankOf(entry, server), fixtureEntries }, Log: hclog.NewNullLogger(),
+		Domain: "a", Policy: policy, Snapshot: f.snapshotter.Snapshot, Outdated: func() bool { return f.outdated }, EntryCount: func() int { return fixtureEntries }, Rank: func(server string) (int, int) { return rankOf(entry, server), fixtureEntries }, Log: hclog.NewNullLogger(), Metrics: f.metrics,
 		RetryLimits: func() balancer.Limits { return balancer.Limits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second} },
 		NotifySuspect: func(_ string, fingerprint quarantiner.Fingerprint, crashes int) {
 			f.mu.Lock()
@@ -272,6 +299,7 @@
 		{"a request that the server shed is retried", http.MethodPost, "/book/1", respondShed, 503, 2},
 		{"an idempotent request whose connection broke is retried", http.MethodGet, "/look/1", breakConn, 502, 2},
 		{"another request whose connection broke is not retried", http.MethodPost, "/book/1", breakConn, 502, 1},
+		{"another request that the server answers with an earlier refusal is not retried", http.MethodPost, "/book/1", respondRefusalOfAnother, 502, 1},
 		{"no such route", http.MethodGet, "/else/1", respondOK, 404, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -322,6 +350,23 @@
 	}
 }
 
+// TestRouteOfNewerConfiguration guards against 404 for a route of a configuration that
+// this entry has not read yet.
+func TestRouteOfNewerConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, chooser.ExpectedCompletion{}, servers(1, respondOK)...)
+		f.outdated = true
+		w := f.send(http.MethodGet, "/else/1", "r1")
+		is.Equal(w.Code, http.StatusServiceUnavailable)
+		is.True(w.Header().Get("Retry-After") != "")
+		is.Equal(f.send(http.MethodGet, "/look/1", "r2").Code, http.StatusOK)
+		f.outdated = false
+		is.Equal(f.send(http.MethodGet, "/else/1", "r3").Code, http.StatusNotFound)
+		f.close()
+	})
+}
+
 func TestNoConfiguration(t *testing.T) {
 	is := is.New(t)
 	s := balancer.New(balancer.Options{
--- a/entry/balancer/pause.go
+++ b/entry/balancer/pause.go
@@ -44,7 +44,7 @@
 // withRetryTime adds the time at which the caller may be served to a refusal, if all
 // servers are paused. Callers are spread over some time after it.
 func (b *Balancer) withRetryTime(now time.Time, c *call, r refuser.Refusal) refuser.Refusal {
-	if r.Status() != http.StatusServiceUnavailable {
+	if r.Status() != http.StatusServiceUnavailable || !r.RetryAt.IsZero() {
 		return r
 	}
 	first, allPaused := b.resumption(now, c)
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -153,7 +153,8 @@
 // response.
 func (b *Balancer) probeRound(ctx context.Context, view *snapshotter.Snapshot, service string, batch []candidate) (results []probeResult) {
 	path := view.Table.Services[service].HealthPath
-	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	// Probes go on when the request ends first, so that servers that do not answer count.
+	probeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	pending := make(chan probeResult, len(batch))
 	for _, cand := range batch {
 		go func() {
@@ -198,17 +199,22 @@
 	result := "ok"
 	if err != nil {
 		result = "error"
+		b.metrics.failedProbes.With(string(failureOf(ctx, err))).Inc()
 	}
 	b.metrics.probes.With(result).Inc()
 	switch {
 	case err == nil:
 		cand.State.ObserveProbe(now, h)
 		b.observeRateLimit(now, cand.Backend, h.RateLimit)
+		b.observeReached()
 	case isWrongInstance(err):
 		cand.State.SetLeaving()
-	case ctx.Err() == context.Canceled:
-		// The request ended first, which says nothing about the server.
+		b.observeReached()
+	case responded(err):
+		cand.State.Eject(now)
+		b.observeReached()
 	default:
 		cand.State.Eject(now)
+		b.observeUnreached(cand.ID)
 	}
 }
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -1,9 +1,11 @@
 package balancer
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -28,7 +30,13 @@
 	id       string
 	tried    map[string]bool
 	leftOut  leftOut
-	trace    trace
+	// hop is nil for a request that comes from a caller.
+	hop *hop
+	// server is the id of the server whose response goes to the caller.
+	server string
+	// delegated is the id of the entry that the request was passed on to.
+	delegated string
+	trace     trace
 }
 
 func notRun(reason refuser.Reason) *refuser.Refusal {
@@ -36,19 +44,23 @@
 	return &r
 }
 
-// receive reads a request, checks its size and matches its route.
-func (b *Balancer) receive(w http.ResponseWriter, r *http.Request) (*call, *refuser.Refusal) {
+// receive reads a request, checks its size and matches its route. The size of a request
+// that another entry passes on has been checked there.
+func (b *Balancer) receive(w http.ResponseWriter, r *http.Request, h *hop) (*call, *refuser.Refusal) {
 	now := time.Now()
 	view := b.opts.Snapshot()
-	if view.Table == nil {
+	if view.Table == nil || (h != nil && view.Table.Version < h.configuration) {
 		return nil, notRun(refuser.NoDocument)
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
-	if limit := view.Table.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
+	if limit := view.Table.Limits.HeaderBytes; h == nil && limit > 0 && headerBytes(r) > limit {
 		return nil, notRun(refuser.HeadersTooLarge)
 	}
 	route, ok := view.Table.Match(r.Host, path)
-	if !ok {
+	switch {
+	case !ok && b.opts.Outdated != nil && b.opts.Outdated():
+		return nil, notRun(refuser.Outdated)
+	case !ok:
 		return nil, notRun(refuser.NoSuchRoute)
 	}
 	id := r.Header.Get(b.opts.Headers.RequestID)
@@ -59,19 +71,31 @@
 	if remaining, ok := b.opts.Headers.ReadDeadline(r.Header); ok {
 		timeout = min(timeout, remaining)
 	}
-	body, refusal := readBody(w, r, view.Table.Limits.BodyBytes)
+	deadline := now.Add(timeout)
+	if !b.opts.MayTake(deadline) {
+		return nil, notRun(refuser.Stopping)
+	}
+	bodyLimit := view.Table.Limits.BodyBytes
+	if h != nil {
+		bodyLimit = 0
+	}
+	body, refusal := readBody(w, r, bodyLimit)
 	if refusal != nil {
 		return nil, refusal
 	}
+	if !b.opts.MayTake(deadline) {
+		return nil, notRun(refuser.Stopping)
+	}
 	service := route.PickService(b.draw(route.Name))
 	return &call{
 		route: route, service: service, version: view.Splits[service].PickVersion(b.draw("version of " + service)),
-		view: view, arrived: now, deadline: now.Add(timeout), method: r.Method, host: r.Host, target: r.RequestURI,
-		header: endToEndHeader(r.Header), body: body, id: id, tried: map[string]bool{},
+		view: view, arrived: now, deadline: deadline, method: r.Method, host: r.Host, target: r.RequestURI,
+		header: endToEndHeader(r.Header), body: body, id: id, tried: map[string]bool{}, hop: h,
 	}, nil
 }
 
-// readBody reads the whole body within the limit of the configuration.
+// readBody reads the whole body within the limit of the configuration, until the context
+// of the request ends.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refuser.Refusal) {
 	if r.ContentLength == 0 {
 		return nil, nil
@@ -82,6 +106,8 @@
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
+	stop := context.AfterFunc(r.Context(), func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
+	defer stop()
 	var body []byte
 	var err error
 	if r.ContentLength > 0 {
@@ -94,6 +120,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, notRun(refuser.BodyTooLarge)
+	case errors.Is(err, os.ErrDeadlineExceeded) && r.Context().Err() != nil:
+		return nil, notRun(refuser.Stopping)
 	case err != nil:
 		// The caller has disconnected, or its framing is malformed.
 		return nil, notRun(refuser.CallerDisconnected)
--- a/entry/balancer/response.go
+++ b/entry/balancer/response.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"samphiremux/entry/delegator"
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/roundtripper"
 )
@@ -13,23 +14,31 @@
 const (
 	// queueRetryAfter is long enough for a queue of a few requests to drain.
 	queueRetryAfter = 50 * time.Millisecond
-	// unconfiguredRetryAfter is for an entry that has no configuration yet.
+	// unconfiguredRetryAfter is for an entry that has no configuration yet, or not the
+	// newest.
 	unconfiguredRetryAfter = 300 * time.Millisecond
+	// unreachableRetryAfter is for an entry that reaches no backend server. It exceeds
+	// the time between two checks whether it does again.
+	unreachableRetryAfter = 300 * time.Millisecond
 )
 
 func retryAfter(now time.Time, refusal refuser.Refusal) time.Duration {
 	if refusal.RetryAt.After(now) {
 		return refusal.RetryAt.Sub(now)
 	}
-	if refusal.Reason == refuser.NoDocument {
+	switch refusal.Reason {
+	case refuser.NoDocument, refuser.Outdated:
 		return unconfiguredRetryAfter
+	case refuser.UnreachableServers:
+		return unreachableRetryAfter
+	default:
+		return queueRetryAfter
 	}
-	return queueRetryAfter
 }
 
-// refuse answers a caller whose request is refused. If the caller has
-// disconnected, it aborts the connection.
-func (b *Balancer) refuse(w http.ResponseWriter, r *http.Request, refusal refuser.Refusal, t *trace) {
+// refuse answers a caller, or the entry that passes the request on, whose request is
+// refused. If it has disconnected, it aborts the connection.
+func (b *Balancer) refuse(w http.ResponseWriter, r *http.Request, h *hop, refusal refuser.Refusal, t *trace) {
 	b.metrics.refusals.With(string(refusal.Kind), string(refusal.Reason)).Inc()
 	if refusal.Reason == refuser.CallerDisconnected {
 		t.add(Refused, "kind", string(refusal.Kind), "reason", string(refusal.Reason))
@@ -43,15 +52,22 @@
 	if status == http.StatusServiceUnavailable {
 		b.opts.Headers.SetRetryAfter(w.Header(), retryAfter(time.Now(), refusal))
 	}
+	if h != nil {
+		w.Header().Set(delegator.OutcomeHeader, refusal.Header())
+		if !refusal.RetryAt.IsZero() {
+			w.Header().Set(delegator.RetryHeader, time.Until(refusal.RetryAt).String())
+		}
+	}
 	w.Header().Set(b.opts.Headers.RequestID, r.Header.Get(b.opts.Headers.RequestID))
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 	inputs := []any{"kind", string(refusal.Kind), "reason", string(refusal.Reason), "status", status}
-	if table := b.opts.Snapshot().Table; refusal.Reason == refuser.NoSuchRoute && table != nil {
+	noRoute := refusal.Reason == refuser.NoSuchRoute || refusal.Reason == refuser.Outdated
+	if table := b.opts.Snapshot().Table; noRoute && table != nil {
 		inputs = append(inputs, "host", r.Host, "configuration", table.Version)
 	}
 	t.add(Refused, inputs...)
-	b.flush(r.Header.Get(b.opts.Headers.RequestID), t, refusal.Reason == refuser.NoSuchRoute)
+	b.flush(r.Header.Get(b.opts.Headers.RequestID), t, noRoute)
 }
 
 // writeResponse writes a server's response to the caller. If a streamed
--- a/entry/balancer/trace.go
+++ b/entry/balancer/trace.go
@@ -29,6 +29,9 @@
 	Chosen Decision = "chosen"
 	// Hedged means that a second server was picked to hedge the first.
 	Hedged Decision = "hedged"
+	// Delegated means that the request was passed on to another entry. It carries what
+	// became of it there.
+	Delegated Decision = "delegated"
 	// Ended means that an attempt ended. It carries the outcome.
 	Ended Decision = "ended"
 	// Answered means that a server's response goes to the caller.
@@ -39,7 +42,7 @@
 
 // Decisions returns every decision.
 func Decisions() []Decision {
-	return []Decision{Received, LeftOut, Chosen, Hedged, Ended, Answered, Refused}
+	return []Decision{Received, LeftOut, Chosen, Hedged, Delegated, Ended, Answered, Refused}
 }
 
 const (
@@ -154,7 +157,11 @@
 
 // traceReceived records the request and its route.
 func (c *call) traceReceived() {
-	c.trace.add(Received, "route", c.route.Name, "service", c.service, "version", c.version,
+	from := ""
+	if c.hop != nil {
+		from = c.hop.from
+	}
+	c.trace.add(Received, "from", from, "route", c.route.Name, "service", c.service, "version", c.version,
 		"configuration", c.view.Table.Version, "deadline-ms", c.deadline.Sub(c.arrived).Milliseconds())
 }
 
--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"samphiremux/entry/chooser"
+	"samphiremux/entry/detector"
 	"samphiremux/entry/estimator"
 	"samphiremux/entry/limiter"
 	"samphiremux/entry/quarantiner"
@@ -77,6 +78,8 @@
 	// AvoidServer names a server that an earlier attempt used. It is chosen only if
 	// no other server is left that is not ejected.
 	AvoidServer string
+	// NoWait states that the request must not wait in the queue.
+	NoWait bool
 }
 
 // Dispatcher is the state of one service at one entry. Its methods may be called
@@ -104,6 +107,12 @@
 	// responses counts the successful responses since the start.
 	responses int
 	observer  Observer
+	contact   *detector.Contact
+	// onDoubt is called when a check of the contact becomes due. It may be nil.
+	onDoubt func()
+	// unserved is true if requests went to other entries since the last report, since
+	// this one holds no grants.
+	unserved bool
 }
 
 // Observer is notified how each attempt ended. Observe is called with the
@@ -137,6 +146,7 @@
 		queues:    map[string]*queuer.Queue{},
 		budget:    retrier.NewBudget(0),
 		suspects:  quarantiner.New(),
+		contact:   detector.New(now()),
 		rotatedAt: now(),
 		latencies: hdrhistogram.NewWindowed(histogramWindows, minLatencyMicroseconds,
 			maxLatency.Microseconds(), histogramDigits),
@@ -180,7 +190,7 @@
 	}
 	if s.placement.DomainOut && !placement.DomainOut {
 		s.allotment = limiter.NewAllotment(now)
-		s.suspectCold = true
+		s.suspectCold, s.suspectedAt = true, time.Time{}
 		s.failures, s.ejections, s.ejectedUntil = 0, 0, time.Time{}
 	}
 }
@@ -216,6 +226,11 @@
 		d.mu.Unlock()
 		return nil, refusal
 	}
+	if r.NoWait {
+		d.unserved = true
+		d.mu.Unlock()
+		return nil, refusalOf(refuser.UnreachableServers)
+	}
 	done := make(chan result, 1)
 	item := &queuer.Item{Caller: r.Caller, Importance: r.Importance, Deadline: r.Deadline}
 	item.OnReady = func() { done <- d.serveQueued(r, version) }
@@ -224,8 +239,9 @@
 		d.mu.Unlock()
 		return nil, refusalOf(reason)
 	}
+	silent := d.contact.Silent()
 	d.mu.Unlock()
-	return d.await(ctx, q, item, r.Deadline, done)
+	return d.await(ctx, q, item, r.Deadline, done, silent)
 }
 
 // result is the permit for a queued request, or nil if the chooser found no server. Then
@@ -242,8 +258,11 @@
 }
 
 // await waits for the permit of a queued request. A permit that arrives together
-// with the deadline or the end of ctx is abandoned.
-func (d *Dispatcher) await(ctx context.Context, q *queuer.Queue, item *queuer.Item, deadline time.Time, done <-chan result) (*Permit, *refuser.Refusal) {
+// with the deadline, the end of ctx or the loss of contact with the servers is
+// abandoned.
+func (d *Dispatcher) await(
+	ctx context.Context, q *queuer.Queue, item *queuer.Item, deadline time.Time, done <-chan result, silent <-chan struct{},
+) (*Permit, *refuser.Refusal) {
 	timer := time.NewTimer(deadline.Sub(d.now()))
 	defer timer.Stop()
 	reason := refuser.DeadlinePassed
@@ -254,6 +273,8 @@
 		}
 	case <-ctx.Done():
 		reason = refuser.CallerDisconnected
+	case <-silent:
+		reason = refuser.UnreachableServers
 	case <-timer.C:
 	}
 	d.mu.Lock()
@@ -501,14 +522,18 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	p.state.end(p.start)
-	p.state.recordOutcome(now, p.start, o, failedResponse, d.mean.Value())
+	d.recordContact(now, o)
+	blameless := d.blameless(p.start, o)
+	if !blameless {
+		p.state.recordOutcome(now, p.start, o, failedResponse, d.mean.Value())
+	}
 	_, answered := o.(retrier.Answered)
 	latency := now.Sub(p.start)
 	if answered && !failedResponse {
 		d.mean.Add(latency)
 		d.recordLatency(now, latency)
 	}
-	p.observe(now, failedResponse || (!answered && retrier.MayHaveRun(o)), false)
+	p.observe(now, failedResponse || (!answered && !blameless && retrier.MayHaveRun(o)), blameless)
 	d.drainQueues(now)
 }
 
--- a/entry/sender/sender.go
+++ b/entry/sender/sender.go
@@ -59,6 +59,9 @@
 	transportContinueTimeout = 24 * time.Hour
 )
 
+// errLost ends attempts at servers that cannot be reached any more.
+var errLost = errors.New("no server can be reached")
+
 // Dialer opens a connection to a backend server.
 type Dialer func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 
@@ -101,7 +104,11 @@
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 			defer cancel()
-			return s.dial(ctx, address)
+			c, err := s.dial(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: c}, nil
 		},
 		MaxConnsPerHost:        connections,
 		MaxIdleConnsPerHost:    connections,
@@ -166,6 +173,10 @@
 	// SheddingStatuses are the HTTP statuses by which the server refuses requests
 	// without running them.
 	SheddingStatuses []int
+	// Lost is closed when the servers cannot be reached any more. The attempt then ends
+	// unless it has been sent and must not be repeated, in which case the response may
+	// still come. It may be nil.
+	Lost <-chan struct{}
 	// Address is the address of the server.
 	Address netip.AddrPort
 	// MaxConnections bounds the connections to the server. It takes effect when the
@@ -200,10 +211,21 @@
 	RateLimit describer.RateLimit
 }
 
+// conn is a connection to a server.
+type conn struct {
+	net.Conn
+	// refused is set once the server has refused a request on the connection.
+	refused atomic.Bool
+}
+
 // attempt tracks the progress of one attempt.
 type attempt struct {
-	body        *requestBody // nil if the request has none
-	conn        atomic.Pointer[net.Conn]
+	body *requestBody // nil if the request has none
+	conn atomic.Pointer[net.Conn]
+	// mayDiscard is set if a connection on which a request was refused must not be used,
+	// and discarded if such a one was closed before anything was written.
+	mayDiscard  bool
+	discarded   atomic.Bool
 	confirmed   chan struct{} // closed on 100 Continue or the start of a response
 	confirmOnce sync.Once
 	started     atomic.Bool // a header was written
@@ -218,6 +240,11 @@
 			a.conn.Store(&info.Conn)
 			a.started.Store(false)
 			a.writeFailed.Store(false)
+			c, ok := info.Conn.(*conn)
+			a.discarded.Store(ok && a.mayDiscard && c.refused.Load())
+			if a.discarded.Load() {
+				_ = c.Close()
+			}
 		},
 		WroteHeaderField: func(string, []string) { a.started.Store(true) },
 		Got100Continue:   a.confirm,
@@ -239,10 +266,34 @@
 	}
 }
 
+// markRefused records that a request was refused on the connection. It reports whether
+// one was before.
+func (a *attempt) markRefused() (before bool) {
+	if p := a.conn.Load(); p != nil {
+		if c, ok := (*p).(*conn); ok {
+			return c.refused.Swap(true)
+		}
+	}
+	return false
+}
+
 // Send sends a request and waits for its response until ctx is done. The response is nil
 // unless the outcome is Answered or Shed.
 func (s *Sender) Send(ctx context.Context, r Request) (resp *Response, o retrier.Outcome) {
-	a := &attempt{confirmed: make(chan struct{})}
+	for {
+		resp, o, discarded := s.sendOnce(ctx, r)
+		if !discarded || ctx.Err() != nil {
+			return resp, o
+		}
+	}
+}
+
+// sendOnce is Send. Discarded is set if nothing was sent, because the transport chose a
+// connection that must not be used.
+func (s *Sender) sendOnce(ctx context.Context, r Request) (resp *Response, o retrier.Outcome, discarded bool) {
+	// Without an id, a copy of an earlier refusal on the connection looks like a refusal
+	// of this request.
+	a := &attempt{confirmed: make(chan struct{}), mayDiscard: !r.Idempotent && !r.EchoRequired}
 	sendCtx, cancel := context.WithCancelCause(httptrace.WithClientTrace(ctx, a.trace()))
 	req, expectsContinue := r.httpRequest(sendCtx, a)
 	p := s.pool(r.Address, r.MaxConnections)
@@ -254,14 +305,21 @@
 		stop := a.watchContinue(cancel)
 		defer stop()
 	}
+	if r.Lost != nil {
+		stop := a.watchLost(r, cancel)
+		defer stop()
+	}
 	httpResp, err := transport.RoundTrip(req)
 	if err != nil {
 		cancel(nil)
-		return nil, a.errorOutcome(ctx, expectsContinue, err)
+		if a.discarded.Load() {
+			return nil, retrier.NotSent{Cause: err}, true
+		}
+		return nil, a.errorOutcome(ctx, expectsContinue, err), false
 	}
 	s.observeHead(r, httpResp)
 	resp, o = r.readResponse(httpResp, a, cancel)
-	return resp, o
+	return resp, o, false
 }
 
 // observeHead reads what a response says of the server itself. A pause counts with status
@@ -334,6 +392,21 @@
 	return func() { timer.Stop() }
 }
 
+// watchLost cancels the attempt when r.Lost is closed, as described there.
+func (a *attempt) watchLost(r Request, cancel context.CancelCauseFunc) (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-r.Lost:
+			if r.Idempotent || !a.started.Load() {
+				cancel(errLost)
+			}
+		case <-done:
+		}
+	}()
+	return func() { close(done) }
+}
+
 // errorOutcome classifies an attempt without a response, and closes its connection.
 func (a *attempt) errorOutcome(ctx context.Context, expectsContinue bool, err error) retrier.Outcome {
 	defer a.closeConn()
@@ -360,6 +433,13 @@
 		cancel(nil)
 		return nil, retrier.Mismatched{Got: got}
 	}
+	isRefusal := slices.Contains(r.SheddingStatuses, httpResp.StatusCode) && httpResp.Header.Get(refuser.RefusalHeader) == ""
+	if isRefusal && a.markRefused() && a.mayDiscard {
+		// Another request was refused on the connection after this one had taken it.
+		a.closeConn()
+		cancel(nil)
+		return nil, retrier.Mismatched{}
+	}
 	body, err := io.ReadAll(io.LimitReader(httpResp.Body, MaxBufferedBytes+1))
 	if err != nil {
 		a.closeConn()
@@ -377,7 +457,7 @@
 	}
 	_ = httpResp.Body.Close()
 	cancel(nil)
-	if slices.Contains(r.SheddingStatuses, httpResp.StatusCode) && httpResp.Header.Get(refuser.RefusalHeader) == "" {
+	if isRefusal {
 		return resp, retrier.Shed{}
 	}
 	return resp, retrier.Answered{}
--- a/entry/snapshotter/backend.go
+++ b/entry/snapshotter/backend.go
@@ -111,6 +111,9 @@
 	// Leaving reports whether the server is shutting down or has lost its address
 	// to another server.
 	Leaving bool
+	// HeardAt is the time of the last response to a probe, or to a request with a load
+	// report.
+	HeardAt time.Time
 	// Paused reports whether the server asked for a pause that is not over.
 	Paused bool
 	// RecentFailures is the number of failed attempts, decayed exponentially with
@@ -129,7 +132,7 @@
 	_, paused := s.pause.ResumesAt(now)
 	return StateSnapshot{
 		InFlight: s.inFlight, Load: s.load, LoadFresh: !s.loadAt.IsZero() && now.Sub(s.loadAt) < loadMaxAge,
-		Cold: now.Before(s.coldUntil), ColdReady: s.coldLimiter.Ready(now), Ejected: now.Before(s.ejectedUntil), Leaving: s.leaving,
+		Cold: now.Before(s.coldUntil), ColdReady: s.coldLimiter.Ready(now), HeardAt: s.loadAt, Ejected: now.Before(s.ejectedUntil), Leaving: s.leaving,
 		Paused: paused, RecentFailures: s.decayedFailures(now), RateLimit: s.rateLimit,
 		RateLimitFresh: now.Sub(s.rateLimitAt) < rateLimitMaxAge,
 	}
@@ -206,6 +209,14 @@
 	s.ejectedUntil = now.Add(wait)
 }
 
+// Readmit ends an ejection, after the entry itself could not reach any server.
+func (s *ServerState) Readmit() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ejections = 0
+	s.ejectedUntil = time.Time{}
+}
+
 // observePause extends the pause of the server. It reports whether a pause has begun, or
 // one that does not hold as stated is due to be reported.
 func (s *ServerState) observePause(now time.Time, p describer.Pause) (changed bool) {
--- a/standin/fuzzer/generate.go
+++ b/standin/fuzzer/generate.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 )
 
 // ProfileCount is the number of fault profiles from which scripts are generated.
-const ProfileCount = 12
+const ProfileCount = 13
 
 // profiles lists the verbs that each shard draws more often than others. Verbs that only
 // the last profiles have, such as store-delay, are also kept out of allVerbs: a longer list
@@ -24,9 +26,25 @@
 	{"store-delay", "extra-answers", "repeat", "slow", "crash", "apply", "cross-answers", "lapse-all"},
 	{"limit", "limit", "unlimit", "slow", "drain", "turn-cold", "crash", "apply"},
 	{"store-restore", "store-restore", "apply", "apply", "domain-out", "domain-in", "move", "kill", "start", "store-down", "store-up", "cut-store", "mend-store"},
+	{
+		"cut-servers", "cut-servers", "cut-servers", "cut-servers", "mend-servers", "store-down", "store-up", "move", "drain", "kill",
+		"start", "slow", "apply",
+	},
 	{"shed", "shed", "shed", "drain", "undrain", "leave", "slow", "crash", "cut-answers", "store-down", "store-up", "move"},
 }
 
+// serverCutProfile is the index of the profile that partitions entries from all servers.
+const serverCutProfile = 11
+
+// ScriptLength returns the length of a shard's scripts. A partition from all servers is
+// judged only when it has lasted for serverCutNotice.
+func ScriptLength(shard int) time.Duration {
+	if shard%ProfileCount == serverCutProfile {
+		return 10 * time.Second
+	}
+	return 5 * time.Second
+}
+
 // allVerbs lists the verbs of the steps that do not follow the shard's profile.
 var allVerbs = []string{
 	"crash", "turn-cold", "slow", "drain", "undrain", "cut-answers", "cross-answers", "silence", "poison", "kill",
@@ -61,6 +79,11 @@
 			return drawServer(choose)
 		}
 		return strconv.Itoa(choose(1, 10))
+	case "cut-servers":
+		if index == 0 {
+			return strconv.Itoa(choose(1, entries))
+		}
+		return slices.Sorted(maps.Keys(serverPartitions))[choose(0, len(serverPartitions)-1)]
 	case "poison", "move":
 		return []string{"catalogue", "booking"}[choose(0, 1)]
 	case "domain-out", "domain-in":
--- a/standin/fuzzer/injected_bugs.go
+++ b/standin/fuzzer/injected_bugs.go
@@ -34,6 +34,7 @@
 		"hide-drain":     invNoNewWork,
 		"hide-pause":     invPause,
 		"forget-writes":  invConfig,
+		"cut-peers":      invServerCut,
 	}
 }
 
--- a/steer/commander/entry_test.go
+++ b/steer/commander/entry_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,7 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return newEntry(s, chooser.ExpectedCompletion{}, hclog.NewNullLogger()), file
+	return newEntry(s, chooser.ExpectedCompletion{}, dialer().DialContext, hclog.NewNullLogger()), file
 }
 
 // TestReload checks that a changed settings file takes effect in a running entry, and
@@ -100,8 +101,9 @@
 
 // pipeListener is a net.Listener of in-memory connections.
 type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
+	conns     chan net.Conn
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
 func newPipeListener() *pipeListener {
@@ -118,11 +120,7 @@
 }
 
 func (l *pipeListener) Close() error {
-	select {
-	case <-l.closed:
-	default:
-		close(l.closed)
-	}
+	l.closeOnce.Do(func() { close(l.closed) })
 	return nil
 }
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
@@ -165,7 +163,7 @@
 		start := time.Now()
 		ended := make(chan time.Duration, 1)
 		go func() {
-			_ = e.stop(callers)
+			_ = e.stop(servers{callers: callers, delegated: e.server(e.balancer), listener: l})
 			ended <- time.Since(start)
 		}()
 		time.Sleep(2900 * time.Millisecond)
