balancer, delegator: requests are passed on by the service whose servers are not reached

While new connections are refused and open ones live on, an entry keeps a few servers of a service, or those of another service only. Under high load the few were full, and requests were refused (deadline-too-near) although other entries reached free ones; three entries asked in vain blocked the service for 300 ms, and entries cut off themselves answered the probe between entries with 200, since another service still responded.

A request is now passed on as well if the servers that it reaches have no room and half of those probed or more do not respond. The probe between entries names the service, and an entry declines that has not reached its servers within 300 ms; no service is blocked otherwise.

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -112,9 +112,9 @@
 	// suspects has no element for a service until one of its servers crashes
 	// under a request.
 	suspects map[string]*quarantiner.Suspects
-	// unreachableUntil is the time until which requests of a service are not passed on to
-	// other entries, since one of them did not reach its servers either.
-	unreachableUntil map[string]time.Time
+	// unreachedUntil is the time until which requests of a service are not taken from
+	// other entries, since its servers were not reached.
+	unreachedUntil map[string]time.Time
 }
 
 // routeStats holds the running means of a route's responses.
@@ -144,7 +144,7 @@
 		opts: opts, metrics: newMetrics(opts.Metrics), rng: rng, chooser: chooser.New(opts.Policy, rng),
 		badLines: lineBucket{perSecond: badLinesPerSecond}, goodLines: lineBucket{perSecond: goodLinesPerSecond},
 		budgets: map[string]*throttler.RetryBudget{}, routes: map[string]*routeStats{}, draws: map[string]float64{}, suspects: map[string]*quarantiner.Suspects{},
-		unreachableUntil: map[string]time.Time{},
+		unreachedUntil: map[string]time.Time{},
 	}
 }
 
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -24,6 +24,7 @@
 
 	"samphiremux/entry/balancer"
 	"samphiremux/entry/chooser"
+	"samphiremux/entry/delegator"
 	"samphiremux/entry/meter"
 	"samphiremux/entry/quarantiner"
 	"samphiremux/entry/roundtripper"
@@ -142,6 +143,9 @@
 type fixture struct {
 	// outdated reports that a newer configuration may exist.
 	outdated bool
+	// peers are the other entries, and dialPeer connects to one.
+	peers    []delegator.Peer
+	dialPeer func(ctx context.Context, address string) (net.Conn, error)
 
 	t           *testing.T
 	balancer    *balancer.Balancer
@@ -230,6 +234,10 @@
 		})
 	}
 	f.balancer = balancer.New(balancer.Options{
+		Delegator: delegator.New(delegator.Options{
+			Self: "e0", Domain: "a", RequestID: "Id", Peers: func() []delegator.Peer { return f.peers },
+			Dial: func(ctx context.Context, address string) (net.Conn, error) { return f.dialPeer(ctx, address) },
+		}),
 		Domain: "a", Policy: policy, Snapshot: f.snapshotter.Snapshot, Outdated: func() bool { return f.outdated }, EntryCount: func() int { return fixtureEntries }, Rank: func(server string) (int, int) { return rankOf(entry, server), fixtureEntries }, Log: hclog.NewNullLogger(), Metrics: f.metrics,
 		RetryLimits: func() balancer.Limits { return balancer.Limits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second} },
 		NotifySuspect: func(_ string, fingerprint quarantiner.Fingerprint, crashes int) {
--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -21,9 +21,9 @@
 	delegatedUnreached = "unreached"
 )
 
-// unreachableTime is the time for which requests of a service are not passed on after
-// another entry did not reach its servers either.
-const unreachableTime = 300 * time.Millisecond
+// unreachedTime is the time for which no requests of a service are taken from other entries
+// after its servers were not reached.
+const unreachedTime = 300 * time.Millisecond
 
 // hop is what another entry tells of a request that it passes on.
 type hop struct {
@@ -65,7 +65,7 @@
 	table := b.opts.Snapshot().Table
 	w.Header().Set(delegator.EntryHeader, b.opts.Self)
 	w.Header().Set("Content-Length", "0")
-	if b.monitor.Isolated() || table == nil || table.Version < configuration {
+	if b.monitor.Isolated() || table == nil || table.Version < configuration || b.unreached(r.URL.Query().Get(delegator.ServiceParameter)) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -79,17 +79,37 @@
 		return false
 	}
 	switch reason {
-	case refuser.UnreachableServers:
+	case refuser.UnreachableServers, refuser.BackendUnreachable:
 		return true
-	case refuser.BackendUnreachable:
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		return !time.Now().Before(b.unreachableUntil[c.service])
+	case refuser.DeadlineTooNear, refuser.ColdServers, refuser.RateLimitedServers:
+		return c.mostlyUnreached()
 	default:
 		return false
 	}
 }
 
+// mostlyUnreached reports whether half of the servers that were probed for the last attempt
+// or more could not be reached, so that the others are no measure of the service.
+func (c *call) mostlyUnreached() bool { return c.probes > 0 && 2*c.unreached >= c.probes }
+
+// observePick records that no server was picked for a request, if that is because servers
+// are not reached. Requests of the service are not taken from other entries for some time.
+func (b *Balancer) observePick(c *call, reason refuser.Reason) {
+	if reason != refuser.BackendUnreachable && !c.mostlyUnreached() {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unreachedUntil[c.service] = time.Now().Add(unreachedTime)
+}
+
+// unreached reports whether the servers of a service were not reached lately.
+func (b *Balancer) unreached(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Now().Before(b.unreachedUntil[service])
+}
+
 // delegate passes a request on to another entry, after a reason not to send it to a server
 // from here. It reports whether the request may be tried again.
 func (b *Balancer) delegate(ctx context.Context, c *call, state *attempts, reason refuser.Reason) (resp *roundtripper.Response, refusal *refuser.Refusal, retry bool) {
@@ -106,11 +126,6 @@
 		if result.Refusal.Kind == refuser.OutcomeUnknown {
 			return nil, &result.Refusal, false
 		}
-		if result.Refusal.Reason == refuser.BackendUnreachable {
-			b.mu.Lock()
-			b.unreachableUntil[c.service] = time.Now().Add(unreachableTime)
-			b.mu.Unlock()
-		}
 		told := state.refusal(result.Refusal.Reason).WithRetryAt(result.Refusal.RetryAt)
 		return nil, &told, false
 	case delegator.Lost:
@@ -157,7 +172,7 @@
 	b.opts.Headers.SetDeadline(header, time.Until(c.deadline))
 	return b.opts.Delegator.Send(ctx, delegator.Request{
 		Request:  roundtripper.Request{Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id},
-		Attempts: sent, Configuration: c.view.Table.Version,
+		Attempts: sent, Configuration: c.view.Table.Version, Service: c.service,
 	})
 }
 
--- a/entry/balancer/pick.go
+++ b/entry/balancer/pick.go
@@ -151,6 +151,7 @@
 // pick picks the server for the next attempt. If there is none, it returns the
 // reason for a refusal.
 func (b *Balancer) pick(ctx context.Context, c *call) (*picked, refuser.Reason) {
+	c.probes, c.unreached = 0, 0
 	if b.monitor.Isolated() {
 		return nil, refuser.UnreachableServers
 	}
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -29,8 +29,13 @@
 	for probed < min(len(candidates), maxProbes) && ctx.Err() == nil {
 		batch := candidates[probed:min(len(candidates), probed+round)]
 		probed += len(batch)
+		c.probes += len(batch)
+		c.unreached += len(batch)
 		round = nextRoundProbes
 		for _, r := range b.probeRound(ctx, view, c.service, batch) {
+			if r.err == nil || responded(r.err) {
+				c.unreached--
+			}
 			p, cost, unusable := b.evaluate(c, est, r)
 			if unusable != "" {
 				reason = unusable
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -32,6 +32,10 @@
 	leftOut  leftOut
 	// hop is nil for a request that comes from a caller.
 	hop *hop
+	// probes is the number of servers that were probed for the last attempt, and unreached
+	// the number of those that did not respond in their round.
+	probes    int
+	unreached int
 	// server is the id of the server whose response goes to the caller.
 	server string
 	// delegated is the id of the entry that the request was passed on to.
--- a/entry/balancer/run.go
+++ b/entry/balancer/run.go
@@ -22,6 +22,7 @@
 		}
 		p, reason := b.pick(ctx, c)
 		if p == nil {
+			b.observePick(c, reason)
 			if !b.mayDelegate(c, reason) {
 				return nil, state.refusal(reason)
 			}
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -5,10 +5,10 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"sync"
@@ -20,11 +20,13 @@
 	"samphiremux/pkg/describer"
 )
 
-// HealthPath is the path of the probes between entries, and ConfigurationParameter the
-// query parameter with the version of the configuration that the entry must have.
+// HealthPath is the path of the probes between entries. Its query parameters tell the
+// version of the configuration that the entry must have, and the service whose servers it
+// must reach.
 const (
 	HealthPath             = "/.samphire/health"
 	ConfigurationParameter = "configuration"
+	ServiceParameter       = "service"
 )
 
 // Headers between entries.
@@ -98,6 +100,8 @@
 	Attempts int
 	// Configuration is the version of the configuration by which it was accepted.
 	Configuration int64
+	// Service is the service that the request is for.
+	Service string
 }
 
 // Result is what became of a request: Responded, Refused, Lost or Unreached.
@@ -137,8 +141,8 @@
 
 	mu    sync.Mutex
 	peers map[Peer]*peerState
-	// unreachedUntil is the time until which no entry is probed.
-	unreachedUntil time.Time
+	// unreachedUntil is the time until which no entry is probed for a service.
+	unreachedUntil map[string]time.Time
 }
 
 // peerState is what this entry keeps of another one.
@@ -163,7 +167,9 @@
 }
 
 // New returns a delegator without connections.
-func New(o Options) *Delegator { return &Delegator{opts: o, peers: map[Peer]*peerState{}} }
+func New(o Options) *Delegator {
+	return &Delegator{opts: o, peers: map[Peer]*peerState{}, unreachedUntil: map[string]time.Time{}}
+}
 
 // headers returns the headers of responses between entries.
 func (d *Delegator) headers() roundtripper.Headers {
@@ -186,7 +192,7 @@
 	var last Result = Unreached{}
 	var tried []*peerState
 	for len(tried) < maxTries {
-		p, conn := d.pick(ctx, r.Configuration, tried)
+		p, conn := d.pick(ctx, r, tried)
 		if p == nil {
 			return last
 		}
@@ -243,12 +249,14 @@
 	return Refused{Entry: p.ID, Refusal: refusal}
 }
 
-// pick probes other entries until one answers that takes requests accepted by a version of
-// the configuration. It returns that entry and the connection of the probe, or nil if
-// there is none. Those that have turned the request down are left out.
-func (d *Delegator) pick(ctx context.Context, configuration int64, tried []*peerState) (*peerState, *roundtripper.Conn) {
-	path := fmt.Sprintf("%s?%s=%d", HealthPath, ConfigurationParameter, configuration)
-	candidates := d.candidates(time.Now(), tried)
+// pick probes other entries until one answers that takes the request. It returns that entry
+// and the connection of the probe, or nil if there is none. Those that have turned the
+// request down are left out.
+func (d *Delegator) pick(ctx context.Context, r Request, tried []*peerState) (*peerState, *roundtripper.Conn) {
+	path := HealthPath + "?" + url.Values{
+		ConfigurationParameter: {strconv.FormatInt(r.Configuration, 10)}, ServiceParameter: {r.Service},
+	}.Encode()
+	candidates := d.candidates(time.Now(), r.Service, tried)
 	probed := 0
 	for range maxRounds {
 		if len(candidates) == 0 || ctx.Err() != nil {
@@ -264,7 +272,7 @@
 	if probed > 0 && ctx.Err() == nil && len(tried) == 0 {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.unreachedUntil = time.Now().Add(unreachedTime)
+		d.unreachedUntil[r.Service] = time.Now().Add(unreachedTime)
 	}
 	return nil, nil
 }
@@ -272,11 +280,11 @@
 // candidates returns the other entries in random order, those of the own failure domain
 // first, and those that failed lately last. Entries of domains in which one has turned the
 // request down come after others.
-func (d *Delegator) candidates(now time.Time, tried []*peerState) (candidates []*peerState) {
+func (d *Delegator) candidates(now time.Time, service string, tried []*peerState) (candidates []*peerState) {
 	peers := d.opts.Peers()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if now.Before(d.unreachedUntil) {
+	if now.Before(d.unreachedUntil[service]) {
 		return nil
 	}
 	for _, p := range peers {
