fuzzer: first tries are compared only while an entry can serve

First tries at partitioned entries now count only while a member of the subset is in touch and not partitioned.

--- a/standin/fuzzer/server_cuts.go
+++ b/standin/fuzzer/server_cuts.go
@@ -8,6 +8,7 @@
 
 	"samphiremux/standin/caller"
 	"samphiremux/standin/netemulator"
+	"samphiremux/standin/simulator"
 )
 
 const (
@@ -117,7 +118,7 @@
 	}
 	d, lasting := o.cutFor(entry, began)
 	switch {
-	case lasting && d >= serverCutNotice:
+	case lasting && d >= serverCutNotice && o.otherMember(service, began) && o.otherMember(service, time.Now()):
 		t.cut++
 		t.cutServed += n
 	case d == 0 && o.anyCut(began):
@@ -126,6 +127,19 @@
 	}
 }
 
+// otherMember reports whether a member of the service's subset is in touch and not
+// partitioned at a time, so that there is an entry that can serve.
+func (o *oracle) otherMember(service string, at time.Time) bool {
+	return slices.ContainsFunc(o.run.cluster.Entries, func(h *simulator.Host) bool {
+		if h.Entry == nil || at.Before(o.settledFrom[h.Address]) {
+			return false
+		}
+		snapshot := h.Entry.Node().Snapshot()
+		d, lasting := o.cutFor(h.Address, at)
+		return d == 0 && !lasting && snapshot != nil && snapshot.Services[service] != nil && snapshot.Services[service].InSubset
+	})
+}
+
 // anyCut reports whether an entry has been partitioned for serverCutNotice at a time.
 func (o *oracle) anyCut(at time.Time) bool {
 	for entry := range o.serverCuts {
