delegator: answers to probes that come after their round count

Entries on slow VMs may answer a probe between entries later than the 10 ms after which the next ones are probed.

Rounds overlap now, and an answer counts until the last one is over. TestLateAnswerToProbeTakenForNone failed before, with answers after 20 and 50 ms.

--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -58,8 +58,8 @@
 const (
 	// probesPerRound is the number of entries that are probed at once.
 	probesPerRound = 2
-	// maxRounds bounds the rounds of probes for one request.
-	maxRounds = 8
+	// maxProbes bounds the entries that are probed for one request.
+	maxProbes = 16
 	// probeTimeout bounds the wait for the response to a probe, and roundTimeout the
 	// wait until the next round starts.
 	probeTimeout = 60 * time.Millisecond
@@ -257,19 +257,14 @@
 		ConfigurationParameter: {strconv.FormatInt(r.Configuration, 10)}, ServiceParameter: {r.Service},
 	}.Encode()
 	candidates := d.candidates(time.Now(), r.Service, tried)
-	probed := 0
-	for range maxRounds {
-		if len(candidates) == 0 || ctx.Err() != nil {
-			break
-		}
-		n := min(probesPerRound, len(candidates))
-		if p, conn := probe(ctx, path, candidates[:n]); p != nil {
-			return p, conn
-		}
-		candidates = candidates[n:]
-		probed += n
+	candidates = candidates[:min(len(candidates), maxProbes)]
+	if len(candidates) == 0 {
+		return nil, nil
+	}
+	if p, conn := probe(ctx, path, candidates); p != nil {
+		return p, conn
 	}
-	if probed > 0 && ctx.Err() == nil && len(tried) == 0 {
+	if ctx.Err() == nil && len(tried) == 0 {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		d.unreachedUntil[r.Service] = time.Now().Add(unreachedTime)
@@ -322,26 +317,23 @@
 	conn *roundtripper.Conn
 }
 
-// probe probes entries at once, and returns the first that takes requests.
-func probe(ctx context.Context, path string, batch []*peerState) (*peerState, *roundtripper.Conn) {
-	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-	results := make(chan probed, len(batch))
-	for _, p := range batch {
-		go func() {
-			_, conn, err := p.Probe(probeCtx, path)
-			if err != nil {
-				conn = nil
-				if probeCtx.Err() != context.Canceled {
-					p.avoid(time.Now())
-				}
-			}
-			results <- probed{p, conn}
-		}()
+// probe probes entries in rounds, and returns the first that takes requests. Answers to
+// earlier rounds count until the last one is over.
+func probe(ctx context.Context, path string, candidates []*peerState) (*peerState, *roundtripper.Conn) {
+	results := make(chan probed, len(candidates))
+	pending := 0
+	startRound := func() {
+		n := min(probesPerRound, len(candidates))
+		for _, p := range candidates[:n] {
+			go func() { results <- p.probe(ctx, path) }()
+		}
+		candidates = candidates[n:]
+		pending += n
 	}
-	limit := time.NewTimer(roundTimeout)
-	defer limit.Stop()
-	pending := len(batch)
-	defer func() { go release(results, pending, cancel) }()
+	startRound()
+	next := time.NewTicker(roundTimeout)
+	defer next.Stop()
+	defer func() { go release(results, pending) }()
 	for pending > 0 {
 		select {
 		case r := <-results:
@@ -349,16 +341,32 @@
 			if r.conn != nil {
 				return r.peer, r.conn
 			}
-		case <-limit.C:
+			if pending == 0 {
+				startRound()
+			}
+		case <-next.C:
+			startRound()
+		case <-ctx.Done():
 			return nil, nil
 		}
 	}
 	return nil, nil
 }
 
-// release releases the connections of n probes that end later.
-func release(results <-chan probed, n int, cancel context.CancelFunc) {
+// probe probes one entry. It goes on when the request ends first.
+func (p *peerState) probe(ctx context.Context, path string) probed {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
+	_, conn, err := p.Probe(ctx, path)
+	if err != nil {
+		p.avoid(time.Now())
+		return probed{peer: p}
+	}
+	return probed{peer: p, conn: conn}
+}
+
+// release releases the connections of n probes that end later.
+func release(results <-chan probed, n int) {
 	for range n {
 		if r := <-results; r.conn != nil {
 			r.peer.Release(r.conn)
--- /dev/null
+++ b/entry/delegator/delegator_test.go
@@ -0,0 +1,103 @@
+package delegator_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"samphiremux/entry/delegator"
+	"samphiremux/entry/roundtripper"
+)
+
+// peer is another entry whose answers take some time. It declines probes unless it takes
+// requests.
+type peer struct {
+	takes bool
+	delay time.Duration
+}
+
+// dial connects to a peer.
+func (p peer) dial(id string, conns chan<- net.Conn) net.Conn {
+	client, server := net.Pipe()
+	conns <- server
+	l := &oneConn{conn: server}
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(p.delay)
+		if r.URL.Path == delegator.HealthPath {
+			w.Header().Set(delegator.EntryHeader, id)
+			if !p.takes {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			return
+		}
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set(delegator.OutcomeHeader, delegator.Passed)
+	})}
+	go func() { _ = srv.Serve(l) }()
+	return client
+}
+
+// oneConn is a listener of one connection.
+type oneConn struct{ conn net.Conn }
+
+func (l *oneConn) Accept() (net.Conn, error) {
+	if l.conn == nil {
+		return nil, net.ErrClosed
+	}
+	c := l.conn
+	l.conn = nil
+	return c, nil
+}
+func (l *oneConn) Close() error   { return nil }
+func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
+
+// send passes a request on to one of some peers.
+func send(peers map[string]peer) delegator.Result {
+	conns := make(chan net.Conn, 100)
+	var all []delegator.Peer
+	for id := range peers {
+		all = append(all, delegator.Peer{ID: id, Domain: "a", Address: id})
+	}
+	d := delegator.New(delegator.Options{
+		Self: "e0", Domain: "a", RequestID: "Id", Peers: func() []delegator.Peer { return all },
+		Dial: func(_ context.Context, address string) (net.Conn, error) {
+			return peers[address].dial(address, conns), nil
+		},
+	})
+	result := d.Send(context.Background(), delegator.Request{
+		Request: roundtripper.Request{Method: http.MethodGet, Host: "h", Target: "/", Header: http.Header{"Id": {"r1"}}, ID: "r1"},
+	})
+	time.Sleep(time.Second)
+	d.CloseExpired(time.Now().Add(time.Hour))
+	close(conns)
+	for c := range conns {
+		_ = c.Close()
+	}
+	return result
+}
+
+// TestLateAnswerToProbeTakenForNone guards against requests that are refused since the
+// entries that take them answer a probe later than its round.
+func TestLateAnswerToProbeTakenForNone(t *testing.T) {
+	for _, delay := range []time.Duration{0, 5 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				_, responded := send(map[string]peer{"e1": {takes: true, delay: delay}, "e2": {}, "e3": {}}).(delegator.Responded)
+				is.True(responded)
+			})
+		})
+	}
+}
+
+func TestNoEntryTakesRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(send(map[string]peer{"e1": {}, "e2": {delay: 20 * time.Millisecond}, "e3": {takes: true, delay: time.Second}}), delegator.Unreached{})
+	})
+}
