--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -10,7 +10,6 @@
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/retrier"
 	"samphiremux/entry/roundtripper"
-	"samphiremux/entry/snapshotter"
 )
 
 // Values of the label "result" of requests that are passed on to other entries.
@@ -21,10 +20,6 @@
 	delegatedUnreached = "unreached"
 )
 
-// unreachedTime is the time for which no requests of a service are taken from other entries
-// after its servers were not reached.
-const unreachedTime = 300 * time.Millisecond
-
 // hop is what another entry tells of a request that it passes on.
 type hop struct {
 	// from is the id of that entry.
@@ -88,28 +83,6 @@
 	}
 }
 
-// mostlyUnreached reports whether half of the servers that were probed for the last attempt
-// or more could not be reached, so that the others are no measure of the service.
-func (c *call) mostlyUnreached() bool { return c.probes > 0 && 2*c.unreached >= c.probes }
-
-// observePick records that no server was picked for a request, if that is because servers
-// are not reached. Requests of the service are not taken from other entries for some time.
-func (b *Balancer) observePick(c *call, reason refuser.Reason) {
-	if reason != refuser.BackendUnreachable && !c.mostlyUnreached() {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.unreachedUntil[c.service] = time.Now().Add(unreachedTime)
-}
-
-// unreached reports whether the servers of a service were not reached lately.
-func (b *Balancer) unreached(service string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return time.Now().Before(b.unreachedUntil[service])
-}
-
 // delegate passes a request on to another entry, after a reason not to send it to a server
 // from here. It reports whether the request may be tried again.
 func (b *Balancer) delegate(ctx context.Context, c *call, state *attempts, reason refuser.Reason) (resp *roundtripper.Response, refusal *refuser.Refusal, retry bool) {
@@ -198,95 +171,3 @@
 func (c *call) traceDelegated(entry, result string) {
 	c.trace.add(Delegated, "entry", entry, "result", result)
 }
-
-// ReachesServers reports whether this entry reaches any backend server.
-func (b *Balancer) ReachesServers() bool { return !b.monitor.Isolated() }
-
-// observeReached records that a server has responded. If the entry was isolated from the
-// servers, all of them may be used again at once.
-func (b *Balancer) observeReached() {
-	if !b.monitor.ObserveResponse(time.Now()) {
-		return
-	}
-	for _, servers := range b.opts.Snapshot().Services {
-		for _, srv := range servers {
-			srv.State.Readmit()
-		}
-	}
-	b.opts.Log.Info("Backend servers reached again.")
-}
-
-// observeUnreached records that a server could not be connected to or did not answer a
-// probe.
-func (b *Balancer) observeUnreached(server string) {
-	known := 0
-	for _, servers := range b.opts.Snapshot().Services {
-		known += len(servers)
-	}
-	if b.monitor.ObserveFailure(time.Now(), server, known) {
-		b.opts.Log.Warn("No backend server reached; requests are passed on to other entries.", "servers", known)
-	}
-}
-
-const (
-	// reachInterval is the time between two checks whether an isolated entry reaches a
-	// server again, and reachProbes the number of servers that each check probes.
-	reachInterval = 200 * time.Millisecond
-	reachProbes   = 3
-)
-
-// RunReachChecks probes servers while this entry reaches none, until ctx ends.
-func (b *Balancer) RunReachChecks(ctx context.Context) {
-	t := time.NewTicker(reachInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-t.C:
-			if b.monitor.Isolated() {
-				b.checkReach(ctx)
-			}
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// checkReach probes servers that are picked at random.
-func (b *Balancer) checkReach(ctx context.Context) {
-	view := b.opts.Snapshot()
-	if view.Table == nil {
-		return
-	}
-	all := b.shuffledServers(view)
-	for _, srv := range all[:min(reachProbes, len(all))] {
-		if b.isReached(ctx, view, srv) {
-			return
-		}
-	}
-}
-
-// isReached reports whether a server responds to a probe within probeRoundTimeout.
-func (b *Balancer) isReached(ctx context.Context, view *snapshotter.Snapshot, srv candidate) (reached bool) {
-	for _, r := range b.probeRound(ctx, view, srv.Service, []candidate{srv}) {
-		r.release()
-		reached = reached || r.err == nil || responded(r.err)
-	}
-	return reached
-}
-
-// shuffledServers returns the servers of all services in random order, without those that
-// want nothing from this entry.
-func (b *Balancer) shuffledServers(view *snapshotter.Snapshot) (all []candidate) {
-	now := time.Now()
-	for _, servers := range view.Services {
-		for _, srv := range servers {
-			if unavailable(srv.State) == "" {
-				all = append(all, candidate{Backend: srv, state: srv.State.Snapshot(now)})
-			}
-		}
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all
-}
--- /dev/null
+++ b/entry/delegator/probe.go
@@ -0,0 +1,160 @@
+package delegator
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/url"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"samphiremux/entry/roundtripper"
+)
+
+// peerState is what this entry keeps of another one.
+type peerState struct {
+	Peer
+	*roundtripper.Client
+
+	mu         sync.Mutex
+	avoidUntil time.Time
+}
+
+func (p *peerState) avoid(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.avoidUntil = now.Add(avoidTime)
+}
+
+func (p *peerState) avoided(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.avoidUntil)
+}
+
+// pick probes other entries until one answers that takes the request. It returns that entry
+// and the connection of the probe, or nil if there is none. Those that have turned the
+// request down are left out.
+func (d *Delegator) pick(ctx context.Context, r Request, tried []*peerState) (*peerState, *roundtripper.Conn) {
+	path := HealthPath + "?" + url.Values{
+		ConfigurationParameter: {strconv.FormatInt(r.Configuration, 10)}, ServiceParameter: {r.Service},
+	}.Encode()
+	candidates := d.candidates(time.Now(), r.Service, tried)
+	candidates = candidates[:min(len(candidates), maxProbes)]
+	if len(candidates) == 0 {
+		return nil, nil
+	}
+	if p, conn := probe(ctx, path, candidates); p != nil {
+		return p, conn
+	}
+	if ctx.Err() == nil && len(tried) == 0 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.unreachedUntil[r.Service] = time.Now().Add(unreachedTime)
+	}
+	return nil, nil
+}
+
+// candidates returns the other entries in random order, those of the own failure domain
+// first, and those that failed lately last. Entries of domains in which one has turned the
+// request down come after others.
+func (d *Delegator) candidates(now time.Time, service string, tried []*peerState) (candidates []*peerState) {
+	peers := d.opts.Peers()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now.Before(d.unreachedUntil[service]) {
+		return nil
+	}
+	for _, p := range peers {
+		state, ok := d.peers[p]
+		if !ok {
+			state = &peerState{Peer: p, Client: roundtripper.New(p.ID, p.Address, func(ctx context.Context) (net.Conn, error) {
+				return d.opts.Dial(ctx, p.Address)
+			}, d.headers())}
+			d.peers[p] = state
+		}
+		if !slices.Contains(tried, state) {
+			candidates = append(candidates, state)
+		}
+	}
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	rank := map[*peerState]int{}
+	for _, p := range candidates {
+		if p.Domain != d.opts.Domain {
+			rank[p]++
+		}
+		if slices.ContainsFunc(tried, func(t *peerState) bool { return t.Domain == p.Domain }) {
+			rank[p] += 2
+		}
+		if p.avoided(now) {
+			rank[p] += 4
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *peerState) int { return rank[a] - rank[b] })
+	return candidates
+}
+
+// probed is the result of a probe.
+type probed struct {
+	peer *peerState
+	conn *roundtripper.Conn
+}
+
+// probe probes entries in rounds, and returns the first that takes requests. Answers to
+// earlier rounds count until the last one is over.
+func probe(ctx context.Context, path string, candidates []*peerState) (*peerState, *roundtripper.Conn) {
+	results := make(chan probed, len(candidates))
+	pending := 0
+	startRound := func() {
+		n := min(probesPerRound, len(candidates))
+		for _, p := range candidates[:n] {
+			go func() { results <- p.probe(ctx, path) }()
+		}
+		candidates = candidates[n:]
+		pending += n
+	}
+	startRound()
+	next := time.NewTicker(roundTimeout)
+	defer next.Stop()
+	defer func() { go release(results, pending) }()
+	for pending > 0 {
+		select {
+		case r := <-results:
+			pending--
+			if r.conn != nil {
+				return r.peer, r.conn
+			}
+			if pending == 0 {
+				startRound()
+			}
+		case <-next.C:
+			startRound()
+		case <-ctx.Done():
+			return nil, nil
+		}
+	}
+	return nil, nil
+}
+
+// probe probes one entry. It goes on when the request ends first.
+func (p *peerState) probe(ctx context.Context, path string) probed {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	defer cancel()
+	_, conn, err := p.Probe(ctx, path)
+	if err != nil {
+		p.avoid(time.Now())
+		return probed{peer: p}
+	}
+	return probed{peer: p, conn: conn}
+}
+
+// release releases the connections of n probes that end later.
+func release(results <-chan probed, n int) {
+	for range n {
+		if r := <-results; r.conn != nil {
+			r.peer.Release(r.conn)
+		}
+	}
+}
