balancer: closed connections are not taken for crashes while new ones are refused

What callers saw: while an entry's new connections to the servers are refused and open ones live on, requests whose connection a server closes (a full server may, or one that stops) count as having crashed it; after two such requests with the same path and body all entries refuse that request as suspect for ten minutes.

Cause: the server refuses the entry's next connection, as all servers do, and the other servers that are asked whether the entry has lost its own links responded over connections that were open already. They are asked over new connections now; a failure there is not held against them.

TestClosedConnectionsTakenForCrashes failed before: each of the six entries refused the request after the partition.

--- a/entry/balancer/suspect.go
+++ b/entry/balancer/suspect.go
@@ -10,6 +10,7 @@
 	"samphiremux/entry/quarantiner"
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/retrier"
+	"samphiremux/entry/snapshotter"
 )
 
 // crashProbeTimeout bounds the probe that finds whether a server that lost a
@@ -35,7 +36,7 @@
 
 // detectCrash finds whether the server crashed while it ran the request. It
 // counts as crashed if it refuses connections after it broke off the one that
-// carried the request, while another server responds: otherwise this entry may have
+// carried the request, while another server accepts one: otherwise this entry may have
 // lost its own links.
 func (b *Balancer) detectCrash(c *call, p *picked, outcome retrier.Outcome) {
 	switch outcome.(type) {
@@ -53,7 +54,7 @@
 		p.State.Release(conn)
 		return
 	}
-	if !errors.Is(err, syscall.ECONNREFUSED) || !b.reachesOther(p.ID) {
+	if !errors.Is(err, syscall.ECONNREFUSED) || !b.connectsToOther(p.ID) {
 		return
 	}
 	p.State.Eject(time.Now())
@@ -63,9 +64,9 @@
 	b.opts.NotifySuspect(c.service, fingerprint, crashes)
 }
 
-// reachesOther reports whether any server but one responds to this entry. It is true if
-// there is no other.
-func (b *Balancer) reachesOther(id string) bool {
+// connectsToOther reports whether any server but one responds to this entry on a new
+// connection. It is true if there is no other.
+func (b *Balancer) connectsToOther(id string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
 	view := b.opts.Snapshot()
@@ -74,13 +75,25 @@
 		return true
 	}
 	for _, srv := range others[:min(maxWitnesses, len(others))] {
-		if b.isReached(ctx, view, srv) {
+		if b.connects(ctx, view, srv) {
 			return true
 		}
 	}
 	return false
 }
 
+// connects reports whether a server responds to a probe on a new connection. A failure is
+// not held against the server, since open connections to it may work.
+func (b *Balancer) connects(ctx context.Context, view *snapshotter.Snapshot, srv candidate) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, conn, err := srv.State.ProbeNew(ctx, view.Table.Services[srv.Service].HealthPath)
+	if err == nil {
+		srv.State.Release(conn)
+	}
+	return err == nil || responded(err)
+}
+
 func (b *Balancer) recordCrash(service string, fingerprint quarantiner.Fingerprint) (crashes int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/entry/roundtripper/probe.go
+++ b/entry/roundtripper/probe.go
@@ -54,6 +54,20 @@
 			return h, c, err
 		}
 	}
+	return cl.probeNew(ctx, path)
+}
+
+// ProbeNew is Probe over a new connection.
+func (cl *Client) ProbeNew(ctx context.Context, path string) (h Health, c *Conn, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("probe of %s: %w", cl.id, err)
+		}
+	}()
+	return cl.probeNew(ctx, path)
+}
+
+func (cl *Client) probeNew(ctx context.Context, path string) (h Health, c *Conn, err error) {
 	c, err = cl.open(ctx)
 	if err != nil {
 		return Health{}, nil, err
