balancer: a hedge of unknown outcome at another entry is not taken for not sent

What callers saw: an idempotent request was refused as not run (503) although a server had run its hedge.

Cause: a hedge that is passed on while no server is reached counted as not sent after any refusal of the other entry, also one of unknown outcome. If the first attempt was then turned down unrun, the request as a whole was said not to have run. Requests that must not be repeated have no hedges.

TestDelegatedHedgeTakenForNotSent failed before (503, now 502).

--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -149,8 +149,8 @@
 	})
 }
 
-// delegateHedge passes on the hedge of an idempotent request. A refusal counts as not sent,
-// so that the first attempt decides.
+// delegateHedge passes on the hedge of an idempotent request. A refusal as not run counts as
+// not sent, so that the first attempt decides.
 func (b *Balancer) delegateHedge(ctx context.Context, c *call, sent int) attemptResult {
 	switch result := b.sendToEntry(ctx, c, sent).(type) {
 	case delegator.Responded:
@@ -161,6 +161,9 @@
 		return attemptResult{server: result.Entry, outcome: result.Outcome}
 	case delegator.Refused:
 		b.metrics.delegated.With(delegatedRefused).Inc()
+		if result.Refusal.Kind == refuser.OutcomeUnknown {
+			return attemptResult{server: result.Entry, outcome: retrier.ConnectionLost{Cause: result.Refusal}}
+		}
 		return attemptResult{server: result.Entry, outcome: retrier.NotSent{Cause: result.Refusal}}
 	default:
 		b.metrics.delegated.With(delegatedUnreached).Inc()
--- a/steer/commander/lost_links_test.go
+++ b/steer/commander/lost_links_test.go
@@ -6,6 +6,10 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
+
+	"samphiremux/platform/translator"
 )
 
 // TestClosedConnectionsTakenForCrashes guards against requests that are refused everywhere
@@ -33,3 +37,34 @@
 		}
 	})
 }
+
+// TestDelegatedHedgeTakenForNotSent guards against a refusal as not run of a request whose
+// hedge another entry may have run.
+func TestDelegatedHedgeTakenForNotSent(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		var arrivals atomic.Int64
+		f.respond = func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(translator.HeaderRequestID) != "r1" {
+				return
+			}
+			switch arrivals.Add(1) {
+			case 1:
+				for _, srv := range f.entries[0].snapshots.Snapshot().Services["stock"] {
+					srv.State.Close()
+				}
+				time.Sleep(300 * time.Millisecond)
+			case 2:
+				panic(http.ErrAbortHandler)
+			}
+			w.Header().Set(translator.HeaderNotExecuted, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		_ = f.call(0, "/look/a", "first")
+		f.setCuts([]int{0}, refusing)
+		resp, _, err := f.send(t.Context(), 0, "/look/a", "r1", "")
+		is.NoErr(err)
+		is.True(arrivals.Load() >= 2)
+		is.Equal(resp.StatusCode, http.StatusBadGateway)
+	})
+}
