commander: a stopping entry does not close connections on which it has just answered a probe

What callers saw: when an entry begins to stop, a request that may not be repeated and that another entry is passing on to it may end as outcome-unknown (502), although nothing has read it.

Cause: at the signal all idle connections of other entries were closed, also one on which a probe had just been answered and the request was on its way. Probes are declined from then on, so connections that stay open get no further requests; they end after 4 s without use or at half of the grace period.

TestStoppingEntryClosesProbedConnection failed before: no response to a request 5 ms after the probe. TestStoppingEntryCutsDelegated did not show it, since nothing is on its way for any time on the network in memory.

--- a/steer/commander/lost_links_test.go
+++ b/steer/commander/lost_links_test.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"bufio"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -9,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"samphiremux/entry/delegator"
 	"samphiremux/platform/translator"
 )
 
@@ -68,3 +70,31 @@
 		is.Equal(resp.StatusCode, http.StatusBadGateway)
 	})
 }
+
+// TestStoppingEntryClosesProbedConnection guards against requests that may not be repeated
+// and are lost since the entry that has just answered a probe for them begins to stop.
+func TestStoppingEntryClosesProbedConnection(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		setGracePeriod(f.entries[1], 6*time.Second)
+		c, err := f.network.dialer("e0")(t.Context(), "tcp", f.entries[1].settings.Load().DelegationAddress)
+		is.NoErr(err)
+		responses := bufio.NewReader(c)
+		exchange := func(text string) int {
+			_, _ = io.WriteString(c, text)
+			resp, err := http.ReadResponse(responses, nil)
+			if err != nil {
+				return 0
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			return resp.StatusCode
+		}
+		is.Equal(exchange("GET "+delegator.HealthPath+" HTTP/1.1\r\nHost: e1\r\n\r\n"), http.StatusOK)
+		go func() { _ = f.entries[1].stop(f.servers[1]) }()
+		time.Sleep(5 * time.Millisecond)
+		is.Equal(exchange("POST /book/a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"+
+			translator.HeaderRequestID+": r1\r\n"+delegator.HopHeader+": e0\r\n\r\nbody"), http.StatusOK)
+		is.Equal(f.runs["r1"], 1)
+		time.Sleep(6 * time.Second)
+	})
+}
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -135,8 +135,9 @@
 	e.drainer.Begin(now.Add(period/2), exit)
 	close(e.stopping)
 	e.log.Info("Entry stops.")
+	// Connections of other entries stay open, since a request may follow a probe that has
+	// just been answered.
 	s.callers.SetKeepAlivesEnabled(false)
-	s.delegated.SetKeepAlivesEnabled(false)
 	deregistered := make(chan struct{})
 	go func() {
 		defer close(deregistered)
