delegator, balancer: servers that are down are not taken for links that an entry has lost

Cause: an entry took no requests of others for 300 ms after half of the servers that it had probed did not respond and the others had no room. That is meant for an entry whose new connections are refused, but with servers that are down it holds for every entry, under load all the time.

Such an entry now says in its response to a probe that it reaches some servers only. It gets the request if no better one takes it and the entry that passes it on reaches none itself. One that reaches no server of the service declines as before. Entries of the state before take no notice of the new header.

--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -113,7 +113,7 @@
 			return nil
 		}
 		sent := state.sent + 1
-		return func() attemptResult { return b.delegateHedge(ctx, c, sent) }
+		return func() attemptResult { return b.delegateHedge(ctx, c, sent, reason) }
 	}
 	if p.slowness > goodSlowness || p.busy >= p.Slots || !b.tryWithdraw(c.service) {
 		if p.conn != nil {
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -112,9 +112,8 @@
 	// suspects has no element for a service until one of its servers crashes
 	// under a request.
 	suspects map[string]*quarantiner.Suspects
-	// unreachedUntil is the time until which requests of a service are not taken from
-	// other entries, since its servers were not reached.
-	unreachedUntil map[string]time.Time
+	// reaches holds which servers of each service were reached lately.
+	reaches map[string]reach
 }
 
 // routeStats holds the running means of a route's responses.
@@ -144,7 +143,7 @@
 		opts: opts, metrics: newMetrics(opts.Metrics), rng: rng, chooser: chooser.New(opts.Policy, rng),
 		badLines: lineBucket{perSecond: badLinesPerSecond}, goodLines: lineBucket{perSecond: goodLinesPerSecond},
 		budgets: map[string]*throttler.RetryBudget{}, routes: map[string]*routeStats{}, draws: map[string]float64{}, suspects: map[string]*quarantiner.Suspects{},
-		unreachedUntil: map[string]time.Time{},
+		reaches: map[string]reach{},
 	}
 }
 
--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -60,10 +60,12 @@
 	table := b.opts.Snapshot().Table
 	w.Header().Set(delegator.EntryHeader, b.opts.Self)
 	w.Header().Set("Content-Length", "0")
-	if b.monitor.Isolated() || table == nil || table.Version < configuration || b.unreached(r.URL.Query().Get(delegator.ServiceParameter)) {
+	reached := b.reachOf(r.URL.Query().Get(delegator.ServiceParameter))
+	if b.monitor.Isolated() || table == nil || table.Version < configuration || reached == delegator.ReachNone {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	w.Header().Set(delegator.ReachHeader, string(reached))
 	w.WriteHeader(http.StatusOK)
 }
 
@@ -86,7 +88,7 @@
 // delegate passes a request on to another entry, after a reason not to send it to a server
 // from here. It reports whether the request may be tried again.
 func (b *Balancer) delegate(ctx context.Context, c *call, state *attempts, reason refuser.Reason) (resp *roundtripper.Response, refusal *refuser.Refusal, retry bool) {
-	switch result := b.sendToEntry(ctx, c, state.sent).(type) {
+	switch result := b.sendToEntry(ctx, c, state.sent, reason).(type) {
 	case delegator.Responded:
 		c.traceDelegated(result.Entry, delegatedResponded)
 		b.metrics.delegated.With(delegatedResponded).Inc()
@@ -139,20 +141,22 @@
 	}
 }
 
-// sendToEntry passes a request on that has been sent to servers a number of times.
-func (b *Balancer) sendToEntry(ctx context.Context, c *call, sent int) delegator.Result {
+// sendToEntry passes a request on that has been sent to servers a number of times, after a
+// reason not to send it to another one from here.
+func (b *Balancer) sendToEntry(ctx context.Context, c *call, sent int, reason refuser.Reason) delegator.Result {
 	header := c.header.Clone()
 	b.opts.Headers.SetDeadline(header, time.Until(c.deadline))
 	return b.opts.Delegator.Send(ctx, delegator.Request{
 		Request:  roundtripper.Request{Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id},
 		Attempts: sent, Configuration: c.view.Table.Version, Service: c.service,
+		ReachesNone: reason == refuser.UnreachableServers || reason == refuser.BackendUnreachable,
 	})
 }
 
 // delegateHedge passes on the hedge of an idempotent request. A refusal as not run counts as
 // not sent, so that the first attempt decides.
-func (b *Balancer) delegateHedge(ctx context.Context, c *call, sent int) attemptResult {
-	switch result := b.sendToEntry(ctx, c, sent).(type) {
+func (b *Balancer) delegateHedge(ctx context.Context, c *call, sent int, reason refuser.Reason) attemptResult {
+	switch result := b.sendToEntry(ctx, c, sent, reason).(type) {
 	case delegator.Responded:
 		b.metrics.delegated.With(delegatedResponded).Inc()
 		return attemptResult{server: result.Entry, response: result.Response, outcome: retrier.Answered{}}
--- a/entry/balancer/reach.go
+++ b/entry/balancer/reach.go
@@ -4,14 +4,23 @@
 	"context"
 	"time"
 
+	"samphiremux/entry/delegator"
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/snapshotter"
 )
 
 // unreachedTime is the time for which no requests of a service are taken from other entries
-// after its servers were not reached.
+// after its servers were not reached. After only some of them were, requests are taken that
+// no other entry takes.
 const unreachedTime = 300 * time.Millisecond
 
+// reach is which servers of a service this entry has reached lately.
+type reach struct {
+	// noneUntil is the time until which it counts as reaching none, and someUntil that
+	// until which it counts as reaching some only.
+	noneUntil, someUntil time.Time
+}
+
 // ReachesServers reports whether this entry reaches any backend server.
 func (b *Balancer) ReachesServers() bool { return !b.monitor.Isolated() }
 
@@ -109,19 +118,34 @@
 func (c *call) mostlyUnreached() bool { return c.probes > 0 && 2*c.unreached >= c.probes }
 
 // observePick records that no server was picked for a request, if that is because servers
-// are not reached. Requests of the service are not taken from other entries for some time.
+// are not reached.
 func (b *Balancer) observePick(c *call, reason refuser.Reason) {
-	if reason != refuser.BackendUnreachable && !c.mostlyUnreached() {
-		return
-	}
+	until := time.Now().Add(unreachedTime)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.unreachedUntil[c.service] = time.Now().Add(unreachedTime)
+	r := b.reaches[c.service]
+	switch {
+	case reason == refuser.BackendUnreachable:
+		r.noneUntil = until
+	case c.mostlyUnreached():
+		r.someUntil = until
+	default:
+		return
+	}
+	b.reaches[c.service] = r
 }
 
-// unreached reports whether the servers of a service were not reached lately.
-func (b *Balancer) unreached(service string) bool {
+// reachOf returns which servers of a service this entry reaches.
+func (b *Balancer) reachOf(service string) delegator.Reach {
+	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return time.Now().Before(b.unreachedUntil[service])
+	r := b.reaches[service]
+	switch {
+	case now.Before(r.noneUntil):
+		return delegator.ReachNone
+	case now.Before(r.someUntil):
+		return delegator.ReachSome
+	}
+	return delegator.ReachAll
 }
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -39,6 +39,8 @@
 	ConfigurationHeader = "Samphire-Configuration"
 	// EntryHeader carries the id of the entry that answers a probe.
 	EntryHeader = "Samphire-Entry"
+	// ReachHeader tells the Reach of that entry.
+	ReachHeader = "Samphire-Reach"
 	// OutcomeHeader tells what a response is: Passed, or a refusal as in
 	// refuser.Refusal.Header.
 	OutcomeHeader = "Samphire-Outcome"
@@ -53,6 +55,16 @@
 // Passed is the value of OutcomeHeader for the response of a backend server.
 const Passed = "passed"
 
+// Reach is which servers of a service an entry reaches.
+type Reach string
+
+// Values of Reach. Servers that are down count as not reached.
+const (
+	ReachAll  Reach = "all"
+	ReachSome Reach = "some"
+	ReachNone Reach = "none"
+)
+
 const (
 	// probesPerRound is the number of entries that are probed at once.
 	probesPerRound = 2
@@ -62,8 +74,8 @@
 	// wait until the next round starts.
 	probeTimeout = 60 * time.Millisecond
 	roundTimeout = 10 * time.Millisecond
-	// avoidTime is the time for which an entry is probed last after it failed a probe or
-	// lost a request.
+	// avoidTime is the time for which an entry is probed last after it failed a probe, lost
+	// a request, or said that it reaches some servers only.
 	avoidTime = time.Second
 	// maxTries bounds the entries that may turn one request down.
 	maxTries = 3
@@ -100,8 +112,19 @@
 	Configuration int64
 	// Service is the service that the request is for.
 	Service string
+	// ReachesNone reports whether this entry reaches no server of the service, so that one
+	// that reaches some of them is good enough.
+	ReachesNone bool
 }
 
+// search is what the requests have in common for which the same entries are good enough.
+type search struct {
+	service string
+	some    bool
+}
+
+func (r Request) search() search { return search{service: r.Service, some: r.ReachesNone} }
+
 // Result is what became of a request: Responded, Refused, Lost or Unreached.
 type Result interface{ result() }
 
@@ -139,13 +162,13 @@
 
 	mu    sync.Mutex
 	peers map[Peer]*peerState
-	// unreachedUntil is the time until which no entry is probed for a service.
-	unreachedUntil map[string]time.Time
+	// unreachedUntil is the time until which no entry is probed in a search.
+	unreachedUntil map[search]time.Time
 }
 
 // New returns a delegator without connections.
 func New(o Options) *Delegator {
-	return &Delegator{opts: o, peers: map[Peer]*peerState{}, unreachedUntil: map[string]time.Time{}}
+	return &Delegator{opts: o, peers: map[Peer]*peerState{}, unreachedUntil: map[search]time.Time{}}
 }
 
 // headers returns the headers of responses between entries.
--- a/entry/delegator/delegator_test.go
+++ b/entry/delegator/delegator_test.go
@@ -18,6 +18,7 @@
 // requests.
 type peer struct {
 	takes bool
+	reach delegator.Reach
 	delay time.Duration
 }
 
@@ -30,12 +31,14 @@
 		time.Sleep(p.delay)
 		if r.URL.Path == delegator.HealthPath {
 			w.Header().Set(delegator.EntryHeader, id)
+			w.Header().Set(delegator.ReachHeader, string(p.reach))
 			if !p.takes {
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}
 			return
 		}
 		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Served-By", id)
 		w.Header().Set(delegator.OutcomeHeader, delegator.Passed)
 	})}
 	go func() { _ = srv.Serve(l) }()
@@ -57,7 +60,7 @@
 func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
 
 // send passes a request on to one of some peers.
-func send(peers map[string]peer) delegator.Result {
+func send(peers map[string]peer, reachesNone bool) delegator.Result {
 	conns := make(chan net.Conn, 100)
 	var all []delegator.Peer
 	for id := range peers {
@@ -70,7 +73,8 @@
 		},
 	})
 	result := d.Send(context.Background(), delegator.Request{
-		Request: roundtripper.Request{Method: http.MethodGet, Host: "h", Target: "/", Header: http.Header{"Id": {"r1"}}, ID: "r1"},
+		Request:     roundtripper.Request{Method: http.MethodGet, Host: "h", Target: "/", Header: http.Header{"Id": {"r1"}}, ID: "r1"},
+		ReachesNone: reachesNone,
 	})
 	time.Sleep(time.Second)
 	d.CloseExpired(time.Now().Add(time.Hour))
@@ -88,7 +92,7 @@
 		t.Run(delay.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				_, responded := send(map[string]peer{"e1": {takes: true, delay: delay}, "e2": {}, "e3": {}}).(delegator.Responded)
+				_, responded := send(map[string]peer{"e1": {takes: true, delay: delay}, "e2": {}, "e3": {}}, true).(delegator.Responded)
 				is.True(responded)
 			})
 		})
@@ -98,6 +102,36 @@
 func TestNoEntryTakesRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		is.Equal(send(map[string]peer{"e1": {}, "e2": {delay: 20 * time.Millisecond}, "e3": {takes: true, delay: time.Second}}), delegator.Unreached{})
+		is.Equal(send(map[string]peer{"e1": {}, "e2": {delay: 20 * time.Millisecond}, "e3": {takes: true, delay: time.Second}}, true), delegator.Unreached{})
 	})
 }
+
+// TestPartlyReachingEntryTakesRequest checks that entries that reach some servers of a service
+// only get requests if no better one takes them, and none of an entry like them.
+func TestPartlyReachingEntryTakesRequest(t *testing.T) {
+	some := peer{takes: true, reach: delegator.ReachSome}
+	for _, c := range []struct {
+		name        string
+		peers       map[string]peer
+		reachesNone bool
+		takes       string
+	}{
+		{"a better one", map[string]peer{"e1": some, "e2": some, "e3": {}, "e4": {takes: true, reach: delegator.ReachAll, delay: 5 * time.Millisecond}}, true, "e4"},
+		{"an entry of an earlier version", map[string]peer{"e1": some, "e2": {takes: true}}, true, "e2"},
+		{"no better one", map[string]peer{"e1": some, "e2": {}, "e3": {delay: time.Second}}, true, "e1"},
+		{"from an entry that reaches some", map[string]peer{"e1": some, "e2": {}}, false, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				start := time.Now()
+				takes := ""
+				if r, ok := send(c.peers, c.reachesNone).(delegator.Responded); ok {
+					takes = r.Response.Header.Get("Served-By")
+				}
+				is.Equal(takes, c.takes)
+				is.True(time.Since(start) < 2*time.Second)
+			})
+		})
+	}
+}
--- a/entry/delegator/probe.go
+++ b/entry/delegator/probe.go
@@ -41,18 +41,18 @@
 	path := HealthPath + "?" + url.Values{
 		ConfigurationParameter: {strconv.FormatInt(r.Configuration, 10)}, ServiceParameter: {r.Service},
 	}.Encode()
-	candidates := d.candidates(time.Now(), r.Service, tried)
+	candidates := d.candidates(time.Now(), r.search(), tried)
 	candidates = candidates[:min(len(candidates), maxProbes)]
 	if len(candidates) == 0 {
 		return nil, nil
 	}
-	if p, conn := probe(ctx, path, candidates); p != nil {
+	if p, conn := probe(ctx, path, candidates, r.ReachesNone); p != nil {
 		return p, conn
 	}
 	if ctx.Err() == nil && len(tried) == 0 {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.unreachedUntil[r.Service] = time.Now().Add(unreachedTime)
+		d.unreachedUntil[r.search()] = time.Now().Add(unreachedTime)
 	}
 	return nil, nil
 }
@@ -60,11 +60,11 @@
 // candidates returns the other entries in random order, those of the own failure domain
 // first, and those that failed lately last. Entries of domains in which one has turned the
 // request down come after others.
-func (d *Delegator) candidates(now time.Time, service string, tried []*peerState) (candidates []*peerState) {
+func (d *Delegator) candidates(now time.Time, s search, tried []*peerState) (candidates []*peerState) {
 	peers := d.opts.Peers()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if now.Before(d.unreachedUntil[service]) {
+	if now.Before(d.unreachedUntil[s]) {
 		return nil
 	}
 	for _, p := range peers {
@@ -96,15 +96,23 @@
 	return candidates
 }
 
-// probed is the result of a probe.
+// probed is the result of a probe. Conn is nil if the entry takes no requests.
 type probed struct {
-	peer *peerState
-	conn *roundtripper.Conn
+	peer  *peerState
+	conn  *roundtripper.Conn
+	reach Reach
+}
+
+func (p probed) release() {
+	if p.conn != nil {
+		p.peer.Release(p.conn)
+	}
 }
 
 // probe probes entries in rounds, and returns the first that takes requests. Answers to
-// earlier rounds count until the last one is over.
-func probe(ctx context.Context, path string, candidates []*peerState) (*peerState, *roundtripper.Conn) {
+// earlier rounds count until the last one is over. If some is set, an entry that reaches some
+// servers only is returned if there is no better one.
+func probe(ctx context.Context, path string, candidates []*peerState, some bool) (*peerState, *roundtripper.Conn) {
 	results := make(chan probed, len(candidates))
 	pending := 0
 	startRound := func() {
@@ -119,42 +127,56 @@
 	next := time.NewTicker(roundTimeout)
 	defer next.Stop()
 	defer func() { go release(results, pending) }()
+	var second probed
 	for pending > 0 {
 		select {
 		case r := <-results:
 			pending--
-			if r.conn != nil {
+			switch {
+			case r.conn == nil:
+			case r.reach != ReachSome:
+				second.release()
 				return r.peer, r.conn
+			case some && second.conn == nil:
+				second = r
+			default:
+				r.release()
 			}
 			if pending == 0 {
 				startRound()
 			}
 		case <-next.C:
+			if second.conn != nil && len(candidates) == 0 {
+				return second.peer, second.conn
+			}
 			startRound()
 		case <-ctx.Done():
+			second.release()
 			return nil, nil
 		}
 	}
-	return nil, nil
+	return second.peer, second.conn
 }
 
 // probe probes one entry. It goes on when the request ends first.
 func (p *peerState) probe(ctx context.Context, path string) probed {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
-	_, conn, err := p.Probe(ctx, path)
+	h, conn, err := p.Probe(ctx, path)
 	if err != nil {
 		p.avoid(time.Now())
 		return probed{peer: p}
 	}
-	return probed{peer: p, conn: conn}
+	reach := Reach(h.Header.Get(ReachHeader))
+	if reach == ReachSome {
+		p.avoid(time.Now())
+	}
+	return probed{peer: p, conn: conn, reach: reach}
 }
 
 // release releases the connections of n probes that end later.
 func release(results <-chan probed, n int) {
 	for range n {
-		if r := <-results; r.conn != nil {
-			r.peer.Release(r.conn)
-		}
+		(<-results).release()
 	}
 }
--- a/entry/roundtripper/probe.go
+++ b/entry/roundtripper/probe.go
@@ -35,6 +35,8 @@
 	RateLimit describer.RateLimit
 	// ColdRemaining is the remaining warm-up time of the server.
 	ColdRemaining time.Duration
+	// Header holds the headers of the response.
+	Header http.Header
 }
 
 // Probe sends a health probe to the server. On success it returns the connection
@@ -128,6 +130,7 @@
 	h.Load, h.HasLoad = cl.headers.ReadLoad(rep.Header)
 	h.RateLimit = cl.headers.ReadRateLimit(rep.Header)
 	h.ColdRemaining = cl.headers.ReadColdRemaining(rep.Header)
+	h.Header = rep.Header
 	if !c.reusable(time.Now(), rep) {
 		return h, errors.New("server closes the connection after its response")
 	}
--- a/steer/commander/lost_links_test.go
+++ b/steer/commander/lost_links_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -98,3 +100,29 @@
 		time.Sleep(6 * time.Second)
 	})
 }
+
+// TestDeadServersTakenForLostLinks guards against entries that pass no requests of a
+// partitioned entry on to the rest of a service, since many of its servers are down.
+func TestDeadServersTakenForLostLinks(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		f.health = func(w http.ResponseWriter, _ *http.Request) {
+			busy := 0
+			if rand.Float64() < 0.85 {
+				busy = 12
+			}
+			w.Header().Set(translator.HeaderLoad, fmt.Sprintf("%d,0,4", busy))
+		}
+		for _, srv := range f.entries[0].snapshots.Snapshot().Services["stock"][:fleetServers/2] {
+			_ = f.network.listeners[srv.Address.String()].Close()
+		}
+		results := f.runCalls([]int{0, 3}, hanging)
+		inCut := func(r callResult) bool { return r.sent >= cutBegin+settleTime && r.sent < cutEnd }
+		sent, served := count(results, func(r callResult) bool { return r.entry%3 == 0 && inCut(r) })
+		others, othersServed := count(results, func(r callResult) bool { return r.entry%3 != 0 && inCut(r) })
+		t.Logf("%d of %d served at the entries that are cut off, %d of %d at the others", served, sent, othersServed, others)
+		if failed := sent - served; 3*served*others < 2*sent*othersServed && failed > 10+sent/50 {
+			t.Errorf("%d of %d calls to entries that are cut off were served, %d of %d at the others", served, sent, othersServed, others)
+		}
+		f.checkRuns(t, results)
+	})
+}
--- a/steer/commander/partition_test.go
+++ b/steer/commander/partition_test.go
@@ -51,6 +51,9 @@
 	// respond answers requests at the backend servers. Nil means that each takes
 	// serverWork and succeeds.
 	respond http.HandlerFunc
+	// health adds what the backend servers say of themselves in response to probes. It may
+	// be nil.
+	health http.HandlerFunc
 	// samePath makes all calls ask for the same path.
 	samePath bool
 
@@ -120,6 +123,9 @@
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/health" {
 			w.Header().Set(translator.HeaderInstance, id)
+			if f.health != nil {
+				f.health(w, r)
+			}
 			return
 		}
 		f.countRun(r.Header.Get(translator.HeaderRequestID))
