forwarder: a key stays unused after another entry has refused its request

What callers saw: a request with an idempotency key that was refused as not run while the key's owner reached no server was refused in the same way for ten minutes, whenever it was sent again.

Cause: the owner passes the request on to another entry and records the outcome. The refusal of that entry came as its response, and was stored as the response of the request. It now leaves the key unused, as a refusal by the owner does.

TestRefusalKeptForKey failed before: not-run, backend-shedding for the first send, and again 5 s later with all servers free.

--- a/entry/forwarder/peer.go
+++ b/entry/forwarder/peer.go
@@ -120,7 +120,8 @@
 }
 
 // runKeyed runs the first request with a key. It continues after the caller
-// disconnects, so that the outcome is known when the caller retries.
+// disconnects, so that the outcome is known when the caller retries. The response may be
+// the refusal of another entry, which leaves the key unused.
 func (f *Forwarder) runKeyed(ctx context.Context, c *call) (response *sender.Response, refusal *refuser.Refusal) {
 	var stored *deduplicator.Response
 	notRun := false
@@ -133,6 +134,8 @@
 	switch {
 	case refusal != nil:
 		notRun = refusal.Kind == refuser.NotRun
+	case isNotRun(response):
+		notRun = true
 	case response.Remainder == nil:
 		stored = &deduplicator.Response{Status: response.Status, Header: response.Header, Body: response.Body}
 	}
