reconciler, forwarder, locator: no 404 while a peer has a newer document

Callers of samphire-entry got 404 (no-such-route, no-such-service) for what the newest document allows: from an entry that peers had told of the newer revision and that was still fetching it, and from an entry that had the newer document itself but forwarded the request to a member of the subset without it, whose 404 it passed on. Locate queries for a new service did the same.

Cause: a refusal looked at the document in force only; what heartbeats say of the revisions of peers started a fetch and was forgotten.

Evidence: whole entries, the member of the subset partitioned from the store and with a link of 20 KB/s (TestRouteOfPeersDocumentDenied): 2 of 5 requests got 404 directly and the same forwarded, 2 of 39 locate queries; a request accepted by a newer document got 404 from an entry that no heartbeat had told (TestRouteOfForwardersDocumentDenied). Both tests failed before.

A forwarded request carries the revision by which it was accepted; an entry with an older document refuses it so, and the next member is asked. After: no 404 in either test, 503 instead, and routes that no document has get 404 once the entry has caught up.

Ruled out: waiting for the fetch in the request, since a link may be as slow as in the test.

--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"samphiremux/entry/sender"
 	"samphiremux/entry/tracker"
 	"samphiremux/pkg/parser"
+	"samphiremux/pkg/publisher"
 )
 
 // Headers between callers, entries and backend servers.
@@ -40,6 +41,9 @@
 	// HopHeader marks a request that another entry forwarded. It carries the id
 	// of that entry.
 	HopHeader = "Samphire-Hop"
+	// RevisionHeader carries the revision of the document by which another entry accepted
+	// the request that it forwarded.
+	RevisionHeader = "Samphire-Document-Revision"
 	// IdempotencyKeyHeader carries the caller's idempotency key.
 	IdempotencyKeyHeader = "Idempotency-Key"
 	// RequestIDHeader carries the caller's request id, for the caller's own
@@ -92,6 +96,7 @@
 // call is one request in progress.
 type call struct {
 	service  *reconciler.Service
+	revision publisher.Revision
 	route    parser.Route
 	caller   string
 	deadline time.Time
@@ -151,14 +156,14 @@
 	}
 	service, ok := snapshot.Services[name]
 	if !ok {
-		return nil, notRun(refuser.NoSuchService)
+		return nil, f.notFound(r.Header, snapshot, refuser.NoSuchService)
 	}
 	route, ok := service.Spec.Route(r.Method, r.URL.Path)
 	if !ok {
-		return nil, notRun(refuser.NoSuchRoute)
+		return nil, f.notFound(r.Header, snapshot, refuser.NoSuchRoute)
 	}
 	c = &call{
-		service: service, route: route, caller: f.callerOf(r), deadline: now.Add(route.TimeLimit), outerAttempt: 1,
+		service: service, revision: snapshot.Revision, route: route, caller: f.callerOf(r), deadline: now.Add(route.TimeLimit), outerAttempt: 1,
 		forwarder: r.Header.Get(HopHeader), method: r.Method, uri: r.URL.RequestURI(), header: endToEndHeader(r.Header),
 	}
 	if !route.Idempotent {
@@ -180,6 +185,16 @@
 	return c, nil
 }
 
+// notFound returns the refusal of a request for what the document of a snapshot does not
+// have. An entry that forwards the request may have accepted it by a newer one.
+func (f *Forwarder) notFound(h http.Header, s *reconciler.Snapshot, reason refuser.Reason) *refuser.Refusal {
+	r := f.node.NotFound(s, reason)
+	if accepted, err := strconv.ParseUint(h.Get(RevisionHeader), 10, 64); err == nil && publisher.Revision(accepted) > s.Revision {
+		r = f.node.OutdatedRefusal()
+	}
+	return &r
+}
+
 func notRun(reason refuser.Reason) *refuser.Refusal {
 	r := refuser.NewNotRun(reason)
 	return &r
@@ -236,7 +251,7 @@
 // endToEndHeader returns a copy of h without hop-by-hop headers and without the
 // headers that are used only between entries.
 func endToEndHeader(h http.Header) http.Header {
-	return sanitizer.StripHopByHop(h, HopHeader, CallerHeader, sender.AttemptIDHeader)
+	return sanitizer.StripHopByHop(h, HopHeader, CallerHeader, RevisionHeader, sender.AttemptIDHeader)
 }
 
 // serve runs the request here, or forwards it to the entry that has to run it.
@@ -344,6 +359,10 @@
 			if isMisdirected(response) || hasRefusal(response, refuser.BackendUnreachable) {
 				continue
 			}
+			if hasRefusal(response, refuser.Outdated) {
+				reason = refuser.Outdated
+				continue
+			}
 			if isCutOff(response) {
 				f.lostPeers.record(f.node.Now(), m.ID, c.service.Spec.Name)
 				reason = refuser.UnreachableServers
@@ -361,13 +380,16 @@
 		}
 	}
 	r := state.Refusal(reason)
+	if r.Reason == refuser.Outdated {
+		r = f.node.OutdatedRefusal()
+	}
 	return nil, &r
 }
 
 // foundNoPeer reports whether a refusal for a reason means that no other member could run
 // the request.
 func foundNoPeer(reason refuser.Reason) bool {
-	return reason == refuser.EntryUnreachable || reason == refuser.UnreachableServers
+	return reason == refuser.EntryUnreachable || reason == refuser.UnreachableServers || reason == refuser.Outdated
 }
 
 // isNotRun reports whether another entry answered that it did not run the
--- a/entry/forwarder/peer.go
+++ b/entry/forwarder/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"samphiremux/entry/deduplicator"
@@ -50,6 +51,7 @@
 	msg := f.newRequest(c, c.outerAttempt)
 	msg.Header.Set(HopHeader, f.node.Self().ID)
 	msg.Header.Set(CallerHeader, c.caller)
+	msg.Header.Set(RevisionHeader, strconv.FormatUint(uint64(c.revision), 10))
 	msg.Address = address
 	msg.EchoRequired = true
 	msg.MaxConnections = peerConnections
--- a/entry/heartbeater/heartbeater.go
+++ b/entry/heartbeater/heartbeater.go
@@ -14,6 +14,7 @@
 	"samphiremux/entry/tracker"
 	"samphiremux/pkg/linker"
 	"samphiremux/pkg/linker/linkpb"
+	"samphiremux/pkg/publisher"
 )
 
 const (
@@ -104,6 +105,7 @@
 		t.RecordHeartbeatAnswered(sentAt)
 		return false
 	})
+	h.node.ObservePeerRevision(publisher.Revision(resp.GetDocumentRevision()))
 	if resp.GetDocumentRevision() > uint64(h.node.Envelope().Revision) {
 		h.fetch(m.LinkAddress)
 	}
--- a/entry/linkhandler/linkhandler.go
+++ b/entry/linkhandler/linkhandler.go
@@ -41,6 +41,7 @@
 		}
 		return false
 	})
+	h.node.ObservePeerRevision(publisher.Revision(r.GetDocumentRevision()))
 	if r.GetDocumentRevision() > uint64(h.node.Envelope().Revision) {
 		if m, ok := h.node.Member(r.GetEntryId()); ok {
 			h.fetch(m.LinkAddress)
--- a/entry/locator/locator.go
+++ b/entry/locator/locator.go
@@ -48,12 +48,12 @@
 func (l *Locator) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	snapshot := l.node.Snapshot()
 	if snapshot == nil {
-		l.refuse(w, refuser.NoDocument)
+		l.refuse(w, refuser.NewNotRun(refuser.NoDocument))
 		return
 	}
 	sv, ok := snapshot.Services[r.URL.Query().Get("service")]
 	if !ok {
-		l.refuse(w, refuser.NoSuchService)
+		l.refuse(w, l.node.NotFound(snapshot, refuser.NoSuchService))
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -64,8 +64,7 @@
 }
 
 // refuse answers with a refusal and counts it.
-func (l *Locator) refuse(w http.ResponseWriter, reason refuser.Reason) {
-	r := refuser.NewNotRun(reason)
+func (l *Locator) refuse(w http.ResponseWriter, r refuser.Refusal) {
 	l.node.Metrics().Refused(r)
 	r.Write(w)
 }
--- a/entry/reconciler/node.go
+++ b/entry/reconciler/node.go
@@ -56,6 +56,9 @@
 	// unless the store or a peer answers before. It is nil for an entry without
 	// peers.
 	isolationDeadline atomic.Pointer[time.Time]
+	// newer is nil until a peer reports a newer revision than that in force. It is
+	// written with the lock held.
+	newer atomic.Pointer[newerRevision]
 	// rejoins counts how many times the entry stopped being isolated.
 	rejoins atomic.Uint64
 
