assembler: no redirects of callers' paths

Callers of samphire-entry got 307 with a changed path, in place of their response, for a path with an empty or dot segment (/catalogue//1). A resend to the new path is another request.

Cause: locate queries and requests were told apart by http.ServeMux, which redirects to the cleaned path.

--- a/entry/assembler/assembler.go
+++ b/entry/assembler/assembler.go
@@ -238,11 +238,18 @@
 
 // serveCallers serves locate queries and forwards all other requests.
 func (e *Entry) serveCallers(notify forwarder.Notifier, checks *checker.Checker) {
-	mux := http.NewServeMux()
-	mux.Handle(locator.Path, locator.New(e.node))
-	mux.Handle("/", forwarder.New(e.node, e.servers, e.peers, notify, e.drainer.MayTake, checks.Reaches, e.deps.Log.Named("forwarder")))
+	locate := locator.New(e.node)
+	forward := forwarder.New(e.node, e.servers, e.peers, notify, e.drainer.MayTake, checks.Reaches, e.deps.Log.Named("forwarder"))
+	// A http.ServeMux would redirect callers whose paths have empty or dot segments.
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == locator.Path {
+			locate.ServeHTTP(w, r)
+			return
+		}
+		forward.ServeHTTP(w, r)
+	}
 	e.http = &http.Server{
-		Handler: mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		Handler: http.HandlerFunc(handler), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ConnState: e.connections.ConnState,
 		BaseContext: func(net.Listener) context.Context { return e.drainer.Requests() },
 		ErrorLog:    e.deps.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
