forwarder: host names are matched without regard to case

Callers of samphire-entry that wrote the host in upper case got 404 (no-such-service).

The case "upper case" of TestLegalRequestFormsDenied failed before with 404 and passes now. samphire-steer matched them already.

--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -154,6 +154,7 @@
 	if err != nil {
 		name = r.Host
 	}
+	name = strings.ToLower(name)
 	service, ok := snapshot.Services[name]
 	if !ok {
 		return nil, f.notFound(r.Header, snapshot, refuser.NoSuchService)
--- a/standin/measurer/request_forms_test.go
+++ b/standin/measurer/request_forms_test.go
@@ -24,6 +24,7 @@
 		{"encoded octets", "GET /catalogue/%2e%2e/%2F HTTP/1.1\r\nHost: catalogue\r\n\r\n", http.StatusOK},
 		{"empty segment before a body", "POST /bookings//1 HTTP/1.1\r\nHost: booking\r\nContent-Length: 4\r\n\r\nbody", http.StatusOK},
 		{"body in chunks", "POST /bookings/1 HTTP/1.1\r\nHost: booking\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2;x=y\r\ndy\r\n0\r\n\r\n", http.StatusOK},
+		{"upper case", "GET /catalogue/1 HTTP/1.1\r\nHost: CataLogue\r\n\r\n", http.StatusOK},
 		{"port", "GET /catalogue/1 HTTP/1.1\r\nHost: catalogue:8080\r\n\r\n", http.StatusOK},
 		{"absolute form", "GET http://catalogue/catalogue/1 HTTP/1.1\r\nHost: other\r\n\r\n", http.StatusOK},
 	} {
