assembler, commander: OPTIONS * gets no success that no server gave

Callers that sent OPTIONS * got 200 with no body from the entry itself, in both programs: a success without a server's response. No route begins the path "*", so 404 is due.

Cause: net/http answers this request before the handler unless DisableGeneralOptionsHandler is set.

The case "asterisk form" of both tests TestLegalRequestFormsDenied failed before (200) and passes now. The test in steer/commander is new; its other cases passed before.

--- a/entry/assembler/assembler.go
+++ b/entry/assembler/assembler.go
@@ -250,7 +250,7 @@
 	}
 	e.http = &http.Server{
 		Handler: http.HandlerFunc(handler), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnState: e.connections.ConnState,
+		MaxHeaderBytes: maxHeaderBytes, ConnState: e.connections.ConnState, DisableGeneralOptionsHandler: true,
 		BaseContext: func(net.Listener) context.Context { return e.drainer.Requests() },
 		ErrorLog:    e.deps.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
--- a/standin/measurer/request_forms_test.go
+++ b/standin/measurer/request_forms_test.go
@@ -27,6 +27,7 @@
 		{"upper case", "GET /catalogue/1 HTTP/1.1\r\nHost: CataLogue\r\n\r\n", http.StatusOK},
 		{"port", "GET /catalogue/1 HTTP/1.1\r\nHost: catalogue:8080\r\n\r\n", http.StatusOK},
 		{"absolute form", "GET http://catalogue/catalogue/1 HTTP/1.1\r\nHost: other\r\n\r\n", http.StatusOK},
+		{"asterisk form", "OPTIONS * HTTP/1.1\r\nHost: catalogue\r\n\r\n", http.StatusNotFound},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withCluster(t, simulator.Options{Deployment: d, Entries: 2}, d.Document("test"), func(t *testing.T, cl testCluster) {
--- /dev/null
+++ b/steer/commander/request_forms_test.go
@@ -0,0 +1,58 @@
+package commander
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestLegalRequestFormsDenied guards against redirects and client errors for requests whose
+// form is unusual but legal, and against targets that are changed on the way.
+func TestLegalRequestFormsDenied(t *testing.T) {
+	for _, c := range []struct {
+		name, request string
+		status        int
+		target        string
+	}{
+		{"empty segment", "GET /look//1 HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look//1"},
+		{"dot segment", "GET /look/./1 HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/./1"},
+		{"two dots", "GET /look/a/../1 HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/a/../1"},
+		{"encoded octets", "GET /look/%2e%2e/%2F?a=/b/ HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/%2e%2e/%2F?a=/b/"},
+		{"upper case", "GET /look/1 HTTP/1.1\r\nHost: H\r\n", http.StatusOK, "/look/1"},
+		{"port", "GET /look/1 HTTP/1.1\r\nHost: h:8080\r\n", http.StatusOK, "/look/1"},
+		{"empty body", "POST /book/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n", http.StatusOK, "/book/1"},
+		{"no length", "POST /book/1 HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/book/1"},
+		{"options", "OPTIONS /look/1 HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/1"},
+		{"asterisk form", "OPTIONS * HTTP/1.1\r\nHost: h\r\n", http.StatusNotFound, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				var mu sync.Mutex
+				target := ""
+				f.respond = func(w http.ResponseWriter, r *http.Request) {
+					mu.Lock()
+					defer mu.Unlock()
+					target = r.RequestURI
+					_, _ = io.WriteString(w, "ok")
+				}
+				conn, err := f.network.dialer("caller")(t.Context(), "tcp", f.entries[0].settings.Load().CallerAddress)
+				is.NoErr(err)
+				defer conn.Close()
+				_, err = io.WriteString(conn, c.request+"X-Request-Id: r1\r\nX-Deadline-Ms: 900\r\n\r\n")
+				is.NoErr(err)
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				is.NoErr(err)
+				defer resp.Body.Close()
+				is.Equal(resp.StatusCode, c.status)
+				mu.Lock()
+				defer mu.Unlock()
+				is.Equal(target, c.target)
+			})
+		})
+	}
+}
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -105,7 +105,8 @@
 func (e *entry) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: e.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     e.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 }
 
