balancer: targets in absolute form match their routes

Callers of samphire-steer got 404 for GET http://host/path, which a server has to accept (RFC 9112, 3.2.2): the whole target was compared with the prefixes of routes.

The scheme and the authority are now taken off; net/http has the host from them already. Servers get the origin form, byte for byte.

--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -56,7 +56,8 @@
 	if view.Table == nil || (h != nil && view.Table.Version < h.configuration) {
 		return nil, notRun(refuser.NoDocument)
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
+	target := originForm(r.RequestURI)
+	path, _, _ := strings.Cut(target, "?")
 	if limit := view.Table.Limits.HeaderBytes; h == nil && limit > 0 && headerBytes(r) > limit {
 		return nil, notRun(refuser.HeadersTooLarge)
 	}
@@ -93,11 +94,28 @@
 	service := route.PickService(b.draw(route.Name))
 	return &call{
 		route: route, service: service, version: view.Splits[service].PickVersion(b.draw("version of " + service)),
-		view: view, arrived: now, deadline: deadline, method: r.Method, host: r.Host, target: r.RequestURI,
+		view: view, arrived: now, deadline: deadline, method: r.Method, host: r.Host, target: target,
 		header: endToEndHeader(r.Header), body: body, id: id, tried: map[string]bool{}, hop: h,
 	}, nil
 }
 
+// originForm returns a request target without the scheme and the authority that the absolute
+// form has. The rest is unchanged.
+func originForm(target string) string {
+	_, rest, absolute := strings.Cut(target, "://")
+	if !absolute || strings.HasPrefix(target, "/") {
+		return target
+	}
+	begin := strings.IndexAny(rest, "/?")
+	switch {
+	case begin < 0:
+		return "/"
+	case rest[begin] == '?':
+		return "/" + rest[begin:]
+	}
+	return rest[begin:]
+}
+
 // readBody reads the whole body within the limit of the configuration, until the context
 // of the request ends.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refuser.Refusal) {
--- a/steer/commander/request_forms_test.go
+++ b/steer/commander/request_forms_test.go
@@ -27,6 +27,11 @@
 		{"empty body", "POST /book/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n", http.StatusOK, "/book/1"},
 		{"no length", "POST /book/1 HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/book/1"},
 		{"options", "OPTIONS /look/1 HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/1"},
+		{"absolute form", "GET http://h/look/1?q HTTP/1.1\r\nHost: other\r\n", http.StatusOK, "/look/1?q"},
+		{"absolute form, address in the query", "GET http://h/look/?u=http://x/ HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/?u=http://x/"},
+		{"address in the path", "GET /look/http://x/ HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/http://x/"},
+		{"absolute form without a path", "GET http://h HTTP/1.1\r\nHost: h\r\n", http.StatusNotFound, ""},
+		{"absolute form without a path but a query", "GET http://h?/look/ HTTP/1.1\r\nHost: h\r\n", http.StatusNotFound, ""},
 		{"asterisk form", "OPTIONS * HTTP/1.1\r\nHost: h\r\n", http.StatusNotFound, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
