balancer: no 413 or 431 while a newer configuration may allow the request

TestLimitsOfNewerConfiguration failed before (431, 413 for a stated length, 413 for a body in chunks) and passes now. An entry that is up to date answers 431 and 413 as before.

--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -375,6 +375,44 @@
 	})
 }
 
+// TestLimitsOfNewerConfiguration guards against 413 and 431 for requests that a configuration
+// may allow that this entry has not read yet.
+func TestLimitsOfNewerConfiguration(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		header, body     int
+		chunked          bool
+		status, outdated int
+	}{
+		{"headers", 2100, 0, false, http.StatusRequestHeaderFieldsTooLarge, http.StatusServiceUnavailable},
+		{"body", 0, 1<<20 + 1, false, http.StatusRequestEntityTooLarge, http.StatusServiceUnavailable},
+		{"body in chunks", 0, 1<<20 + 1, true, http.StatusRequestEntityTooLarge, http.StatusServiceUnavailable},
+		{"within the limits", 100, 100, false, http.StatusOK, http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(t, chooser.ExpectedCompletion{}, servers(1, respondOK)...)
+				for _, outdated := range []bool{false, true} {
+					f.outdated = outdated
+					r := httptest.NewRequest(http.MethodPost, "http://h/look/1", strings.NewReader(strings.Repeat("b", c.body)))
+					r.RequestURI = "/look/1"
+					if c.chunked {
+						r.ContentLength = -1
+					}
+					r.Header.Set("Id", "r1")
+					r.Header.Set("Filler", strings.Repeat("f", c.header))
+					w := httptest.NewRecorder()
+					f.balancer.ServeHTTP(w, r)
+					is.Equal(w.Code, map[bool]int{false: c.status, true: c.outdated}[outdated])
+					is.Equal(w.Header().Get("Retry-After") != "", w.Code == http.StatusServiceUnavailable)
+				}
+				f.close()
+			})
+		})
+	}
+}
+
 func TestNoConfiguration(t *testing.T) {
 	is := is.New(t)
 	s := balancer.New(balancer.Options{
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -59,14 +59,11 @@
 	target := originForm(r.RequestURI)
 	path, _, _ := strings.Cut(target, "?")
 	if limit := view.Table.Limits.HeaderBytes; h == nil && limit > 0 && headerBytes(r) > limit {
-		return nil, notRun(refuser.HeadersTooLarge)
+		return nil, b.notAllowed(refuser.HeadersTooLarge)
 	}
 	route, ok := view.Table.Match(r.Host, path)
-	switch {
-	case !ok && b.opts.Outdated != nil && b.opts.Outdated():
-		return nil, notRun(refuser.Outdated)
-	case !ok:
-		return nil, notRun(refuser.NoSuchRoute)
+	if !ok {
+		return nil, b.notAllowed(refuser.NoSuchRoute)
 	}
 	id := r.Header.Get(b.opts.Headers.RequestID)
 	if id == "" {
@@ -85,7 +82,10 @@
 		bodyLimit = 0
 	}
 	body, refusal := readBody(w, r, bodyLimit)
-	if refusal != nil {
+	switch {
+	case refusal != nil && refusal.Reason == refuser.BodyTooLarge:
+		return nil, b.notAllowed(refuser.BodyTooLarge)
+	case refusal != nil:
 		return nil, refusal
 	}
 	if !b.opts.MayTake(deadline) {
@@ -99,6 +99,15 @@
 	}, nil
 }
 
+// notAllowed returns the refusal of a request that the configuration in force does not allow,
+// for a reason. It is temporary while a newer configuration may allow the request.
+func (b *Balancer) notAllowed(reason refuser.Reason) *refuser.Refusal {
+	if b.opts.Outdated != nil && b.opts.Outdated() {
+		return notRun(refuser.Outdated)
+	}
+	return notRun(reason)
+}
+
 // originForm returns a request target without the scheme and the authority that the absolute
 // form has. The rest is unchanged.
 func originForm(target string) string {
--- a/entry/refuser/refuser.go
+++ b/entry/refuser/refuser.go
@@ -64,8 +64,8 @@
 	// UnreachableServers means that this entry reaches no backend server of any service,
 	// and that no other entry took the request.
 	UnreachableServers Reason = "servers-unreachable"
-	// Outdated means that the configuration in force has no route for the request, and
-	// that a newer one may have.
+	// Outdated means that the configuration or document in force does not allow the
+	// request, and that a newer one may.
 	Outdated Reason = "configuration-outdated"
 	// Stopping means that the entry stops and might not complete the request.
 	Stopping Reason = "stopping"
