reflector: an entry that gets no response of the store asks others sooner

An entry that the store leaves without a response, while it answers the others, learned a large configuration after the deadline of the users' pages, and refused callers of new routes until then. Cause: it waited for the store for 2 s (readTimeout) before it asked another entry.

Evidence: entries on links of 10 Mbit/s, bound 2.5 s (TestLargeValueWithoutAnswerOfStore). All are in time now, as are those in which the relay gets no responses either.

Now an entry asks others when no part of the response has arrived for 0.5 s, and goes on waiting for the store beside; the first that gives the value ends the other, so that it does not come twice over the link.

Ruled out: a shorter readTimeout, since a store that is slow by more would never be read. Price: while the store is slow by over 0.5 s, entries ask others every 0.2 s for a value that few have; not measured on a site.

--- a/entry/reflector/read.go
+++ b/entry/reflector/read.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"samphiremux/pkg/linker"
@@ -12,6 +13,9 @@
 const (
 	// readTimeout bounds the read of one omitted value from the store.
 	readTimeout = 2 * time.Second
+	// readPatience is the time without a response of the store after which other entries are
+	// asked beside it.
+	readPatience = 500 * time.Millisecond
 	// readRetryInterval is the time between two tries to read an omitted value.
 	readRetryInterval = 100 * time.Millisecond
 )
@@ -103,7 +107,7 @@
 			if len(keys) == 0 {
 				break
 			}
-			if storeAnswers && r.readOmitted(ctx, keys) {
+			if storeAnswers && r.readAll(ctx, keys) {
 				continue
 			}
 			r.fetch(ctx)
@@ -114,25 +118,64 @@
 	}
 }
 
-// readOmitted reads keys from the store. It reports whether the store answered.
-func (r *Reflector) readOmitted(ctx context.Context, keys []string) bool {
+// readAll reads keys from the store. It reports whether all are known or gone.
+func (r *Reflector) readAll(ctx context.Context, keys []string) bool {
 	for _, key := range keys {
-		readCtx, cancel := storer.WithTransferTimeout(ctx, time.Now().Add(readTimeout), transferTimeout)
-		pair, err := r.o.Store.Get(readCtx, key)
-		cancel()
-		var noSuchKey storer.ErrNoSuchKey
-		if err != nil && !errors.As(err, &noSuchKey) {
+		if err := r.readOmitted(ctx, key); err != nil && r.isOmitted(key) {
 			r.o.Log.Warn("Value not read from the store; asking other entries.", "key", key, "error", err)
 			return false
 		}
-		r.mu.Lock()
-		if err == nil {
-			r.apply(time.Now(), Change{Key: key, Value: pair.Value, Revision: pair.ModRevision})
+	}
+	return true
+}
+
+// readOmitted reads a key from the store. While no response arrives, other entries are asked
+// too, and the read ends when one of them has given the value.
+func (r *Reflector) readOmitted(ctx context.Context, key string) error {
+	readCtx, cancelRead := storer.WithTransferTimeout(ctx, time.Now().Add(readTimeout), transferTimeout)
+	defer cancelRead()
+	fetchCtx, cancelFetch := context.WithCancel(ctx)
+	var fetches sync.WaitGroup
+	fetches.Go(func() {
+		if r.fetchOmitted(fetchCtx, key) {
+			cancelRead()
 		}
-		if _, ok := r.omitted[key]; ok {
-			r.endOmission(key)
+	})
+	// The value would come twice over the same link.
+	pair, err := r.o.Store.Get(storer.WithProgress(readCtx, cancelFetch), key)
+	cancelFetch()
+	fetches.Wait()
+	var noSuchKey storer.ErrNoSuchKey
+	if err != nil && !errors.As(err, &noSuchKey) {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil {
+		r.apply(time.Now(), Change{Key: key, Value: pair.Value, Revision: pair.ModRevision})
+	}
+	if _, ok := r.omitted[key]; ok {
+		r.endOmission(key)
+	}
+	return nil
+}
+
+// fetchOmitted asks other entries for the value of a key from readPatience on, until ctx
+// ends. It reports whether the value is known or gone.
+func (r *Reflector) fetchOmitted(ctx context.Context, key string) bool {
+	for wait := readPatience; sleep(ctx, wait); wait = peerSyncInterval {
+		r.fetch(ctx)
+		if !r.isOmitted(key) {
+			return true
 		}
-		r.mu.Unlock()
 	}
-	return true
+	return false
+}
+
+// isOmitted reports whether a key is still to be read.
+func (r *Reflector) isOmitted(key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.omitted[key]
+	return ok
 }
--- a/standin/measurer/relay_fault_test.go
+++ b/standin/measurer/relay_fault_test.go
@@ -60,6 +60,47 @@
 	}
 }
 
+// TestLargeValueWithoutAnswerOfStore guards against entries that wait for the store, which
+// answers the others only, for longer than a value may take to be in force.
+func TestLargeValueWithoutAnswerOfStore(t *testing.T) {
+	for _, c := range []struct {
+		entries, size int
+		relay         bool
+	}{
+		{1, 50_000, false},
+		{1, largeValue, false},
+		{1, 600_000, false},
+		{5, largeValue, false},
+		{15, largeValue, false},
+		{5, 600_000, false},
+		{0, 1_000, true},
+		{0, 50_000, true},
+		{0, largeValue, true},
+		{5, largeValue, true},
+	} {
+		t.Run(fmt.Sprintf("%d entries, relay %t, %d bytes", c.entries, c.relay, c.size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newCopyFleet(t, copyDomain{22, slowLink}, copyDomain{22, slowLink})
+				time.Sleep(5 * time.Second)
+				var unanswered []*copyEntry
+				for _, e := range f.entries[:22] {
+					if len(unanswered) < c.entries && !e.enroller.IsRelay() {
+						unanswered = append(unanswered, e)
+					}
+				}
+				if c.relay {
+					unanswered = append(unanswered, f.relay())
+				}
+				f.stopAnswering(unanswered...)
+				value := bytes.Repeat([]byte("r"), c.size)
+				f.store.PutUnguarded("op/config", value)
+				f.expectKnown(t, "op/config", value, time.Now().Add(configurationDeadline))
+				f.close()
+			})
+		})
+	}
+}
+
 // TestAllEntriesStartWithLargeValue guards against entries that start together and list the
 // store again and again, each time for less long than the list takes.
 func TestAllEntriesStartWithLargeValue(t *testing.T) {
--- a/standin/measurer/relay_test.go
+++ b/standin/measurer/relay_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,6 +52,35 @@
 	entries []*copyEntry
 	ctx     context.Context
 	cancel  context.CancelFunc
+
+	mu sync.Mutex
+	// unanswered holds the hosts that get no response of the store.
+	unanswered map[string]bool
+}
+
+// ServeHTTP implements http.Handler. It is the store as the entries see it.
+func (f *copyFleet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	if f.isUnanswered(host) {
+		<-r.Context().Done()
+		return
+	}
+	storeadapter.Handler(f.store).ServeHTTP(w, r)
+}
+
+func (f *copyFleet) isUnanswered(host string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.unanswered[host]
+}
+
+// stopAnswering makes the store leave the calls of entries without a response.
+func (f *copyFleet) stopAnswering(entries ...*copyEntry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range entries {
+		f.unanswered[e.host.String()] = true
+	}
 }
 
 // copyEntry is an entry that keeps a copy of the store.
@@ -115,7 +145,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &copyFleet{
 		network: netemulator.New(func(string, string) time.Duration { return 500 * time.Microsecond }),
-		store:   platformemulator.NewStore(), ctx: ctx, cancel: cancel,
+		store:   platformemulator.NewStore(), ctx: ctx, cancel: cancel, unanswered: map[string]bool{},
 	}
 	address := netip.MustParseAddrPort(storeAddress)
 	f.network.SetBandwidth(address.Addr(), 1e9/8)
@@ -123,7 +153,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.server = &http.Server{Handler: storeadapter.Handler(f.store)}
+	f.server = &http.Server{Handler: f}
 	go func() { _ = f.server.Serve(l) }()
 	for i, d := range domains {
 		f.startDomain(t, i, d)
