balancer: a hedge that another entry passes on tells that its server leaves

An entry that had lost its servers passed a hedge on, gave its caller the response with Server-Leaving, and did not record it: only responses to first attempts that are passed on were read for it. Once it reached the servers again it could send to that server, until its own probe told it.

Read where requests are passed on, for both. TestLeavingServerUsedAfterDelegatedHedge failed before (0 servers known to leave, 1 expected); the response in it does carry the header.

--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -91,7 +91,6 @@
 		c.traceDelegated(result.Entry, delegatedResponded)
 		b.metrics.delegated.With(delegatedResponded).Inc()
 		c.delegated = result.Entry
-		b.setLeaving(c.service, result.Leaving)
 		return result.Response, nil, false
 	case delegator.Refused:
 		c.traceDelegated(result.Entry, result.Refusal.Header())
@@ -139,14 +138,19 @@
 	}
 }
 
-// sendToEntry passes a request on that has been sent to servers a number of times.
+// sendToEntry passes a request on that has been sent to servers a number of times, and
+// records what the response says of the server.
 func (b *Balancer) sendToEntry(ctx context.Context, c *call, sent int) delegator.Result {
 	header := c.header.Clone()
 	b.opts.Headers.SetDeadline(header, time.Until(c.deadline))
-	return b.opts.Delegator.Send(ctx, delegator.Request{
+	result := b.opts.Delegator.Send(ctx, delegator.Request{
 		Request:  roundtripper.Request{Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id},
 		Attempts: sent, Configuration: c.view.Table.Version, Service: c.service,
 	})
+	if responded, ok := result.(delegator.Responded); ok {
+		b.setLeaving(c.service, responded.Leaving)
+	}
+	return result
 }
 
 // delegateHedge passes on the hedge of an idempotent request. A refusal counts as not sent,
--- a/steer/commander/delegation_test.go
+++ b/steer/commander/delegation_test.go
@@ -225,6 +225,16 @@
 	})
 }
 
+// countLeaving returns the number of servers that are leaving as an entry knows.
+func (f *fleet) countLeaving(i int) (n int) {
+	for _, srv := range f.entries[i].snapshots.Snapshot().Services["stock"] {
+		if srv.State.Leaving() {
+			n++
+		}
+	}
+	return n
+}
+
 // TestLeavingServerUsedAfterDelegation guards against new work for a server whose response
 // another entry has passed on, and in which the server said that it leaves.
 func TestLeavingServerUsedAfterDelegation(t *testing.T) {
@@ -234,13 +244,30 @@
 		f.respond = func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(translator.HeaderLeaving, "1") }
 		_, _, err := f.send(t.Context(), 0, "/book/a", "r1", "")
 		is.NoErr(err)
-		leaving := 0
-		for _, srv := range f.entries[0].snapshots.Snapshot().Services["stock"] {
-			if srv.State.Leaving() {
-				leaving++
+		is.Equal(f.countLeaving(0), 1)
+	})
+}
+
+// TestLeavingServerUsedAfterDelegatedHedge guards against new work for a server that said
+// that it leaves in the response to a hedge, which another entry has passed on.
+func TestLeavingServerUsedAfterDelegatedHedge(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		var first sync.Once
+		f.respond = func(w http.ResponseWriter, _ *http.Request) {
+			slow := false
+			first.Do(func() { slow = true })
+			if slow {
+				time.Sleep(callerTimeout)
+				return
 			}
+			w.Header().Set(translator.HeaderLeaving, "1")
 		}
-		is.Equal(leaving, 1)
+		time.AfterFunc(serverWork, func() { f.setCuts([]int{0}, hanging) })
+		resp, _, err := f.send(t.Context(), 0, "/look/a", "r1", "")
+		is.NoErr(err)
+		is.Equal(resp.Header.Get(translator.HeaderLeaving), "1")
+		is.Equal(f.countLeaving(0), 1)
 	})
 }
 
