delegator: another entry tells which incarnation of a server leaves

An entry that passed a request on got the id of a leaving server with the response, and marked the server of that id. If it already knew a later incarnation of it, that one got nothing from this entry until it left too, since nothing ends the state of an incarnation.

The header carries the incarnation, and an earlier one says nothing of a later one. The entry that sends it takes both from the server that it used, not from the routing state at the arrival of the request. TestLateWordOfEarlierIncarnationDelegated failed before in one of three cases (1 server known to leave, 0 expected).

--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -9,6 +9,7 @@
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/retrier"
 	"samphiremux/entry/roundtripper"
+	"samphiremux/entry/snapshotter"
 )
 
 const (
@@ -39,7 +40,9 @@
 // attemptResult is the result of one attempt. The response is nil unless the
 // outcome is retrier.Answered or retrier.Shed.
 type attemptResult struct {
-	server   string
+	server string
+	// backend is the server, unless the attempt was passed on.
+	backend  snapshotter.Backend
 	response *roundtripper.Response
 	outcome  retrier.Outcome
 }
@@ -141,7 +144,7 @@
 	if ctx.Err() == nil {
 		go b.detectCrash(c, p, outcome)
 	}
-	return attemptResult{server: p.ID, response: resp, outcome: outcome}
+	return attemptResult{server: p.ID, backend: p.Backend, response: resp, outcome: outcome}
 }
 
 // observe updates the state of the server and of the route after an attempt.
--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -118,10 +118,10 @@
 }
 
 // setLeaving records that a server of a service is shutting down by a response that another
-// entry has passed on.
-func (b *Balancer) setLeaving(service, id string) {
+// entry has passed on. It says nothing of a later incarnation.
+func (b *Balancer) setLeaving(service string, leaving delegator.LeavingServer) {
 	for _, srv := range b.opts.Snapshot().Services[service] {
-		if id != "" && srv.ID == id {
+		if srv.ID == leaving.ID && srv.Incarnation <= leaving.Incarnation {
 			srv.State.SetLeaving()
 		}
 	}
@@ -131,10 +131,8 @@
 func (b *Balancer) writeHopHeaders(c *call, resp *roundtripper.Response) {
 	resp.Header.Set(delegator.OutcomeHeader, delegator.Passed)
 	resp.Header.Del(delegator.LeavingHeader)
-	for _, srv := range c.view.Services[c.service] {
-		if srv.ID == c.server && srv.State.Leaving() {
-			resp.Header.Set(delegator.LeavingHeader, c.server)
-		}
+	if c.backend.State != nil && c.backend.State.Leaving() {
+		resp.Header.Set(delegator.LeavingHeader, delegator.LeavingServer{ID: c.backend.ID, Incarnation: c.backend.Incarnation}.Header())
 	}
 }
 
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -36,8 +36,8 @@
 	// the number of those that did not respond in their round.
 	probes    int
 	unreached int
-	// server is the id of the server whose response goes to the caller.
-	server string
+	// backend is the server of the last attempt, unless that was passed on.
+	backend snapshotter.Backend
 	// delegated is the id of the entry that the request was passed on to.
 	delegated string
 	trace     trace
--- a/entry/balancer/run.go
+++ b/entry/balancer/run.go
@@ -40,7 +40,7 @@
 		c.traceChosen(Chosen, p)
 		c.useStableVersion()
 		result := b.attempt(ctx, c, p, &state)
-		c.server = result.server
+		c.backend = result.backend
 		switch {
 		case result.isFinal(c.route.Idempotent):
 			return result.response, nil
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -5,10 +5,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -42,8 +44,8 @@
 	// OutcomeHeader tells what a response is: Passed, or a refusal as in
 	// refuser.Refusal.Header.
 	OutcomeHeader = "Samphire-Outcome"
-	// LeavingHeader carries the id of the server that sent a response, if it is shutting
-	// down.
+	// LeavingHeader carries the server that sent a response, if it is shutting down, as in
+	// LeavingServer.Header.
 	LeavingHeader = "Samphire-Leaving-Server"
 	// RetryHeader carries the time after which a refused request may be served, as a Go
 	// duration. It is missing if that is not known.
@@ -109,8 +111,28 @@
 type Responded struct {
 	Entry    string
 	Response *roundtripper.Response
-	// Leaving is the id of the server if it is shutting down, or empty.
-	Leaving string
+	// Leaving is the server if it is shutting down. Its ID is empty if it is not.
+	Leaving LeavingServer
+}
+
+// LeavingServer is an incarnation of a backend server that is shutting down.
+type LeavingServer struct {
+	ID          string
+	Incarnation int64
+}
+
+// Header returns the value of LeavingHeader: the incarnation and the id.
+func (s LeavingServer) Header() string { return fmt.Sprintf("%d %s", s.Incarnation, s.ID) }
+
+// parseLeavingServer returns the server of a value of LeavingHeader. Its ID is empty if
+// there is none.
+func parseLeavingServer(header string) LeavingServer {
+	number, id, _ := strings.Cut(header, " ")
+	incarnation, err := strconv.ParseInt(number, 10, 64)
+	if err != nil {
+		return LeavingServer{}
+	}
+	return LeavingServer{ID: id, Incarnation: incarnation}
 }
 
 // Refused is the refusal of another entry.
@@ -210,7 +232,7 @@
 	case resp == nil:
 		return Lost{Entry: p.ID, Outcome: outcome}
 	}
-	told, leaving := resp.Header.Get(OutcomeHeader), resp.Header.Get(LeavingHeader)
+	told, leaving := resp.Header.Get(OutcomeHeader), parseLeavingServer(resp.Header.Get(LeavingHeader))
 	resp.Header.Del(OutcomeHeader)
 	resp.Header.Del(LeavingHeader)
 	if told == Passed {
--- a/steer/commander/delegation_test.go
+++ b/steer/commander/delegation_test.go
@@ -248,6 +248,38 @@
 	})
 }
 
+// TestLateWordOfEarlierIncarnationDelegated guards against a restarted server that gets
+// nothing, since another entry passes a response of its earlier incarnation on.
+func TestLateWordOfEarlierIncarnationDelegated(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		here, there int64
+		leaving     int
+	}{
+		{"the same incarnation", 7, 7, 1},
+		{"the server has restarted", 8, 7, 0},
+		{"only the other entry knows the later incarnation", 7, 8, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				f.isolate(0)
+				for i, e := range f.entries {
+					for _, srv := range e.snapshots.Snapshot().Services["stock"] {
+						srv.Incarnation = map[bool]int64{true: c.here, false: c.there}[i == 0]
+						e.snapshots.PutServer(srv.Server)
+					}
+				}
+				f.respond = func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(translator.HeaderLeaving, "1") }
+				resp, _, err := f.send(t.Context(), 0, "/book/a", "r1", "")
+				is.NoErr(err)
+				is.Equal(resp.Header.Get(translator.HeaderLeaving), "1")
+				is.Equal(f.countLeaving(0), c.leaving)
+			})
+		})
+	}
+}
+
 // TestLeavingServerUsedAfterDelegatedHedge guards against new work for a server that said
 // that it leaves in the response to a hedge, which another entry has passed on.
 func TestLeavingServerUsedAfterDelegatedHedge(t *testing.T) {
