snapshotter: a removed server that is registered again keeps its state

The registration of a server may end and come back while it runs, as after an outage of the store. Each time the entry began with an empty state, unless the server was known to leave by then: a pause was forgotten, and so was a server that said only after its removal, to a request that still ran, that it leaves.

The state of every removed server is kept for the longest pause and a minute. Another incarnation has a state of its own, as before, and without an incarnation nothing is kept.

--- a/entry/balancer/leaving_test.go
+++ b/entry/balancer/leaving_test.go
@@ -170,6 +170,27 @@
 	})
 }
 
+// TestLeavingSaidAfterRemoval guards against a server that an older record brings back, since
+// it said only after its removal, to a request that still ran, that it leaves.
+func TestLeavingSaidAfterRemoval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := servers(1, respondLeaving)
+		all[0].work = 100 * time.Millisecond
+		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+		defer f.close()
+		server := f.snapshotter.Snapshot().Services["stock"][0].Server
+		server.Incarnation = 7
+		f.snapshotter.PutServer(server)
+		time.AfterFunc(50*time.Millisecond, func() { f.snapshotter.RemoveServer(server.ID) })
+		is.Equal(f.send(http.MethodPost, "/book/1", "r1").Code, 200)
+		all[0].setRespond(respondOK)
+		f.snapshotter.PutServer(server)
+		f.sendMany(10)
+		is.Equal(all[0].count(), 1)
+	})
+}
+
 // TestLateWordOfEarlierIncarnation guards against a restarted server that gets nothing,
 // since a response of its earlier incarnation arrives after its registration.
 func TestLateWordOfEarlierIncarnation(t *testing.T) {
--- a/entry/balancer/pause_test.go
+++ b/entry/balancer/pause_test.go
@@ -98,6 +98,46 @@
 	})
 }
 
+// TestServerRegisteredAgainInItsPause guards against requests and probes at a server whose
+// registration ends and comes back within the pause, as after an outage of the store, and
+// against a restarted server that is taken for the one that asked for the pause.
+func TestServerRegisteredAgainInItsPause(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		restarts bool
+	}{{"the same incarnation", false}, {"a later incarnation", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				all := servers(2, respondOK)
+				all[1].slowness = 150
+				all[0].setRespond(shedFor("3"))
+				f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+				defer f.close()
+				server := f.snapshotter.Snapshot().Services["stock"][0].Server
+				server.Incarnation = 7
+				f.snapshotter.PutServer(server)
+				began := time.Now()
+				is.Equal(f.send(http.MethodGet, "/look/1", "r1").Code, 200)
+				is.Equal(all[0].count(), 1)
+				all[0].setRespond(respondOK)
+				f.snapshotter.RemoveServer(server.ID)
+				f.sendFor(200 * time.Millisecond)
+				if c.restarts {
+					server.Incarnation = 8
+				}
+				f.snapshotter.PutServer(server)
+				f.sendFor(4 * time.Second)
+				got := all[0].gotBetween(began.Add(pauseNotice), began.Add(3*time.Second))
+				if got > pauseSlack != c.restarts {
+					t.Errorf("server got %d requests and probes in the pause of its earlier registration", got)
+				}
+				is.True(all[0].gotBetween(began.Add(3*time.Second), began.Add(5*time.Second)) > 0) // it is used again
+			})
+		})
+	}
+}
+
 // TestServerThatPausesOverAndOver guards against a pause that is ignored because another
 // one preceded it, and against a service that stays unused.
 func TestServerThatPausesOverAndOver(t *testing.T) {
--- a/entry/snapshotter/snapshotter.go
+++ b/entry/snapshotter/snapshotter.go
@@ -46,8 +46,8 @@
 	excludedDomains map[string]bool
 	orders          map[string]describer.MoveOrder
 	records         map[string]MoveRecord
-	// departed holds removed servers that were leaving, so that an older record of the
-	// same incarnation does not bring them back.
+	// departed holds removed servers, so that a record of the same incarnation does not
+	// reset what they said of themselves.
 	departed map[string]departed
 }
 
@@ -57,8 +57,9 @@
 	until time.Time
 }
 
-// departedMemory is the time for which a removed server that was leaving is remembered.
-const departedMemory = 10 * time.Minute
+// departedMemory is the time for which a removed server is remembered. It covers the
+// longest pause.
+const departedMemory = describer.MaxPause + time.Minute
 
 // New returns an empty snapshotter. It calls connect to create the state of each new
 // server.
@@ -104,7 +105,7 @@
 
 // PutServer adds or updates a backend server. A new incarnation or address starts
 // with an empty state. An older incarnation than the known one is ignored. A server that
-// was removed while it was leaving is still leaving if the same incarnation reappears.
+// was removed keeps its state if the same incarnation reappears.
 func (s *Snapshotter) PutServer(server describer.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -141,7 +142,7 @@
 	}
 	delete(s.backends, id)
 	// Without its incarnation a server cannot be told from one that has restarted.
-	if b.Incarnation != 0 && b.State.Leaving() {
+	if b.Incarnation != 0 {
 		s.departed[id] = departed{Backend: b, until: time.Now().Add(departedMemory)}
 	}
 	b.State.Close()
@@ -198,6 +199,7 @@
 		b.State.CloseExpired(now)
 	}
 	for id, d := range s.departed {
+		d.State.Close() // a request that ended later returned its connection
 		if !now.Before(d.until) {
 			delete(s.departed, id)
 		}
