balancer: the exit of a server that said that it leaves is no crash

A request whose response broke off since its server exited, after that had said in a response that it leaves, counted as a crash of the server: two of them and the same request was refused everywhere for 10 minutes.

TestExitOfLeavingServerTakenForCrash failed before (1 notice of a suspect, 0 expected). Servers that report to the store that they drain are not changed by this.

--- a/entry/balancer/leaving_test.go
+++ b/entry/balancer/leaving_test.go
@@ -233,6 +233,29 @@
 	})
 }
 
+// TestExitOfLeavingServerTakenForCrash guards against a request that is taken for one that
+// crashes servers, and against a probe, since a server that said that it leaves exits under it.
+func TestExitOfLeavingServerTakenForCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := servers(2, respondOK)
+		all[1].slowness = 110
+		all[0].setRespond(func(w io.Writer, _ string) bool {
+			time.Sleep(50 * time.Millisecond)
+			all[0].mu.Lock()
+			all[0].crashed = true
+			all[0].mu.Unlock()
+			return breakLeavingBody(w, "r1")
+		})
+		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+		defer f.close()
+		f.send(http.MethodPost, "/book/1", "r1")
+		is.Equal(all[0].count(), 1)
+		time.Sleep(time.Second)
+		is.Equal(len(f.notices), 0)
+	})
+}
+
 // TestLeavingSaidInProbe guards against a request to a server whose healthy response to the
 // probe just before says that it leaves.
 func TestLeavingSaidInProbe(t *testing.T) {
--- a/entry/balancer/suspect.go
+++ b/entry/balancer/suspect.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"samphiremux/entry/quarantiner"
-	"samphiremux/entry/refuser"
 	"samphiremux/entry/retrier"
 )
 
@@ -43,8 +42,8 @@
 	default:
 		return
 	}
-	if unavailable(p.State) == refuser.PausedServers {
-		return // a probe is a request too
+	if unavailable(p.State) != "" {
+		return // a probe is a request too, and a leaving server is expected to exit
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
