commander, balancer, roundtripper, explainer: more tests of what servers say of themselves

A whole entry without the store and without other entries hears by the headers of the platform that a server leaves, or asks for a pause: also after its restart, and until a later incarnation. An isolated entry that looks for a server it reaches keeps both. Explain names the servers that pause.

--- a/ctl/explainer/explainer_test.go
+++ b/ctl/explainer/explainer_test.go
@@ -76,6 +76,29 @@
 	is.True(strings.Contains(x.Verdict, "no-backend-server"))
 }
 
+// TestServersThatPauseExplained guards against an explanation that does not say which servers
+// got nothing since they asked for a pause, and until when.
+func TestServersThatPauseExplained(t *testing.T) {
+	is := is.New(t)
+	file, err := os.Open("_fixtures/paused.log")
+	is.NoErr(err)
+	defer file.Close()
+	e := explainer.New("r1")
+	is.NoErr(e.Read("paused.log", file))
+	x := e.Explain()
+	text := strings.Join(x.Lines(), "\n")
+	for _, want := range []string{
+		"Backend server asks for a pause. server=i-1 until=2026-12-04T22:00:03.100000Z",
+		"Pause of a backend server does not hold as stated. server=i-2 stated=7200 until=2026-12-04T22:10:00.200000Z",
+		"paused=i-1 i-2",
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no %q in\n%s", want, text)
+		}
+	}
+	is.True(strings.Contains(x.Verdict, "servers-paused"))
+}
+
 // TestDelegatedRequestExplained guards against an explanation that says that a request was
 // not sent although another entry sent it.
 func TestDelegatedRequestExplained(t *testing.T) {
--- a/entry/balancer/pause_test.go
+++ b/entry/balancer/pause_test.go
@@ -1,6 +1,7 @@
 package balancer_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"maps"
@@ -138,6 +139,45 @@
 	}
 }
 
+// TestIsolatedEntryProbesPausedServer guards against probes that a server gets in its pause, or
+// after it said that it leaves, from an entry that reaches no other server and looks for one.
+func TestIsolatedEntryProbesPausedServer(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		respond func(io.Writer, string) bool
+		resumes bool
+	}{{"a pause", shedFor("4"), true}, {"a leaving server", shedLeaving, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				all := servers(8, respondOK)
+				all[0].setRespond(c.respond)
+				for _, b := range all[1:] {
+					b.slowness = 400
+				}
+				f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer func() { cancel(); time.Sleep(time.Second); f.close() }()
+				go f.balancer.RunReachChecks(ctx)
+				began := time.Now()
+				f.send(http.MethodGet, "/look/1", "r1")
+				is.Equal(all[0].count(), 1)
+				all[0].setRespond(respondOK)
+				for _, b := range all[1:] {
+					b.silent = true
+				}
+				f.close()
+				f.sendFor(6 * time.Second)
+				got := all[0].gotBetween(began.Add(pauseNotice), began.Add(4*time.Second))
+				if got > 0 {
+					t.Errorf("server got %d requests and probes", got)
+				}
+				is.Equal(all[0].gotBetween(began.Add(4*time.Second), began.Add(6*time.Second)) > 0, c.resumes)
+			})
+		})
+	}
+}
+
 // TestServerThatPausesOverAndOver guards against a pause that is ignored because another
 // one preceded it, and against a service that stays unused.
 func TestServerThatPausesOverAndOver(t *testing.T) {
--- a/steer/commander/memory_network_test.go
+++ b/steer/commander/memory_network_test.go
@@ -29,15 +29,20 @@
 	servers   map[string]bool
 	cuts      map[string]cutKind
 	conns     []*memoryConn
+	// partitioned holds the entries that reach no other entry.
+	partitioned map[string]bool
 }
 
 func newMemoryNetwork() *memoryNetwork {
-	return &memoryNetwork{listeners: map[string]*pipeListener{}, servers: map[string]bool{}, cuts: map[string]cutKind{}}
+	return &memoryNetwork{listeners: map[string]*pipeListener{}, servers: map[string]bool{}, cuts: map[string]cutKind{}, partitioned: map[string]bool{}}
 }
 
 func (n *memoryNetwork) listen(address string) *pipeListener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if earlier, ok := n.listeners[address]; ok {
+		_ = earlier.Close()
+	}
 	l := newPipeListener()
 	n.listeners[address] = l
 	return l
@@ -57,7 +62,7 @@
 	defer n.mu.Unlock()
 	n.cuts[entry] = kind
 	for _, c := range n.conns {
-		if c.entry != entry {
+		if c.entry != entry || !c.toServer {
 			continue
 		}
 		switch kind {
@@ -69,15 +74,29 @@
 	}
 }
 
+// partition cuts an entry off from all others.
+func (n *memoryNetwork) partition(entry string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.partitioned[entry] = true
+	for _, c := range n.conns {
+		if c.entry == entry && !c.toServer {
+			_ = c.Close()
+		}
+	}
+}
+
 // dialer returns the function with which an entry opens connections.
 func (n *memoryNetwork) dialer(entry string) dialFunc {
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
 		n.mu.Lock()
 		l, ok := n.listeners[address]
 		toServer := n.servers[address]
-		cut := n.cuts[entry]
+		cut, partitioned := n.cuts[entry], n.partitioned[entry]
 		n.mu.Unlock()
 		switch {
+		case !toServer && partitioned:
+			return nil, syscall.ECONNREFUSED
 		case toServer && cut == hanging:
 			<-ctx.Done()
 			return nil, ctx.Err()
@@ -92,10 +111,7 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
-		if !toServer {
-			return client, nil
-		}
-		c := &memoryConn{Conn: client, entry: entry, hung: make(chan struct{}), closed: make(chan struct{})}
+		c := &memoryConn{Conn: client, entry: entry, toServer: toServer, hung: make(chan struct{}), closed: make(chan struct{})}
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		n.conns = append(n.conns, c)
@@ -103,7 +119,7 @@
 	}
 }
 
-// close closes the connections to backend servers and the listeners.
+// close closes the connections and the listeners.
 func (n *memoryNetwork) close() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -115,10 +131,11 @@
 	}
 }
 
-// memoryConn is a connection from an entry to a backend server.
+// memoryConn is a connection from an entry to a backend server or to another entry.
 type memoryConn struct {
 	net.Conn
-	entry string
+	entry    string
+	toServer bool
 
 	hangOnce, closeOnce sync.Once
 	hung, closed        chan struct{}
--- a/steer/commander/partition_test.go
+++ b/steer/commander/partition_test.go
@@ -51,6 +51,8 @@
 	// respond answers requests at the backend servers. Nil means that each takes
 	// serverWork and succeeds.
 	respond http.HandlerFunc
+	// respondProbe adds to the responses to probes of a server. It may be nil.
+	respondProbe func(w http.ResponseWriter, server string)
 	// samePath makes all calls ask for the same path.
 	samePath bool
 
@@ -75,21 +77,14 @@
 	registrations := map[string][]byte{}
 	for i := range fleetSize {
 		s := fleetSettings(i)
-		e := newEntry(s, chooser.ExpectedCompletion{}, f.network.dialer(s.ID), hclog.NewNullLogger())
-		f.entries = append(f.entries, e)
+		f.entries = append(f.entries, f.newEntry(i))
 		registrations[entryPrefix+s.ID], _ = json.Marshal(registration(s))
 	}
-	table := describer.NewRouteTable(1, []describer.Route{fleetRoute("look", true), fleetRoute("book", false)},
-		[]describer.Service{{Name: "stock", HealthPath: "/health", ColdRate: 9.3}}, describer.Limits{})
 	for _, e := range f.entries {
-		_ = e.snapshots.SetTable(table)
 		for key, value := range registrations {
 			e.enroller.ApplyChange(time.Now(), key, value, false)
 		}
-		f.servers = append(f.servers, e.startServers(ctx, f.listen(*e.settings.Load())))
-		go e.enroller.RunHeartbeats(ctx)
-		go e.closeUnused(ctx)
-		go e.balancer.RunReachChecks(ctx)
+		f.start(ctx, e)
 	}
 	for i := range fleetServers {
 		f.addServer(i)
@@ -97,6 +92,21 @@
 	return f
 }
 
+func (f *fleet) newEntry(i int) *entry {
+	s := fleetSettings(i)
+	return newEntry(s, chooser.ExpectedCompletion{}, f.network.dialer(s.ID), hclog.NewNullLogger())
+}
+
+// start runs an entry with its configuration until ctx ends.
+func (f *fleet) start(ctx context.Context, e *entry) {
+	_ = e.snapshots.SetTable(describer.NewRouteTable(1, []describer.Route{fleetRoute("look", true), fleetRoute("book", false)},
+		[]describer.Service{{Name: "stock", HealthPath: "/health", ColdRate: 9.3}}, describer.Limits{}))
+	f.servers = append(f.servers, e.startServers(ctx, f.listen(*e.settings.Load())))
+	go e.enroller.RunHeartbeats(ctx)
+	go e.closeUnused(ctx)
+	go e.balancer.RunReachChecks(ctx)
+}
+
 func fleetRoute(name string, idempotent bool) describer.Route {
 	return describer.Route{
 		Name: name, Host: "h", Prefix: "/" + name + "/", Idempotent: idempotent, TimeLimit: callerTimeout,
@@ -120,6 +130,9 @@
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/health" {
 			w.Header().Set(translator.HeaderInstance, id)
+			if f.respondProbe != nil {
+				f.respondProbe(w, id)
+			}
 			return
 		}
 		f.countRun(r.Header.Get(translator.HeaderRequestID))
