--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -93,7 +93,6 @@
 		c.traceDelegated(result.Entry, delegatedResponded)
 		b.metrics.delegated.With(delegatedResponded).Inc()
 		c.delegated = result.Entry
-		b.setLeaving(c.service, result.Leaving)
 		return result.Response, nil, false
 	case delegator.Refused:
 		c.traceDelegated(result.Entry, result.Refusal.Header())
@@ -121,10 +120,10 @@
 }
 
 // setLeaving records that a server of a service is shutting down by a response that another
-// entry has passed on.
-func (b *Balancer) setLeaving(service, id string) {
+// entry has passed on. It says nothing of a later incarnation.
+func (b *Balancer) setLeaving(service string, leaving delegator.LeavingServer) {
 	for _, srv := range b.opts.Snapshot().Services[service] {
-		if id != "" && srv.ID == id {
+		if srv.ID == leaving.ID && srv.Incarnation <= leaving.Incarnation {
 			srv.State.SetLeaving()
 		}
 	}
@@ -134,23 +133,26 @@
 func (b *Balancer) writeHopHeaders(c *call, resp *roundtripper.Response) {
 	resp.Header.Set(delegator.OutcomeHeader, delegator.Passed)
 	resp.Header.Del(delegator.LeavingHeader)
-	for _, srv := range c.view.Services[c.service] {
-		if srv.ID == c.server && srv.State.Leaving() {
-			resp.Header.Set(delegator.LeavingHeader, c.server)
-		}
+	if c.backend.State != nil && c.backend.State.Leaving() {
+		resp.Header.Set(delegator.LeavingHeader, delegator.LeavingServer{ID: c.backend.ID, Incarnation: c.backend.Incarnation}.Header())
 	}
 }
 
 // sendToEntry passes a request on that has been sent to servers a number of times, after a
-// reason not to send it to another one from here.
+// reason not to send it to another one from here. It records what the response says of the
+// server.
 func (b *Balancer) sendToEntry(ctx context.Context, c *call, sent int, reason refuser.Reason) delegator.Result {
 	header := c.header.Clone()
 	b.opts.Headers.SetDeadline(header, time.Until(c.deadline))
-	return b.opts.Delegator.Send(ctx, delegator.Request{
+	result := b.opts.Delegator.Send(ctx, delegator.Request{
 		Request:  roundtripper.Request{Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id},
 		Attempts: sent, Configuration: c.view.Table.Version, Service: c.service,
 		ReachesNone: reason == refuser.UnreachableServers || reason == refuser.BackendUnreachable,
 	})
+	if responded, ok := result.(delegator.Responded); ok {
+		b.setLeaving(c.service, responded.Leaving)
+	}
+	return result
 }
 
 // delegateHedge passes on the hedge of an idempotent request. A refusal as not run counts as
--- a/entry/balancer/leaving_test.go
+++ b/entry/balancer/leaving_test.go
@@ -170,6 +170,27 @@
 	})
 }
 
+// TestLeavingSaidAfterRemoval guards against a server that an older record brings back, since
+// it said only after its removal, to a request that still ran, that it leaves.
+func TestLeavingSaidAfterRemoval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := servers(1, respondLeaving)
+		all[0].work = 100 * time.Millisecond
+		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+		defer f.close()
+		server := f.snapshotter.Snapshot().Services["stock"][0].Server
+		server.Incarnation = 7
+		f.snapshotter.PutServer(server)
+		time.AfterFunc(50*time.Millisecond, func() { f.snapshotter.RemoveServer(server.ID) })
+		is.Equal(f.send(http.MethodPost, "/book/1", "r1").Code, 200)
+		all[0].setRespond(respondOK)
+		f.snapshotter.PutServer(server)
+		f.sendMany(10)
+		is.Equal(all[0].count(), 1)
+	})
+}
+
 // TestLateWordOfEarlierIncarnation guards against a restarted server that gets nothing,
 // since a response of its earlier incarnation arrives after its registration.
 func TestLateWordOfEarlierIncarnation(t *testing.T) {
@@ -212,6 +233,29 @@
 	})
 }
 
+// TestExitOfLeavingServerTakenForCrash guards against a request that is taken for one that
+// crashes servers, and against a probe, since a server that said that it leaves exits under it.
+func TestExitOfLeavingServerTakenForCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := servers(2, respondOK)
+		all[1].slowness = 110
+		all[0].setRespond(func(w io.Writer, _ string) bool {
+			time.Sleep(50 * time.Millisecond)
+			all[0].mu.Lock()
+			all[0].crashed = true
+			all[0].mu.Unlock()
+			return breakLeavingBody(w, "r1")
+		})
+		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+		defer f.close()
+		f.send(http.MethodPost, "/book/1", "r1")
+		is.Equal(all[0].count(), 1)
+		time.Sleep(time.Second)
+		is.Equal(len(f.notices), 0)
+	})
+}
+
 // TestLeavingSaidInProbe guards against a request to a server whose healthy response to the
 // probe just before says that it leaves.
 func TestLeavingSaidInProbe(t *testing.T) {
--- a/steer/commander/delegation_test.go
+++ b/steer/commander/delegation_test.go
@@ -225,6 +225,16 @@
 	})
 }
 
+// countLeaving returns the number of servers that are leaving as an entry knows.
+func (f *fleet) countLeaving(i int) (n int) {
+	for _, srv := range f.entries[i].snapshots.Snapshot().Services["stock"] {
+		if srv.State.Leaving() {
+			n++
+		}
+	}
+	return n
+}
+
 // TestLeavingServerUsedAfterDelegation guards against new work for a server whose response
 // another entry has passed on, and in which the server said that it leaves.
 func TestLeavingServerUsedAfterDelegation(t *testing.T) {
@@ -234,13 +244,62 @@
 		f.respond = func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(translator.HeaderLeaving, "1") }
 		_, _, err := f.send(t.Context(), 0, "/book/a", "r1", "")
 		is.NoErr(err)
-		leaving := 0
-		for _, srv := range f.entries[0].snapshots.Snapshot().Services["stock"] {
-			if srv.State.Leaving() {
-				leaving++
+		is.Equal(f.countLeaving(0), 1)
+	})
+}
+
+// TestLateWordOfEarlierIncarnationDelegated guards against a restarted server that gets
+// nothing, since another entry passes a response of its earlier incarnation on.
+func TestLateWordOfEarlierIncarnationDelegated(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		here, there int64
+		leaving     int
+	}{
+		{"the same incarnation", 7, 7, 1},
+		{"the server has restarted", 8, 7, 0},
+		{"only the other entry knows the later incarnation", 7, 8, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				f.isolate(0)
+				for i, e := range f.entries {
+					for _, srv := range e.snapshots.Snapshot().Services["stock"] {
+						srv.Incarnation = map[bool]int64{true: c.here, false: c.there}[i == 0]
+						e.snapshots.PutServer(srv.Server)
+					}
+				}
+				f.respond = func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(translator.HeaderLeaving, "1") }
+				resp, _, err := f.send(t.Context(), 0, "/book/a", "r1", "")
+				is.NoErr(err)
+				is.Equal(resp.Header.Get(translator.HeaderLeaving), "1")
+				is.Equal(f.countLeaving(0), c.leaving)
+			})
+		})
+	}
+}
+
+// TestLeavingServerUsedAfterDelegatedHedge guards against new work for a server that said
+// that it leaves in the response to a hedge, which another entry has passed on.
+func TestLeavingServerUsedAfterDelegatedHedge(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		var first sync.Once
+		f.respond = func(w http.ResponseWriter, _ *http.Request) {
+			slow := false
+			first.Do(func() { slow = true })
+			if slow {
+				time.Sleep(callerTimeout)
+				return
 			}
+			w.Header().Set(translator.HeaderLeaving, "1")
 		}
-		is.Equal(leaving, 1)
+		time.AfterFunc(serverWork, func() { f.setCuts([]int{0}, hanging) })
+		resp, _, err := f.send(t.Context(), 0, "/look/a", "r1", "")
+		is.NoErr(err)
+		is.Equal(resp.Header.Get(translator.HeaderLeaving), "1")
+		is.Equal(f.countLeaving(0), 1)
 	})
 }
 
--- a/steer/commander/lost_links_test.go
+++ b/steer/commander/lost_links_test.go
@@ -105,7 +105,7 @@
 // partitioned entry on to the rest of a service, since many of its servers are down.
 func TestDeadServersTakenForLostLinks(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
-		f.health = func(w http.ResponseWriter, _ *http.Request) {
+		f.respondProbe = func(w http.ResponseWriter, _ string) {
 			busy := 0
 			if rand.Float64() < 0.85 {
 				busy = 12
