roundtripper, sender: a response behind a broken-off one is not read together with it

If a server repeats an earlier response on a kept connection, stops in its head and then writes the response to the present request, both are read as one head: it has the status or the refusal of the first and the request id of the second. A request that ran was refused as not run, or ran at a second server too, or a failure came back as a success.

Cause: a break in the reason phrase or in the value of a header continues in the status line of the next response, which is a valid reason phrase or value.

A Via header that names HTTP/1.1 has no status behind it.

--- a/entry/roundtripper/conn.go
+++ b/entry/roundtripper/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"time"
 
 	"samphiremux/entry/peeker"
+	"samphiremux/entry/sanitizer"
 )
 
 const (
@@ -56,6 +58,9 @@
 // errHeadTooLarge is returned by reads beyond maxHeadBytes of a head.
 var errHeadTooLarge = fmt.Errorf("head of the response is longer than %d bytes", maxHeadBytes)
 
+// errMergedHead is returned if the head of a response contains the start of another one.
+var errMergedHead = errors.New("received the head of a response within another one")
+
 // headLimiter bounds the bytes that are read while the head of a response is. Without it
 // a head without end would be buffered whole.
 type headLimiter struct {
@@ -117,6 +122,9 @@
 		if err != nil {
 			return reply{}, err
 		}
+		if sanitizer.HasMergedHead(resp) {
+			return reply{}, errMergedHead
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return reply{resp}, nil
 		}
--- a/entry/roundtripper/send.go
+++ b/entry/roundtripper/send.go
@@ -137,7 +137,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return retrier.TimedOut{}
-	case mismatched:
+	case mismatched, errors.Is(err, errMergedHead):
 		return retrier.Mismatched{Got: mismatchedID}
 	default:
 		return retrier.ConnectionLost{Cause: err}
--- a/entry/sender/sender.go
+++ b/entry/sender/sender.go
@@ -20,6 +20,7 @@
 
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/retrier"
+	"samphiremux/entry/sanitizer"
 	"samphiremux/entry/throttler"
 	"samphiremux/pkg/describer"
 )
@@ -325,6 +326,9 @@
 // observeHead reads what a response says of the server itself. A pause counts with status
 // 503, but not in a refusal that the server passes on.
 func (s *Sender) observeHead(r Request, httpResp *http.Response) {
+	if sanitizer.HasMergedHead(httpResp) {
+		return
+	}
 	now := time.Now()
 	head := Head{Draining: httpResp.Header.Get(DrainingHeader) != ""}
 	if httpResp.StatusCode == http.StatusServiceUnavailable && httpResp.Header.Get(refuser.RefusalHeader) == "" {
@@ -426,9 +430,10 @@
 
 // readResponse reads and classifies the response. It buffers a body of up to
 // MaxBufferedBytes, and leaves the rest of a larger one to be streamed. A response with
-// the id of another attempt is rejected as mismatched.
+// the id of another attempt, or merged with another one, is rejected as mismatched.
 func (r Request) readResponse(httpResp *http.Response, a *attempt, cancel context.CancelCauseFunc) (resp *Response, o retrier.Outcome) {
-	if got := httpResp.Header.Get(AttemptIDHeader); got != r.AttemptID && (got != "" || r.EchoRequired) {
+	got := httpResp.Header.Get(AttemptIDHeader)
+	if (got != r.AttemptID && (got != "" || r.EchoRequired)) || sanitizer.HasMergedHead(httpResp) {
 		a.closeConn()
 		cancel(nil)
 		return nil, retrier.Mismatched{Got: got}
