forwarder: a refusal that a server passes on is not taken for the entry's over a hop

A request that must not be repeated and went over a hop ran at a second server, if the first one answered with a refusal that it had got itself from another service (servers-unreachable, backend-unreachable or misdirected).

Cause: the entry that passes a request on took the header of refusals in the response for a refusal of the other entry, and tried the next one. The entry next to the server knows the difference, but did not tell it.

Responses that come from a backend server carry Samphire-Passed over a hop now, and their refusals decide nothing there. Without the header, as from an earlier version, all is as before.

--- a/entry/forwarder/attempt.go
+++ b/entry/forwarder/attempt.go
@@ -153,6 +153,7 @@
 	result.server = srv.Name
 	result.response, result.outcome = f.servers.Send(ctx, msg)
 	if result.response != nil {
+		result.response.Header.Set(PassedHeader, "true")
 		permit.ObserveRateLimit(result.response.RateLimit)
 	}
 	if ctx.Err() == context.Canceled && !isAnswered(result.outcome) {
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -40,6 +40,9 @@
 	// HopHeader marks a request that another entry forwarded. It carries the id
 	// of that entry.
 	HopHeader = "Samphire-Hop"
+	// PassedHeader marks a response over a hop that comes from a backend server. A refusal
+	// in it is one that the server got itself, and the request has run.
+	PassedHeader = "Samphire-Passed"
 	// IdempotencyKeyHeader carries the caller's idempotency key.
 	IdempotencyKeyHeader = "Idempotency-Key"
 	// RequestIDHeader carries the caller's request id, for the caller's own
@@ -236,7 +239,7 @@
 // endToEndHeader returns a copy of h without hop-by-hop headers and without the
 // headers that are used only between entries.
 func endToEndHeader(h http.Header) http.Header {
-	return sanitizer.StripHopByHop(h, HopHeader, CallerHeader, sender.AttemptIDHeader)
+	return sanitizer.StripHopByHop(h, HopHeader, CallerHeader, PassedHeader, sender.AttemptIDHeader)
 }
 
 // serve runs the request here, or forwards it to the entry that has to run it.
@@ -292,6 +295,9 @@
 	}
 	if attemptID != "" {
 		h.Set(sender.AttemptIDHeader, attemptID)
+		if isPassed(a) {
+			h.Set(PassedHeader, "true")
+		}
 	}
 	if a.Remainder == nil {
 		if a.Header.Get("Content-Length") == "" || len(a.Body) > 0 {
@@ -380,9 +386,12 @@
 // server of the service.
 func isCutOff(a *sender.Response) bool { return hasRefusal(a, refuser.UnreachableServers) }
 
+// isPassed reports whether a response comes from a backend server.
+func isPassed(a *sender.Response) bool { return a.Header.Get(PassedHeader) != "" }
+
 // hasRefusal reports whether another entry refused the request as not run for a reason.
 func hasRefusal(a *sender.Response, reason refuser.Reason) bool {
-	return a.Header.Get(refuser.RefusalHeader) == refuser.NewNotRun(reason).Header()
+	return !isPassed(a) && a.Header.Get(refuser.RefusalHeader) == refuser.NewNotRun(reason).Header()
 }
 
 // isMisdirected reports whether another entry declined the request because it
