balancer, delegator: no request is sent once its context has ended

A caller, or the connection of one that the stop closes as idle, is gone while the servers are probed for its request; the request was sent all the same, to be cut at once.

Cause: only the wait for probes looked at the context, not what follows it.

The request now ends after the probes if its context has, and the connections go back to the pool; so do hedges and requests that are passed on to other entries. The refusal says not run, unless an earlier attempt may have run.

--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -115,10 +115,8 @@
 		sent := state.sent + 1
 		return func() attemptResult { return b.delegateHedge(ctx, c, sent) }
 	}
-	if p.slowness > goodSlowness || p.busy >= p.Slots || !b.tryWithdraw(c.service) {
-		if p.conn != nil {
-			p.State.Release(p.conn)
-		}
+	if ctx.Err() != nil || p.slowness > goodSlowness || p.busy >= p.Slots || !b.tryWithdraw(c.service) {
+		p.release()
 		return nil
 	}
 	c.tried[p.ID] = true
--- a/entry/balancer/pick.go
+++ b/entry/balancer/pick.go
@@ -96,6 +96,13 @@
 // without noisy neighbours.
 func (p *picked) slowdown() float64 { return p.slowness * loadFactor(p.busy, p.Slots) }
 
+// release returns the connection of a server that gets no request.
+func (p *picked) release() {
+	if p.conn != nil {
+		p.State.Release(p.conn)
+	}
+}
+
 // eligible returns the servers that may run the request. If there are more than
 // maxCandidates, it scans them from a random offset and prefers the entry's own
 // failure domain.
--- a/entry/balancer/run.go
+++ b/entry/balancer/run.go
@@ -32,6 +32,10 @@
 			}
 			continue
 		}
+		if ctx.Err() != nil {
+			p.release()
+			return nil, state.refusal(refuser.DeadlinePassed)
+		}
 		if !deposited {
 			// The entry that a request is passed on to counts it there.
 			b.deposit(c.service)
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -173,6 +173,10 @@
 		if p == nil {
 			return last
 		}
+		if ctx.Err() != nil {
+			p.Release(conn)
+			return last
+		}
 		tried = append(tried, p)
 		last = p.send(ctx, conn, r)
 		switch result := last.(type) {
