commander: a test of requests that are read as a stop begins

A request is read from a kept connection just before the stop closes it as idle, at the signal and at the end of the intake. TestRequestReadAsStopBegins holds the bytes back between the read and the close: the request reaches no server, or is answered. It passed at once.

--- a/steer/commander/stop_test.go
+++ b/steer/commander/stop_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -391,3 +392,83 @@
 	is.Equal(<-upload, http.StatusServiceUnavailable)
 	<-stopped
 }
+
+// heldConn is a connection that can hold back what has been read.
+type heldConn struct {
+	net.Conn
+	holds   atomic.Bool
+	release chan struct{}
+}
+
+// Read implements net.Conn.
+func (c *heldConn) Read(p []byte) (n int, err error) {
+	n, err = c.Conn.Read(p)
+	if c.holds.Load() {
+		<-c.release
+	}
+	return n, err
+}
+
+// TestRequestReadAsStopBegins guards against a request that is read from a kept connection
+// just before it is closed as idle, and passed on without a way back for its response.
+func TestRequestReadAsStopBegins(t *testing.T) {
+	for _, at := range []time.Duration{0, 3 * time.Second} {
+		t.Run(at.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e, _ := newTestEntry(t)
+				setGracePeriod(e, 6*time.Second)
+				server := newSlowServer()
+				l := newPipeListener()
+				callers := e.callerServer(newSlowBalancer(t, e, server))
+				go func() { _ = callers.Serve(e.expirer.WrapListener(l)) }()
+				c, serverConn := net.Pipe()
+				held := &heldConn{Conn: serverConn, release: make(chan struct{})}
+				l.conns <- held
+				responses := bufio.NewReader(c)
+				send := func(id string) {
+					_, _ = fmt.Fprintf(c, "POST /1 HTTP/1.1\r\nHost: h\r\n%s: %s\r\nContent-Length: 4\r\n\r\nbody", idHeader, id)
+				}
+				send("first")
+				resp, err := http.ReadResponse(responses, nil)
+				is.NoErr(err)
+				_, _ = io.Copy(io.Discard, resp.Body)
+				is.True(!resp.Close)
+				synctest.Wait()
+
+				start := time.Now()
+				stopped := make(chan struct{})
+				stop := func() {
+					_ = e.stop(servers{callers: callers, delegated: e.server(e.balancer), listener: l})
+					close(stopped)
+				}
+				if at > 0 {
+					go stop()
+					time.Sleep(at - time.Millisecond)
+				}
+				held.holds.Store(true)
+				go send("second")
+				synctest.Wait()
+				if at == 0 {
+					go stop()
+				}
+				time.Sleep(time.Until(start.Add(at + 50*time.Millisecond)))
+				held.holds.Store(false)
+				close(held.release)
+				resp, err = http.ReadResponse(responses, nil)
+				_, begun := server.run("second")
+				if err != nil && begun {
+					t.Errorf("the request ran, and its response was lost: %v", err)
+				}
+				if err == nil {
+					is.True(resp.Close)
+					_ = resp.Body.Close()
+				}
+				_ = c.Close()
+				<-stopped
+				_ = callers.Close()
+				_ = server.http.Close()
+			})
+		})
+	}
+}
