commander: a stopping entry does not close connections of other entries

What callers saw: in a planned stop, 502 for requests that another entry had passed on to the stopping one in that moment.

Cause: the stop disabled keep-alive on the server of other entries, and net/http closes idle connections with that. A probe had just been answered on such a connection, and the request was on its way.

The connections stay open until the end of the drain. The stopping entry answers no probe with 200, so nothing new comes on them.

Evidence: TestProbedEntryStops on the code before: "unexpected EOF".

--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -135,8 +135,8 @@
 	e.drainer.Begin(now.Add(period/2), exit)
 	close(e.stopping)
 	e.log.Info("Entry stops.")
+	// Connections of other entries stay open: a request may be on its way behind its probe.
 	s.callers.SetKeepAlivesEnabled(false)
-	s.delegated.SetKeepAlivesEnabled(false)
 	deregistered := make(chan struct{})
 	go func() {
 		defer close(deregistered)
