sender: a refusal without an id counts only after those before it are known

At a service that does not echo ids, a copy of a refusal was taken for the refusal of the next request on the connection, if that one's response was looked at before the first refusal.

Cause: the transport puts a connection back before it hands over a response without a body. Whether the connection had a refusal was noted only when the first request looked at its response.

Each request notes how many have taken the connection before it. A refusal counts only if that many responses there are known to be none; otherwise it may be a copy, and the request may have run.

Evidence: TestRefusalNotKnownYet sends the second request while the first one is between the two.

--- a/entry/sender/sender.go
+++ b/entry/sender/sender.go
@@ -217,6 +217,9 @@
 	net.Conn
 	// refused is set once the server has refused a request on the connection.
 	refused atomic.Bool
+	// taken is the number of requests that have taken the connection, and cleared the
+	// number of those whose response is known to be no refusal.
+	taken, cleared atomic.Int64
 }
 
 // attempt tracks the progress of one attempt.
@@ -225,8 +228,10 @@
 	conn atomic.Pointer[net.Conn]
 	// mayDiscard is set if a connection on which a request was refused must not be used,
 	// and discarded if such a one was closed before anything was written.
-	mayDiscard  bool
-	discarded   atomic.Bool
+	mayDiscard bool
+	discarded  atomic.Bool
+	// before is the number of requests that have taken the connection before.
+	before      atomic.Int64
 	confirmed   chan struct{} // closed on 100 Continue or the start of a response
 	confirmOnce sync.Once
 	started     atomic.Bool // a header was written
@@ -242,7 +247,11 @@
 			a.started.Store(false)
 			a.writeFailed.Store(false)
 			c, ok := info.Conn.(*conn)
-			a.discarded.Store(ok && a.mayDiscard && c.refused.Load())
+			if !ok {
+				return
+			}
+			a.before.Store(c.taken.Add(1) - 1)
+			a.discarded.Store(a.mayDiscard && c.refused.Load())
 			if a.discarded.Load() {
 				_ = c.Close()
 			}
@@ -267,15 +276,24 @@
 	}
 }
 
-// markRefused records that a request was refused on the connection. It reports whether
-// one was before.
-func (a *attempt) markRefused() (before bool) {
-	if p := a.conn.Load(); p != nil {
-		if c, ok := (*p).(*conn); ok {
-			return c.refused.Swap(true)
-		}
+// classify records whether the response is a refusal. It reports whether a refusal may be a
+// copy of one of another request: the transport gives the connection to the next request
+// before the response to the last one is looked at, so that one may not be known yet.
+func (a *attempt) classify(isRefusal bool) (mayBeCopy bool) {
+	p := a.conn.Load()
+	if p == nil {
+		return false
+	}
+	c, ok := (*p).(*conn)
+	switch {
+	case !ok:
+		return false
+	case !isRefusal:
+		c.cleared.Add(1)
+		return false
 	}
-	return false
+	c.refused.Store(true)
+	return c.cleared.Load() < a.before.Load()
 }
 
 // Send sends a request and waits for its response until ctx is done. The response is nil
@@ -439,8 +457,7 @@
 		return nil, retrier.Mismatched{Got: got}
 	}
 	isRefusal := slices.Contains(r.SheddingStatuses, httpResp.StatusCode) && httpResp.Header.Get(refuser.RefusalHeader) == ""
-	if isRefusal && a.markRefused() && a.mayDiscard {
-		// Another request was refused on the connection after this one had taken it.
+	if a.classify(isRefusal) && a.mayDiscard {
 		a.closeConn()
 		cancel(nil)
 		return nil, retrier.Mismatched{}
--- a/entry/sender/sender_test.go
+++ b/entry/sender/sender_test.go
@@ -176,3 +176,32 @@
 		}
 	}
 }
+
+// TestRefusalNotKnownYet guards against a copy of a refusal that is taken for that of the
+// next request, since the first one has not been looked at yet.
+func TestRefusalNotKnownYet(t *testing.T) {
+	is := is.New(t)
+	address := serveTCP(t, func(conn net.Conn) {
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	s := newSender()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	first, second := newRequest(address, http.MethodPost, "a1", false), newRequest(address, http.MethodPost, "a2", false)
+	first.MaxConnections, second.MaxConnections = 1, 1
+	first.OnHead = func(sender.Head) {
+		_, o := s.Send(ctx, second)
+		is.True(retrier.MayHaveRun(o))
+	}
+	_, o := s.Send(ctx, first)
+	is.Equal(o, retrier.Shed{})
+}
