--- a/steer/commander/stop_test.go
+++ b/steer/commander/stop_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -143,7 +144,9 @@
 	opened, sent time.Duration
 	early        int
 	// upload is set if the head is among the early bytes.
-	upload         bool
+	upload bool
+	// kept is set if the connection has carried a request before.
+	kept           bool
 	text           string
 	work, deadline time.Duration
 }
@@ -169,6 +172,15 @@
 	case <-l.closed:
 		return result
 	}
+	reader := bufio.NewReader(c)
+	if r.kept {
+		_, err := fmt.Fprintf(c, "POST /1 HTTP/1.1\r\nHost: h\r\n%s: first-%s\r\nContent-Length: 0\r\n\r\n", idHeader, r.id)
+		resp, err2 := http.ReadResponse(reader, nil)
+		if err != nil || err2 != nil {
+			return result
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+	}
 	if _, err := io.WriteString(c, r.text[:r.early]); err != nil {
 		return result
 	}
@@ -176,7 +188,7 @@
 	responses := make(chan int, 1)
 	go func() {
 		defer close(responses)
-		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		resp, err := http.ReadResponse(reader, nil)
 		if err != nil {
 			return
 		}
@@ -199,15 +211,23 @@
 		for _, work := range []time.Duration{20 * time.Millisecond, time.Second, 2500 * time.Millisecond, 4 * time.Second, 7 * time.Second} {
 			for _, deadline := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 8 * time.Second} {
 				for _, opened := range []time.Duration{sent, min(sent, -time.Millisecond), min(sent, period/2-10*time.Millisecond)} {
-					for _, part := range []string{"none", "head", "upload"} {
+					for _, part := range []string{"none", "head", "upload", "chunks", "close", "kept", "kept upload"} {
 						r := lateRequest{id: "r" + strconv.Itoa(len(all)), opened: opened, sent: sent, work: work, deadline: deadline}
-						r.text = fmt.Sprintf("POST /1 HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: %v\r\n%s: %v\r\nContent-Length: 4\r\n\r\nbody", idHeader, r.id, leftHeader, deadline, workHeader, work)
+						rest := "Content-Length: 4\r\n\r\nbody"
+						switch part {
+						case "chunks":
+							rest = "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+						case "close":
+							rest = "Connection: close\r\n" + rest
+						}
+						r.text = fmt.Sprintf("POST /1 HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: %v\r\n%s: %v\r\n%s", idHeader, r.id, leftHeader, deadline, workHeader, work, rest)
 						switch part {
 						case "head":
 							r.early = 20
-						case "upload":
+						case "upload", "chunks", "kept upload":
 							r.early, r.upload = len(r.text)-2, true
 						}
+						r.kept = strings.HasPrefix(part, "kept")
 						all = append(all, r)
 					}
 				}
