balancer: responses above 256 KiB of idempotent routes are not cut

What callers saw: a response to a request that may be repeated broke off after 256 KiB, with its connection, whenever it was larger than that.

Cause: an attempt and its hedge shared a context that ended as soon as one of them had a response, and with it the connection from which the rest of a large response was still to be streamed.

Each attempt has a context of its own now. That of a response that is streamed ends when its body is closed, the other one at once. A response that is not passed on, as its attempt is repeated, is closed.

Evidence: the case "streamed, may be repeated" of TestBrokenOffResponseLooksWhole on the code before: "whole: status 200, signed true, 294913 bytes, unexpected EOF" of 320,000 bytes; TestLargeResponseOfRetryCut failed in its four cases (after a failure, a large failure, a refusal, and of a hedge), TestDelegatedResponseBrokenOff in "streamed, repeated". All pass now.

--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -42,6 +43,8 @@
 	server   string
 	response *roundtripper.Response
 	outcome  retrier.Outcome
+	// index is the position among the attempt and its hedge.
+	index int
 }
 
 // isFinal reports whether the response goes to the caller. A server error
@@ -65,14 +68,22 @@
 		state.add(result.outcome)
 		return result
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	results := make(chan attemptResult, 2)
-	go func() { results <- b.send(ctx, c, p) }()
+	var cancels []context.CancelFunc
+	start := func(send sendFunc) {
+		index := len(cancels)
+		ctx, cancel := context.WithCancel(ctx)
+		cancels = append(cancels, cancel)
+		go func() {
+			result := send(ctx)
+			result.index = index
+			results <- result
+		}()
+	}
+	start(func(ctx context.Context) attemptResult { return b.send(ctx, c, p) })
 	timer := time.NewTimer(hedgeDelay(c, p))
 	defer timer.Stop()
 	running := 1
-	var last attemptResult
 	for {
 		select {
 		case <-timer.C:
@@ -82,18 +93,53 @@
 			}
 			b.metrics.retries.With(string(retrier.CauseHedge)).Inc()
 			running++
-			go func() { results <- send() }()
-		case last = <-results:
+			start(send)
+		case last := <-results:
 			running--
 			c.traceEnded(last.server, last)
 			state.add(last.outcome)
 			if running == 0 || last.isFinal(true) {
-				return last
+				return last.withCancels(cancels)
 			}
 		}
 	}
 }
 
+// sendFunc sends one attempt until the context ends.
+type sendFunc func(ctx context.Context) attemptResult
+
+// withCancels cancels all attempts, but the one of a response that is streamed only when its
+// body is closed.
+func (e attemptResult) withCancels(cancels []context.CancelFunc) attemptResult {
+	for i, cancel := range cancels {
+		if i == e.index && e.response != nil && e.response.Remainder != nil {
+			e.response.Remainder = &canceledOnClose{ReadCloser: e.response.Remainder, cancel: cancel}
+			continue
+		}
+		cancel()
+	}
+	return e
+}
+
+// discard ends a response that is not passed on.
+func (e attemptResult) discard() {
+	if e.response != nil && e.response.Remainder != nil {
+		_ = e.response.Remainder.Close()
+	}
+}
+
+// canceledOnClose is the unread rest of a body, whose attempt ends with it.
+type canceledOnClose struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b *canceledOnClose) Close() error {
+	defer b.cancel()
+	return b.ReadCloser.Close()
+}
+
 func hedgeDelay(c *call, p *picked) time.Duration {
 	byObjective := time.Duration(hedgeObjective * float64(c.route.TargetLatency))
 	return max(byObjective, time.Duration(hedgeRatio*float64(p.expected)))
@@ -103,7 +149,7 @@
 // this entry reaches no server, the hedge is passed on to another entry. It returns nil if
 // the route allows no further attempt, if the server is full or too slow, or if the retry
 // budget is used up.
-func (b *Balancer) hedge(ctx context.Context, c *call, state *attempts) (send func() attemptResult) {
+func (b *Balancer) hedge(ctx context.Context, c *call, state *attempts) (send sendFunc) {
 	if state.sent+2 > c.route.MaxAttempts {
 		return nil
 	}
@@ -113,7 +159,7 @@
 			return nil
 		}
 		sent := state.sent + 1
-		return func() attemptResult { return b.delegateHedge(ctx, c, sent) }
+		return func(ctx context.Context) attemptResult { return b.delegateHedge(ctx, c, sent) }
 	}
 	if ctx.Err() != nil || p.slowness > goodSlowness || p.busy >= p.Slots || !b.tryWithdraw(c.service) {
 		p.release()
@@ -121,7 +167,7 @@
 	}
 	c.tried[p.ID] = true
 	c.traceChosen(Hedged, p)
-	return func() attemptResult { return b.send(ctx, c, p) }
+	return func(ctx context.Context) attemptResult { return b.send(ctx, c, p) }
 }
 
 // send sends one attempt and records what it shows about the server.
--- a/entry/balancer/broken_off_test.go
+++ b/entry/balancer/broken_off_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -66,6 +67,7 @@
 		{"no content", http.MethodPost, "/book/1", "HTTP/1.1 204 No Content\r\nId: r1\r\nSignature: s\r\n\r\n", "", 204},
 		{"to HEAD", http.MethodHead, "/look/1", "HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\nContent-Length: 12\r\n\r\n", "", 200},
 		{"streamed with a length", http.MethodPost, "/book/1", fmt.Sprintf("HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\nContent-Length: %d\r\n\r\n%s", len(large), large), large, 200},
+		{"streamed, may be repeated", http.MethodGet, "/look/1", fmt.Sprintf("HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\nContent-Length: %d\r\n\r\n%s", len(large), large), large, 200},
 		{"streamed in chunks", http.MethodPost, "/book/1", fmt.Sprintf("HTTP/1.1 200 OK\r\nId: r1\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(large), large), large, 200},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -94,3 +96,39 @@
 		})
 	}
 }
+
+// TestLargeResponseOfRetryCut guards against a large response that is cut as its attempt
+// follows another one, or a hedge.
+func TestLargeResponseOfRetryCut(t *testing.T) {
+	large := strings.Repeat("0123456789abcde\n", 20_000)
+	respond := func(status string) func(io.Writer, string) bool {
+		return func(w io.Writer, id string) bool {
+			_, err := fmt.Fprintf(w, "HTTP/1.1 %s\r\nId: %s\r\nSignature: s\r\nContent-Length: %d\r\n\r\n%s", status, id, len(large), large)
+			return err == nil
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		first func(io.Writer, string) bool
+		work  time.Duration
+	}{
+		{"after a failure", respondError, 20 * time.Millisecond},
+		{"after a large failure", respond("500 Internal Server Error"), 20 * time.Millisecond},
+		{"after a refusal", respondShed, 20 * time.Millisecond},
+		{"of a hedge", respond("200 OK"), 300 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				all := servers(2, respond("200 OK"))
+				all[0].respond, all[0].work, all[1].probeDelay = c.first, c.work, 4*time.Millisecond
+				f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+				status, _, body, err := exchange(f.balancer, http.MethodGet, "/look/1")
+				if status != http.StatusOK || body != large || err != nil {
+					t.Errorf("status %d, %d of %d bytes, %v", status, len(body), len(large), err)
+				}
+				time.Sleep(c.work)
+				f.close()
+			})
+		})
+	}
+}
--- a/entry/balancer/run.go
+++ b/entry/balancer/run.go
@@ -58,6 +58,7 @@
 			return b.finish(result, &state, refuser.RetryBudgetSpent)
 		}
 		b.metrics.retries.With(causeOf(result)).Inc()
+		result.discard()
 	}
 }
 
--- a/steer/commander/delegated_broken_off_test.go
+++ b/steer/commander/delegated_broken_off_test.go
@@ -24,6 +24,7 @@
 		{"no content", "/book/a", "HTTP/1.1 204 No Content\r\n%s\r\n", "", ""},
 		{"after an informational response", "/book/a", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\n", "ok", "ok"},
 		{"streamed with a length", "/book/a", fmt.Sprintf("HTTP/1.1 200 OK\r\n%%sContent-Length: %d\r\n\r\n", len(large)), large, large},
+		{"streamed, repeated", "/look/a", fmt.Sprintf("HTTP/1.1 200 OK\r\n%%sContent-Length: %d\r\n\r\n", len(large)), large, large},
 		{"streamed in chunks", "/book/a", "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(large), large), large},
 	} {
 		t.Run(c.name, func(t *testing.T) {
