forwarder: responses above 1 MiB that may be repeated or have a key are not cut

What callers saw: a response above 1 MiB broke off there, with its connection, if its route is idempotent or its request has an idempotency key.

Cause: the context of an attempt and its hedge, or of a request with a key, ended when the head and the first MiB were there; the rest is streamed with it.

Each attempt has a context of its own now. That of a response that is streamed ends when its body is closed.

Servers of the stand-in take the size of a response from a header.

--- a/entry/forwarder/attempt.go
+++ b/entry/forwarder/attempt.go
@@ -88,6 +88,8 @@
 	outcome  retrier.Outcome
 	server   string
 	hedges   int
+	// index is the position among the attempt and its hedges.
+	index int
 }
 
 // attempt sends the request to one server, and hedges it at a second server if
@@ -98,9 +100,18 @@
 		return f.send(ctx, c, permit, number)
 	}
 	results := make(chan attemptResult, 2)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() { results <- f.send(ctx, c, permit, number) }()
+	var cancels []context.CancelFunc
+	start := func(permit *dispatcher.Permit, number int) {
+		index := len(cancels)
+		ctx, cancel := context.WithCancel(ctx)
+		cancels = append(cancels, cancel)
+		go func() {
+			result := f.send(ctx, c, permit, number)
+			result.index = index
+			results <- result
+		}()
+	}
+	start(permit, number)
 	timer := time.NewTimer(c.service.Dispatcher.HedgeDelay())
 	defer timer.Stop()
 	running, hedges := 1, 0
@@ -110,7 +121,7 @@
 			if second, ok := f.hedge(c, permit); ok {
 				f.node.Metrics().Retried(retrier.CauseHedge)
 				running, hedges = running+1, hedges+1
-				go func() { results <- f.send(ctx, c, second, number+1) }()
+				start(second, number+1)
 				continue
 			}
 			timer.Reset(hedgeRetryInterval)
@@ -118,6 +129,13 @@
 			running--
 			if isAnswered(result.outcome) || running == 0 {
 				result.hedges = hedges
+				for i, cancel := range cancels {
+					if i == result.index {
+						cancelAfter(result.response, cancel)
+						continue
+					}
+					cancel()
+				}
 				return result
 			}
 		}
--- a/entry/forwarder/peer.go
+++ b/entry/forwarder/peer.go
@@ -128,7 +128,7 @@
 		f.node.WithKeys(func(now time.Time, k *deduplicator.KeyTable) { k.Finish(now, c.idempotencyKey, stored, notRun) })
 	}()
 	runCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.deadline.Sub(f.node.Now()))
-	defer cancel()
+	defer func() { cancelAfter(response, cancel) }()
 	response, refusal = f.run(runCtx, c)
 	switch {
 	case refusal != nil:
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -18,6 +18,9 @@
 	// WorkHeader gives the service time of a request on a warm server without
 	// slowdown, as a duration.
 	WorkHeader = "X-Work"
+	// SizeHeader gives the size of the response body in bytes, if it is larger than that
+	// of Body.
+	SizeHeader = "X-Size"
 	// PoisonHeader marks a request that crashes the server that executes it.
 	PoisonHeader = "X-Poison"
 
@@ -591,7 +594,7 @@
 		}
 		_, _ = io.WriteString(w, Body(previous))
 	case truncate:
-		body := Body(id)
+		body := bodyFor(r)
 		w.Header().Set("Content-Length", fmt.Sprint(len(body)))
 		_, _ = io.WriteString(w, body[:len(body)/2])
 		panic(http.ErrAbortHandler)
@@ -609,10 +612,18 @@
 		w.WriteHeader(status)
 		_, _ = io.WriteString(w, Body(id))
 	default:
-		_, _ = io.WriteString(w, Body(id))
+		_, _ = io.WriteString(w, bodyFor(r))
 	}
 }
 
+// bodyFor returns the complete body of the response to a request, in the size that it asks
+// for.
+func bodyFor(r *http.Request) string {
+	body := Body(r.Header.Get(requestIDHeader))
+	size, _ := strconv.Atoi(r.Header.Get(SizeHeader))
+	return body + strings.Repeat(".", max(0, size-len(body)))
+}
+
 // extraResponseLinger is the time for which a connection stays open after an unsolicited
 // response.
 const extraResponseLinger = time.Second
