forwarder: requests with a key are answered when the entry ends

A request with an idempotency key that was still at work at the end of the drain was cut with its connection.

Cause: such a request goes on when its caller leaves, so that the outcome is known later, and so it did not see the end of the requests either.

The run goes on by itself, and the request is answered as outcome-unknown when its context ends. At its deadline it still waits for the run, which ends then and may know that nothing ran.

--- a/entry/forwarder/peer.go
+++ b/entry/forwarder/peer.go
@@ -119,9 +119,41 @@
 	return f.run(ctx, c)
 }
 
+// keyedResult is the result of a request with a key.
+type keyedResult struct {
+	response *sender.Response
+	refusal  *refuser.Refusal
+}
+
 // runKeyed runs the first request with a key. It continues after the caller
-// disconnects, so that the outcome is known when the caller retries.
+// disconnects, so that the outcome is known when the caller retries. If the entry
+// ends first, the outcome is unknown.
 func (f *Forwarder) runKeyed(ctx context.Context, c *call) (response *sender.Response, refusal *refuser.Refusal) {
+	results := make(chan keyedResult, 1)
+	go func() {
+		response, refusal := f.runToEnd(ctx, c)
+		results <- keyedResult{response, refusal}
+	}()
+	select {
+	case r := <-results:
+		return r.response, r.refusal
+	case <-ctx.Done():
+	}
+	if ctx.Err() == context.DeadlineExceeded {
+		// The run ends with the same deadline.
+		r := <-results
+		return r.response, r.refusal
+	}
+	go func() {
+		if r := <-results; r.response != nil && r.response.Remainder != nil {
+			_ = r.response.Remainder.Close()
+		}
+	}()
+	return nil, outcomeUnknown(refuser.ResponseTimeout)
+}
+
+// runToEnd runs a request with a key until its deadline, and records the outcome.
+func (f *Forwarder) runToEnd(ctx context.Context, c *call) (response *sender.Response, refusal *refuser.Refusal) {
 	var stored *deduplicator.Response
 	notRun := false
 	defer func() {
--- a/standin/measurer/stop_test.go
+++ b/standin/measurer/stop_test.go
@@ -5,14 +5,18 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"samphiremux/entry/locator"
+	"samphiremux/standin/generator"
+	"samphiremux/standin/responder"
 	"samphiremux/standin/simulator"
 )
 
@@ -75,3 +79,47 @@
 	}
 	return ""
 }
+
+// TestLongRequestsCutAtExit guards against requests that are cut without an answer as the
+// drain ends.
+func TestLongRequestsCutAtExit(t *testing.T) {
+	for _, keyed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("key %v", keyed), func(t *testing.T) {
+			d := simulator.Trust().WithOnlyService("booking")
+			doc := d.Document("test")
+			s, _ := doc.Service("booking")
+			s.Routes = slices.Clone(s.Routes)
+			for i := range s.Routes {
+				s.Routes[i].TimeLimit = 2 * time.Minute
+			}
+			withCluster(t, simulator.Options{Deployment: d, Entries: 3}, doc.WithService(s), func(t *testing.T, cl testCluster) {
+				host := cl.Entries[0]
+				results := make(chan string, 8)
+				for i := range cap(results) {
+					lines := responder.WorkHeader + ": 100s\r\n"
+					if keyed {
+						lines += "Idempotency-Key: " + generator.NewIdempotencyKey(rand.New(rand.NewPCG(uint64(i), 1)), time.Now()) + "\r\n"
+					}
+					go func() {
+						status, _, err := fetch(cl, host, http.MethodPost, fmt.Sprintf("r%d", i), lines, 0)
+						if err != nil || status != http.StatusGatewayTimeout {
+							results <- fmt.Sprintf("request %d: status %d, %v", i, status, err)
+							return
+						}
+						results <- ""
+					}()
+				}
+				time.Sleep(time.Second)
+				entry := host.Entry
+				host.Entry = nil
+				entry.Stop(context.Background())
+				for range cap(results) {
+					if fault := <-results; fault != "" {
+						t.Error(fault)
+					}
+				}
+				time.Sleep(3 * time.Minute)
+			})
+		})
+	}
+}
