--- a/entry/forwarder/peer.go
+++ b/entry/forwarder/peer.go
@@ -121,17 +121,49 @@
 	return f.run(ctx, c)
 }
 
+// keyedResult is the result of a request with a key.
+type keyedResult struct {
+	response *sender.Response
+	refusal  *refuser.Refusal
+}
+
 // runKeyed runs the first request with a key. It continues after the caller
-// disconnects, so that the outcome is known when the caller retries. The response may be
-// the refusal of another entry, which leaves the key unused.
+// disconnects, so that the outcome is known when the caller retries. If the entry
+// ends first, the outcome is unknown. The response may be the refusal of another entry,
+// which leaves the key unused.
 func (f *Forwarder) runKeyed(ctx context.Context, c *call) (response *sender.Response, refusal *refuser.Refusal) {
+	results := make(chan keyedResult, 1)
+	go func() {
+		response, refusal := f.runToEnd(ctx, c)
+		results <- keyedResult{response, refusal}
+	}()
+	select {
+	case r := <-results:
+		return r.response, r.refusal
+	case <-ctx.Done():
+	}
+	if ctx.Err() == context.DeadlineExceeded {
+		// The run ends with the same deadline.
+		r := <-results
+		return r.response, r.refusal
+	}
+	go func() {
+		if r := <-results; r.response != nil && r.response.Remainder != nil {
+			_ = r.response.Remainder.Close()
+		}
+	}()
+	return nil, outcomeUnknown(refuser.ResponseTimeout)
+}
+
+// runToEnd runs a request with a key until its deadline, and records the outcome.
+func (f *Forwarder) runToEnd(ctx context.Context, c *call) (response *sender.Response, refusal *refuser.Refusal) {
 	var stored *deduplicator.Response
 	notRun := false
 	defer func() {
 		f.node.WithKeys(func(now time.Time, k *deduplicator.KeyTable) { k.Finish(now, c.idempotencyKey, stored, notRun) })
 	}()
 	runCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.deadline.Sub(f.node.Now()))
-	defer cancel()
+	defer func() { cancelAfter(response, cancel) }()
 	response, refusal = f.run(runCtx, c)
 	switch {
 	case refusal != nil:
--- a/entry/sender/sender.go
+++ b/entry/sender/sender.go
@@ -20,6 +20,7 @@
 
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/retrier"
+	"samphiremux/entry/sanitizer"
 	"samphiremux/entry/throttler"
 	"samphiremux/pkg/describer"
 )
@@ -216,6 +217,9 @@
 	net.Conn
 	// refused is set once the server has refused a request on the connection.
 	refused atomic.Bool
+	// taken is the number of requests that have taken the connection, and cleared the
+	// number of those whose response is known to be no refusal.
+	taken, cleared atomic.Int64
 }
 
 // attempt tracks the progress of one attempt.
@@ -224,8 +228,10 @@
 	conn atomic.Pointer[net.Conn]
 	// mayDiscard is set if a connection on which a request was refused must not be used,
 	// and discarded if such a one was closed before anything was written.
-	mayDiscard  bool
-	discarded   atomic.Bool
+	mayDiscard bool
+	discarded  atomic.Bool
+	// before is the number of requests that have taken the connection before.
+	before      atomic.Int64
 	confirmed   chan struct{} // closed on 100 Continue or the start of a response
 	confirmOnce sync.Once
 	started     atomic.Bool // a header was written
@@ -241,7 +247,11 @@
 			a.started.Store(false)
 			a.writeFailed.Store(false)
 			c, ok := info.Conn.(*conn)
-			a.discarded.Store(ok && a.mayDiscard && c.refused.Load())
+			if !ok {
+				return
+			}
+			a.before.Store(c.taken.Add(1) - 1)
+			a.discarded.Store(a.mayDiscard && c.refused.Load())
 			if a.discarded.Load() {
 				_ = c.Close()
 			}
@@ -266,15 +276,24 @@
 	}
 }
 
-// markRefused records that a request was refused on the connection. It reports whether
-// one was before.
-func (a *attempt) markRefused() (before bool) {
-	if p := a.conn.Load(); p != nil {
-		if c, ok := (*p).(*conn); ok {
-			return c.refused.Swap(true)
-		}
+// classify records whether the response is a refusal. It reports whether a refusal may be a
+// copy of one of another request: the transport gives the connection to the next request
+// before the response to the last one is looked at, so that one may not be known yet.
+func (a *attempt) classify(isRefusal bool) (mayBeCopy bool) {
+	p := a.conn.Load()
+	if p == nil {
+		return false
+	}
+	c, ok := (*p).(*conn)
+	switch {
+	case !ok:
+		return false
+	case !isRefusal:
+		c.cleared.Add(1)
+		return false
 	}
-	return false
+	c.refused.Store(true)
+	return c.cleared.Load() < a.before.Load()
 }
 
 // Send sends a request and waits for its response until ctx is done. The response is nil
@@ -325,6 +344,9 @@
 // observeHead reads what a response says of the server itself. A pause counts with status
 // 503, but not in a refusal that the server passes on.
 func (s *Sender) observeHead(r Request, httpResp *http.Response) {
+	if sanitizer.HasMergedHead(httpResp) {
+		return
+	}
 	now := time.Now()
 	head := Head{Draining: httpResp.Header.Get(DrainingHeader) != ""}
 	if httpResp.StatusCode == http.StatusServiceUnavailable && httpResp.Header.Get(refuser.RefusalHeader) == "" {
@@ -426,16 +448,16 @@
 
 // readResponse reads and classifies the response. It buffers a body of up to
 // MaxBufferedBytes, and leaves the rest of a larger one to be streamed. A response with
-// the id of another attempt is rejected as mismatched.
+// the id of another attempt, or merged with another one, is rejected as mismatched.
 func (r Request) readResponse(httpResp *http.Response, a *attempt, cancel context.CancelCauseFunc) (resp *Response, o retrier.Outcome) {
-	if got := httpResp.Header.Get(AttemptIDHeader); got != r.AttemptID && (got != "" || r.EchoRequired) {
+	got := httpResp.Header.Get(AttemptIDHeader)
+	if (got != r.AttemptID && (got != "" || r.EchoRequired)) || sanitizer.HasMergedHead(httpResp) {
 		a.closeConn()
 		cancel(nil)
 		return nil, retrier.Mismatched{Got: got}
 	}
 	isRefusal := slices.Contains(r.SheddingStatuses, httpResp.StatusCode) && httpResp.Header.Get(refuser.RefusalHeader) == ""
-	if isRefusal && a.markRefused() && a.mayDiscard {
-		// Another request was refused on the connection after this one had taken it.
+	if a.classify(isRefusal) && a.mayDiscard {
 		a.closeConn()
 		cancel(nil)
 		return nil, retrier.Mismatched{}
