delegator, balancer, roundtripper: attempts of an entry that breaks off count

What callers saw: nothing; backend servers may run an idempotent request more often than its route's max-attempts. An entry to which it was passed on retries or hedges it and breaks off, and the entry that passed it on counts one attempt and tries again.

Cause: attempts were carried to the other entry but not back. It now tells each attempt after its first in an informational response before the attempt begins, and so that of a hedge that it was given. Entries of the state before skip such responses. Ruled out: to keep one attempt back for this case; with two attempts the other entry would have no retry and no hedge.

--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -42,6 +42,9 @@
 	server   string
 	response *roundtripper.Response
 	outcome  retrier.Outcome
+	// attempts is the number of attempts of the request with those that another entry made.
+	// It is zero for an attempt of this entry.
+	attempts int
 }
 
 // isFinal reports whether the response goes to the caller. A server error
@@ -87,6 +90,7 @@
 			running--
 			c.traceEnded(last.server, last)
 			state.add(last.outcome)
+			state.sent = max(state.sent, last.attempts)
 			if running == 0 || last.isFinal(true) {
 				return last
 			}
@@ -123,6 +127,7 @@
 	}
 	c.tried[p.ID] = true
 	c.traceChosen(Hedged, p)
+	c.tellAttempts(state.sent + 2)
 	return func() attemptResult { return b.send(ctx, c, p) }
 }
 
--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -29,6 +29,16 @@
 	// configuration is the version of the configuration by which it accepted the
 	// request.
 	configuration int64
+	// tell tells that entry the number of attempts, once another one is about to begin.
+	tell func(attempts int)
+}
+
+// tellAttempts tells the entry that passed the request on of an attempt after the first of
+// this entry, which counts without a word.
+func (c *call) tellAttempts(attempts int) {
+	if c.hop != nil && attempts > c.hop.attempts+1 {
+		c.hop.tell(attempts)
+	}
 }
 
 // readHop takes the headers of a hop off a request.
@@ -50,6 +60,11 @@
 		return
 	}
 	h := readHop(r.Header)
+	h.tell = func(attempts int) {
+		w.Header().Set(delegator.AttemptsHeader, strconv.Itoa(attempts))
+		w.WriteHeader(http.StatusProcessing)
+		w.Header().Del(delegator.AttemptsHeader)
+	}
 	b.metrics.taken.With(strconv.FormatBool(!b.monitor.Isolated())).Inc()
 	b.serve(w, r, h)
 }
@@ -107,6 +122,7 @@
 		c.traceDelegated(result.Entry, outcomeName(result.Outcome))
 		b.metrics.delegated.With(delegatedLost).Inc()
 		state.add(result.Outcome)
+		state.sent = max(state.sent, result.Attempts)
 		retry = c.route.Idempotent && ctx.Err() == nil && time.Now().Before(c.deadline) &&
 			state.sent < c.route.MaxAttempts && b.tryWithdraw(c.service)
 		if retry {
@@ -159,14 +175,14 @@
 	switch result := b.sendToEntry(ctx, c, sent, reason).(type) {
 	case delegator.Responded:
 		b.metrics.delegated.With(delegatedResponded).Inc()
-		return attemptResult{server: result.Entry, response: result.Response, outcome: retrier.Answered{}}
+		return attemptResult{server: result.Entry, response: result.Response, outcome: retrier.Answered{}, attempts: result.Attempts}
 	case delegator.Lost:
 		b.metrics.delegated.With(delegatedLost).Inc()
-		return attemptResult{server: result.Entry, outcome: result.Outcome}
+		return attemptResult{server: result.Entry, outcome: result.Outcome, attempts: result.Attempts}
 	case delegator.Refused:
 		b.metrics.delegated.With(delegatedRefused).Inc()
 		if result.Refusal.Kind == refuser.OutcomeUnknown {
-			return attemptResult{server: result.Entry, outcome: retrier.ConnectionLost{Cause: result.Refusal}}
+			return attemptResult{server: result.Entry, outcome: retrier.ConnectionLost{Cause: result.Refusal}, attempts: result.Attempts}
 		}
 		return attemptResult{server: result.Entry, outcome: retrier.NotSent{Cause: result.Refusal}}
 	default:
--- a/entry/balancer/run.go
+++ b/entry/balancer/run.go
@@ -39,6 +39,7 @@
 		}
 		c.traceChosen(Chosen, p)
 		c.useStableVersion()
+		c.tellAttempts(state.sent + 1)
 		result := b.attempt(ctx, c, p, &state)
 		c.server = result.server
 		switch {
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -32,7 +32,7 @@
 	// HopHeader carries the id of the entry that passes a request on.
 	HopHeader = "Samphire-Hop"
 	// AttemptsHeader carries the number of attempts of a request that have reached
-	// backend servers.
+	// backend servers. An informational response carries it before each further attempt.
 	AttemptsHeader = "Samphire-Attempts"
 	// ConfigurationHeader carries the version of the configuration by which a request
 	// was accepted.
@@ -134,18 +134,25 @@
 	Response *roundtripper.Response
 	// Leaving is the id of the server if it is shutting down, or empty.
 	Leaving string
+	// Attempts is as in Lost.
+	Attempts int
 }
 
 // Refused is the refusal of another entry.
 type Refused struct {
 	Entry   string
 	Refusal refuser.Refusal
+	// Attempts is as in Lost.
+	Attempts int
 }
 
 // Lost is a request that another entry took without a complete response. It may have run.
 type Lost struct {
 	Entry   string
 	Outcome retrier.Outcome
+	// Attempts is the number of attempts that may have reached backend servers, as far as
+	// the entry told.
+	Attempts int
 }
 
 // Unreached is a request that no other entry took.
@@ -226,27 +233,33 @@
 
 // send sends a request to one entry.
 func (p *peerState) send(ctx context.Context, conn *roundtripper.Conn, r Request) Result {
+	attempts := r.Attempts + 1
+	r.OnInformational = func(h http.Header) {
+		if told, err := strconv.Atoi(h.Get(AttemptsHeader)); err == nil {
+			attempts = max(attempts, told)
+		}
+	}
 	resp, outcome := p.Send(ctx, conn, r.Request)
 	switch {
 	case !retrier.MayHaveRun(outcome):
 		return Unreached{}
 	case resp == nil:
-		return Lost{Entry: p.ID, Outcome: outcome}
+		return Lost{Entry: p.ID, Outcome: outcome, Attempts: attempts}
 	}
 	told, leaving := resp.Header.Get(OutcomeHeader), resp.Header.Get(LeavingHeader)
 	resp.Header.Del(OutcomeHeader)
 	resp.Header.Del(LeavingHeader)
 	if told == Passed {
-		return Responded{Entry: p.ID, Response: resp, Leaving: leaving}
+		return Responded{Entry: p.ID, Response: resp, Leaving: leaving, Attempts: attempts}
 	}
 	refusal, err := refuser.ParseHeader(told)
 	if err != nil {
-		return Lost{Entry: p.ID, Outcome: retrier.Truncated{Cause: err}}
+		return Lost{Entry: p.ID, Outcome: retrier.Truncated{Cause: err}, Attempts: attempts}
 	}
 	if wait, err := time.ParseDuration(resp.Header.Get(RetryHeader)); err == nil && wait > 0 {
 		refusal = refusal.WithRetryAt(time.Now().Add(wait))
 	}
-	return Refused{Entry: p.ID, Refusal: refusal}
+	return Refused{Entry: p.ID, Refusal: refusal, Attempts: attempts}
 }
 
 // CloseExpired closes connections that have been idle for too long, and those to entries
--- a/entry/roundtripper/conn.go
+++ b/entry/roundtripper/conn.go
@@ -108,8 +108,9 @@
 	*http.Response
 }
 
-// readResponse reads the next final response and skips informational ones (1xx).
-func (c *Conn) readResponse(r *http.Request) (reply, error) {
+// readResponse reads the next final response. OnInformational, which may be nil, is called
+// with the headers of the informational ones (1xx) before it.
+func (c *Conn) readResponse(r *http.Request, onInformational func(http.Header)) (reply, error) {
 	c.head.inHead, c.head.remaining = true, maxHeadBytes
 	defer func() { c.head.inHead = false }()
 	for {
@@ -125,6 +126,9 @@
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return reply{}, fmt.Errorf("server switched protocols without a request to upgrade")
 		}
+		if onInformational != nil {
+			onInformational(resp.Header)
+		}
 	}
 }
 
--- a/entry/roundtripper/probe.go
+++ b/entry/roundtripper/probe.go
@@ -102,7 +102,7 @@
 		return Health{}, err
 	}
 	for range maxResponses {
-		rep, err := c.readResponse(req)
+		rep, err := c.readResponse(req, nil)
 		if err != nil {
 			return Health{}, err
 		}
--- a/entry/roundtripper/send.go
+++ b/entry/roundtripper/send.go
@@ -24,6 +24,9 @@
 	Body   []byte
 	// ID is the request id that the server echoes in its response.
 	ID string
+	// OnInformational is called with the headers of each informational response. It may be
+	// nil.
+	OnInformational func(http.Header)
 }
 
 // Response is the response of a backend server.
@@ -72,7 +75,7 @@
 	} else {
 		written <- c.write(req)
 	}
-	rep, mismatched, mismatchedID, err := cl.readMatching(c, req, r.ID)
+	rep, mismatched, mismatchedID, err := cl.readMatching(c, req, r)
 	if err != nil {
 		c.close()
 		stop()
@@ -106,15 +109,15 @@
 // earlier requests and copies of them may precede it on a reused connection, so only the
 // request id makes a response match. On an error, mismatched reports whether a response
 // came that did not match, and mismatchedID is the request id of the last one.
-func (cl *Client) readMatching(c *Conn, req *http.Request, id string) (rep reply, mismatched bool, mismatchedID string, err error) {
+func (cl *Client) readMatching(c *Conn, req *http.Request, r Request) (rep reply, mismatched bool, mismatchedID string, err error) {
 	for range maxResponses {
-		rep, err = c.readResponse(req)
+		rep, err = c.readResponse(req, r.OnInformational)
 		if err != nil {
 			return reply{}, mismatched, mismatchedID, err
 		}
 		cl.observe(rep)
 		got := rep.Header.Get(cl.headers.RequestID)
-		if got == id || (got == "" && cl.isFromAnother(rep)) {
+		if got == r.ID || (got == "" && cl.isFromAnother(rep)) {
 			return rep, false, "", nil
 		}
 		mismatched, mismatchedID = true, got
--- a/steer/commander/lost_links_test.go
+++ b/steer/commander/lost_links_test.go
@@ -126,3 +126,43 @@
 		f.checkRuns(t, results)
 	})
 }
+
+// TestAttemptsOfLostEntryForgotten guards against more attempts of a request than its route
+// allows, as the entry breaks off that has made some of them.
+func TestAttemptsOfLostEntryForgotten(t *testing.T) {
+	for _, kind := range []string{"retry", "hedge"} {
+		t.Run(kind, func(t *testing.T) {
+			withFleet(t, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				var arrivals atomic.Int64
+				f.respond = func(w http.ResponseWriter, r *http.Request) {
+					if r.Header.Get(translator.HeaderRequestID) != "r1" {
+						return
+					}
+					switch n := arrivals.Add(1); {
+					case n == 1 && kind == "retry":
+						w.WriteHeader(http.StatusInternalServerError)
+					case n <= 2:
+						if n == 2 {
+							f.breakOffDelegated(4)
+							f.breakOffDelegated(5)
+						}
+						<-r.Context().Done()
+					}
+				}
+				f.isolate(0, 1, 2, 3)
+				_, _, err := f.send(t.Context(), 0, "/look/a", "r1", "")
+				is.NoErr(err)
+				is.Equal(arrivals.Load(), int64(2))
+			})
+		})
+	}
+}
+
+// breakOffDelegated closes the connections of the other entries to an entry.
+func (f *fleet) breakOffDelegated(i int) {
+	e := f.entries[i]
+	_ = f.servers[i].delegated.Close()
+	l := f.network.listen(e.settings.Load().DelegationAddress)
+	go func() { _ = e.server(http.HandlerFunc(e.serveDelegated)).Serve(l) }()
+}
