--- a/steer/commander/delegation_test.go
+++ b/steer/commander/delegation_test.go
@@ -103,8 +103,8 @@
 		for n := range 20 {
 			id := fmt.Sprintf("r%d", n)
 			_, _, _ = f.send(t.Context(), 0, "/look/a", id, "")
-			if f.runs[id] > 2 {
-				t.Errorf("request %s ran %d times, bound 2", id, f.runs[id])
+			if runs := f.runsOf(id); runs > 2 {
+				t.Errorf("request %s ran %d times, bound 2", id, runs)
 			}
 		}
 	})
@@ -171,11 +171,11 @@
 		resp, _, err := f.send(t.Context(), 0, "/book/a", "r1", "")
 		is.NoErr(err)
 		is.Equal(resp.StatusCode, http.StatusBadGateway)
-		is.Equal(f.runs["r1"], 1)
+		is.Equal(f.runsOf("r1"), 1)
 		resp, _, err = f.send(t.Context(), 0, "/book/b", "r2", "")
 		is.NoErr(err)
 		is.Equal(resp.StatusCode, http.StatusServiceUnavailable) // nobody takes it, at once
-		is.Equal(f.runs["r2"], 0)
+		is.Equal(f.runsOf("r2"), 0)
 	})
 }
 
--- a/steer/commander/lost_links_test.go
+++ b/steer/commander/lost_links_test.go
@@ -96,7 +96,7 @@
 		time.Sleep(5 * time.Millisecond)
 		is.Equal(exchange("POST /book/a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"+
 			translator.HeaderRequestID+": r1\r\n"+delegator.HopHeader+": e0\r\n\r\nbody"), http.StatusOK)
-		is.Equal(f.runs["r1"], 1)
+		is.Equal(f.runsOf("r1"), 1)
 		time.Sleep(6 * time.Second)
 	})
 }
--- a/steer/commander/partition_test.go
+++ b/steer/commander/partition_test.go
@@ -152,6 +152,13 @@
 	f.runs[id]++
 }
 
+// runsOf returns the number of runs of a request.
+func (f *fleet) runsOf(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[id]
+}
+
 // callResult is the result of a call to one entry.
 type callResult struct {
 	entry  int
