--- a/steer/commander/lost_links_test.go
+++ b/steer/commander/lost_links_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -166,3 +167,30 @@
 	l := f.network.listen(e.settings.Load().DelegationAddress)
 	go func() { _ = e.server(http.HandlerFunc(e.serveDelegated)).Serve(l) }()
 }
+
+// TestStoppingPartitionedEntryCutsRequests guards against requests that are cut or refused
+// since the entry that has passed them on stops.
+func TestStoppingPartitionedEntryCutsRequests(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		setGracePeriod(f.entries[0], 6*time.Second)
+		f.isolate(0)
+		f.respond = func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(300 * time.Millisecond)
+			_, _ = io.WriteString(w, "ok")
+		}
+		var calls sync.WaitGroup
+		for n := range 70 {
+			calls.Go(func() {
+				if id := fmt.Sprintf("r%d", n); !f.call(0, "/book/a", id) || f.runsOf(id) != 1 {
+					t.Errorf("call %d was not served, %d runs", n, f.runsOf(id))
+				}
+			})
+			if n == 5 {
+				go func() { _ = f.entries[0].stop(f.servers[0]) }()
+			}
+			time.Sleep(callInterval)
+		}
+		calls.Wait()
+		time.Sleep(6 * time.Second)
+	})
+}
