--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -48,6 +48,9 @@
 	outcome  retrier.Outcome
 	// index is the position among the attempt and its hedge.
 	index int
+	// attempts is the number of attempts of the request with those that another entry made.
+	// It is zero for an attempt of this entry.
+	attempts int
 }
 
 // isFinal reports whether the response goes to the caller. A server error
@@ -101,6 +104,7 @@
 			running--
 			c.traceEnded(last.server, last)
 			state.add(last.outcome)
+			state.sent = max(state.sent, last.attempts)
 			if running == 0 || last.isFinal(true) {
 				return last.withCancels(cancels)
 			}
@@ -170,6 +174,7 @@
 	}
 	c.tried[p.ID] = true
 	c.traceChosen(Hedged, p)
+	c.tellAttempts(state.sent + 2)
 	return func(ctx context.Context) attemptResult { return b.send(ctx, c, p) }
 }
 
--- a/steer/commander/lost_links_test.go
+++ b/steer/commander/lost_links_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -96,7 +97,7 @@
 		time.Sleep(5 * time.Millisecond)
 		is.Equal(exchange("POST /book/a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"+
 			translator.HeaderRequestID+": r1\r\n"+delegator.HopHeader+": e0\r\n\r\nbody"), http.StatusOK)
-		is.Equal(f.runs["r1"], 1)
+		is.Equal(f.runsOf("r1"), 1)
 		time.Sleep(6 * time.Second)
 	})
 }
@@ -126,3 +127,70 @@
 		f.checkRuns(t, results)
 	})
 }
+
+// TestAttemptsOfLostEntryForgotten guards against more attempts of a request than its route
+// allows, as the entry breaks off that has made some of them.
+func TestAttemptsOfLostEntryForgotten(t *testing.T) {
+	for _, kind := range []string{"retry", "hedge"} {
+		t.Run(kind, func(t *testing.T) {
+			withFleet(t, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				var arrivals atomic.Int64
+				f.respond = func(w http.ResponseWriter, r *http.Request) {
+					if r.Header.Get(translator.HeaderRequestID) != "r1" {
+						return
+					}
+					switch n := arrivals.Add(1); {
+					case n == 1 && kind == "retry":
+						w.WriteHeader(http.StatusInternalServerError)
+					case n <= 2:
+						if n == 2 {
+							f.breakOffDelegated(4)
+							f.breakOffDelegated(5)
+						}
+						<-r.Context().Done()
+					}
+				}
+				f.isolate(0, 1, 2, 3)
+				_, _, err := f.send(t.Context(), 0, "/look/a", "r1", "")
+				is.NoErr(err)
+				is.Equal(arrivals.Load(), int64(2))
+			})
+		})
+	}
+}
+
+// breakOffDelegated closes the connections of the other entries to an entry.
+func (f *fleet) breakOffDelegated(i int) {
+	e := f.entries[i]
+	_ = f.servers[i].delegated.Close()
+	l := f.network.listen(e.settings.Load().DelegationAddress)
+	go func() { _ = e.server(http.HandlerFunc(e.serveDelegated)).Serve(l) }()
+}
+
+// TestStoppingPartitionedEntryCutsRequests guards against requests that are cut or refused
+// since the entry that has passed them on stops.
+func TestStoppingPartitionedEntryCutsRequests(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		setGracePeriod(f.entries[0], 6*time.Second)
+		f.isolate(0)
+		f.respond = func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(300 * time.Millisecond)
+			_, _ = io.WriteString(w, "ok")
+		}
+		var calls sync.WaitGroup
+		for n := range 70 {
+			calls.Go(func() {
+				if id := fmt.Sprintf("r%d", n); !f.call(0, "/book/a", id) || f.runsOf(id) != 1 {
+					t.Errorf("call %d was not served, %d runs", n, f.runsOf(id))
+				}
+			})
+			if n == 5 {
+				go func() { _ = f.entries[0].stop(f.servers[0]) }()
+			}
+			time.Sleep(callInterval)
+		}
+		calls.Wait()
+		time.Sleep(6 * time.Second)
+	})
+}
