--- a/entry/reflector/gap_test.go
+++ b/entry/reflector/gap_test.go
@@ -1,7 +1,9 @@
 package reflector_test
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -50,3 +52,48 @@
 		is.True(!fx.reflector.Outdated(time.Now(), "op"))
 	})
 }
+
+// TestFalseNotFoundAfterStart guards against an entry that denies a route since it has
+// started, without the store, from an entry that is behind.
+func TestFalseNotFoundAfterStart(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		told          storer.Revision
+		storeAnswers  bool
+		after2s, at8s bool
+	}{
+		{"a newer one is told", 20, false, true, true},
+		{"nothing newer is told", 5, false, false, false},
+		{"the store answers", 20, true, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer synctest.Wait()
+				defer cancel()
+				fx := newFixture(ctx, errStoreDown)
+				fx.update(func() {
+					fx.store.at = 20
+					fx.peerBatch = reflector.Batch{Full: true, Revision: 5, Changes: []*linkpb.Change{{Key: "op", Value: []byte("old"), Revision: 5}}}
+				})
+				time.Sleep(300 * time.Millisecond)
+				is.Equal(fx.value("op"), "old")
+				is.True(fx.reflector.Outdated(time.Now(), "op"))
+				time.Sleep(900 * time.Millisecond)
+				is.True(fx.reflector.Outdated(time.Now(), "op")) // no other entry has been heard
+				if c.storeAnswers {
+					fx.update(func() { fx.store.err = nil })
+				}
+				fx.reflector.ObservePeerRevision(time.Now(), c.told)
+				is.True(fx.reflector.Outdated(time.Now(), "op"))
+				time.Sleep(800 * time.Millisecond)
+				is.Equal(fx.reflector.Outdated(time.Now(), "op"), c.after2s)
+				time.Sleep(6 * time.Second)
+				is.Equal(fx.reflector.Outdated(time.Now(), "op"), c.at8s)
+				time.Sleep(4 * time.Second)
+				is.True(!fx.reflector.Outdated(time.Now(), "op")) // it ends in any case
+			})
+		})
+	}
+}
--- a/entry/reflector/reflector.go
+++ b/entry/reflector/reflector.go
@@ -107,6 +107,9 @@
 	compacted storer.Revision
 	storeLost bool
 	ready     bool
+	// unconfirmedSince is when this entry started from another one's copy, or zero once
+	// the store has been listed.
+	unconfirmedSince time.Time
 	// cancelWatch cancels the watch under way. It is nil if there is none.
 	cancelWatch context.CancelFunc
 	// behindSince is when another entry first reported a newer revision than this
@@ -221,6 +224,7 @@
 	}
 	if !r.ready {
 		r.ready = true
+		r.unconfirmedSince = now
 		r.compacted = b.Revision
 		r.o.Log.Info("State taken from another entry.", "revision", b.Revision.Number())
 	}
@@ -238,6 +242,7 @@
 	defer r.mu.Unlock()
 	afterOutage := r.storeLost
 	r.storeLost = false
+	r.unconfirmedSince = time.Time{}
 	changes := make([]Change, 0, len(pairs))
 	for _, p := range pairs {
 		changes = append(changes, Change{Key: p.Key, Value: p.Value, Revision: p.ModRevision})
