measurer: an entry of samphire-entry starts from one that is behind

No 404 was seen: the entry sends heartbeats as soon as it has a document, and their answers tell the newer revision.

--- a/standin/measurer/newer_document_test.go
+++ b/standin/measurer/newer_document_test.go
@@ -15,6 +15,7 @@
 	"samphiremux/entry/locator"
 	"samphiremux/pkg/parser"
 	"samphiremux/standin/netemulator"
+	"samphiremux/standin/platformemulator"
 	"samphiremux/standin/simulator"
 )
 
@@ -140,3 +141,29 @@
 		}
 	})
 }
+
+// TestRouteDeniedAfterStart guards against 404 from an entry that has started, without the
+// store, from an entry that is behind.
+func TestRouteDeniedAfterStart(t *testing.T) {
+	d := simulator.Trust().WithOnlyService("catalogue")
+	withCluster(t, simulator.Options{Deployment: d, Entries: 3}, d.Document("test"), func(t *testing.T, cl testCluster) {
+		is := is.New(t)
+		behind := cl.Entries[0]
+		behind.SetStorePartitioned(true)
+		for _, other := range cl.Entries[1:] {
+			cl.net.SetPartition(behind.Address, other.Address, netemulator.Resetting)
+		}
+		is.NoErr(cl.Publish(withManyRoutes(cl.Document(), "catalogue", 10)))
+		time.Sleep(time.Second)
+		is.True(behind.Entry.Node().Snapshot().Revision < cl.Revision())
+		is.True(cl.Entries[1].Entry.Node().Snapshot().Revision == cl.Revision())
+		cl.Store.SetFaults(platformemulator.Faults{Down: true})
+		is.NoErr(cl.StartEntry(3))
+		count, _ := statuses(t, cl, cl.Entries[3], addedPath(7), "", 3*time.Second)
+		is.Equal(count[http.StatusNotFound], 0)
+		is.True(count[http.StatusOK] > 0) // it had the document in the end
+		never, _ := statuses(t, cl, cl.Entries[3], "/never/", "", 200*time.Millisecond)
+		is.Equal(len(never), 1)
+		is.True(never[http.StatusNotFound] > 0)
+	})
+}
