reconciler: an isolated entry does not deny routes

An entry of samphire-entry that hears neither the store nor a peer refuses all work, since it cannot know what operators changed, but answered 404 for routes and locate queries that its document lacks: these were refused before the check for isolation. Now they get isolated (503) too.

TestIsolatedEntryDeniesRoute failed before (404 for both) and passes now.

--- a/entry/reconciler/newer_revision.go
+++ b/entry/reconciler/newer_revision.go
@@ -49,10 +49,14 @@
 }
 
 // NotFound returns the refusal of a request for what the document of a snapshot does not
-// have, with a reason. It is OutdatedRefusal while a peer has a newer document.
+// have, with a reason. It is temporary while a peer has a newer document, or while the entry
+// is isolated and cannot know of one.
 func (n *Node) NotFound(s *Snapshot, reason refuser.Reason) refuser.Refusal {
-	if n.outdated(s) {
+	switch {
+	case n.outdated(s):
 		return n.OutdatedRefusal()
+	case n.Isolated():
+		return refuser.NewNotRun(refuser.Isolated)
 	}
 	return refuser.NewNotRun(reason)
 }
--- a/standin/measurer/newer_document_test.go
+++ b/standin/measurer/newer_document_test.go
@@ -167,3 +167,24 @@
 		is.True(never[http.StatusNotFound] > 0)
 	})
 }
+
+// TestIsolatedEntryDeniesRoute guards against 404 from an entry that hears neither the store
+// nor a peer, and cannot know which routes there are.
+func TestIsolatedEntryDeniesRoute(t *testing.T) {
+	for _, path := range []string{"/never/", locator.Path + "?service=never"} {
+		t.Run(path, func(t *testing.T) {
+			d := simulator.Trust().WithOnlyService("catalogue")
+			withCluster(t, simulator.Options{Deployment: d, Entries: 3}, d.Document("test"), func(t *testing.T, cl testCluster) {
+				is := is.New(t)
+				isolated := cl.Entries[0]
+				isolated.SetStorePartitioned(true)
+				for _, other := range cl.Entries[1:] {
+					cl.net.SetPartition(isolated.Address, other.Address, netemulator.Resetting)
+				}
+				time.Sleep(5 * time.Second)
+				count, _ := statuses(t, cl, isolated, path, "", 20*time.Millisecond)
+				is.Equal(count, map[int]int{http.StatusServiceUnavailable: 1})
+			})
+		})
+	}
+}
