--- a/steer/commander/request_forms_test.go
+++ b/steer/commander/request_forms_test.go
@@ -16,23 +16,29 @@
 	for _, c := range []struct {
 		name, request string
 		status        int
-		target        string
+		target, body  string
 	}{
-		{"empty segment", "GET /look//1 HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look//1"},
-		{"dot segment", "GET /look/./1 HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/./1"},
-		{"two dots", "GET /look/a/../1 HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/a/../1"},
-		{"encoded octets", "GET /look/%2e%2e/%2F?a=/b/ HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/%2e%2e/%2F?a=/b/"},
-		{"upper case", "GET /look/1 HTTP/1.1\r\nHost: H\r\n", http.StatusOK, "/look/1"},
-		{"port", "GET /look/1 HTTP/1.1\r\nHost: h:8080\r\n", http.StatusOK, "/look/1"},
-		{"empty body", "POST /book/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n", http.StatusOK, "/book/1"},
-		{"no length", "POST /book/1 HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/book/1"},
-		{"options", "OPTIONS /look/1 HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/1"},
-		{"absolute form", "GET http://h/look/1?q HTTP/1.1\r\nHost: other\r\n", http.StatusOK, "/look/1?q"},
-		{"absolute form, address in the query", "GET http://h/look/?u=http://x/ HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/?u=http://x/"},
-		{"address in the path", "GET /look/http://x/ HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/http://x/"},
-		{"absolute form without a path", "GET http://h HTTP/1.1\r\nHost: h\r\n", http.StatusNotFound, ""},
-		{"absolute form without a path but a query", "GET http://h?/look/ HTTP/1.1\r\nHost: h\r\n", http.StatusNotFound, ""},
-		{"asterisk form", "OPTIONS * HTTP/1.1\r\nHost: h\r\n", http.StatusNotFound, ""},
+		{"empty segment", "GET /look//1 HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look//1", ""},
+		{"dot segment", "GET /look/./1 HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/./1", ""},
+		{"two dots", "GET /look/a/../1 HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/a/../1", ""},
+		{"encoded octets", "GET /look/%2e%2e/%2F?a=/b/ HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/%2e%2e/%2F?a=/b/", ""},
+		{"upper case", "GET /look/1 HTTP/1.1\r\nHost: H\r\n", http.StatusOK, "/look/1", ""},
+		{"port", "GET /look/1 HTTP/1.1\r\nHost: h:8080\r\n", http.StatusOK, "/look/1", ""},
+		{"empty body", "POST /book/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n", http.StatusOK, "/book/1", ""},
+		{"no length", "POST /book/1 HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/book/1", ""},
+		{"head", "HEAD /look/1 HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/1", ""},
+		{"body in chunks", "POST /book/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n", http.StatusOK, "/book/1", "2\r\nbo\r\n2;x=y\r\ndy\r\n0\r\nSum: 1\r\n\r\n"},
+		{"empty body in chunks", "POST /book/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n", http.StatusOK, "/book/1", "0\r\n\r\n"},
+		{"continue expected", "POST /book/1 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 4\r\n", http.StatusOK, "/book/1", "body"},
+		{"body of a safe request", "GET /look/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n", http.StatusOK, "/look/1", "body"},
+		{"unknown method", "PURGE /look/1 HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/1", ""},
+		{"options", "OPTIONS /look/1 HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/1", ""},
+		{"absolute form", "GET http://h/look/1?q HTTP/1.1\r\nHost: other\r\n", http.StatusOK, "/look/1?q", ""},
+		{"absolute form, address in the query", "GET http://h/look/?u=http://x/ HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/?u=http://x/", ""},
+		{"address in the path", "GET /look/http://x/ HTTP/1.1\r\nHost: h\r\n", http.StatusOK, "/look/http://x/", ""},
+		{"absolute form without a path", "GET http://h HTTP/1.1\r\nHost: h\r\n", http.StatusNotFound, "", ""},
+		{"absolute form without a path but a query", "GET http://h?/look/ HTTP/1.1\r\nHost: h\r\n", http.StatusNotFound, "", ""},
+		{"asterisk form", "OPTIONS * HTTP/1.1\r\nHost: h\r\n", http.StatusNotFound, "", ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withFleet(t, func(t *testing.T, f *fleet) {
@@ -50,8 +56,14 @@
 				defer conn.Close()
 				_, err = io.WriteString(conn, c.request+"X-Request-Id: r1\r\nX-Deadline-Ms: 900\r\n\r\n")
 				is.NoErr(err)
-				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				go func() { _, _ = io.WriteString(conn, c.body) }()
+				in := bufio.NewReader(conn)
+				resp, err := http.ReadResponse(in, nil)
 				is.NoErr(err)
+				if resp.StatusCode == http.StatusContinue {
+					resp, err = http.ReadResponse(in, nil)
+					is.NoErr(err)
+				}
 				defer resp.Body.Close()
 				is.Equal(resp.StatusCode, c.status)
 				mu.Lock()
