balancer: no 431 for headers within the limit that are written without spaces

samphire-steer counted a space after the colon of each header field, whether there was one or not, so a request within the limit of the configuration got 431 if its fields are written "Name:value", which is legal (RFC 9112, 5).

TestHeadersWithinLimitDenied failed before without spaces (431 for a head of exactly the limit) and passes now. A head may now exceed the limit by its optional spaces.

--- a/entry/balancer/header.go
+++ b/entry/balancer/header.go
@@ -8,13 +8,18 @@
 	"samphiremux/entry/sanitizer"
 )
 
-// fieldOverhead is the size of a header field beside its name and value: a
-// colon, a space and CRLF.
-const fieldOverhead = 4
+const (
+	// lineOverhead is the size of a request line beside its parts: two spaces and CRLF.
+	lineOverhead = 4
+	// fieldOverhead is the least size of a header field beside its name and value: a
+	// colon and CRLF.
+	fieldOverhead = 3
+)
 
-// headerBytes returns the size of a request's request line and headers.
+// headerBytes returns the least size of a request's request line and headers. Optional
+// spaces are not known any more.
 func headerBytes(r *http.Request) (n int) {
-	n = len(r.Method) + len(r.RequestURI) + len(r.Proto) + fieldOverhead
+	n = len(r.Method) + len(r.RequestURI) + len(r.Proto) + lineOverhead
 	n += len("Host") + len(r.Host) + fieldOverhead
 	for name, values := range r.Header {
 		for _, v := range values {
--- a/steer/commander/request_forms_test.go
+++ b/steer/commander/request_forms_test.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"samphiremux/pkg/describer"
 )
 
 // TestLegalRequestFormsDenied guards against redirects and client errors for requests whose
@@ -73,3 +76,28 @@
 		})
 	}
 }
+
+// TestHeadersWithinLimitDenied guards against 431 for headers that are as long as the
+// configuration allows, however they are written.
+func TestHeadersWithinLimitDenied(t *testing.T) {
+	for _, c := range []struct{ name, separator string }{{"spaces", ": "}, {"no spaces", ":"}} {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				request := "GET /look/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 900\r\nA: b\r\nC: d\r\nE: f\r\n\r\n"
+				request = strings.ReplaceAll(request, ": ", c.separator)
+				is.NoErr(f.entries[0].snapshots.SetTable(describer.NewRouteTable(2, []describer.Route{fleetRoute("look", true)},
+					[]describer.Service{{Name: "stock", HealthPath: "/health", ColdRate: 9.3}}, describer.Limits{HeaderBytes: len(request)})))
+				conn, err := f.network.dialer("caller")(t.Context(), "tcp", f.entries[0].settings.Load().CallerAddress)
+				is.NoErr(err)
+				defer conn.Close()
+				_, err = io.WriteString(conn, request)
+				is.NoErr(err)
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				is.NoErr(err)
+				defer resp.Body.Close()
+				is.Equal(resp.StatusCode, http.StatusOK)
+			})
+		})
+	}
+}
