forwarder, dispatcher: samphire-entry logs that a server leaves or asks for a pause

When a pause is news, and that an absurd one is reported once in 10 s, is decided in throttler.Pause for both.

--- a/entry/dispatcher/control.go
+++ b/entry/dispatcher/control.go
@@ -103,24 +103,32 @@
 	}
 }
 
-// ObserveHead records what the server said of itself in the head of a response. If it
-// asked for a pause and no other server is left, queued requests are refused.
-func (p *Permit) ObserveHead(h sender.Head) {
+// ObserveHead records what the server said of itself in the head of a response, and returns
+// what of that is news. If it asked for a pause and no other server is left, queued requests
+// are refused.
+func (p *Permit) ObserveHead(h sender.Head) (news sender.Head) {
 	d := p.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if h.Draining {
+		news.Draining = !p.state.draining
 		p.state.draining = true
 		p.state.drainUnreported = true
 	}
-	if h.Pause.Until.IsZero() {
-		return
+	if h.Pause == (describer.Pause{}) {
+		return news
 	}
 	now := d.now()
-	p.state.pause.Extend(now, h.Pause.Until, d.rng.Float64())
+	if p.state.pause.Observe(now, h.Pause, d.rng.Float64()) {
+		news.Pause = h.Pause
+	}
+	if h.Pause.Until.IsZero() {
+		return news
+	}
 	d.drainQueues(now)
 	at, _ := p.state.pause.ResumesAt(now)
 	time.AfterFunc(at.Sub(now), d.resume)
+	return news
 }
 
 // ObserveRateLimit records the rate limit that the server stated in its response.
--- a/entry/dispatcher/pause_test.go
+++ b/entry/dispatcher/pause_test.go
@@ -72,3 +72,35 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// TestNoticeRepeated guards against a log line for each of many responses that say the same,
+// and against a pause after another one that is not logged.
+func TestNoticeRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDispatcher()
+		p, refusal := d.Acquire(context.Background(), dispatcher.Request{Caller: "c", Importance: 10, Deadline: time.Now().Add(time.Second)})
+		is.True(refusal == nil)
+		stated := func(length time.Duration, rejected string) sender.Head {
+			return sender.Head{Pause: describer.Pause{Until: time.Now().Add(length), Rejected: rejected}}
+		}
+		first := stated(time.Second, "")
+		is.Equal(p.ObserveHead(first), first)
+		is.Equal(p.ObserveHead(first), sender.Head{})
+		is.Equal(p.ObserveHead(stated(2*time.Second, "")), sender.Head{}) // it only lasts longer
+		time.Sleep(5 * time.Second)
+		second := stated(time.Second, "")
+		is.Equal(p.ObserveHead(second), second)
+		absurd := sender.Head{Pause: describer.Pause{Rejected: "-1"}}
+		is.Equal(p.ObserveHead(absurd), absurd)
+		time.Sleep(9 * time.Second)
+		is.Equal(p.ObserveHead(absurd), sender.Head{})
+		time.Sleep(time.Second)
+		is.Equal(p.ObserveHead(absurd), absurd)
+		leaving := sender.Head{Draining: true}
+		is.Equal(p.ObserveHead(leaving), leaving)
+		is.Equal(p.ObserveHead(leaving), sender.Head{})
+		p.Done(retrier.Shed{}, false)
+		time.Sleep(time.Second)
+	})
+}
--- a/entry/forwarder/attempt.go
+++ b/entry/forwarder/attempt.go
@@ -148,7 +148,7 @@
 	msg.SheddingStatuses = declared.SheddingStatuses
 	msg.Lost = c.service.Dispatcher.Silent()
 	msg.MaxConnections = max(1, srv.ConnectionLimit/max(1, permit.Server.Holders))
-	msg.OnHead = permit.ObserveHead
+	msg.OnHead = func(h sender.Head) { f.logHead(srv.Name, permit.ObserveHead(h)) }
 	start := f.node.Now()
 	result.server = srv.Name
 	result.response, result.outcome = f.servers.Send(ctx, msg)
@@ -173,6 +173,19 @@
 	return result
 }
 
+// logHead logs what a backend server said of itself in a response, if that is news.
+func (f *Forwarder) logHead(server string, news sender.Head) {
+	if news.Draining {
+		f.log.Info("Backend server is leaving by its own response.", "server", server)
+	}
+	switch {
+	case news.Pause.Rejected != "":
+		f.log.Warn("Pause of a backend server does not hold as stated.", "server", server, "stated", news.Pause.Rejected, "until", news.Pause.Until)
+	case !news.Pause.Until.IsZero():
+		f.log.Info("Backend server asks for a pause.", "server", server, "until", news.Pause.Until)
+	}
+}
+
 // isFailure reports whether a response is an error of the server itself, and
 // not a refusal that the server relayed.
 func isFailure(a *sender.Response) bool {
--- a/entry/sender/sender.go
+++ b/entry/sender/sender.go
@@ -329,18 +329,18 @@
 	head := Head{Draining: httpResp.Header.Get(DrainingHeader) != ""}
 	if httpResp.StatusCode == http.StatusServiceUnavailable && httpResp.Header.Get(refuser.RefusalHeader) == "" {
 		head.Pause = describer.ParsePause(now, httpResp.Header.Get(refuser.RetryAfterHeader))
-		s.pauseServer(now, r.Address, head.Pause.Until)
+		s.pauseServer(now, r.Address, head.Pause)
 	}
 	if r.OnHead != nil {
 		r.OnHead(head)
 	}
 }
 
-func (s *Sender) pauseServer(now time.Time, address netip.AddrPort, until time.Time) {
+func (s *Sender) pauseServer(now time.Time, address netip.AddrPort, stated describer.Pause) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p, ok := s.pools[address]; ok {
-		p.pause.Extend(now, until, rand.Float64())
+		p.pause.Observe(now, stated, rand.Float64())
 	}
 }
 
--- a/entry/snapshotter/backend.go
+++ b/entry/snapshotter/backend.go
@@ -25,9 +25,6 @@
 	// rateLimitMaxAge is the age from which a rate limit that allows no request now is
 	// checked by a probe, since the server may have lifted it.
 	rateLimitMaxAge = 2 * time.Second
-	// rejectedPauseInterval is the time between two reports of pauses that a server stated
-	// but that do not hold as stated.
-	rejectedPauseInterval = 10 * time.Second
 )
 
 // Backend is the registration of a backend server together with the state that
@@ -60,7 +57,6 @@
 	failuresAt   time.Time
 	leaving      bool
 	pause        throttler.Pause
-	nextRejected time.Time
 	rateLimit    describer.RateLimit
 	rateLimitAt  time.Time
 	rateTokens   throttler.TokenBucket
@@ -222,12 +218,7 @@
 func (s *ServerState) observePause(now time.Time, p describer.Pause) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p.Rejected != "" && !now.Before(s.nextRejected) {
-		s.nextRejected = now.Add(rejectedPauseInterval)
-		changed = true
-	}
-	begun := s.pause.Extend(now, p.Until, rand.Float64())
-	return changed || begun
+	return s.pause.Observe(now, p, rand.Float64())
 }
 
 // ResumesAt returns the time until which the server gets nothing from this entry, probes
--- a/entry/throttler/pause.go
+++ b/entry/throttler/pause.go
@@ -1,6 +1,10 @@
 package throttler
 
-import "time"
+import (
+	"time"
+
+	"samphiremux/pkg/describer"
+)
 
 const (
 	// resumeSpread is the fraction of a pause, and maxResumeSpread the time, over which
@@ -11,6 +15,9 @@
 	// the time, over which refused callers return after it.
 	retrySpread    = 0.25
 	maxRetrySpread = 250 * time.Millisecond
+	// rejectedInterval is the time between two reports of pauses that a server stated but
+	// that do not hold as stated.
+	rejectedInterval = 10 * time.Second
 )
 
 // Pause is the time for which a server wants no requests from this entry. The zero value
@@ -19,12 +26,26 @@
 	// until is the end that the server asked for, and resumesAt the later time from which
 	// this entry uses it again.
 	until, resumesAt time.Time
+	// nextRejected is the time from which the next one that does not hold as stated is
+	// reported.
+	nextRejected time.Time
+}
+
+// Observe extends the pause by what the server stated in a response. It reports whether a
+// pause has begun by that, or one that does not hold as stated is due to be reported. It never
+// shortens a pause, since responses may arrive in another order than they were sent. Draw is a
+// random number in [0, 1) that differs from entry to entry.
+func (p *Pause) Observe(now time.Time, stated describer.Pause, draw float64) (news bool) {
+	if stated.Rejected != "" && !now.Before(p.nextRejected) {
+		p.nextRejected = now.Add(rejectedInterval)
+		news = true
+	}
+	begun := p.extend(now, stated.Until, draw)
+	return news || begun
 }
 
-// Extend lets the pause last until a time, and reports whether a pause has begun by that.
-// It never shortens it, since responses may arrive in another order than they were sent.
-// Draw is a random number in [0, 1) that differs from entry to entry.
-func (p *Pause) Extend(now, until time.Time, draw float64) (begun bool) {
+// extend lets the pause last until a time, and reports whether a pause has begun by that.
+func (p *Pause) extend(now, until time.Time, draw float64) (begun bool) {
 	if !until.After(p.until) {
 		return false
 	}
