balancer: what another entry passes on of a leaving server is logged

An entry that heard from another one, with the response to a request that it had passed on, that a server leaves, left the server out but did not log why, so that explain showed the names of servers left out and no cause. It is recorded as the server's own response is. TestLeavingServerUsedAfterDelegation failed before (0 notices, 1 expected).

--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -122,7 +122,7 @@
 func (b *Balancer) setLeaving(service string, leaving delegator.LeavingServer) {
 	for _, srv := range b.opts.Snapshot().Services[service] {
 		if srv.ID == leaving.ID && srv.Incarnation <= leaving.Incarnation {
-			srv.State.SetLeaving()
+			srv.State.ObserveNotice(roundtripper.Leaving{})
 		}
 	}
 }
--- a/entry/snapshotter/backend.go
+++ b/entry/snapshotter/backend.go
@@ -66,7 +66,7 @@
 // what the server says of itself in its responses.
 func NewServerState(c *roundtripper.Client) *ServerState {
 	s := &ServerState{Client: c, onChange: func(roundtripper.Notice) {}}
-	c.OnNotice(s.observeNotice)
+	c.OnNotice(s.ObserveNotice)
 	return s
 }
 
@@ -74,8 +74,9 @@
 // the state. It must be called before the state is used.
 func (s *ServerState) OnChange(f func(roundtripper.Notice)) { s.onChange = f }
 
-// observeNotice records what the server says of itself in a response.
-func (s *ServerState) observeNotice(n roundtripper.Notice) {
+// ObserveNotice records what the server says of itself in a response, which may have come
+// by another entry.
+func (s *ServerState) ObserveNotice(n roundtripper.Notice) {
 	switch n := n.(type) {
 	case roundtripper.Leaving:
 		if s.SetLeaving() {
--- a/steer/commander/delegation_test.go
+++ b/steer/commander/delegation_test.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"samphiremux/entry/roundtripper"
 	"samphiremux/pkg/describer"
 	"samphiremux/platform/translator"
 )
@@ -240,11 +242,16 @@
 func TestLeavingServerUsedAfterDelegation(t *testing.T) {
 	withFleet(t, func(t *testing.T, f *fleet) {
 		is := is.New(t)
+		var told atomic.Int64
+		for _, srv := range f.entries[0].snapshots.Snapshot().Services["stock"] {
+			srv.State.OnChange(func(roundtripper.Notice) { told.Add(1) })
+		}
 		f.isolate(0)
 		f.respond = func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(translator.HeaderLeaving, "1") }
 		_, _, err := f.send(t.Context(), 0, "/book/a", "r1", "")
 		is.NoErr(err)
 		is.Equal(f.countLeaving(0), 1)
+		is.Equal(told.Load(), int64(1)) // it is logged
 	})
 }
 
