--- a/steer/commander/leaving_test.go
+++ b/steer/commander/leaving_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -125,6 +127,36 @@
 	})
 }
 
+// TestDelegatedRefusalHidesPause guards against a caller of an isolated entry that waits, or is
+// told to come back too early, while all servers pause the entries that its request goes to.
+func TestDelegatedRefusalHidesPause(t *testing.T) {
+	const pause = 4 * time.Second
+	withFleet(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.isolate(0)
+		f.respond = func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(translator.HeaderNotExecuted, "1")
+			translator.SetRetryAfter(w.Header(), pause)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		began := time.Now()
+		var calls sync.WaitGroup
+		for i := 1; i < fleetSize; i++ {
+			calls.Go(func() { f.callFor(t, i, time.Second) })
+		}
+		calls.Wait()
+		asked := time.Now()
+		resp, _, err := f.send(t.Context(), 0, "/look/a", "r1", "")
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		is.True(time.Since(asked) < promptRefusal)
+		seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		back := time.Since(began) + time.Duration(seconds*float64(time.Second))
+		is.True(back >= pause && back < pause+2*time.Second)
+	})
+}
+
 // nextIncarnation returns the registration of a server that has restarted.
 func nextIncarnation(s describer.Server) describer.Server {
 	s.Incarnation++
