--- a/entry/snapshotter/backend.go
+++ b/entry/snapshotter/backend.go
@@ -25,9 +25,6 @@
 	// rateLimitMaxAge is the age from which a rate limit that allows no request now is
 	// checked by a probe, since the server may have lifted it.
 	rateLimitMaxAge = 2 * time.Second
-	// rejectedPauseInterval is the time between two reports of pauses that a server stated
-	// but that do not hold as stated.
-	rejectedPauseInterval = 10 * time.Second
 )
 
 // Backend is the registration of a backend server together with the state that
@@ -60,7 +57,6 @@
 	failuresAt   time.Time
 	leaving      bool
 	pause        throttler.Pause
-	nextRejected time.Time
 	rateLimit    describer.RateLimit
 	rateLimitAt  time.Time
 	rateTokens   throttler.TokenBucket
@@ -70,7 +66,7 @@
 // what the server says of itself in its responses.
 func NewServerState(c *roundtripper.Client) *ServerState {
 	s := &ServerState{Client: c, onChange: func(roundtripper.Notice) {}}
-	c.OnNotice(s.observeNotice)
+	c.OnNotice(s.ObserveNotice)
 	return s
 }
 
@@ -78,8 +74,9 @@
 // the state. It must be called before the state is used.
 func (s *ServerState) OnChange(f func(roundtripper.Notice)) { s.onChange = f }
 
-// observeNotice records what the server says of itself in a response.
-func (s *ServerState) observeNotice(n roundtripper.Notice) {
+// ObserveNotice records what the server says of itself in a response, which may have come
+// by another entry.
+func (s *ServerState) ObserveNotice(n roundtripper.Notice) {
 	switch n := n.(type) {
 	case roundtripper.Leaving:
 		if s.SetLeaving() {
@@ -222,12 +219,7 @@
 func (s *ServerState) observePause(now time.Time, p describer.Pause) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p.Rejected != "" && !now.Before(s.nextRejected) {
-		s.nextRejected = now.Add(rejectedPauseInterval)
-		changed = true
-	}
-	begun := s.pause.Extend(now, p.Until, rand.Float64())
-	return changed || begun
+	return s.pause.Observe(now, p, rand.Float64())
 }
 
 // ResumesAt returns the time until which the server gets nothing from this entry, probes
