forwarder: a key is used once a server has passed on a refusal

A request with an idempotency key whose server got a refusal itself, and passes it on, ran again when it was sent again.

Cause: the response was taken for the refusal of another entry, which leaves the key unused. Responses of servers are told apart by Samphire-Passed.

--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -402,7 +402,7 @@
 // isNotRun reports whether another entry answered that it did not run the
 // request.
 func isNotRun(a *sender.Response) bool {
-	return strings.HasPrefix(a.Header.Get(refuser.RefusalHeader), string(refuser.NotRun))
+	return !isPassed(a) && strings.HasPrefix(a.Header.Get(refuser.RefusalHeader), string(refuser.NotRun))
 }
 
 // isCutOff reports whether another entry declined the request because it reaches no
--- a/standin/measurer/relayed_refusal_test.go
+++ b/standin/measurer/relayed_refusal_test.go
@@ -41,6 +41,10 @@
 						status, err := post(cl, host, id, key)
 						is.NoErr(err)
 						is.Equal(status, http.StatusServiceUnavailable)
+						if keyed {
+							_, err = post(cl, host, id, key)
+							is.NoErr(err)
+						}
 						if runs := cl.Executions.Runs(id); runs > 1 {
 							t.Errorf("%s ran %d times", id, runs)
 						}
