delegator: a caller's request is not taken for a probe by its path

What callers saw: a request for the path of the probes between entries, on a route that covers it, ended as outcome-unknown (502) at an entry that reaches no server, although no server had it.

Cause: the other entry told probes by their path alone. Requests that are passed on carry the id of the entry, probes do not.

TestCallersPathTakenForProbe failed before.

--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -55,7 +55,7 @@
 // ServeDelegated serves the requests and probes of other entries. A request is passed on
 // once at most.
 func (b *Balancer) ServeDelegated(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == delegator.HealthPath {
+	if delegator.IsProbe(r) {
 		b.serveHealth(w, r)
 		return
 	}
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -52,6 +52,12 @@
 	RetryHeader = "Samphire-Retry"
 )
 
+// IsProbe reports whether a request of another entry is a probe, and not one that it passes
+// on.
+func IsProbe(r *http.Request) bool {
+	return r.URL.Path == HealthPath && r.Header.Get(HopHeader) == ""
+}
+
 // Passed is the value of OutcomeHeader for the response of a backend server.
 const Passed = "passed"
 
--- a/steer/commander/lost_links_test.go
+++ b/steer/commander/lost_links_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"samphiremux/entry/delegator"
+	"samphiremux/pkg/describer"
 	"samphiremux/platform/translator"
 )
 
@@ -194,3 +195,19 @@
 		time.Sleep(6 * time.Second)
 	})
 }
+
+// TestCallersPathTakenForProbe guards against a request that is not served by another entry,
+// since its path is that of the probes between entries.
+func TestCallersPathTakenForProbe(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		f.isolate(0)
+		table := describer.NewRouteTable(2, []describer.Route{fleetRoute(".samphire", false)},
+			[]describer.Service{{Name: "stock", HealthPath: "/health", ColdRate: 9.3}}, describer.Limits{})
+		for _, e := range f.entries {
+			is.NoErr(e.snapshots.SetTable(table))
+		}
+		is.True(f.call(0, delegator.HealthPath, "r1"))
+		is.Equal(f.runsOf("r1"), 1)
+	})
+}
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -170,7 +170,7 @@
 // serveDelegated serves requests and probes of other entries. A stopping entry answers no
 // probe, so that it gets no further requests.
 func (e *entry) serveDelegated(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == delegator.HealthPath && e.isStopping() {
+	if delegator.IsProbe(r) && e.isStopping() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
