--- a/steer/commander/lost_links_test.go
+++ b/steer/commander/lost_links_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -211,3 +213,43 @@
 		is.Equal(f.runsOf("r1"), 1)
 	})
 }
+
+// TestBrokenOffDelegatedResponseLooksWhole guards against responses that look whole to the
+// caller although the entry that passed them on, or the server, has broken off.
+func TestBrokenOffDelegatedResponseLooksWhole(t *testing.T) {
+	for _, by := range []string{"entry", "server"} {
+		for _, size := range []int{2 << 10, 100 << 10, 1 << 20} {
+			for _, length := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%d/%v", by, size, length), func(t *testing.T) {
+					withFleet(t, func(t *testing.T, f *fleet) { testBrokenOff(t, f, by, size, length) })
+				})
+			}
+		}
+	}
+}
+
+func testBrokenOff(t *testing.T, f *fleet, by string, size int, length bool) {
+	f.isolate(0, 1, 2, 3)
+	f.respond = func(w http.ResponseWriter, _ *http.Request) {
+		if length {
+			w.Header().Set("Content-Length", strconv.Itoa(size))
+		}
+		_, _ = io.WriteString(w, strings.Repeat("b", size-1))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(10 * time.Millisecond)
+		if by == "server" {
+			panic(http.ErrAbortHandler)
+		}
+		f.breakOffDelegated(4)
+		f.breakOffDelegated(5)
+		time.Sleep(10 * time.Millisecond)
+		_, _ = io.WriteString(w, "b")
+	}
+	resp, body, err := f.send(t.Context(), 0, "/book/a", "r1", "")
+	if err == nil && resp.StatusCode < http.StatusInternalServerError {
+		t.Errorf("status %d with %d of %d bytes", resp.StatusCode, len(body), size)
+	}
+	if runs := f.runsOf("r1"); runs != 1 {
+		t.Errorf("%d runs", runs)
+	}
+}
