balancer: answers to probes that come after their round count

What callers saw: requests refused as backend-unreachable, or passed on, although their servers answer probes; on slow VMs also at entries that reach all servers. Such an entry takes no requests of others for 300 ms.

Cause: the answer to a probe was used within the 10 ms of its round only. If an entry is slow to read them, all four rounds pass without an answer. Answers to earlier rounds count later now, and if there is none after the last round they are awaited until 40 ms after the first, the time of four rounds.

TestLateAnswersToProbesTakenForNone failed before with answers after 15 and 35 ms, for 1, 3, 8 and 20 servers. TestSilentServersHoldRequest: a refusal still comes after 40 ms at most (10 ms before for services of up to three servers).

--- a/entry/balancer/pick.go
+++ b/entry/balancer/pick.go
@@ -28,6 +28,8 @@
 	// maxLocalCandidates is the number of candidates that are taken from the
 	// entry's own failure domain, if it has so many.
 	maxLocalCandidates = 48
+	// maxRounds is the number of rounds of maxProbes servers.
+	maxRounds = 1 + (maxProbes-firstRoundProbes)/nextRoundProbes
 	// probeTimeout bounds the wait for the response to a probe. Servers of the
 	// same region answer within 3 ms.
 	probeTimeout = 60 * time.Millisecond
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -12,6 +12,8 @@
 // probeResult is the outcome of one probe.
 type probeResult struct {
 	candidate
+	// round is the round in which the probe was started.
+	round  int
 	health roundtripper.Health
 	conn   *roundtripper.Conn
 	err    error
@@ -25,16 +27,22 @@
 	bestCost := 0.0
 	reason := refuser.BackendUnreachable
 	round := firstRoundProbes
-	probed := 0
-	for probed < min(len(candidates), maxProbes) && ctx.Err() == nil {
-		batch := candidates[probed:min(len(candidates), probed+round)]
+	probed, answers := 0, 0
+	probes := b.newProbes(view, c.service)
+	defer probes.end()
+	for ctx.Err() == nil {
+		batch := candidates[probed:min(len(candidates), maxProbes, probed+round)]
+		if len(batch) == 0 && (answers > 0 || !probes.mayAnswer(time.Now())) {
+			break
+		}
 		probed += len(batch)
 		c.probes += len(batch)
 		c.unreached += len(batch)
 		round = nextRoundProbes
-		for _, r := range b.probeRound(ctx, view, c.service, batch) {
+		for _, r := range probes.round(ctx, batch) {
 			if r.err == nil || responded(r.err) {
 				c.unreached--
+				answers++
 			}
 			p, cost, unusable := b.evaluate(c, est, r)
 			if unusable != "" {
@@ -153,28 +161,52 @@
 	return p.State.TakeColdToken(now, view.Table.Services[p.Service].ColdRate, b.opts.EntryCount())
 }
 
-// probeRound probes servers concurrently. It returns when all have answered,
-// probeGrace after the first response, or after probeRoundTimeout without a
-// response.
-func (b *Balancer) probeRound(ctx context.Context, view *snapshotter.Snapshot, service string, batch []candidate) (results []probeResult) {
-	path := view.Table.Services[service].HealthPath
-	// Probes go on when the request ends first, so that servers that do not answer count.
-	probeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
-	pending := make(chan probeResult, len(batch))
+// probes is the probes of servers of one service for one attempt.
+type probes struct {
+	balancer *Balancer
+	path     string
+	results  chan probeResult
+	// pending is the number of probes that have not ended.
+	pending int
+	rounds  int
+	// lateUntil is the time until which a first answer counts after the last round.
+	lateUntil time.Time
+}
+
+func (b *Balancer) newProbes(view *snapshotter.Snapshot, service string) *probes {
+	return &probes{
+		balancer: b, path: view.Table.Services[service].HealthPath, results: make(chan probeResult, maxProbes),
+		lateUntil: time.Now().Add(maxRounds * probeRoundTimeout),
+	}
+}
+
+// mayAnswer reports whether the answer to a probe may still come in time.
+func (p *probes) mayAnswer(now time.Time) bool { return p.pending > 0 && now.Before(p.lateUntil) }
+
+// round probes servers concurrently. It returns when all have answered, probeGrace after
+// the first response, or after probeRoundTimeout without a response. Answers to earlier
+// rounds count as well. Without servers it waits for those until they are too late.
+func (p *probes) round(ctx context.Context, batch []candidate) (results []probeResult) {
+	p.rounds++
+	round, awaited, wait := p.rounds, len(batch), probeRoundTimeout
+	if awaited == 0 {
+		awaited, wait = p.pending, time.Until(p.lateUntil)
+	}
 	for _, cand := range batch {
-		go func() {
-			h, conn, err := cand.State.Probe(probeCtx, path)
-			b.observeProbe(probeCtx, cand, h, err)
-			pending <- probeResult{candidate: cand, health: h, conn: conn, err: err}
-		}()
+		go func() { p.results <- p.balancer.probe(ctx, cand, p.path, round) }()
 	}
-	limit := time.NewTimer(probeRoundTimeout)
+	p.pending += len(batch)
+	limit := time.NewTimer(wait)
 	defer limit.Stop()
 	answered := false
-	for len(results) < len(batch) {
+	for awaited > 0 {
 		select {
-		case r := <-pending:
+		case r := <-p.results:
+			p.pending--
 			results = append(results, r)
+			if r.round == round || len(batch) == 0 {
+				awaited--
+			}
 			if r.err == nil && !answered {
 				answered = true
 				limit.Reset(probeGrace)
@@ -184,18 +216,28 @@
 		}
 		break
 	}
-	go releaseLate(pending, len(batch)-len(results), cancel)
 	return results
 }
 
-// releaseLate releases the connections of probes that end after their round, so
-// that they are reused.
-func releaseLate(pending <-chan probeResult, n int, cancel context.CancelFunc) {
+// end releases the connections of probes that end later, so that they are reused.
+func (p *probes) end() {
+	n := p.pending
+	go func() {
+		for range n {
+			r := <-p.results
+			r.release()
+		}
+	}()
+}
+
+// probe probes a server. It goes on when the request ends first, so that servers that do not
+// answer count.
+func (b *Balancer) probe(ctx context.Context, cand candidate, path string, round int) probeResult {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
-	for range n {
-		r := <-pending
-		r.release()
-	}
+	h, conn, err := cand.State.Probe(ctx, path)
+	b.observeProbe(ctx, cand, h, err)
+	return probeResult{candidate: cand, round: round, health: h, conn: conn, err: err}
 }
 
 // observeProbe updates the state of a server after a probe.
--- a/entry/balancer/reach.go
+++ b/entry/balancer/reach.go
@@ -89,7 +89,9 @@
 
 // isReached reports whether a server responds to a probe within probeRoundTimeout.
 func (b *Balancer) isReached(ctx context.Context, view *snapshotter.Snapshot, srv candidate) (reached bool) {
-	for _, r := range b.probeRound(ctx, view, srv.Service, []candidate{srv}) {
+	probes := b.newProbes(view, srv.Service)
+	defer probes.end()
+	for _, r := range probes.round(ctx, []candidate{srv}) {
 		r.release()
 		reached = reached || r.err == nil || responded(r.err)
 	}
