--- a/steer/commander/fleet_stop_test.go
+++ b/steer/commander/fleet_stop_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -213,3 +215,47 @@
 		time.Sleep(stopGrace)
 	})
 }
+
+// TestStoppingEntryNamed guards against callers that are sent to an entry which stops: it
+// says at once that it is not ready, and nobody names it by the time at which the last
+// answers that callers keep must be given for them to end before the intake does.
+func TestStoppingEntryNamed(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		get := func(address, path string) (status int, body string) {
+			transport := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
+				return f.network.dialer("caller")(ctx, network, address)
+			}}
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://h"+path, http.NoBody)
+			is.NoErr(err)
+			resp, err := transport.RoundTrip(req)
+			is.NoErr(err)
+			defer resp.Body.Close()
+			data, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			return resp.StatusCode, string(data)
+		}
+		stopping := f.entries[3].settings.Load()
+		named := func(e *entry) bool {
+			_, body := get(e.settings.Load().LocateAddress, translator.LocatePath+"?name=h&zone=z")
+			return strings.Contains(body, stopping.CallerAddress)
+		}
+		time.Sleep(time.Second)
+		for _, e := range f.entries {
+			is.True(named(e))
+		}
+		s := *stopping
+		s.Bounds.GracePeriod = stopGrace
+		f.entries[3].settings.Store(&s)
+		go func() { _ = f.entries[3].stop(f.servers[3]) }()
+		synctest.Wait()
+		status, _ := get(stopping.ReadyAddress, translator.ReadyPath)
+		is.Equal(status, http.StatusServiceUnavailable)
+		is.True(!named(f.entries[3]))
+		time.Sleep(stopGrace/2 - maxLocateTTL)
+		for _, e := range f.entries {
+			is.True(!named(e))
+		}
+		time.Sleep(stopGrace)
+	})
+}
