roundtripper: a failure without an instance id on a probe does not lose a server

A server that answered a probe with an earlier refusal once more, one without ids, got no more work from that entry until it registered anew.

Cause: any response to a probe that did not name the server counted as that of another one, and another server at the address ends all work there.

A failure that names nobody counts as unhealthy now: the server is probed again after its ejection. One that names another server, and a success that names nobody, still lose the address.

Evidence: TestProbeBehindRepeatedResponse, 12 responses with and without an id. On the code before, seven without one (503, 429, 421, 400, 408) gave "instance \"\" responded instead of \"i-1\""; now none.

--- a/entry/roundtripper/probe.go
+++ b/entry/roundtripper/probe.go
@@ -105,7 +105,9 @@
 
 // health checks and decodes the response to a probe.
 func (cl *Client) health(c *Conn, rep reply) (h Health, err error) {
-	if got := rep.Header.Get(cl.headers.Instance); got != cl.id {
+	got := rep.Header.Get(cl.headers.Instance)
+	if got != cl.id && (got != "" || rep.StatusCode == http.StatusOK) {
+		// A failure that names nobody may be a copy of one of another request.
 		return Health{}, ErrWrongInstance{Want: cl.id, Got: got}
 	}
 	if rep.StatusCode != http.StatusOK {
--- a/entry/roundtripper/repeated_response_test.go
+++ b/entry/roundtripper/repeated_response_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -18,6 +19,7 @@
 	"github.com/matryer/is"
 
 	"samphiremux/entry/retrier"
+	"samphiremux/entry/roundtripper"
 )
 
 // repeatedAt is the moment at which a server writes an earlier response once more.
@@ -70,15 +72,19 @@
 	}
 }
 
-// TestResponseOnceMore guards against a request that a server has run, and that is taken
-// for refused or answered by a response to another request.
-func TestResponseOnceMore(t *testing.T) {
+func readRepeated(t *testing.T) (responses []string) {
+	t.Helper()
 	is := is.New(t)
 	data, err := os.ReadFile("_fixtures/repeated.yaml")
 	is.NoErr(err)
-	var responses []string
 	is.NoErr(yaml.Unmarshal(data, &responses))
-	for i, response := range responses {
+	return responses
+}
+
+// TestResponseOnceMore guards against a request that a server has run, and that is taken
+// for refused or answered by a response to another request.
+func TestResponseOnceMore(t *testing.T) {
+	for i, response := range readRepeated(t) {
 		head, body, _ := strings.Cut(response, "\r\n\r\n")
 		head = strings.TrimSuffix(head, "\r\n") + "\r\n"
 		for _, id := range []string{"", "X-Request-Id: r0\r\n"} {
@@ -127,3 +133,42 @@
 		}
 	}
 }
+
+// TestProbeBehindRepeatedResponse guards against a server that is taken for another one, and
+// gets no more work, as it answers a probe with an earlier response once more.
+func TestProbeBehindRepeatedResponse(t *testing.T) {
+	for i, response := range readRepeated(t) {
+		for _, id := range []string{"", "X-Request-Id: r0\r\n"} {
+			t.Run(fmt.Sprintf("%d, %s", i, id), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					cl, srv := newClient()
+					text := strings.Replace(response, "\r\n", "\r\n"+id, 1)
+					if !strings.Contains(text, "\r\n\r\n") {
+						text += "\r\n"
+					}
+					go func() { serveScript(<-srv.conns, healthy, text+healthy) }()
+					ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+					defer cancel()
+					_, conn, err := cl.Probe(ctx, "/health")
+					is.NoErr(err)
+					cl.Release(conn)
+					go func() {
+						select {
+						case c := <-srv.conns:
+							serveScript(c, healthy)
+						case <-ctx.Done():
+						}
+					}()
+					_, _, err = cl.Probe(ctx, "/health")
+					var wrong roundtripper.ErrWrongInstance
+					if errors.As(err, &wrong) {
+						t.Errorf("%v, behind %q", err, text)
+					}
+					cl.Close()
+					time.Sleep(time.Second)
+				})
+			})
+		}
+	}
+}
