balancer: uploads are not read while all servers of a service are paused

A request with a body was read whole before the entry looked for a server, so that a caller whose refusal was certain sent all of it first: 300 ms in the test, whose body takes that long. The service is chosen before the body is read now, and if all its servers are paused the request is refused then. A body that is too large still gets 413. TestUploadReadWhileAllServersPause failed before (300ms, 0 expected).

--- a/entry/balancer/pause.go
+++ b/entry/balancer/pause.go
@@ -41,6 +41,17 @@
 	return first, !first.IsZero()
 }
 
+// refuseUpload returns the refusal of a request with a body if all servers of its service are
+// paused, so that the body is not read in vain.
+func (b *Balancer) refuseUpload(now time.Time, service string) *refuser.Refusal {
+	c := &call{service: service}
+	if _, allPaused := b.resumption(now, c); !allPaused {
+		return nil
+	}
+	refusal := b.withRetryTime(now, c, refuser.NewNotRun(refuser.PausedServers))
+	return &refusal
+}
+
 // withRetryTime adds the time at which the caller may be served to a refusal, if all
 // servers are paused. Callers are spread over some time after it.
 func (b *Balancer) withRetryTime(now time.Time, c *call, r refuser.Refusal) refuser.Refusal {
--- a/entry/balancer/pause_test.go
+++ b/entry/balancer/pause_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -241,6 +242,32 @@
 	})
 }
 
+// TestUploadReadWhileAllServersPause guards against a caller that sends a large body for a
+// request that is certain to be refused.
+func TestUploadReadWhileAllServersPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := servers(2, shedFor("4"))
+		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+		defer f.close()
+		f.sendFor(time.Second)
+		body, upload := io.Pipe()
+		defer upload.Close()
+		time.AfterFunc(300*time.Millisecond, func() { _, _ = io.WriteString(upload, "the body") })
+		r := httptest.NewRequest(http.MethodPost, "http://h/book/1", body)
+		r.RequestURI, r.ContentLength = "/book/1", int64(len("the body"))
+		r.Header.Set("Id", "r1")
+		began := time.Now()
+		w := httptest.NewRecorder()
+		f.balancer.ServeHTTP(w, r)
+		is.Equal(w.Code, http.StatusServiceUnavailable)
+		is.Equal(time.Since(began), time.Duration(0))
+		wait, err := time.ParseDuration(w.Header().Get("Retry-After"))
+		is.NoErr(err)
+		is.True(wait > 2*time.Second)
+	})
+}
+
 // TestPauseShortenedByLaterResponse guards against a pause that ends with a response that
 // was sent before it, or with a shorter one.
 func TestPauseShortenedByLaterResponse(t *testing.T) {
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -83,6 +83,12 @@
 	if h != nil {
 		bodyLimit = 0
 	}
+	service := route.PickService(b.draw(route.Name))
+	if tooLarge := bodyLimit > 0 && r.ContentLength > bodyLimit; r.ContentLength != 0 && !tooLarge {
+		if refusal := b.refuseUpload(now, service); refusal != nil {
+			return nil, refusal
+		}
+	}
 	body, refusal := readBody(w, r, bodyLimit)
 	if refusal != nil {
 		return nil, refusal
@@ -90,7 +96,6 @@
 	if !b.opts.MayTake(deadline) {
 		return nil, notRun(refuser.Stopping)
 	}
-	service := route.PickService(b.draw(route.Name))
 	return &call{
 		route: route, service: service, version: view.Splits[service].PickVersion(b.draw("version of " + service)),
 		view: view, arrived: now, deadline: deadline, method: r.Method, host: r.Host, target: r.RequestURI,
