dispatcher: a pause outlasts a change of the servers of an entry

The pause of a server belongs to its address, but was dropped with the server's other state when the subset of the entry, or the document, left the server out for a moment or renamed it. The entry then sent to it again in its pause; only the owner's probes kept it.

Pauses are kept by address until they are over. TestPauseForgottenAfterUpdate failed before in two of three cases (a permit, servers-paused expected).

--- a/entry/dispatcher/dispatcher.go
+++ b/entry/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	"samphiremux/entry/queuer"
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/retrier"
+	"samphiremux/entry/throttler"
 )
 
 const (
@@ -94,7 +96,9 @@
 	plan    Plan
 	servers []*server
 	byName  map[string]*server
-	mean    estimator.MeanLatency
+	// pauses holds the pauses of servers by address, also of those that are not in the plan.
+	pauses map[netip.AddrPort]*throttler.Pause
+	mean   estimator.MeanLatency
 	// queues holds the queued requests by version.
 	queues    map[string]*queuer.Queue
 	budget    *retrier.Budget
@@ -143,6 +147,7 @@
 		id: id, now: now, rng: rng, observer: o,
 		chooser:   chooser.New(p, rng),
 		byName:    map[string]*server{},
+		pauses:    map[netip.AddrPort]*throttler.Pause{},
 		queues:    map[string]*queuer.Queue{},
 		budget:    retrier.NewBudget(0),
 		suspects:  quarantiner.New(),
@@ -169,7 +174,7 @@
 		name := placement.Server.Name
 		s, ok := d.byName[name]
 		if !ok || s.placement.Server.Address != placement.Server.Address {
-			s = &server{allotment: limiter.NewAllotment(now)}
+			s = &server{allotment: limiter.NewAllotment(now), pause: d.pauseOf(placement.Server.Address)}
 		} else {
 			s.updatePlacement(now, placement)
 		}
@@ -178,6 +183,7 @@
 		d.servers = append(d.servers, s)
 	}
 	d.byName = next
+	d.forgetPauses(now)
 	d.drainQueues(now)
 }
 
--- a/entry/dispatcher/pause.go
+++ b/entry/dispatcher/pause.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"maps"
+	"net/netip"
 	"time"
 
 	"samphiremux/entry/refuser"
@@ -14,6 +16,28 @@
 	d.drainQueues(d.now())
 }
 
+// pauseOf returns the pause of the server at an address.
+func (d *Dispatcher) pauseOf(address netip.AddrPort) *throttler.Pause {
+	p, ok := d.pauses[address]
+	if !ok {
+		p = &throttler.Pause{}
+		d.pauses[address] = p
+	}
+	return p
+}
+
+// forgetPauses forgets the pauses of servers that are not in the plan and whose time is over.
+func (d *Dispatcher) forgetPauses(now time.Time) {
+	planned := map[netip.AddrPort]bool{}
+	for _, s := range d.servers {
+		planned[s.placement.Server.Address] = true
+	}
+	maps.DeleteFunc(d.pauses, func(address netip.AddrPort, p *throttler.Pause) bool {
+		_, paused := p.ResumesAt(now)
+		return !paused && !planned[address]
+	})
+}
+
 // paused reports whether the server asked this entry for a pause that is not over.
 func (s *server) paused(now time.Time) bool {
 	_, paused := s.pause.ResumesAt(now)
--- a/entry/dispatcher/pause_test.go
+++ b/entry/dispatcher/pause_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,12 +20,19 @@
 	"samphiremux/pkg/parser"
 )
 
+// newPlan returns a plan with one server.
+func newPlan(name, address string) dispatcher.Plan {
+	return dispatcher.Plan{
+		Placements: []dispatcher.Placement{{
+			Server: parser.Server{Name: name, Version: "v1", Slots: 1, Address: netip.MustParseAddrPort(address)}, SameDomain: true, Holders: 1,
+		}},
+		Versions: []dispatcher.VersionWeight{{Version: "v1", Weight: 1}},
+	}
+}
+
 func newDispatcher() *dispatcher.Dispatcher {
 	d := dispatcher.New("e1", chooser.ExpectedCompletion{}, rand.New(rand.NewPCG(1, 1)), time.Now, nil)
-	d.Update(dispatcher.Plan{
-		Placements: []dispatcher.Placement{{Server: parser.Server{Name: "s1", Version: "v1", Slots: 1}, SameDomain: true, Holders: 1}},
-		Versions:   []dispatcher.VersionWeight{{Version: "v1", Weight: 1}},
-	})
+	d.Update(newPlan("s1", "10.0.0.1:80"))
 	d.ApplyGrant("s1", limiter.Grant{Slots: 1, Deadline: time.Now().Add(time.Hour)})
 	return d
 }
@@ -73,6 +81,43 @@
 	})
 }
 
+// TestPauseForgottenAfterUpdate guards against requests to a server in its pause, since the
+// server was not among those of this entry for a moment, or got another name. Another address
+// is another server.
+func TestPauseForgottenAfterUpdate(t *testing.T) {
+	for _, c := range []struct {
+		name, server, address string
+		paused                bool
+	}{
+		{"the same server", "s1", "10.0.0.1:80", true},
+		{"another name", "s2", "10.0.0.1:80", true},
+		{"another address", "s1", "10.0.0.2:80", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				d := newDispatcher()
+				request := func() dispatcher.Request {
+					return dispatcher.Request{Caller: "c", Importance: 10, Deadline: time.Now().Add(time.Second)}
+				}
+				p, refusal := d.Acquire(context.Background(), request())
+				is.True(refusal == nil)
+				p.ObserveHead(sender.Head{Pause: describer.Pause{Until: time.Now().Add(2 * time.Second)}})
+				p.Done(retrier.Shed{}, false)
+				d.Update(dispatcher.Plan{})
+				time.Sleep(100 * time.Millisecond)
+				d.Update(newPlan(c.server, c.address))
+				d.ApplyGrant(c.server, limiter.Grant{Slots: 1, Deadline: time.Now().Add(time.Hour)})
+				_, refusal = d.Acquire(context.Background(), request())
+				is.Equal(refusal != nil && refusal.Reason == refuser.PausedServers, c.paused)
+				time.Sleep(3 * time.Second)
+				_, refusal = d.Acquire(context.Background(), request())
+				is.True(refusal == nil || !c.paused)
+			})
+		})
+	}
+}
+
 // TestNoticeRepeated guards against a log line for each of many responses that say the same,
 // and against a pause after another one that is not logged.
 func TestNoticeRepeated(t *testing.T) {
--- a/entry/dispatcher/server.go
+++ b/entry/dispatcher/server.go
@@ -94,7 +94,7 @@
 	// last report. A grant does not overrule that.
 	drainUnreported bool
 
-	pause      throttler.Pause
+	pause      *throttler.Pause
 	rateLimit  describer.RateLimit
 	rateTokens throttler.TokenBucket
 	// rateLimitUnreported is true if a response after the last report stated a rate limit,
