delegator: a slow entry does not probe many others for each of its requests

Cause: answers to its probes of servers came late, so each request of the burst probed up to 16 other entries as well, which made the entry slower still; the 100 ms in which no entry is asked begin after the first search in vain only. A request now starts no round after its first while 32 probes of other entries are open.

TestSlowEntryProbesAllOthers failed before: 100 requests started 1600 probes, 1213 of them at once.

--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"samphiremux/entry/refuser"
@@ -76,6 +77,10 @@
 	probesPerRound = 2
 	// maxProbes bounds the entries that are probed for one request.
 	maxProbes = 16
+	// maxOpenProbes is the number of probes without an answer from which a request starts
+	// no round after its first, so that an entry that is slow to read answers does not
+	// become slower.
+	maxOpenProbes = 32
 	// probeTimeout bounds the wait for the response to a probe, and roundTimeout the
 	// wait until the next round starts.
 	probeTimeout = 60 * time.Millisecond
@@ -172,6 +177,8 @@
 // Delegator passes requests on to other entries. It is safe for concurrent use.
 type Delegator struct {
 	opts Options
+	// openProbes is the number of probes that have not ended.
+	openProbes atomic.Int64
 
 	mu    sync.Mutex
 	peers map[Peer]*peerState
--- a/entry/delegator/delegator_test.go
+++ b/entry/delegator/delegator_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -135,3 +137,48 @@
 		})
 	}
 }
+
+// TestSlowEntryProbesAllOthers guards against an entry that becomes ever slower since each of
+// its requests probes many others while no answer comes in time.
+func TestSlowEntryProbesAllOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const requests, peers = 100, 20
+		var mu sync.Mutex
+		probes, open, mostOpen := 0, 0, 0
+		count := func(n int) {
+			mu.Lock()
+			defer mu.Unlock()
+			open += n
+			mostOpen = max(mostOpen, open)
+			probes += max(0, n)
+		}
+		var all []delegator.Peer
+		for i := range peers {
+			id := fmt.Sprintf("e%d", i+1)
+			all = append(all, delegator.Peer{ID: id, Domain: "a", Address: id})
+		}
+		d := delegator.New(delegator.Options{
+			Self: "e0", Domain: "a", RequestID: "Id", Peers: func() []delegator.Peer { return all },
+			Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+				count(1)
+				defer count(-1)
+				<-ctx.Done()
+				return nil, ctx.Err()
+			},
+		})
+		var sent sync.WaitGroup
+		for i := range requests {
+			sent.Go(func() {
+				id := fmt.Sprintf("r%d", i)
+				is.Equal(d.Send(context.Background(), delegator.Request{
+					Request: roundtripper.Request{Method: http.MethodGet, Host: "h", Target: "/", Header: http.Header{"Id": {id}}, ID: id},
+				}), delegator.Unreached{})
+			})
+		}
+		sent.Wait()
+		// Two for each request, and 32 at once in each of the rounds after the first.
+		is.True(mostOpen <= 2*requests+32)
+		is.True(probes <= 2*requests+7*32)
+	})
+}
--- a/entry/delegator/probe.go
+++ b/entry/delegator/probe.go
@@ -46,7 +46,7 @@
 	if len(candidates) == 0 {
 		return nil, nil
 	}
-	if p, conn := probe(ctx, path, candidates, r.ReachesNone); p != nil {
+	if p, conn := d.probe(ctx, path, candidates, r.ReachesNone); p != nil {
 		return p, conn
 	}
 	if ctx.Err() == nil && len(tried) == 0 {
@@ -112,17 +112,26 @@
 // probe probes entries in rounds, and returns the first that takes requests. Answers to
 // earlier rounds count until the last one is over. If some is set, an entry that reaches some
 // servers only is returned if there is no better one.
-func probe(ctx context.Context, path string, candidates []*peerState, some bool) (*peerState, *roundtripper.Conn) {
+func (d *Delegator) probe(ctx context.Context, path string, candidates []*peerState, some bool) (*peerState, *roundtripper.Conn) {
 	results := make(chan probed, len(candidates))
 	pending := 0
 	startRound := func() {
 		n := min(probesPerRound, len(candidates))
+		d.openProbes.Add(int64(n))
 		for _, p := range candidates[:n] {
-			go func() { results <- p.probe(ctx, path) }()
+			go func() {
+				defer d.openProbes.Add(-1)
+				results <- p.probe(ctx, path)
+			}()
 		}
 		candidates = candidates[n:]
 		pending += n
 	}
+	startNextRound := func() {
+		if d.openProbes.Load() < maxOpenProbes {
+			startRound()
+		}
+	}
 	startRound()
 	next := time.NewTicker(roundTimeout)
 	defer next.Stop()
@@ -143,13 +152,13 @@
 				r.release()
 			}
 			if pending == 0 {
-				startRound()
+				startNextRound()
 			}
 		case <-next.C:
 			if second.conn != nil && len(candidates) == 0 {
 				return second.peer, second.conn
 			}
-			startRound()
+			startNextRound()
 		case <-ctx.Done():
 			second.release()
 			return nil, nil
