assembler: a connection whose first request comes late is not closed meanwhile

What callers saw: on the own interface, a connection that was opened and not used for 5 s was closed, and a request that crossed the close ended without an answer; the caller could not know that it did not run. Callers open connections ahead of their use, as http.Transport does if another one becomes free first.

Cause: the header timeout of net/http counts from the opening of a connection.

A stop closes those that are not used for 5 s. The time to read a body is 30 s, as before, and counts from its head.

--- a/entry/assembler/assembler.go
+++ b/entry/assembler/assembler.go
@@ -21,6 +21,7 @@
 	"samphiremux/entry/collector"
 	"samphiremux/entry/coordinator"
 	"samphiremux/entry/drainer"
+	"samphiremux/entry/expirer"
 	"samphiremux/entry/forwarder"
 	"samphiremux/entry/granter"
 	"samphiremux/entry/heartbeater"
@@ -42,11 +43,13 @@
 const (
 	// headerTimeout bounds the time to read the headers of a caller's request.
 	headerTimeout = 5 * time.Second
-	// readTimeout bounds the time to read a caller's whole request.
-	readTimeout = 30 * time.Second
+	// bodyTimeout bounds the time to read the body of a caller's request.
+	bodyTimeout = 30 * time.Second
 	// idleTimeout bounds the time for which a caller's connection stays open
 	// without a request.
 	idleTimeout = 2 * time.Minute
+	// expireInterval is the time between two checks for expired connections.
+	expireInterval = time.Second
 	// maxHeaderBytes bounds the size of the headers of a caller's request.
 	maxHeaderBytes = 64 << 10
 	// vmListInterval is the time between two polls of the list of VMs. It is also
@@ -117,11 +120,11 @@
 	// pool holds the link connections to other entries.
 	pool *linker.Pool
 	// http serves callers.
-	http        *http.Server
-	drainer     *drainer.Drainer
-	connections drainer.Connections
-	registrar   spawner.Actor
-	cancel      context.CancelFunc
+	http      *http.Server
+	drainer   *drainer.Drainer
+	expirer   *expirer.Expirer
+	registrar spawner.Actor
+	cancel    context.CancelFunc
 	// wg counts the background goroutines that are not actors.
 	wg sync.WaitGroup
 }
@@ -138,7 +141,7 @@
 	metrics := collector.New()
 	node := reconciler.New(reconciler.Options{Self: self, Policy: id.Policy, Seed: id.Seed, Now: deps.Now, Metrics: metrics})
 	e := &Entry{
-		node: node, deps: deps, identity: id, drainer: drainer.New(),
+		node: node, deps: deps, identity: id, drainer: drainer.New(), expirer: expirer.New(deps.Now),
 		spawner: spawner.New(deps.Log, metrics),
 		servers: sender.New(deps.DialServer),
 		probes:  sender.New(deps.DialServer),
@@ -218,9 +221,24 @@
 	e.wg.Go(func() { watch.Run(ctx, watcherActor.Send) })
 	e.wg.Go(func() { _ = linker.Serve(ctx, e.deps.LinkListener, linkhandler.New(e.node, owner, fetch)) })
 	e.wg.Go(func() { e.pollVMs(ctx) })
+	e.wg.Go(func() { e.closeExpired(ctx) })
 	e.serveCallers(notify, checks)
 }
 
+// closeExpired closes callers' connections that are not used, until ctx ends.
+func (e *Entry) closeExpired(ctx context.Context) {
+	t := time.NewTicker(expireInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			e.expirer.CloseExpired(expirer.Timeouts{Header: headerTimeout, Idle: idleTimeout})
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // closeIdle closes the idle connections to the servers of a service, which may lose all
 // data since the entry was cut off.
 func (e *Entry) closeIdle(sv *reconciler.Service) {
@@ -242,12 +260,22 @@
 	mux.Handle(locator.Path, locator.New(e.node))
 	mux.Handle("/", forwarder.New(e.node, e.servers, e.peers, notify, e.drainer.MayTake, checks.Reaches, e.deps.Log.Named("forwarder")))
 	e.http = &http.Server{
-		Handler: mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnState: e.connections.ConnState,
+		// The expirer closes connections, since a header timeout of net/http counts from
+		// the opening of a connection, whose first request may come later.
+		Handler: withBodyTimeout(mux), MaxHeaderBytes: maxHeaderBytes, ConnState: e.expirer.ConnState,
 		BaseContext: func(net.Listener) context.Context { return e.drainer.Requests() },
 		ErrorLog:    e.deps.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
-	e.wg.Go(func() { _ = e.http.Serve(e.deps.CallerListener) })
+	e.wg.Go(func() { _ = e.http.Serve(e.expirer.WrapListener(e.deps.CallerListener)) })
+}
+
+// withBodyTimeout returns a handler whose requests are read for bodyTimeout at most, unless
+// h sets another deadline.
+func withBodyTimeout(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+		h.ServeHTTP(w, r)
+	})
 }
 
 // probe sends a health probe to a backend server. Probes have a connection pool
@@ -323,7 +351,10 @@
 	// A shutdown would close a connection on which a request has just been read.
 	_ = e.deps.CallerListener.Close()
 	e.http.SetKeepAlivesEnabled(false)
-	drainer.AwaitClosed(drainCtx, e.connections.Open)
+	drainer.AwaitClosed(drainCtx, func() int {
+		e.expirer.CloseExpired(expirer.Timeouts{Header: headerTimeout, Idle: headerTimeout})
+		return e.expirer.Open()
+	})
 	e.Kill()
 }
 
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -123,6 +123,8 @@
 		f.refuse(w, "", *refusal)
 		return
 	}
+	// The time to read the body is over, and a request may last longer.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	ctx, cancel := context.WithTimeout(r.Context(), c.deadline.Sub(arrived))
 	defer cancel()
 	response, refusal := f.serve(ctx, c)
