--- a/steer/commander/request_forms_test.go
+++ b/steer/commander/request_forms_test.go
@@ -7,10 +7,14 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"samphiremux/entry/reflector"
 	"samphiremux/pkg/describer"
+	"samphiremux/pkg/linker/linkpb"
+	"samphiremux/platform/translator"
 )
 
 // TestLegalRequestFormsDenied guards against redirects and client errors for requests whose
@@ -101,3 +105,26 @@
 		})
 	}
 }
+
+// TestRouteOfNamedConfigurationDenied guards against 404 from an entry to which a newer
+// configuration has been named.
+func TestRouteOfNamedConfigurationDenied(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		status := func() int {
+			resp, _, err := f.send(t.Context(), 0, "/never/a", "r1", "")
+			is.NoErr(err)
+			return resp.StatusCode
+		}
+		r := f.entries[0].reflector
+		is.Equal(status(), http.StatusNotFound)
+		r.ApplyBatch(time.Now(), reflector.Batch{Full: true, Revision: 5})
+		is.Equal(status(), http.StatusServiceUnavailable) // the other entry may be behind
+		time.Sleep(2 * time.Second)
+		is.Equal(status(), http.StatusNotFound)
+		r.ApplyBatch(time.Now(), reflector.Batch{Above: 5, Revision: 7, Omitted: []*linkpb.Change{{Key: translator.ConfigurationKey, Revision: 7}}})
+		is.Equal(status(), http.StatusServiceUnavailable)
+		time.Sleep(11 * time.Second)
+		is.Equal(status(), http.StatusNotFound) // nobody has given what was named
+	})
+}
