--- a/entry/sender/sender.go
+++ b/entry/sender/sender.go
@@ -212,20 +212,11 @@
 	RateLimit describer.RateLimit
 }
 
-// conn is a connection to a server.
-type conn struct {
-	net.Conn
-	// refused is set once the server has refused a request on the connection.
-	refused atomic.Bool
-	// taken is the number of requests that have taken the connection, and cleared the
-	// number of those whose response is known to be no refusal.
-	taken, cleared atomic.Int64
-}
-
 // attempt tracks the progress of one attempt.
 type attempt struct {
-	body *requestBody // nil if the request has none
-	conn atomic.Pointer[net.Conn]
+	body   *requestBody // nil if the request has none
+	cancel context.CancelCauseFunc
+	conn   atomic.Pointer[net.Conn]
 	// mayDiscard is set if a connection on which a request was refused must not be used,
 	// and discarded if such a one was closed before anything was written.
 	mayDiscard bool
@@ -243,6 +234,7 @@
 func (a *attempt) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
+			a.leaveConn()
 			a.conn.Store(&info.Conn)
 			a.started.Store(false)
 			a.writeFailed.Store(false)
@@ -250,6 +242,7 @@
 			if !ok {
 				return
 			}
+			c.begin(a)
 			a.before.Store(c.taken.Add(1) - 1)
 			a.discarded.Store(a.mayDiscard && c.refused.Load())
 			if a.discarded.Load() {
@@ -269,6 +262,24 @@
 // confirm records that the server has responded to the request headers.
 func (a *attempt) confirm() { a.confirmOnce.Do(func() { close(a.confirmed) }) }
 
+// lose ends the attempt, whose connection broke, unless a response has begun.
+func (a *attempt) lose(err error) {
+	select {
+	case <-a.confirmed:
+	default:
+		a.cancel(err)
+	}
+}
+
+// leaveConn ends the hold of the attempt on its connection, if it has one.
+func (a *attempt) leaveConn() {
+	if p := a.conn.Load(); p != nil {
+		if c, ok := (*p).(*conn); ok {
+			c.end(a)
+		}
+	}
+}
+
 // closeConn closes the connection of the attempt, so that it is not reused.
 func (a *attempt) closeConn() {
 	if c := a.conn.Load(); c != nil {
@@ -314,6 +325,7 @@
 	// of this request.
 	a := &attempt{confirmed: make(chan struct{}), mayDiscard: !r.Idempotent && !r.EchoRequired}
 	sendCtx, cancel := context.WithCancelCause(httptrace.WithClientTrace(ctx, a.trace()))
+	a.cancel = cancel
 	req, expectsContinue := r.httpRequest(sendCtx, a)
 	p := s.pool(r.Address, r.MaxConnections)
 	transport := p.idempotent
@@ -329,6 +341,7 @@
 		defer stop()
 	}
 	httpResp, err := transport.RoundTrip(req)
+	a.leaveConn()
 	if err != nil {
 		cancel(nil)
 		if a.discarded.Load() {
@@ -377,9 +390,8 @@
 }
 
 // httpRequest builds the HTTP request. It has no GetBody, so that http.Transport never
-// resends a request with a body on its own. It may resend a request without one, such as
-// GET, HEAD or OPTIONS, when a reused connection breaks. ExpectsContinue is set if the
-// body is sent only after 100 Continue.
+// resends a request with a body on its own; conn keeps it from resending the others.
+// ExpectsContinue is set if the body is sent only after 100 Continue.
 func (r Request) httpRequest(ctx context.Context, a *attempt) (req *http.Request, expectsContinue bool) {
 	req = (&http.Request{
 		Method: r.Method, Host: r.Host, Header: r.Header.Clone(),
