--- a/entry/assembler/assembler.go
+++ b/entry/assembler/assembler.go
@@ -271,8 +271,8 @@
 		// the opening of a connection, whose first request may come later.
 		Handler: withBodyTimeout(http.HandlerFunc(handler)), MaxHeaderBytes: maxHeaderBytes, ConnState: e.expirer.ConnState,
 		DisableGeneralOptionsHandler: true,
-		BaseContext: func(net.Listener) context.Context { return e.drainer.Requests() },
-		ErrorLog:    e.deps.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		BaseContext:                  func(net.Listener) context.Context { return e.drainer.Requests() },
+		ErrorLog:                     e.deps.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	e.wg.Go(func() { _ = e.http.Serve(e.expirer.WrapListener(e.deps.CallerListener)) })
 }
