commander: probes of the tests carry no hop header

TestProbedEntryStops sent the header of a request that is passed on with its probes too, so that they counted as requests since such a request is not taken for a probe by its path (404, 200 expected). Real probes carry none.

--- a/steer/commander/fleet_stop_test.go
+++ b/steer/commander/fleet_stop_test.go
@@ -189,8 +189,8 @@
 		is.NoErr(err)
 		defer conn.Close()
 		responses := bufio.NewReader(conn)
-		get := func(path string) (status int, err error) {
-			_, _ = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\n%s: r1\r\n%s: e0\r\n\r\n", path, translator.HeaderRequestID, delegator.HopHeader)
+		get := func(path, headers string) (status int, err error) {
+			_, _ = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\n%s\r\n", path, headers)
 			resp, err := http.ReadResponse(responses, nil)
 			if err != nil {
 				return 0, err
@@ -198,7 +198,7 @@
 			_, err = io.Copy(io.Discard, resp.Body)
 			return resp.StatusCode, err
 		}
-		status, err := get(delegator.HealthPath)
+		status, err := get(delegator.HealthPath, "")
 		is.NoErr(err)
 		is.Equal(status, http.StatusOK)
 		s := *f.entries[3].settings.Load()
@@ -206,10 +206,10 @@
 		f.entries[3].settings.Store(&s)
 		go func() { _ = f.entries[3].stop(f.servers[3]) }()
 		synctest.Wait()
-		status, err = get("/look/a")
+		status, err = get("/look/a", fmt.Sprintf("%s: r1\r\n%s: e0\r\n", translator.HeaderRequestID, delegator.HopHeader))
 		is.NoErr(err)
 		is.Equal(status, http.StatusOK)
-		status, err = get(delegator.HealthPath)
+		status, err = get(delegator.HealthPath, "")
 		is.NoErr(err)
 		is.Equal(status, http.StatusServiceUnavailable)
 		time.Sleep(stopGrace)
