--- a/entry/delegator/delegator_test.go
+++ b/entry/delegator/delegator_test.go
@@ -80,9 +80,8 @@
 	})
 	time.Sleep(time.Second)
 	d.CloseExpired(time.Now().Add(time.Hour))
-	close(conns)
-	for c := range conns {
-		_ = c.Close()
+	for len(conns) > 0 {
+		_ = (<-conns).Close()
 	}
 	return result
 }
