dispatcher: an entry without contact kept floors for open connections

Cause: such an entry passes requests on, and runs those that others pass on to it on open connections without waiting. Each of these, run or not, counted as work in its reports, so that it kept its floors: at servers with 2 slots, 1 of 3 requests for each of the first three holders.

Now the floor goes with each report in which nothing is in flight, as docs/design-load.md says; the owner then divides by demand. A request in flight keeps its floor, so that the owner does not grant its place.

--- a/entry/dispatcher/server.go
+++ b/entry/dispatcher/server.go
@@ -228,14 +228,15 @@
 
 // report returns what was seen since the last report, and resets the counters. A
 // suspicion is kept back until a check has confirmed that it is not the entry that is cut
-// off. An entry without contact gives up its floor at once when it has no work.
+// off. An entry without contact gives up its floor while nothing of it is in flight; for open
+// connections that still work it gets grants by its demand.
 func (s *server) report(now time.Time, holder string, waiting int, mean time.Duration, contact *detector.Contact) limiter.Report {
 	s.idleReports++
 	switch {
+	case contact.Lost() && len(s.starts) == 0:
+		s.idleReports = releaseAfter
 	case s.peak+waiting > 0:
 		s.idleReports = 0
-	case contact.Lost():
-		s.idleReports = releaseAfter
 	}
 	suspectCold := s.suspectCold && contact.ConfirmedSince(s.suspectedAt)
 	if s.idleReports >= releaseAfter {
