--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
+	"samphiremux/entry/canceler"
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/retrier"
 	"samphiremux/entry/roundtripper"
@@ -120,7 +120,7 @@
 func (e attemptResult) withCancels(cancels []context.CancelFunc) attemptResult {
 	for i, cancel := range cancels {
 		if i == e.index && e.response != nil && e.response.Remainder != nil {
-			e.response.Remainder = &canceledOnClose{ReadCloser: e.response.Remainder, cancel: cancel}
+			e.response.Remainder = canceler.WrapBody(e.response.Remainder, cancel)
 			continue
 		}
 		cancel()
@@ -135,18 +135,6 @@
 	}
 }
 
-// canceledOnClose is the unread rest of a body, whose attempt ends with it.
-type canceledOnClose struct {
-	io.ReadCloser
-	cancel context.CancelFunc
-}
-
-// Close implements io.Closer.
-func (b *canceledOnClose) Close() error {
-	defer b.cancel()
-	return b.ReadCloser.Close()
-}
-
 func hedgeDelay(c *call, p *picked) time.Duration {
 	byObjective := time.Duration(hedgeObjective * float64(c.route.TargetLatency))
 	return max(byObjective, time.Duration(hedgeRatio*float64(p.expected)))
