commander: what opens after the end of a test's fleet is closed

Two races of the network in memory: a listener that a response of a server opens anew, and a connection that is accepted, while the fleet ends, were left open. The wait in TestAttemptsOfLostEntryForgotten is not needed any more.

--- a/steer/commander/lost_links_test.go
+++ b/steer/commander/lost_links_test.go
@@ -139,7 +139,6 @@
 			withFleet(t, func(t *testing.T, f *fleet) {
 				is := is.New(t)
 				var arrivals atomic.Int64
-				brokenOff := make(chan struct{})
 				f.respond = func(w http.ResponseWriter, r *http.Request) {
 					if r.Header.Get(translator.HeaderRequestID) != "r1" {
 						return
@@ -151,7 +150,6 @@
 						if n == 2 {
 							f.breakOffDelegated(4)
 							f.breakOffDelegated(5)
-							close(brokenOff)
 						}
 						<-r.Context().Done()
 					}
@@ -160,7 +158,6 @@
 				_, _, err := f.send(t.Context(), 0, "/look/a", "r1", "")
 				is.NoErr(err)
 				is.Equal(arrivals.Load(), int64(2))
-				<-brokenOff // its listeners end with the fleet
 			})
 		})
 	}
--- a/steer/commander/memory_network_test.go
+++ b/steer/commander/memory_network_test.go
@@ -31,6 +31,9 @@
 	conns     []*memoryConn
 	// partitioned holds the entries that reach no other entry.
 	partitioned map[string]bool
+	// closed is set once the fleet has ended. Listeners and connections that are opened
+	// later are closed.
+	closed bool
 }
 
 func newMemoryNetwork() *memoryNetwork {
@@ -45,6 +48,9 @@
 	}
 	l := newPipeListener()
 	n.listeners[address] = l
+	if n.closed {
+		_ = l.Close()
+	}
 	return l
 }
 
@@ -114,6 +120,10 @@
 		c := &memoryConn{Conn: client, entry: entry, toServer: toServer, hung: make(chan struct{}), closed: make(chan struct{})}
 		n.mu.Lock()
 		defer n.mu.Unlock()
+		if n.closed {
+			_ = c.Close()
+			return nil, syscall.ECONNREFUSED
+		}
 		n.conns = append(n.conns, c)
 		return c, nil
 	}
@@ -123,6 +133,7 @@
 func (n *memoryNetwork) close() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.closed = true
 	for _, l := range n.listeners {
 		_ = l.Close()
 	}
