expirer: a request whose last bytes are read as its connection expires is served

Callers saw their connection end without a response although their request was complete: CloseExpired decided under a lock and closed the connection, but the server might have read the rest of the headers meanwhile. It then passed the request on without a way back for the response.

A connection that expires now gets a read deadline in the past, and is closed by the read that fails on it. The server reads only while it lacks a part of the headers, so a request that is complete is never cut. Ruled out: a check of the state before the close, since the server sets the state after it has parsed the headers.

TestRequestCutAsItsConnectionExpires holds back the read as the timeout expires. Before: EOF, both in an idle connection and in begun headers. After: served. A caller whose headers are incomplete still gets no response (TestSlowHeaders checks it now; without the close in Read it would get 400).

--- a/entry/expirer/expirer.go
+++ b/entry/expirer/expirer.go
@@ -4,14 +4,19 @@
 package expirer
 
 import (
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"samphiremux/entry/peeker"
 )
 
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
 // Timeouts bounds the time that a connection may spend without a request in
 // progress.
 type Timeouts struct {
@@ -57,9 +62,9 @@
 		e.conns[tracked] = struct{}{}
 		e.mu.Unlock()
 	case http.StateActive:
-		tracked.setAwaiting(false, e.now())
+		tracked.endHeader(e.now())
 	case http.StateIdle:
-		tracked.setAwaiting(true, e.now())
+		tracked.await(e.now())
 	case http.StateClosed, http.StateHijacked:
 		e.mu.Lock()
 		delete(e.conns, tracked)
@@ -77,28 +82,24 @@
 // CloseExpired closes the connections that have exceeded a timeout.
 func (e *Expirer) CloseExpired(limits Timeouts) (closed Closed) {
 	now := e.now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for c := range e.conns {
-		expired := c.expiry(now, limits)
-		if expired != notExpired && peeker.Peek(c.Conn) == peeker.Unread {
-			// Bytes came in time that the server has not read yet.
-			continue
-		}
-		switch expired {
+	for _, c := range e.tracked() {
+		switch c.expire(func() expiry { return c.expiry(now, limits) }) {
 		case headerExpired:
 			closed.Header++
 		case idleExpired:
 			closed.Idle++
 		case notExpired:
-			continue
 		}
-		delete(e.conns, c)
-		_ = c.Close() // the read of the server fails and ends the connection
 	}
 	return closed
 }
 
+func (e *Expirer) tracked() []*conn {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Collect(maps.Keys(e.conns))
+}
+
 type listener struct {
 	net.Listener
 	owner *Expirer
@@ -123,17 +124,30 @@
 	// headerStarted is set, when the first byte of the request came.
 	since         time.Time
 	headerStarted bool
+	// expired is set while the connection is to be closed.
+	expired bool
 }
 
-// Read records the first byte of a request.
+// Read records the first byte of a request. It closes the connection if it has expired while
+// the server lacks a part of the headers, so that the server cannot respond with status 400.
 func (c *conn) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
 	if n > 0 {
 		c.startHeader()
+	} else if err != nil {
+		c.closeIfExpired()
 	}
 	return n, err
 }
 
+func (c *conn) closeIfExpired() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.awaiting && c.expired {
+		_ = c.Close()
+	}
+}
+
 // CloseWrite shuts down the writing side of the connection, so that a caller
 // that is still sending can read the response before the connection ends.
 // Without this method net/http resets the connection.
@@ -153,10 +167,42 @@
 	}
 }
 
-func (c *conn) setAwaiting(awaiting bool, now time.Time) {
+// endHeader records that a request is in progress. It keeps the connection open, if it has
+// expired, since the headers were complete before the server could close it.
+func (c *conn) endHeader(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaiting, c.headerStarted, c.since = false, false, now
+	if c.expired {
+		c.expired = false
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
+// await records that the connection awaits a request.
+func (c *conn) await(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaiting, c.headerStarted, c.since = true, false, now
+}
+
+// expire closes the connection if it has expired. It returns what has expired, unless an
+// earlier call has.
+func (c *conn) expire(check func() expiry) expiry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.awaiting, c.headerStarted, c.since = awaiting, false, now
+	expired := check()
+	if expired == notExpired || peeker.Peek(c.Conn) == peeker.Unread {
+		// Bytes that the server has not read yet came in time.
+		return notExpired
+	}
+	// The server's read fails only if it lacks a part of the headers.
+	_ = c.SetReadDeadline(longAgo)
+	if c.expired {
+		return notExpired
+	}
+	c.expired = true
+	return expired
 }
 
 type expiry int
@@ -167,9 +213,8 @@
 	idleExpired
 )
 
+// expiry tells which timeout the connection exceeds. The caller holds c.mu.
 func (c *conn) expiry(now time.Time, limits Timeouts) expiry {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	age := now.Sub(c.since)
 	switch {
 	case !c.awaiting:
--- a/entry/expirer/expirer_test.go
+++ b/entry/expirer/expirer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -96,6 +97,8 @@
 		is.Equal(e.CloseExpired(limits), expirer.Closed{})
 		time.Sleep(time.Second)
 		is.Equal(e.CloseExpired(limits), expirer.Closed{Header: 1})
+		_, err = c.Read(make([]byte, 1))
+		is.Equal(err, io.EOF) // no response
 	})
 }
 
@@ -112,6 +115,58 @@
 	})
 }
 
+// heldConn is a connection that holds back what has been read until it is released.
+type heldConn struct {
+	net.Conn
+	release chan struct{}
+}
+
+func (c *heldConn) Read(p []byte) (n int, err error) {
+	n, err = c.Conn.Read(p)
+	<-c.release
+	return n, err
+}
+
+// TestRequestCutAsItsConnectionExpires guards against a request that is passed on although its
+// connection has been closed while its last bytes were read.
+func TestRequestCutAsItsConnectionExpires(t *testing.T) {
+	for _, part := range []string{"", "GET / HTTP/1.1\r\n"} {
+		t.Run(part, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e := expirer.New(time.Now)
+				l := &chanListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+				served := false
+				server := &http.Server{ConnState: e.ConnState, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served = true })}
+				go func() { _ = server.Serve(e.WrapListener(l)) }()
+				caller, serverConn := net.Pipe()
+				held := &heldConn{Conn: serverConn, release: make(chan struct{})}
+				l.conns <- held
+				go func() {
+					if part != "" {
+						_, _ = caller.Write([]byte(part))
+						held.release <- struct{}{}
+						time.Sleep(limits.Header + time.Second)
+					} else {
+						time.Sleep(limits.Idle + time.Second)
+					}
+					_, _ = caller.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"[len(part):]))
+				}()
+				time.Sleep(limits.Idle + 2*time.Second)
+				synctest.Wait()
+				e.CloseExpired(limits)
+				close(held.release)
+				resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+				is.NoErr(err)
+				is.True(served)
+				_ = resp.Body.Close()
+				_ = caller.Close()
+				_ = server.Shutdown(context.Background())
+			})
+		})
+	}
+}
+
 // TestArrivedRequestCutAsIdle guards against an idle connection that is closed although a
 // request has arrived on it while the process did not run.
 func TestArrivedRequestCutAsIdle(t *testing.T) {
