--- a/steer/commander/stop_test.go
+++ b/steer/commander/stop_test.go
@@ -135,6 +135,31 @@
 	}, rand.New(rand.NewPCG(1, 1)))
 }
 
+// slowEntry is an entry whose only server is slow.
+type slowEntry struct {
+	*entry
+	server  *slowServer
+	servers servers
+	conns   *pipeListener
+}
+
+// startSlowEntry serves callers by an entry with the grace period.
+func startSlowEntry(t *testing.T, period time.Duration) *slowEntry {
+	t.Helper()
+	e, _ := newTestEntry(t)
+	setGracePeriod(e, period)
+	s := &slowEntry{entry: e, server: newSlowServer(), conns: newPipeListener()}
+	s.servers = servers{callers: e.callerServer(newSlowBalancer(t, e, s.server)), delegated: e.server(e.balancer), listener: s.conns}
+	go func() { _ = s.servers.callers.Serve(e.expirer.WrapListener(s.conns)) }()
+	return s
+}
+
+// exit closes what the exit of the process closes.
+func (s *slowEntry) exit() {
+	_ = s.servers.callers.Close()
+	_ = s.server.http.Close()
+}
+
 // lateRequest is a request that comes while the entry stops. Its times count from the
 // signal.
 type lateRequest struct {
@@ -252,31 +277,24 @@
 
 func runLateRequests(t *testing.T, period time.Duration) {
 	is := is.New(t)
-	e, _ := newTestEntry(t)
-	setGracePeriod(e, period)
-	server := newSlowServer()
-	l := newPipeListener()
-	callers := e.callerServer(newSlowBalancer(t, e, server))
-	go func() { _ = callers.Serve(e.expirer.WrapListener(l)) }()
+	e := startSlowEntry(t, period)
 	start := time.Now().Add(period)
 	all := lateRequests(period)
 	results := make(chan lateResult, len(all))
 	for _, r := range all {
-		go func() { results <- r.send(start, l) }()
+		go func() { results <- r.send(start, e.conns) }()
 	}
 	time.Sleep(time.Until(start))
-	is.NoErr(e.stop(servers{callers: callers, delegated: e.server(e.balancer), listener: l}))
-	exit := time.Since(start)
-	is.True(exit < period)
-	_ = callers.Close() // as the exit of the process does
-	_ = server.http.Close()
+	is.NoErr(e.stop(e.servers))
+	is.True(time.Since(start) < period)
+	e.exit()
 	served := 0
 	for range all {
 		r := <-results
 		if r.status == http.StatusOK {
 			served++
 		}
-		if fault := r.fault(start, period, server); fault != "" {
+		if fault := r.fault(start, period, e.server); fault != "" {
 			t.Errorf("sent at %v on a connection of %v (kept %v, %d bytes early), work %v, deadline %v: %s; status %d after %v",
 				r.sent, r.opened, r.kept, r.early, r.work, r.deadline, fault, r.status, r.took)
 		}
@@ -421,13 +439,8 @@
 func TestKeptConnectionClosedAtSignal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		e, _ := newTestEntry(t)
-		setGracePeriod(e, 6*time.Second)
-		server := newSlowServer()
-		l := newPipeListener()
-		callers := e.callerServer(newSlowBalancer(t, e, server))
-		go func() { _ = callers.Serve(e.expirer.WrapListener(l)) }()
-		used, unused := l.open(), l.open()
+		e := startSlowEntry(t, 6*time.Second)
+		used, unused := e.conns.open(), e.conns.open()
 		post := func(c net.Conn, id string) *http.Response {
 			_, err := fmt.Fprintf(c, "POST /1 HTTP/1.1\r\nHost: h\r\n%s: %s\r\nContent-Length: 4\r\n\r\nbody", idHeader, id)
 			is.NoErr(err)
@@ -437,12 +450,12 @@
 			return resp
 		}
 		is.True(!post(used, "before").Close)
-		idle := l.open()
+		idle := e.conns.open()
 		is.True(!post(idle, "idle").Close)
 		start := time.Now()
 		stopped := make(chan struct{})
 		go func() {
-			_ = e.stop(servers{callers: callers, delegated: e.server(e.balancer), listener: l})
+			_ = e.stop(e.servers)
 			close(stopped)
 		}()
 		time.Sleep(time.Second)
@@ -455,7 +468,7 @@
 		<-stopped
 		is.True(time.Since(start) < 3*time.Second+stopMargin) // the idle connection is closed in the middle
 		_ = idle.Close()
-		_ = server.http.Close()
+		e.exit()
 	})
 }
 
@@ -482,15 +495,10 @@
 		t.Run(at.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				e, _ := newTestEntry(t)
-				setGracePeriod(e, 6*time.Second)
-				server := newSlowServer()
-				l := newPipeListener()
-				callers := e.callerServer(newSlowBalancer(t, e, server))
-				go func() { _ = callers.Serve(e.expirer.WrapListener(l)) }()
+				e := startSlowEntry(t, 6*time.Second)
 				c, serverConn := net.Pipe()
 				held := &heldConn{Conn: serverConn, release: make(chan struct{})}
-				l.conns <- held
+				e.conns.conns <- held
 				responses := bufio.NewReader(c)
 				send := func(id string) {
 					_, _ = fmt.Fprintf(c, "POST /1 HTTP/1.1\r\nHost: h\r\n%s: %s\r\nContent-Length: 4\r\n\r\nbody", idHeader, id)
@@ -505,7 +513,7 @@
 				start := time.Now()
 				stopped := make(chan struct{})
 				stop := func() {
-					_ = e.stop(servers{callers: callers, delegated: e.server(e.balancer), listener: l})
+					_ = e.stop(e.servers)
 					close(stopped)
 				}
 				if at > 0 {
@@ -524,14 +532,13 @@
 				resp, err = http.ReadResponse(responses, nil)
 				is.NoErr(err)
 				is.True(resp.Close)
-				_, begun := server.run("second")
+				_, begun := e.server.run("second")
 				is.Equal(begun, resp.StatusCode == http.StatusOK)
 				is.Equal(begun, at == 0)
 				_ = resp.Body.Close()
 				_ = c.Close()
 				<-stopped
-				_ = callers.Close()
-				_ = server.http.Close()
+				e.exit()
 			})
 		})
 	}
