snapshotter: a probe without a load report is not a load of zero

Callers of a service whose servers report no load were served by the few servers that the entry had probed first, and a server that had paused or failed got nothing while three others responded.

Cause: ObserveProbe stored the zero Load of a response without the header as a fresh report. Its slowness of 0 made the cost before the probe 0, so that the jitter that spreads requests had nothing to act on, and servers without a fresh report (assumed slowness 2.5) were not probed again. Now only a stated load is stored; the time of the last response is kept apart, for the metric of answering servers.

Ruled out: a pause that does not end. Probes came after its end; the server was only never the best. What remains as it was: after a pause or a failure a server loses to an idle one for its recent failures, so that it is used again when others are busy; with calls one at a time it stays unused for longer than 2 s.

--- a/entry/snapshotter/backend.go
+++ b/entry/snapshotter/backend.go
@@ -51,6 +51,7 @@
 	coldLimiter  throttler.RateLimiter
 	load         describer.Load
 	loadAt       time.Time
+	heardAt      time.Time
 	ejections    int
 	ejectedUntil time.Time
 	failures     float64
@@ -129,7 +130,7 @@
 	_, paused := s.pause.ResumesAt(now)
 	return StateSnapshot{
 		InFlight: s.inFlight, Load: s.load, LoadFresh: !s.loadAt.IsZero() && now.Sub(s.loadAt) < loadMaxAge,
-		Cold: now.Before(s.coldUntil), ColdReady: s.coldLimiter.Ready(now), HeardAt: s.loadAt, Ejected: now.Before(s.ejectedUntil), Leaving: s.leaving,
+		Cold: now.Before(s.coldUntil), ColdReady: s.coldLimiter.Ready(now), HeardAt: s.heardAt, Ejected: now.Before(s.ejectedUntil), Leaving: s.leaving,
 		Paused: paused, RecentFailures: s.decayedFailures(now), RateLimit: s.rateLimit,
 		RateLimitFresh: now.Sub(s.rateLimitAt) < rateLimitMaxAge,
 	}
@@ -156,15 +157,18 @@
 func (s *ServerState) ObserveLoad(now time.Time, load describer.Load) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.load, s.loadAt = load, now
+	s.load, s.loadAt, s.heardAt = load, now, now
 }
 
-// ObserveProbe records the answer to a probe: the reported load and the rest of the
-// cold start. It ends an ejection and resets its backoff.
+// ObserveProbe records the answer to a probe: the load, if the server reports one, and the
+// rest of the cold start. It ends an ejection and resets its backoff.
 func (s *ServerState) ObserveProbe(now time.Time, h roundtripper.Health) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.load, s.loadAt = h.Load, now
+	if h.HasLoad {
+		s.load, s.loadAt = h.Load, now
+	}
+	s.heardAt = now
 	s.ejections = 0
 	s.ejectedUntil = time.Time{}
 	s.coldUntil = now.Add(h.ColdRemaining)
