commander: tests of a lone entry give servers work and callers

TestLoneEntryIgnoresPause failed in 4 of 200 runs, as the server that paused got nothing in the rest of the 5 s.

Cause: servers responded in no time, in a test where time stands still meanwhile. The estimate of the latency fell to zero and all costs with it, so that the order in which goroutines ran chose the server. With calls one at a time and costs above zero the server that paused is the worst of idle ones for its recent failure, which is the rule and not a fault.

Servers now work for serverWork, and the test of the pause has as many callers as the slots of the entry's failure domain, so that the others are busy. It is as strict: the same bounds and times hold, over more requests. Each call has an id of its own, since callers of one instant had the same.

--- a/steer/commander/leaving_test.go
+++ b/steer/commander/leaving_test.go
@@ -19,23 +19,26 @@
 // quittingServer is the server that leaves, or asks for pauses.
 const quittingServer = "i-3"
 
-// countAt makes the servers respond at once, with another function at quittingServer, and
-// returns the number of requests that reach that one.
+// countAt makes the servers succeed after serverWork, with another function first at
+// quittingServer, and returns the number of requests that reach that one. With work of no time
+// the estimate of the latency would be zero, and all servers would cost the same.
 func (f *fleet) countAt(respond func(w http.ResponseWriter, n int64)) *atomic.Int64 {
 	var n atomic.Int64
 	f.respond = func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(translator.HeaderExpectInstance) == quittingServer {
 			respond(w, n.Add(1))
 		}
+		time.Sleep(serverWork)
 	}
 	return &n
 }
 
 // callFor sends idempotent and other requests to one entry for a time.
 func (f *fleet) callFor(t *testing.T, entry int, length time.Duration) {
-	for n, end := 0, time.Now().Add(length); time.Now().Before(end); n++ {
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		n := f.calls.Add(1)
 		path := map[bool]string{true: "/look/", false: "/book/"}[n%2 == 0]
-		if _, _, err := f.send(t.Context(), entry, fmt.Sprintf("%s%d", path, n), fmt.Sprintf("r%d-%d", n, time.Now().UnixNano()), ""); err != nil {
+		if _, _, err := f.send(t.Context(), entry, fmt.Sprintf("%s%d", path, n), fmt.Sprintf("r%d", n), ""); err != nil {
 			t.Error(err)
 		}
 		time.Sleep(10 * time.Millisecond)
@@ -89,7 +92,8 @@
 }
 
 // TestLoneEntryIgnoresPause guards against requests and probes at a server in the time for
-// which it wants nothing, from an entry that reaches neither the store nor another entry.
+// which it wants nothing, from an entry that reaches neither the store nor another entry, and
+// against a server that gets nothing after it although the others are busy.
 func TestLoneEntryIgnoresPause(t *testing.T) {
 	const (
 		pause  = 2500 * time.Millisecond
@@ -121,7 +125,16 @@
 			translator.SetRetryAfter(w.Header(), pause)
 			w.WriteHeader(http.StatusServiceUnavailable)
 		})
-		f.callFor(t, 0, 5*time.Second)
+		// As many callers as the servers of the entry's failure domain have slots, one after
+		// the other: to requests of one instant all servers seem to be idle.
+		var calls sync.WaitGroup
+		for i := range 16 {
+			calls.Go(func() {
+				time.Sleep(time.Duration(i) * 4 * time.Millisecond)
+				f.callFor(t, 0, 5*time.Second)
+			})
+		}
+		calls.Wait()
 		is.Equal(during.Load(), int64(0))
 		is.True(got.Load() > 1)
 	})
--- a/steer/commander/partition_test.go
+++ b/steer/commander/partition_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,6 +56,8 @@
 	respondProbe func(w http.ResponseWriter, server string)
 	// samePath makes all calls ask for the same path.
 	samePath bool
+	// calls is the number of calls by callFor, so that each has an id of its own.
+	calls atomic.Int64
 
 	mu sync.Mutex
 	// runs counts the runs of each request by its id.
