commander: drawn scripts reach the promises that they check

Servers now say it at the end of a request that began before; steps name failure domains and groups too, and scripts have 3 to 10 steps.

--- a/steer/commander/draw_test.go
+++ b/steer/commander/draw_test.go
@@ -59,7 +59,7 @@
 func drawScript(t *rapid.T, profile string) script {
 	s := script{length: 8 * time.Second}
 	offset := time.Duration(0)
-	for range rapid.IntRange(1, 8).Draw(t, "steps") {
+	for range rapid.IntRange(3, 10).Draw(t, "steps") {
 		// Steps may come at the same time.
 		offset += time.Duration(rapid.SampledFrom([]int{0, 0, 5, 60, 300, 900, 2000}).Draw(t, "gap")) * time.Millisecond
 		st := scriptStep{offset: offset % s.length, verb: rapid.SampledFrom(profiles[profile]).Draw(t, "verb")}
@@ -73,10 +73,11 @@
 
 func drawArg(t *rapid.T, kind scriptArg) string {
 	switch kind {
-	case argEntry:
-		return strconv.Itoa(rapid.IntRange(0, fleetSize-1).Draw(t, "entry"))
-	case argServer:
-		return strconv.Itoa(rapid.IntRange(0, fleetServers-1).Draw(t, "server"))
+	case argEntry, argServer:
+		if rapid.IntRange(0, 3).Draw(t, "group") == 3 {
+			return rapid.SampledFrom(argGroups[kind]).Draw(t, string(kind))
+		}
+		return strconv.Itoa(rapid.IntRange(0, kind.count()-1).Draw(t, string(kind)))
 	default:
 		return rapid.SampledFrom(argValues[kind]).Draw(t, string(kind))
 	}
--- a/steer/commander/play_servers_test.go
+++ b/steer/commander/play_servers_test.go
@@ -182,48 +182,58 @@
 		}
 		p.oracle.arrived(run.key(), from, id, isProbe)
 		run.mu.Lock()
-		leaving, value := run.leaving, run.pauseValue
-		refuses := time.Now().Before(run.pauseEnd) && (!isProbe || run.refusesProbes)
+		value, refuses := run.pauseValue, time.Now().Before(run.pauseEnd) && (!isProbe || run.refusesProbes)
 		run.mu.Unlock()
-		if leaving {
-			h.Set(leavingMark, fmt.Sprintf("%s %d", run.key(), from))
-			if !p.plants("hide-leaving") {
-				h.Set(translator.HeaderLeaving, "1")
-			}
-		}
 		switch {
 		case refuses:
 			h.Set(translator.HeaderNotExecuted, "1")
 			if !p.plants("hide-pauses") {
 				h.Set("Retry-After", value)
 			}
-			w.WriteHeader(http.StatusServiceUnavailable)
+			p.respond(run, from, w, http.StatusServiceUnavailable, "")
 			p.oracle.paused(run.key(), from, value)
-		case !isProbe:
+		case isProbe:
+			p.respond(run, from, w, http.StatusOK, "")
+		default:
 			run.running.Add(1)
 			defer run.running.Add(-1)
-			p.run(w, r, id)
+			_, _ = io.Copy(io.Discard, r.Body)
+			p.runRequest(run, from, w, id)
 		}
 	}
 }
 
-// run runs a request at a server.
-func (p *play) run(w http.ResponseWriter, r *http.Request, id string) {
+// runRequest runs a request at a server.
+func (p *play) runRequest(run *serverRun, from int, w http.ResponseWriter, id string) {
 	p.countRun(id)
 	if p.plants("run-twice") {
 		p.countRun(id)
 	}
-	_, _ = io.Copy(io.Discard, r.Body)
 	time.Sleep(serverWork)
 	if p.plants("refuse-after-run") && len(id)%3 == 0 {
 		w.Header().Set(translator.HeaderNotExecuted, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		p.respond(run, from, w, http.StatusServiceUnavailable, "")
 		return
 	}
 	if p.plants("cross-responses") {
 		id += "0"
 	}
-	_, _ = io.WriteString(w, responseText(id))
+	p.respond(run, from, w, http.StatusOK, responseText(id))
+}
+
+// respond sends the response of a server, which says whether it leaves by now.
+func (p *play) respond(run *serverRun, from int, w http.ResponseWriter, status int, text string) {
+	run.mu.Lock()
+	leaving := run.leaving
+	run.mu.Unlock()
+	if leaving {
+		w.Header().Set(leavingMark, fmt.Sprintf("%s %d", run.key(), from))
+		if !p.plants("hide-leaving") {
+			w.Header().Set(translator.HeaderLeaving, "1")
+		}
+	}
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text)
 }
 
 func responseText(id string) string { return "ran " + id }
--- a/steer/commander/play_test.go
+++ b/steer/commander/play_test.go
@@ -82,7 +82,7 @@
 	p.runCallers(&callers, start.Add(s.length))
 	for _, st := range s.sorted() {
 		time.Sleep(time.Until(start.Add(st.offset)))
-		scriptVerbs()[st.verb].apply(p, st.args)
+		st.apply(p)
 	}
 	callers.Wait()
 	p.heal()
--- a/steer/commander/script_test.go
+++ b/steer/commander/script_test.go
@@ -28,15 +28,16 @@
 // scriptVerb is the meaning of a verb: the check of its arguments, in a form that rapid can
 // draw from, and its effect.
 type scriptVerb struct {
-	args  []scriptArg
-	apply func(p *play, args []string)
+	args []scriptArg
+	// apply applies it to an entry or a server, with the further arguments.
+	apply func(p *play, i int, args []string)
 }
 
 // scriptArg is the kind of an argument.
 type scriptArg string
 
 const (
-	// argEntry and argServer are numbers from 0.
+	// argEntry and argServer are numbers from 0, failure domains, or groups.
 	argEntry  scriptArg = "entry"
 	argServer scriptArg = "server"
 	// argCut is what connections do that are cut.
@@ -55,28 +56,60 @@
 var argValues = map[scriptArg][]string{
 	argCut:   {string(hanging), string(resetting), string(refusing)},
 	argTime:  {"20ms", "700ms", "2500ms", "5s"},
-	argPause: {"0.2", "0.75", "1", "2.5", "4", "0", "-3", "1e9", "3600", "soon", "NaN", "Wed, 21 Oct 2037 07:28:00 GMT"},
+	argPause: {"0.2", "0.75", "1.5", "2.5", "2.5", "4", "4", "0", "-3", "1e9", "3600", "soon", "NaN", "Wed, 21 Oct 2037 07:28:00 GMT"},
 	argScope: {"requests", "everything"},
 	// The address of another server is taken only by a server with another id.
 	argIdentity: {"same-id", "same-address", "nothing"},
 }
 
+// argGroups holds the names of several entries or servers.
+var argGroups = map[scriptArg][]string{argEntry: {"a", "b", "c", "most"}, argServer: {"a", "b", "c", "most", "all"}}
+
 // scriptVerbs returns the verbs of scripts. Cuts are those from all backend servers.
 func scriptVerbs() map[string]scriptVerb {
+	entry, server := []scriptArg{argEntry}, []scriptArg{argServer}
 	return map[string]scriptVerb{
-		"cut":       {[]scriptArg{argEntry, argCut}, func(p *play, a []string) { p.cut(number(a[0]), cutKind(a[1])) }},
-		"mend":      {[]scriptArg{argEntry}, func(p *play, a []string) { p.cut(number(a[0]), notCut) }},
-		"partition": {[]scriptArg{argEntry}, func(p *play, a []string) { p.setPartitioned(number(a[0]), true) }},
-		"join":      {[]scriptArg{argEntry}, func(p *play, a []string) { p.setPartitioned(number(a[0]), false) }},
-		"stop":      {[]scriptArg{argEntry}, func(p *play, a []string) { p.stopEntry(number(a[0])) }},
-		"restart":   {[]scriptArg{argEntry}, func(p *play, a []string) { p.restartEntry(number(a[0])) }},
-		"leave":     {[]scriptArg{argServer, argTime}, func(p *play, a []string) { p.leave(number(a[0]), length(a[1])) }},
-		"pause": {[]scriptArg{argServer, argPause, argTime, argScope}, func(p *play, a []string) {
-			p.pause(number(a[0]), a[1], length(a[2]), a[3] == "everything")
+		"cut":       {append(entry, argCut), func(p *play, i int, a []string) { p.cut(i, cutKind(a[0])) }},
+		"mend":      {entry, func(p *play, i int, _ []string) { p.cut(i, notCut) }},
+		"partition": {entry, func(p *play, i int, _ []string) { p.setPartitioned(i, true) }},
+		"join":      {entry, func(p *play, i int, _ []string) { p.setPartitioned(i, false) }},
+		"stop":      {entry, func(p *play, i int, _ []string) { p.stopEntry(i) }},
+		"restart":   {entry, func(p *play, i int, _ []string) { p.restartEntry(i) }},
+		"leave":     {append(server, argTime), func(p *play, i int, a []string) { p.leave(i, length(a[0])) }},
+		"pause": {append(server, argPause, argTime, argScope), func(p *play, i int, a []string) {
+			p.pause(i, a[0], length(a[1]), a[2] == "everything")
 		}},
-		"crash": {[]scriptArg{argServer}, func(p *play, a []string) { p.crash(number(a[0])) }},
-		"start": {[]scriptArg{argServer, argIdentity}, func(p *play, a []string) { p.startServer(number(a[0]), a[1]) }},
+		"crash": {server, func(p *play, i int, _ []string) { p.crash(i) }},
+		"start": {append(server, argIdentity), func(p *play, i int, a []string) { p.startServer(i, a[0]) }},
+	}
+}
+
+// apply applies a step to each entry or server that it names.
+func (st scriptStep) apply(p *play) {
+	v := scriptVerbs()[st.verb]
+	for i := range v.args[0].count() {
+		if v.args[0].names(st.args[0], i) {
+			v.apply(p, i, st.args[1:])
+		}
+	}
+}
+
+// count returns the number of entries or servers.
+func (a scriptArg) count() int {
+	return map[scriptArg]int{argEntry: fleetSize, argServer: fleetServers}[a]
+}
+
+// names reports whether a value names an entry or a server.
+func (a scriptArg) names(value string, i int) bool {
+	switch value {
+	case "all":
+		return true
+	case "most":
+		return i < a.count()-1
+	case "a", "b", "c":
+		return value == string(rune('a'+i%3))
 	}
+	return value == strconv.Itoa(i)
 }
 
 func number(arg string) int {
@@ -93,8 +126,8 @@
 func (a scriptArg) check(value string) (err error) {
 	switch a {
 	case argEntry, argServer:
-		limit := map[scriptArg]int{argEntry: fleetSize, argServer: fleetServers}[a]
-		if n, err := strconv.Atoi(value); err != nil || n < 0 || n >= limit {
+		n, err := strconv.Atoi(value)
+		if !slices.Contains(argGroups[a], value) && (err != nil || n < 0 || n >= a.count()) {
 			return fmt.Errorf("%q is no %s", value, a)
 		}
 	case argTime:
