expirer: a connection that is accepted as the listener closes is served

Callers could lose a request that they sent on a new connection in the instant in which a stopping entry closes its listener: it was read and its connection ended without a response. A connection counts as open only once net/http has told its state, after it was accepted. An entry without other connections took itself for done in between and shut the server down, which drops what it reads from then on.

Now the end is awaited until the server has met the close of its listener; by then it has told the state of each connection that it accepted. Both programs do so.

TestRequestDroppedOnConnectionAcceptedLast holds back the accepted connection as the listener closes. Found by reading; no play or test was seen to lose a request this way.

--- a/entry/assembler/assembler.go
+++ b/entry/assembler/assembler.go
@@ -362,7 +362,7 @@
 	drainer.AwaitClosed(drainCtx, func() {
 		e.expirer.CloseExpired(expirer.Timeouts{Header: headerTimeout, Idle: headerTimeout})
 		e.expirer.CloseIdle()
-	}, e.expirer.Open)
+	}, e.expirer.Ended)
 	e.Kill()
 }
 
--- a/entry/expirer/expirer.go
+++ b/entry/expirer/expirer.go
@@ -6,6 +6,7 @@
 package expirer
 
 import (
+	"errors"
 	"maps"
 	"net"
 	"net/http"
@@ -35,12 +36,14 @@
 	Idle   int
 }
 
-// Expirer tracks the connections of one listener.
+// Expirer tracks the connections of listeners.
 type Expirer struct {
 	now func() time.Time
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// accepting is the number of listeners that may still return a connection.
+	accepting int
 }
 
 // New returns an expirer that tracks no connections yet.
@@ -48,8 +51,14 @@
 	return &Expirer{now: now, conns: map[*conn]struct{}{}}
 }
 
-// WrapListener returns a listener whose connections the expirer can track.
-func (e *Expirer) WrapListener(l net.Listener) net.Listener { return &listener{Listener: l, owner: e} }
+// WrapListener returns a listener whose connections the expirer can track. A server has to
+// accept from it until it is closed.
+func (e *Expirer) WrapListener(l net.Listener) net.Listener {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.accepting++
+	return &listener{Listener: l, owner: e}
+}
 
 // ConnState tracks the state of a connection. It is the ConnState hook of an
 // http.Server.
@@ -81,6 +90,14 @@
 	return len(e.conns)
 }
 
+// Ended reports whether the listeners are closed and no connection is open. A connection that
+// was accepted as its listener closed counts before the server has told its state.
+func (e *Expirer) Ended() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.accepting == 0 && len(e.conns) == 0
+}
+
 // CloseExpired closes the connections that have exceeded a timeout.
 func (e *Expirer) CloseExpired(limits Timeouts) (closed Closed) {
 	now := e.now()
@@ -113,17 +130,29 @@
 
 type listener struct {
 	net.Listener
-	owner *Expirer
+	owner   *Expirer
+	endOnce sync.Once
 }
 
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
+	if errors.Is(err, net.ErrClosed) {
+		l.endOnce.Do(l.owner.endAccept)
+	}
 	if err != nil {
 		return nil, err
 	}
 	return &conn{Conn: c, now: l.owner.now, awaiting: true, since: l.owner.now()}, nil
 }
 
+// endAccept records that a listener is closed. The server has told the state of each connection
+// that it has accepted from it before.
+func (e *Expirer) endAccept() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.accepting--
+}
+
 // conn is a connection that records since when it awaits a request.
 type conn struct {
 	net.Conn
--- a/entry/expirer/expirer_test.go
+++ b/entry/expirer/expirer_test.go
@@ -6,12 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"samphiremux/entry/drainer"
 	"samphiremux/entry/expirer"
 )
 
@@ -19,8 +21,9 @@
 
 // chanListener accepts the connections that are sent on conns.
 type chanListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
+	conns     chan net.Conn
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
 func (l *chanListener) Accept() (net.Conn, error) {
@@ -32,7 +35,10 @@
 	}
 }
 
-func (l *chanListener) Close() error   { close(l.closed); return nil }
+func (l *chanListener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return nil
+}
 func (l *chanListener) Addr() net.Addr { return &net.TCPAddr{} }
 
 // withServer serves one connection and calls f with the caller's end of it.
@@ -195,6 +201,57 @@
 	}
 }
 
+// heldListener is a listener that holds back an accepted connection until it is released.
+type heldListener struct {
+	net.Listener
+	release chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		<-l.release
+	}
+	return c, err
+}
+
+// TestRequestDroppedOnConnectionAcceptedLast guards against a request that is read and dropped,
+// since its connection was accepted just before the listener closed and was not known yet.
+func TestRequestDroppedOnConnectionAcceptedLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := expirer.New(time.Now)
+		l := &chanListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		held := &heldListener{Listener: l, release: make(chan struct{})}
+		stopping := drainer.New()
+		stopping.Announce()
+		server := &http.Server{ConnState: e.ConnState, Handler: stopping.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))}
+		go func() { _ = server.Serve(e.WrapListener(held)) }()
+		caller, serverConn := net.Pipe()
+		l.conns <- serverConn
+		start := time.Now()
+		stopped := make(chan struct{})
+		go func() {
+			_ = l.Close()
+			drainer.AwaitClosed(t.Context(), e.CloseIdle, e.Ended)
+			_ = server.Shutdown(t.Context())
+			close(stopped)
+		}()
+		time.Sleep(100 * time.Millisecond)
+		close(held.release)
+		go func() { _, _ = caller.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n")) }()
+		resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		is.NoErr(err)
+		is.True(resp.Close)
+		_ = resp.Body.Close()
+		<-stopped
+		is.True(time.Since(start) < 200*time.Millisecond)
+		_ = caller.Close()
+	})
+}
+
 // TestArrivedRequestCutAsIdle guards against an idle connection that is closed although a
 // request has arrived on it while the process did not run.
 func TestArrivedRequestCutAsIdle(t *testing.T) {
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -146,7 +146,7 @@
 	time.Sleep(time.Until(now.Add(period / 2)))
 	// A shutdown would close a connection from which a request is being read.
 	_ = s.listener.Close()
-	drainer.AwaitClosed(grace, e.expirer.CloseIdle, e.expirer.Open)
+	drainer.AwaitClosed(grace, e.expirer.CloseIdle, e.expirer.Ended)
 	if err := errors.Join(s.callers.Shutdown(grace), s.delegated.Shutdown(grace)); err != nil {
 		e.log.Warn("Grace period ended with open connections.", "connections", e.expirer.Open(), "error", err)
 	}
