soaker: seeded series of signals, restarts and changes on real processes

Nothing ran real entries through series of signals that overlap while callers go on using open connections. This test starts samphire-steer processes on loopback addresses with the emulated store and servers of its own, draws a script from a seed, and checks what callers and servers saw: requests that run twice, are refused though they ran, are answered with another body or without the signature, are passed on or read and not answered; and processes that end late, by a signal or with a code other than 0, stay ready when they stop, or do not become ready.

A request is excused by SIGKILL of its process while it is in flight, and, by the users' rules, by work in the last sixth of the grace period or by its crossing the close of its connection.

--- /dev/null
+++ b/standin/soaker/caller_test.go
@@ -0,0 +1,206 @@
+package soaker
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"samphiremux/platform/translator"
+)
+
+// record is what a caller saw of one request.
+type record struct {
+	id     string
+	method string
+	work   time.Duration
+	size   int
+	// kept is set if the connection has carried a request before.
+	kept    bool
+	process *process
+	began   time.Time
+	// sent is when the last byte was sent, zero if it was not.
+	sent     time.Time
+	ended    time.Time
+	deadline time.Time
+	// status is zero if there was no complete response.
+	status    int
+	signature string
+	body      string
+	err       error
+}
+
+// wasReset reports whether the connection was closed with bytes that were not read.
+func (r record) wasReset() bool {
+	return errors.Is(r.err, syscall.ECONNRESET) || errors.Is(r.err, syscall.EPIPE)
+}
+
+// caller sends one request after another.
+type caller struct {
+	name  string
+	fleet *fleet
+	rand  *rand.Rand
+	// keeps is set if it keeps its connection for as long as the entry does.
+	keeps bool
+	sent  int
+
+	conn    net.Conn
+	reader  *bufio.Reader
+	entry   *entryProcess
+	process *process
+	used    int
+}
+
+// call runs the caller until ctx ends.
+func (c *caller) call(ctx context.Context) {
+	for ctx.Err() == nil {
+		if c.conn == nil && !c.connect() {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		r, keep := c.send()
+		c.fleet.checks.add(r)
+		if !keep || !c.keeps {
+			_ = c.conn.Close()
+			c.conn = nil
+		}
+		time.Sleep(time.Duration(c.rand.IntN(80)) * time.Millisecond)
+	}
+	if c.conn != nil {
+		_ = c.conn.Close()
+	}
+}
+
+// connect opens a connection, to the same entry as before while it accepts one.
+func (c *caller) connect() bool {
+	if c.entry == nil || !c.keeps {
+		c.entry = c.fleet.entries[c.rand.IntN(len(c.fleet.entries))]
+	}
+	p := c.entry.current()
+	conn, err := net.DialTimeout("tcp", c.entry.callerAddress(), time.Second)
+	// A restart between the two would count the request at the wrong process.
+	if err != nil || p == nil || c.entry.current() != p {
+		if err == nil {
+			_ = conn.Close()
+		}
+		c.entry = nil
+		return false
+	}
+	c.conn, c.reader, c.process, c.used = conn, bufio.NewReader(conn), p, 0
+	return true
+}
+
+// request is a request as it is sent, in pieces with a pause before each but the first.
+type request struct {
+	record
+	pieces []string
+	gap    time.Duration
+}
+
+// draw draws the next request.
+func (c *caller) draw() request {
+	c.sent++
+	works := []time.Duration{0, 0, 0, 5 * time.Millisecond, 5 * time.Millisecond, 5 * time.Millisecond, 20 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond, 1200 * time.Millisecond}
+	r := request{record: record{
+		id: fmt.Sprintf("%s-%d-%d", c.name, c.fleet.script.seed, c.sent), method: http.MethodGet, process: c.process, kept: c.used > 0,
+		work: works[c.rand.IntN(len(works))], size: []int{0, 0, 1000, 100_000}[c.rand.IntN(4)],
+	}}
+	path, body := "/catalogue/", ""
+	if c.rand.IntN(2) == 0 {
+		r.method, path = http.MethodPost, "/booking/"
+		body = strings.Repeat("b", []int{0, 10, 10, 3000, 200_000}[c.rand.IntN(5)])
+	}
+	left := 5 * time.Second
+	r.began = time.Now()
+	r.deadline = r.began.Add(left)
+	head := fmt.Sprintf("%s %s?%s HTTP/1.1\r\nHost: soak.example\r\n%s: %s\r\n%s: %d\r\n%s: %v\r\n%s: %d\r\n%s: %d\r\n%s: %s\r\nContent-Length: %d\r\n\r\n",
+		r.method, path, r.id, translator.HeaderRequestID, r.id, translator.HeaderDeadline, left.Milliseconds(), workHeader, r.work,
+		sentHeader, r.began.UnixNano(), sizeHeader, r.size, sumHeader, sumOf(body), len(body))
+	r.pieces = []string{head + body}
+	if body != "" && c.rand.IntN(3) == 0 {
+		r.pieces = []string{head, body[:len(body)/2], body[len(body)/2:]}
+		r.gap = time.Duration(c.rand.IntN(500)) * time.Millisecond
+	}
+	return r
+}
+
+// send sends a request and waits for its response or the end of the connection. Keep is set
+// if the connection may be used on.
+func (c *caller) send() (r record, keep bool) {
+	q := c.draw()
+	c.used++
+	type response struct {
+		*http.Response
+		body []byte
+		err  error
+		at   time.Time
+	}
+	_ = c.conn.SetDeadline(q.deadline.Add(answerSlack))
+	responses := make(chan response, 1)
+	go func() {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: q.method})
+		if err != nil {
+			responses <- response{err: err, at: time.Now()}
+			return
+		}
+		body, err := io.ReadAll(resp.Body)
+		responses <- response{resp, body, err, time.Now()}
+	}()
+	var got response
+	answered := false
+	for i, piece := range q.pieces {
+		if i > 0 {
+			select {
+			case got = <-responses:
+				answered = true
+			case <-time.After(q.gap):
+			}
+		}
+		if answered {
+			break
+		}
+		if _, err := io.WriteString(c.conn, piece); err != nil {
+			break
+		}
+		if i == len(q.pieces)-1 {
+			q.sent = time.Now()
+		}
+	}
+	if !answered {
+		got = <-responses
+	}
+	r = q.record
+	r.ended, r.err = got.at, got.err
+	if got.err != nil {
+		return r, false
+	}
+	r.status, r.signature, r.body = got.StatusCode, got.Header.Get(translator.HeaderSignature), string(got.body)
+	if id := got.Header.Get(translator.HeaderRequestID); id != "" && id != r.id {
+		r.err = errors.New("response has the id " + strconv.Quote(id))
+	}
+	c.distort(&r)
+	return r, !got.Close && !q.sent.IsZero()
+}
+
+// distort changes what the caller saw if the script plants a fault there.
+func (c *caller) distort(r *record) {
+	if r.status != http.StatusOK {
+		return
+	}
+	switch c.fleet.script.plant {
+	case "lose-response":
+		r.status, r.err = 0, io.EOF
+	case "cut-body":
+		r.body = r.body[:len(r.body)-1]
+	case "drop-signature":
+		r.signature = ""
+	}
+}
