soaker: callers send at the moment of SIGTERM; signals repeat at an interval

Waiting callers and paused uploads of an entry go on within 2 ms of SIGTERM, so that more requests cross it. The interval of repeated signals is a part of the script. With -program the fleet runs a program built before.

--- a/standin/soaker/caller_test.go
+++ b/standin/soaker/caller_test.go
@@ -80,13 +80,25 @@
 		if c.hurries {
 			pause /= 20
 		}
-		time.Sleep(pause)
+		c.await(pause)
 	}
 	if c.conn != nil {
 		_ = c.conn.Close()
 	}
 }
 
+// rushSpread is the time over which callers spread their requests when a signal comes.
+const rushSpread = 2 * time.Millisecond
+
+// await waits for a pause, or until the entry gets a signal.
+func (c *caller) await(pause time.Duration) {
+	select {
+	case <-time.After(pause):
+	case <-c.entry.rushed():
+		time.Sleep(time.Duration(c.rand.Int64N(int64(rushSpread))))
+	}
+}
+
 // connect opens a connection, to the same entry as before while it accepts one.
 func (c *caller) connect() bool {
 	if c.entry == nil || !c.keeps {
@@ -173,6 +185,8 @@
 			case got = <-responses:
 				answered = true
 			case <-time.After(q.gap):
+			case <-c.entry.rushed():
+				time.Sleep(time.Duration(c.rand.Int64N(int64(rushSpread))))
 			}
 		}
 		if answered {
--- a/standin/soaker/fleet_test.go
+++ b/standin/soaker/fleet_test.go
@@ -75,7 +75,7 @@
 	for n := range s.entries {
 		e := &entryProcess{
 			fleet: f, number: n + 1, address: fmt.Sprintf("%s.%d", f.subnet, 100+n), file: filepath.Join(t.TempDir(), "settings.json"),
-			restart: make(chan time.Duration, 1),
+			restart: make(chan time.Duration, 1), rush: make(chan struct{}),
 		}
 		e.writeSettings(s.grace)
 		f.entries = append(f.entries, e)
@@ -157,6 +157,9 @@
 	mu      sync.Mutex
 	process *process
 	starts  int
+	// rush is closed and replaced when the entry gets SIGTERM, so that callers send what
+	// they have at that moment.
+	rush chan struct{}
 	// greeting is the signal that the next process gets, greetAfter after its start.
 	greeting   string
 	greetAfter time.Duration
@@ -373,9 +376,24 @@
 	}
 }
 
+func (e *entryProcess) rushed() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.rush
+}
+
+// beginRush makes callers that wait send now.
+func (e *entryProcess) beginRush() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.rush)
+	e.rush = make(chan struct{})
+}
+
 // stop sends SIGTERM to a process.
 func (e *entryProcess) stop(p *process) {
 	shortest, longest := e.graceRange(time.Now())
+	e.beginRush()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.termed.IsZero() {
@@ -407,14 +425,11 @@
 	e.greeting, e.greetAfter = name, after
 }
 
-// repeatInterval is the time between repeated signals.
-const repeatInterval = 5 * time.Millisecond
-
-// repeat sends a signal until the process is gone.
-func (e *entryProcess) repeat(ctx context.Context, p *process, name string) {
+// repeat sends a signal at an interval until the process is gone.
+func (e *entryProcess) repeat(ctx context.Context, p *process, name string, interval time.Duration) {
 	for ctx.Err() == nil && e.current() == p {
 		e.signal(p, name)
-		time.Sleep(repeatInterval)
+		time.Sleep(interval)
 	}
 }
 
--- a/standin/soaker/script_test.go
+++ b/standin/soaker/script_test.go
@@ -34,8 +34,8 @@
 	"term": 2,
 	"kill": 2,
 	"hup":  1,
-	// repeat sends a signal, hup or term, every few milliseconds until the process is gone.
-	"repeat": 2,
+	// repeat sends a signal, hup or term, again and again until the process is gone.
+	"repeat": 3,
 	// greet sends a signal to the next process of the entry, some time after its start.
 	"greet": 3,
 	// grace changes the grace period in the settings file of the entry, without a signal.
@@ -73,7 +73,7 @@
 		add(at, "term", entry, restart())
 		switch r.IntN(6) {
 		case 2:
-			add(at, "repeat", entry, []string{"hup", "term"}[r.IntN(2)])
+			add(at, "repeat", entry, []string{"hup", "term"}[r.IntN(2)], pick(time.Millisecond, 5*time.Millisecond))
 		case 3:
 			add(at, "greet", entry, []string{"hup", "term"}[r.IntN(2)], pick(0, 2*time.Millisecond, 10*time.Millisecond, 100*time.Millisecond))
 		case 0:
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -26,6 +26,7 @@
 	firstSeed = flag.Uint64("first-seed", 1, "first seed")
 	entries   = flag.Int("entries", 4, "number of processes in each fleet")
 	length    = flag.Duration("length", 3*time.Second, "time of events in each run")
+	built     = flag.String("program", "", "program to run instead of one that is built")
 	logs      = flag.String("logs", "", "directory for the logs of the processes")
 )
 
@@ -47,6 +48,10 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
+	if *built != "" {
+		program = *built
+		return m.Run()
+	}
 	program = filepath.Join(dir, "samphire-steer")
 	if out, err := exec.Command("go", "build", "-o", program, "samphiremux/steer").CombinedOutput(); err != nil {
 		fmt.Printf("%v: %s\n", err, out)
@@ -186,7 +191,7 @@
 		p.hangUp()
 		return
 	case "repeat":
-		go e.repeat(ctx, p, v.args[1])
+		go e.repeat(ctx, p, v.args[1], duration(v.args[2]))
 		return
 	case "term":
 		e.stop(p)
