commander: a signal that comes at the exit no longer ends the process by that signal

What the platform saw: a process that stopped in time ended by signal (terminated or hangup) instead of with code 0, if a further SIGTERM or SIGHUP came in the instant of its exit; a SIGHUP just after its start ended it at once.

Cause: SIGTERM was no longer registered once NotifyContext's stop had run, nor SIGHUP once the watch of the settings had ended, so the default action applied while the last log lines were written. SIGHUP was registered only when the entry ran, SIGTERM only after the settings had been read.

The test dies by SIGHUP before the change and passes with it.

Both signals now stay registered from before the settings are read until the process is gone. A SIGHUP that nothing waits for is dropped; the settings file is read every 2 s anyway.

--- a/steer/commander/commander.go
+++ b/steer/commander/commander.go
@@ -72,6 +72,11 @@
 	if a.Settings == "" {
 		a.Settings = os.Getenv(translator.SettingsVariable)
 	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	// While nothing waits for them, at the start and until the exit, these signals would
+	// end the process.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGTERM, syscall.SIGHUP)
 	s, err := translator.ReadSettings(a.Settings)
 	if err != nil {
 		_, _ = fmt.Fprintln(out, err)
@@ -90,8 +95,6 @@
 	// The store's client in net/http logs warnings about connections to the standard
 	// logger.
 	stdlog.SetOutput(log.Named("http").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}))
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	signal.Ignore(syscall.SIGPIPE)
 	if err := serve(ctx, a.Settings, s, policy, log); err != nil {
 		log.Error("Entry failed; exiting.", "error", err)
--- a/steer/commander/signal_test.go
+++ b/steer/commander/signal_test.go
@@ -57,3 +57,14 @@
 	is.True(time.Since(start) >= 1500*time.Millisecond)
 	is.True(time.Since(start) < 3*time.Second)
 }
+
+// TestSignalAtExitKillsProcess guards against a process that ends by a signal, and not with
+// its exit code, since the signal comes before or after it is waited for.
+func TestSignalAtExitKillsProcess(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Run([]string{"--settings", filepath.Join(t.TempDir(), "none.json")}, io.Discard), exitSettings)
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+		is.NoErr(syscall.Kill(os.Getpid(), s))
+	}
+	time.Sleep(100 * time.Millisecond)
+}
