--- a/entry/logwriter/logwriter_test.go
+++ b/entry/logwriter/logwriter_test.go
@@ -58,3 +58,17 @@
 		synctest.Wait()
 	})
 }
+
+// TestWriteAfterClosePanics guards against a process that crashes at its exit because a
+// task that has not ended yet still logs.
+func TestWriteAfterClosePanics(t *testing.T) {
+	is := is.New(t)
+	var got bytes.Buffer
+	w := logwriter.New(&got, 8)
+	_, err := w.Write([]byte("a\n"))
+	is.NoErr(err)
+	w.Close(time.Second)
+	_, err = w.Write([]byte("b\n"))
+	is.NoErr(err)
+	is.Equal(got.String(), "a\n")
+}
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -79,6 +79,7 @@
 	}
 	for _, file := range files {
 		t.Run(filepath.Base(file), func(t *testing.T) {
+			t.Parallel()
 			text, err := os.ReadFile(file)
 			if err != nil {
 				t.Fatal(err)
