balancer: responses tell how long a caller's connection is kept

Callers saw a connection close with the request on it unread.

Cause: an entry closes connections that have been idle for the limit of the configuration (15 s there, looked at each second) without having told callers. A request that is on its way then meets a closed connection. It has nothing to do with the cut from the servers.

The request came 4 ms after the close, at an entry 3 ms away, on a connection idle for over 15 s; its retry at another entry was served 10 ms later.

Responses to callers now have Keep-Alive with whole seconds, one second or more below the limit, so that no request of a caller that keeps to it is on its way when the connection is closed.

samphire-entry closes idle connections without telling too; not changed.

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -65,6 +65,9 @@
 	// MayTake reports whether a request with this deadline may still be passed on. It may
 	// be nil.
 	MayTake func(deadline time.Time) bool
+	// IdleTimeout returns the time after which callers' idle connections are closed. It may
+	// be nil.
+	IdleTimeout func() time.Duration
 	// OnAttempt is called with each attempt that was sent, once it has ended. It
 	// may be nil.
 	OnAttempt func(Attempt)
@@ -152,7 +155,12 @@
 const deadlineSlack = 20 * time.Millisecond
 
 // ServeHTTP implements http.Handler.
-func (b *Balancer) ServeHTTP(w http.ResponseWriter, r *http.Request) { b.serve(w, r, nil) }
+func (b *Balancer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if b.opts.IdleTimeout != nil && !r.Close {
+		setKeepAlive(w.Header(), b.opts.IdleTimeout())
+	}
+	b.serve(w, r, nil)
+}
 
 // serve serves a request of a caller, or one that another entry passes on.
 func (b *Balancer) serve(w http.ResponseWriter, r *http.Request, h *hop) {
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -145,6 +145,7 @@
 	e.balancer = balancer.New(balancer.Options{
 		Self: s.ID, Delegator: e.delegator, Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, Outdated: e.isOutdated, EntryCount: e.enroller.MemberCount, Rank: e.enroller.Rank, Log: log.Named("steerer"),
 		OnAttempt: e.roller.Observe, MayTake: e.drainer.MayTake,
+		IdleTimeout: func() time.Duration { return e.connectionLimits().Idle },
 		Headers: balancer.Headers{
 			RequestID: translator.HeaderRequestID, Instance: translator.HeaderExpectInstance, ReadDeadline: translator.ReadDeadline,
 			SetDeadline: translator.SetDeadline, SetRetryAfter: translator.SetRetryAfter,
