--- a/entry/drainer/response.go
+++ b/entry/drainer/response.go
@@ -44,5 +44,6 @@
 func (w *responseWriter) setClose() {
 	if w.drainer.isStopping() {
 		w.Header().Set("Connection", "close")
+		w.Header().Del("Keep-Alive")
 	}
 }
