soaker: SIGKILL of the entry that a request was passed on to is no report

A request answered 502 is excused if its run was broken off while any process of the fleet was killed. That case is allowed; runs broken off without a kill are reported as before. The scripts found run at the same time as each other.

--- a/standin/soaker/fleet_test.go
+++ b/standin/soaker/fleet_test.go
@@ -407,6 +407,7 @@
 	defer p.mu.Unlock()
 	if p.killed.IsZero() && p.exited.IsZero() {
 		p.killed = time.Now()
+		e.fleet.checks.addKill(p.killed)
 	}
 	_ = p.cmd.Process.Kill()
 }
