--- a/review/kit/cmd/poison/main.go
+++ b/review/kit/cmd/poison/main.go
@@ -206,7 +206,7 @@
 		if err != nil {
 			continue
 		}
-		if conn.Send("POST", "/reserve/1", host, kit.NewID(), 1500*time.Millisecond, 0) == nil {
+		if conn.Send("POST", "/reserve/"+kit.NewID(), host, kit.NewID(), 1500*time.Millisecond, 0) == nil {
 			a, _ := conn.Receive(2 * time.Second)
 			w.mu.Lock()
 			switch a.Status {
