--- a/review/kit/cmd/uploads/main.go
+++ b/review/kit/cmd/uploads/main.go
@@ -20,8 +20,10 @@
 	// at once, 1.7 times as many.
 	usual = 6
 	burst = 10
-	// linkRate is the bandwidth of a machine's link in bytes per second.
-	linkRate = 1000e6 / 8
+	// linkRate is the bandwidth of a machine's link in bytes per second, and linkShare the
+	// part of it that the uploads take, so that no packets wait there.
+	linkRate  = 1000e6 / 8
+	linkShare = 0.7
 	// keptClients is the number of clients of each machine that keep their connections.
 	keptClients = 6
 	orderTime   = 300 * time.Millisecond
@@ -88,7 +90,7 @@
 	var uploads sync.WaitGroup
 	for i := range n {
 		m := machines[i%len(machines)]
-		uploads.Go(func() { w.upload(m, linkRate/float64(n/len(machines))) })
+		uploads.Go(func() { w.upload(m, linkShare*linkRate/float64(n/len(machines))) })
 	}
 	uploads.Wait()
 	time.Sleep(3 * time.Second)
