--- a/review/kit/cmd/poison/main.go
+++ b/review/platform/cmd/poison/main.go
@@ -68,7 +68,7 @@
 			}
 			mu.Lock()
 			arrivals = append(arrivals, arrival{time.Now(), r.ID(), b.ID})
-			kit.Log("backend %s begins request %s and crashes (%d)", b.ID, r.ID(), len(arrivals))
+			kit.Log("backend %s crashes under %s (crash %d)", b.ID, r.ID(), len(arrivals))
 			mu.Unlock()
 			time.AfterFunc(downTime, func() { b.Start(store) })
 			return "", false
@@ -187,7 +187,7 @@
 		kit.Fail("send: %v", err)
 	}
 	a, err := conn.Receive(2 * time.Second)
-	kit.Log("client gets %d for try %s from %s (in touch %v, error %v)", a.Status, id, m.Name, inTouch, err)
+	kit.Log("try %s at %s (in touch %v) ends with %d, error %v", id, m.Name, inTouch, a.Status, err)
 }
 
 // sendOrders sends requests that may run once, on new connections.
--- a/review/kit/cmd/slashes/main.go
+++ b/review/platform/cmd/slashes/main.go
@@ -34,7 +34,6 @@
 			mu.Lock()
 			defer mu.Unlock()
 			ran[r.ID()] = r.Method + " " + r.Target
-			kit.Log("backend %s runs request %s: %s %s", b.ID, r.ID(), r.Method, r.Target)
 			return "done", true
 		}
 		b.Start(store)
@@ -59,20 +58,18 @@
 		if err != nil {
 			kit.Fail("connect: %v", err)
 		}
-		kit.Log("client sends request %s to %s: POST %s", id, m.Name, target)
 		if err := conn.Send("POST", target, host, id, 3*time.Second, 0); err != nil {
 			kit.Fail("send: %v", err)
 		}
 		a, err := conn.Receive(4 * time.Second)
 		_ = conn.Close()
-		kit.Log("client gets %d for request %s (signature %q, error %v)", a.Status, id, a.Header["x-server-signature"], err)
 		mu.Lock()
 		got, ok := ran[id]
 		mu.Unlock()
 		if ok && got != "POST "+target {
 			changed++
 		}
-		if !ok || a.Status != 200 {
+		if !ok || err != nil || a.Status != 200 {
 			kit.Log("request %s has not been served", id)
 		}
 	}
--- a/review/kit/cmd/uploads/main.go
+++ b/review/platform/cmd/uploads/main.go
@@ -51,7 +51,6 @@
 	for i := range 8 {
 		photos := &kit.Backend{ID: fmt.Sprintf("i-p%d", i+1), Service: "photos", Zone: kit.Zones[i%3], Version: "v1", Address: fmt.Sprintf("127.0.33.%d", 10+i), Slots: 2}
 		photos.Serve = func(r kit.Request) (string, bool) {
-			kit.Log("backend %s runs upload %s of %d bytes", photos.ID, r.ID(), r.BodyBytes)
 			time.Sleep(70 * time.Millisecond)
 			return "stored", true
 		}
@@ -143,7 +142,6 @@
 		kit.Fail("connect: %v", err)
 	}
 	defer conn.Close()
-	kit.Log("client sends upload %s of %d bytes to %s", id, uploadBytes, m.Name)
 	err = conn.Send("POST", "/reports/1", host, id, 20*time.Second, uploadBytes)
 	chunk := make([]byte, 64<<10)
 	began := time.Now()
@@ -152,7 +150,7 @@
 		time.Sleep(time.Until(began.Add(time.Duration(float64(sent) / rate * float64(time.Second)))))
 	}
 	a, receiveErr := conn.Receive(20 * time.Second)
-	kit.Log("client gets %d for upload %s (errors %v, %v)", a.Status, id, err, receiveErr)
+	kit.Log("upload %s ends with %d, errors %v, %v", id, a.Status, err, receiveErr)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
--- a/review/kit/kit/backend.go
+++ b/review/platform/kit/backend.go
@@ -188,6 +188,7 @@
 	slots <- struct{}{}
 	b.waiting.Add(-1)
 	b.running.Add(1)
+	Log("backend %s runs %s: %s %s, body of %d bytes", b.ID, r.ID(), r.Method, r.Target, r.BodyBytes)
 	body, ok := b.Serve(r)
 	b.running.Add(-1)
 	<-slots
--- a/review/kit/kit/case.go
+++ b/review/platform/kit/case.go
@@ -108,6 +108,7 @@
 type Client struct {
 	net.Conn
 	in *bufio.Reader
+	id string
 }
 
 // Connect opens a connection to a machine.
@@ -116,7 +117,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Client{c, bufio.NewReader(c)}, nil
+	return &Client{Conn: c, in: bufio.NewReader(c)}, nil
 }
 
 // Answer is an answer to a client.
@@ -126,15 +127,24 @@
 	Body   string
 }
 
-// Send writes the head of a request.
+// Send writes the head of a request, and records it.
 func (c *Client) Send(method, target, host, id string, deadline time.Duration, bodyBytes int64) error {
+	c.id = id
+	Log("client sends %s to %s: %s %s, body of %d bytes", id, c.RemoteAddr(), method, target, bodyBytes)
 	_, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n",
 		method, target, host, id, deadline.Milliseconds(), bodyBytes)
 	return err
 }
 
-// Receive reads an answer.
+// Receive reads an answer, and records it.
 func (c *Client) Receive(timeout time.Duration) (a Answer, err error) {
+	defer func() {
+		if err != nil {
+			Log("client gets no whole answer for %s: %v", c.id, err)
+			return
+		}
+		Log("client gets %d for %s, signature %q", a.Status, c.id, a.Header["x-server-signature"])
+	}()
 	_ = c.SetReadDeadline(time.Now().Add(timeout))
 	line, err := c.in.ReadString('\n')
 	if err != nil {
--- a/review/kit/kit/machine.go
+++ b/review/platform/kit/machine.go
@@ -90,6 +90,7 @@
 		if err := os.WriteFile(m.file, data, 0o600); err != nil {
 			Fail("settings: %v", err)
 		}
+		Log("machine %s: clients connect to %s", m.Name, m.Front)
 		machines = append(machines, m)
 	}
 	return machines
