reflector: a watch that began in an outage no longer hides changes for 20 s

Callers saw: after the store had been silent for 8 s, all entries kept the old configuration for up to 18 s.

Cause: a watch was bounded by 20 s unless its entry was the relay when it began, and the store never responds to a watch that begins in an outage. Entries whose renewals fail in the outage, relays too, begin such watches. The renewal then succeeds, an entry is the relay again, and its watch stays. When it is so in each failure domain, no entry knows a newer revision that would end the watches.

The log line now names the role at the end of a watch.

Change: every watch ends after 2.5 s. It was 3 s for relays, which is all of the time after which changes must be known again. The poll still waits 2 s: its margin for the response is a fifth of the time until the deadline.

Ruled out: that relays learned of the changes and did not forward them (no watch responded); renewals alone (they succeed from 19.1 s on).

--- a/entry/reflector/list_watch.go
+++ b/entry/reflector/list_watch.go
@@ -26,13 +26,11 @@
 	// batch, since each answer of a watch is one more call of the store.
 	relayBatchDelay = 250 * time.Millisecond
 	batchDelay      = 400 * time.Millisecond
-	// relayWatchTimeout bounds a relay's watch. When the store compacts its history,
-	// the watches of all relays can go silent at once. Then no entry knows of newer
-	// changes, and only this timeout reveals the fault.
-	relayWatchTimeout = 3 * time.Second
-	// watchTimeout bounds the watch of other entries. It is longer, since heartbeats
-	// notify them of newer changes.
-	watchTimeout = 20 * time.Second
+	// watchTimeout bounds a watch. The store may never respond to a watch that began in an
+	// outage, or before its history was compacted, and if this concerns the watches of all
+	// entries, none knows a newer revision that would reveal it. Changes must be known as
+	// usual 3 s after an outage.
+	watchTimeout = 2500 * time.Millisecond
 	// relayCheckInterval is the time between checks whether a relay is still alive,
 	// while this entry relies on one.
 	relayCheckInterval = 100 * time.Millisecond
@@ -160,11 +158,11 @@
 // watch waits for one batch of changes. A watch that times out or is cancelled
 // without an answer is no error.
 func (r *Reflector) watch(ctx context.Context) error {
-	delay, timeout := batchDelay, watchTimeout
+	delay := batchDelay
 	if r.o.IsRelay() {
-		delay, timeout = relayBatchDelay, relayWatchTimeout
+		delay = relayBatchDelay
 	}
-	watchCtx, cancel := storer.WithTransferTimeout(ctx, time.Now().Add(timeout), transferTimeout)
+	watchCtx, cancel := storer.WithTransferTimeout(ctx, time.Now().Add(watchTimeout), transferTimeout)
 	defer cancel()
 	r.setWatchCancel(cancel)
 	watchCtx = storer.WithProgress(watchCtx, r.observeProgress)
@@ -184,7 +182,7 @@
 	case answered:
 		return nil
 	case watchCtx.Err() != nil:
-		r.o.Log.Debug("Watch ended without an answer.", "revision", r.watchRevision().Number())
+		r.o.Log.Debug("Watch ended without an answer.", "revision", r.watchRevision().Number(), "relay", r.o.IsRelay())
 		return nil
 	}
 	return err
--- a/standin/measurer/relay_test.go
+++ b/standin/measurer/relay_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"testing"
@@ -57,6 +59,9 @@
 	mu sync.Mutex
 	// unanswered holds the hosts that get no response of the store.
 	unanswered map[string]bool
+	// outages counts the beginnings and the ends of outages in which no host gets a
+	// response: the number is odd during one.
+	outages int
 }
 
 // ServeHTTP implements http.Handler. It is the store as the entries see it.
@@ -66,7 +71,38 @@
 		<-r.Context().Done()
 		return
 	}
-	storeadapter.Handler(f.store).ServeHTTP(w, r)
+	before := f.outageCount()
+	response := httptest.NewRecorder()
+	if before%2 == 0 {
+		storeadapter.Handler(f.store).ServeHTTP(response, r)
+	}
+	if before%2 != 0 || f.outageCount() != before {
+		<-r.Context().Done()
+		return
+	}
+	maps.Copy(w.Header(), response.Header())
+	w.WriteHeader(response.Code)
+	_, _ = response.Body.WriteTo(w)
+}
+
+func (f *copyFleet) outageCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.outages
+}
+
+// silenceStore leaves all calls of the store without a response for a time, also those that
+// wait for changes as it begins.
+func (f *copyFleet) silenceStore(lasts time.Duration) {
+	f.toggleOutage()
+	time.Sleep(lasts)
+	f.toggleOutage()
+}
+
+func (f *copyFleet) toggleOutage() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outages++
 }
 
 func (f *copyFleet) isUnanswered(host string) bool {
