persister: entries that start know which requests crash servers

Cause: a quarantine was in the memory of the entries that ran when the crashes were notified. Nothing that an entry reads at its start held it.

Change: a quarantined request is a key of the store, with a lease as long as the quarantine. Entries write it in a rendezvous order of the key, a second apart, and only while the store lacks it. New gauge samphire_quarantined_requests.

Ruled out: heartbeats or fetches that carry the quarantine (lost when all entries end at once, and an entry that is asked may have just started).

--- a/entry/balancer/suspect.go
+++ b/entry/balancer/suspect.go
@@ -109,6 +109,26 @@
 	return suspects
 }
 
+// Quarantines returns the requests that are in quarantine.
+func (b *Balancer) Quarantines() (quarantines []quarantiner.Quarantine) {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for service, suspects := range b.suspects {
+		for _, f := range suspects.Fingerprints(now) {
+			quarantines = append(quarantines, quarantiner.Quarantine{Service: service, Fingerprint: f})
+		}
+	}
+	return quarantines
+}
+
+// SetStoredQuarantine records whether the platform's store holds a request as quarantined.
+func (b *Balancer) SetStoredQuarantine(q quarantiner.Quarantine, stored bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.suspectsOf(q.Service).SetStored(time.Now(), q.Fingerprint, stored)
+}
+
 // AddPeerSuspect records the crashes that another entry saw for a request. Zero
 // crashes clear the suspect unless it is quarantined.
 func (b *Balancer) AddPeerSuspect(service string, fingerprint quarantiner.Fingerprint, entry string, crashes int) {
--- a/entry/quarantiner/quarantiner.go
+++ b/entry/quarantiner/quarantiner.go
@@ -44,14 +44,27 @@
 	return Fingerprint(d.Sum64())
 }
 
+// Quarantine is a quarantined request of a service.
+type Quarantine struct {
+	Service     string
+	Fingerprint Fingerprint
+}
+
 // suspect is a request during which servers crashed.
 type suspect struct {
 	ownCrashes  int            // crashes that this entry saw
 	peerCrashes map[string]int // crashes that other entries saw, by entry id
-	expires     time.Time
-	running     int // attempts in flight at this entry
+	expires     time.Time      // end of the time for which the crashes count
+	running     int            // attempts in flight at this entry
+	// stored reports that the platform's store holds the request as quarantined.
+	stored bool
 }
 
+// expired reports whether the suspect is to be forgotten.
+func (sp *suspect) expired(now time.Time) bool { return !sp.stored && !now.Before(sp.expires) }
+
+func (sp *suspect) quarantined() bool { return sp.stored || sp.crashes() >= QuarantineThreshold }
+
 // crashes returns the crashes that all entries saw.
 func (sp *suspect) crashes() (n int) {
 	n = sp.ownCrashes
@@ -82,7 +95,7 @@
 // get returns a suspect, or nil if there is none or it has expired.
 func (s *Suspects) get(now time.Time, f Fingerprint) *suspect {
 	sp, ok := s.suspects[f]
-	if ok && !now.Before(sp.expires) {
+	if ok && sp.expired(now) {
 		delete(s.suspects, f)
 		return nil
 	}
@@ -99,14 +112,40 @@
 // mayRun reports whether an attempt may begin at this entry. It may not if another
 // entry saw a crash, since that entry makes attempts of its own.
 func (sp *suspect) mayRun() bool {
-	return sp.crashes() < QuarantineThreshold && len(sp.peerCrashes) == 0 && sp.running == 0
+	return !sp.quarantined() && len(sp.peerCrashes) == 0 && sp.running == 0
 }
 
 // Quarantined reports whether a request has crashed so many servers that it must not
 // be sent to another one.
 func (s *Suspects) Quarantined(now time.Time, f Fingerprint) bool {
 	sp := s.get(now, f)
-	return sp != nil && sp.crashes() >= QuarantineThreshold
+	return sp != nil && sp.quarantined()
+}
+
+// Fingerprints returns the fingerprints of the quarantined requests.
+func (s *Suspects) Fingerprints(now time.Time) (quarantined []Fingerprint) {
+	for f, sp := range s.suspects {
+		if !sp.expired(now) && sp.quarantined() {
+			quarantined = append(quarantined, f)
+		}
+	}
+	return quarantined
+}
+
+// SetStored records whether the store holds a request as quarantined. One that the store
+// ceases to hold stays in quarantine for the crashes that are known here.
+func (s *Suspects) SetStored(now time.Time, f Fingerprint, stored bool) {
+	if stored {
+		sp := s.getOrAdd(now, f)
+		sp.stored = true
+		if sp.expires.IsZero() {
+			sp.expires = now.Add(QuarantineTTL)
+		}
+		return
+	}
+	if sp := s.get(now, f); sp != nil {
+		sp.stored = false
+	}
 }
 
 // Begin reports whether an admitted request may be sent to a server now. Admit is not
@@ -137,7 +176,7 @@
 func (s *Suspects) RecordSuccess(now time.Time, f Fingerprint) (cleared bool) {
 	s.recent[uint64(f)%recentSize] = success{f, now}
 	sp := s.get(now, f)
-	if sp == nil || sp.crashes() >= QuarantineThreshold {
+	if sp == nil || sp.quarantined() {
 		return false
 	}
 	delete(s.suspects, f)
@@ -181,7 +220,7 @@
 // clears the suspect unless it is quarantined.
 func (s *Suspects) RecordPeerCrashes(now time.Time, f Fingerprint, entry string, crashes int) {
 	if crashes == 0 {
-		if sp := s.get(now, f); sp != nil && sp.crashes() < QuarantineThreshold {
+		if sp := s.get(now, f); sp != nil && !sp.quarantined() {
 			delete(s.suspects, f)
 		}
 		return
@@ -200,7 +239,7 @@
 	var first Fingerprint
 	var firstExpiry time.Time
 	for f, sp := range s.suspects {
-		if !now.Before(sp.expires) {
+		if sp.expired(now) {
 			delete(s.suspects, f)
 			continue
 		}
--- a/steer/commander/apply.go
+++ b/steer/commander/apply.go
@@ -25,12 +25,15 @@
 	return 0
 }
 
-// applyChange applies a change of the store: of an entry, a move record, the
-// configuration, a backend server, a move order or a failure domain.
+// applyChange applies a change of the store: of an entry, a quarantined request, a move
+// record, the configuration, a backend server, a move order or a failure domain.
 func (e *entry) applyChange(now time.Time, c reflector.Change) {
 	if e.enroller.ApplyChange(now, c.Key, c.Value, c.Deleted) {
 		return
 	}
+	if e.persister.ApplyChange(c.Key, c.Value, c.Deleted) {
+		return
+	}
 	if service, ok := strings.CutPrefix(c.Key, movePrefix); ok {
 		e.applyMoveRecord(now, service, c)
 		return
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -17,6 +17,7 @@
 	"samphiremux/entry/enroller"
 	"samphiremux/entry/expirer"
 	"samphiremux/entry/meter"
+	"samphiremux/entry/persister"
 	"samphiremux/entry/reflector"
 	"samphiremux/entry/roller"
 	"samphiremux/entry/roundtripper"
@@ -72,6 +73,7 @@
 	enroller          *enroller.Enroller
 	balancer          *balancer.Balancer
 	delegator         *delegator.Delegator
+	persister         *persister.Persister
 	expirer           *expirer.Expirer
 	connectionsClosed *meter.CounterVec
 	// invalidChanges counts the changes of the store that could not be read.
@@ -88,6 +90,8 @@
 	movePrefix = translator.ProjectKeyPrefix + "moves/"
 	// entryPrefix is the key prefix of the entries' registrations.
 	entryPrefix = translator.ProjectKeyPrefix + "entries/"
+	// quarantinePrefix is the key prefix of quarantined requests.
+	quarantinePrefix = translator.ProjectKeyPrefix + "quarantines/"
 )
 
 // registration returns the registration of an entry that starts with the settings.
@@ -155,6 +159,10 @@
 		},
 		Metrics: e.metrics, RetryLimits: e.retryLimits, NotifySuspect: e.notifySuspect,
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	e.persister = persister.New(persister.Options{
+		Store: store, Prefix: quarantinePrefix, Quarantines: e.balancer.Quarantines, SetStored: e.balancer.SetStoredQuarantine,
+		Rank: e.enroller.Rank, ReachesStore: e.enroller.ReachesStore, Log: log.Named("persister"),
+	})
 	e.addGauges(store)
 	return e
 }
@@ -197,6 +205,9 @@
 	e.metrics.Gauge("failed_heartbeats_total", "Heartbeats that were not answered.", func() float64 {
 		return float64(e.enroller.FailedHeartbeats())
 	})
+	e.metrics.Gauge("quarantined_requests", "Requests that are refused since servers crashed while they ran them.", func() float64 {
+		return float64(len(e.balancer.Quarantines()))
+	})
 	e.metrics.Gauge("entries", "Entries that this entry knows of.", func() float64 { return float64(e.enroller.MemberCount()) })
 	e.metrics.Gauge("configuration_version", "Version of the configuration in force, 0 if none.", func() float64 {
 		if t := e.snapshots.Snapshot().Table; t != nil {
--- a/steer/commander/partition_test.go
+++ b/steer/commander/partition_test.go
@@ -48,6 +48,8 @@
 	entries []*entry
 	servers []servers
 	cancel  context.CancelFunc
+	// ends holds functions that end the work of entries which follow a store.
+	ends map[*entry]context.CancelFunc
 
 	// respond answers requests at the backend servers. Nil means that each takes
 	// serverWork and succeeds.
@@ -62,6 +64,8 @@
 	mu sync.Mutex
 	// runs counts the runs of each request by its id.
 	runs map[string]int
+	// backends holds the running backend servers by id.
+	backends map[string]*http.Server
 }
 
 func fleetSettings(i int) translator.Settings {
@@ -76,7 +80,7 @@
 
 func newFleet() *fleet {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &fleet{network: newMemoryNetwork(), runs: map[string]int{}, cancel: cancel}
+	f := &fleet{network: newMemoryNetwork(), runs: map[string]int{}, backends: map[string]*http.Server{}, cancel: cancel}
 	registrations := map[string][]byte{}
 	for i := range fleetSize {
 		s := fleetSettings(i)
@@ -149,6 +153,9 @@
 		_, _ = io.WriteString(w, "ok")
 	})}
 	go func() { _ = server.Serve(l) }()
+	f.mu.Lock()
+	f.backends[id] = server
+	f.mu.Unlock()
 	for _, e := range f.entries {
 		e.snapshots.PutServer(describer.Server{
 			ID: id, Service: "stock", Domain: string(rune('a' + i%3)), Version: "v1", Slots: 4, Address: address,
@@ -156,6 +163,15 @@
 	}
 }
 
+// crash ends the process of a backend server: its connections are reset, and new ones are
+// refused.
+func (f *fleet) crash(id string) {
+	f.mu.Lock()
+	server := f.backends[id]
+	f.mu.Unlock()
+	_ = server.Close()
+}
+
 func (f *fleet) countRun(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -365,6 +381,9 @@
 // stop ends the entries' work and closes all connections.
 func (f *fleet) stop() {
 	f.cancel()
+	for _, end := range f.ends {
+		end()
+	}
 	f.network.close()
 	time.Sleep(2 * idleTimeout)
 }
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -36,6 +36,7 @@
 	go e.closeUnused(work)
 	go e.roller.Run(work)
 	go e.balancer.RunReachChecks(work)
+	go e.persister.Run(work)
 	go e.watchSettings(work, file)
 	running := e.startServers(work, l)
 	e.serveMetrics(s.CallerAddress)
