quarantiner: servers that crash together do not shut a page out

Cause: each crash counted against each request that ran on the server. Crashes with one cause are one event, yet two of them made a quarantine, and the successes of the request did not speak for it.

Change: a crash counts if its attempt does not overlap with that of a counted one, also of other entries; notices carry the times, as ages. A success clears the request everywhere, unless the store holds it as quarantined. Where several crashes were seen and one counts, one entry makes a trial for all, so that a fatal request that arrives everywhere at once is not free either. Notices count by number, since they may arrive in any order.

Ruled out: successes alone (an order that runs once has none); counting overlapping crashes once without a trial (fatal requests at all entries at once would reach a server from each entry a second time).

--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -8,6 +8,7 @@
 
 	"samphiremux/entry/canceler"
 	"samphiremux/entry/chooser"
+	"samphiremux/entry/quarantiner"
 	"samphiremux/entry/retrier"
 	"samphiremux/entry/roundtripper"
 	"samphiremux/entry/snapshotter"
@@ -145,7 +146,7 @@
 // the route allows no further attempt, if the server is full or too slow, or if the retry
 // budget is used up.
 func (b *Balancer) hedge(ctx context.Context, c *call, state *attempts) (send sendFunc) {
-	if state.sent+2 > c.route.MaxAttempts {
+	if c.trial || state.sent+2 > c.route.MaxAttempts {
 		return nil
 	}
 	p, reason := b.pick(ctx, c)
@@ -177,9 +178,10 @@
 	resp, outcome := p.State.Send(ctx, p.conn, roundtripper.Request{
 		Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id,
 	})
+	ended := time.Now()
 	b.observe(ctx, c, p, now, resp, outcome)
 	if ctx.Err() == nil {
-		go b.detectCrash(c, p, outcome)
+		go b.detectCrash(c, p, quarantiner.Attempt{Begun: now, Ended: ended}, outcome)
 	}
 	return attemptResult{server: p.ID, backend: p.Backend, response: resp, outcome: outcome}
 }
@@ -222,6 +224,9 @@
 	if failed {
 		p.State.ObserveFailure(now)
 	}
+	if _, answered := outcome.(retrier.Answered); answered && !failed {
+		b.recordSuccess(c)
+	}
 	ratio := b.updateStats(c, p, now.Sub(sent), resp, failed)
 	b.opts.OnAttempt(Attempt{
 		Service: c.service, Version: p.Version, Route: c.route.Name, Server: p.ID, LatencyRatio: ratio, Failed: failed,
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -62,6 +62,9 @@
 	// a server, and the number of entries. Entries that know the same entries agree on
 	// the order, which differs from server to server.
 	Rank func(server string) (rank, entries int)
+	// IsFirst reports whether this entry is the first in the order for a key of the entries
+	// that callers may be directed to. It may be nil.
+	IsFirst func(key string) bool
 	// MayTake reports whether a request with this deadline may still be passed on. It may
 	// be nil.
 	MayTake func(deadline time.Time) bool
@@ -72,9 +75,9 @@
 	// may be nil.
 	OnAttempt func(Attempt)
 	// NotifySuspect notifies the other entries that a backend server crashed while
-	// it ran a request, and how many crashes this entry has seen for it. It may be
-	// nil.
-	NotifySuspect func(service string, fingerprint quarantiner.Fingerprint, crashes int)
+	// it ran a request, how many crashes this entry has seen for it, and the attempt at
+	// the last of them. Zero crashes clear the request. It may be nil.
+	NotifySuspect func(service string, fingerprint quarantiner.Fingerprint, crashes int, last quarantiner.Attempt)
 	// Delegator passes requests on to other entries while this one reaches no backend
 	// server. It may be nil.
 	Delegator *delegator.Delegator
@@ -136,8 +139,11 @@
 	if opts.MayTake == nil {
 		opts.MayTake = func(time.Time) bool { return true }
 	}
+	if opts.IsFirst == nil {
+		opts.IsFirst = func(string) bool { return true }
+	}
 	if opts.NotifySuspect == nil {
-		opts.NotifySuspect = func(string, quarantiner.Fingerprint, int) {}
+		opts.NotifySuspect = func(string, quarantiner.Fingerprint, int, quarantiner.Attempt) {}
 	}
 	if opts.Metrics == nil {
 		opts.Metrics = meter.New()
@@ -172,6 +178,7 @@
 	c.traceReceived()
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline.Add(deadlineSlack))
 	defer cancel()
+	defer b.endTrial(c)
 	resp, refusal := b.run(ctx, c)
 	if refusal != nil {
 		b.refuse(w, r, h, b.withRetryTime(time.Now(), c, *refusal), &c.trace)
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -240,7 +240,7 @@
 		}),
 		Domain: "a", Policy: policy, Snapshot: f.snapshotter.Snapshot, Outdated: func() bool { return f.outdated }, EntryCount: func() int { return fixtureEntries }, Rank: func(server string) (int, int) { return rankOf(entry, server), fixtureEntries }, Log: hclog.NewNullLogger(), Metrics: f.metrics,
 		RetryLimits: func() balancer.Limits { return balancer.Limits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second} },
-		NotifySuspect: func(_ string, fingerprint quarantiner.Fingerprint, crashes int) {
+		NotifySuspect: func(_ string, fingerprint quarantiner.Fingerprint, crashes int, _ quarantiner.Attempt) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.notices = append(f.notices, suspectNotice{fingerprint, crashes})
@@ -623,7 +623,7 @@
 		synctest.Wait()
 		is.Equal(len(f.notices), 1)
 		is.Equal(f.send(http.MethodPost, "/book/2", "other").Code, 200) // other requests are served
-		f.balancer.AddPeerSuspect("stock", f.notices[0].fingerprint, "entry-2", 1)
+		f.balancer.AddPeerSuspect("stock", f.notices[0].fingerprint, "entry-2", 1, quarantiner.AttemptBefore(time.Now(), 0, 0))
 		before := arrivals(all)
 		is.Equal(f.send(http.MethodPost, "/book/1", "fatal-2").Code, 503)
 		is.Equal(arrivals(all), before)
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -40,7 +40,10 @@
 	backend snapshotter.Backend
 	// delegated is the id of the entry that the request was passed on to.
 	delegated string
-	trace     trace
+	// trial reports that the request is the trial of one that is suspected of crashing
+	// servers.
+	trial bool
+	trace trace
 }
 
 func notRun(reason refuser.Reason) *refuser.Refusal {
--- a/entry/balancer/run.go
+++ b/entry/balancer/run.go
@@ -17,7 +17,7 @@
 	}
 	deposited := false
 	for {
-		if b.quarantined(c) {
+		if !b.admitted(c) {
 			return nil, state.refusal(refuser.Suspect)
 		}
 		p, reason := b.pick(ctx, c)
@@ -53,6 +53,8 @@
 			return b.finish(result, &state, refuser.DeadlinePassed)
 		case state.mayHaveRun && !c.route.Idempotent:
 			return b.finish(result, &state, "")
+		case c.trial:
+			return b.finish(result, &state, refuser.Suspect)
 		case state.sent >= c.route.MaxAttempts:
 			return b.finish(result, &state, refuser.BackendShedding)
 		case reachedServer(result.outcome) && !b.tryWithdraw(c.service):
--- a/entry/balancer/suspect.go
+++ b/entry/balancer/suspect.go
@@ -24,20 +24,47 @@
 	return quarantiner.FingerprintOf(c.service, c.method, c.target, c.body)
 }
 
-// quarantined reports whether the request has crashed so many servers that it
-// must not be sent to another one.
-func (b *Balancer) quarantined(c *call) bool {
+// admitted reports whether the request may be sent to a server: it is not in quarantine, and
+// if it needs a trial, this entry is to make it and does so with this request.
+func (b *Balancer) admitted(c *call) bool {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	suspects, ok := b.suspects[c.service]
-	return ok && suspects.Len() > 0 && suspects.Quarantined(time.Now(), c.fingerprint())
+	if !ok || suspects.Len() == 0 {
+		b.mu.Unlock()
+		return true
+	}
+	now, fingerprint := time.Now(), c.fingerprint()
+	quarantined, needsTrial := suspects.Quarantined(now, fingerprint), suspects.NeedsTrial(now, fingerprint)
+	b.mu.Unlock()
+	switch {
+	case quarantined:
+		return false
+	case !needsTrial || c.trial:
+		return true
+	case !b.opts.IsFirst(fingerprint.String()):
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.trial = suspects.BeginTrial(now, fingerprint)
+	return c.trial || !suspects.NeedsTrial(now, fingerprint)
+}
+
+// endTrial ends the trial that the request has been, if it has.
+func (b *Balancer) endTrial(c *call) {
+	if !c.trial {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.suspectsOf(c.service).End(time.Now(), c.fingerprint())
 }
 
 // detectCrash finds whether the server crashed while it ran the request. It
 // counts as crashed if it refuses connections after it broke off the one that
 // carried the request, while another server accepts one: otherwise this entry may have
 // lost its own links.
-func (b *Balancer) detectCrash(c *call, p *picked, outcome retrier.Outcome) {
+func (b *Balancer) detectCrash(c *call, p *picked, attempt quarantiner.Attempt, outcome retrier.Outcome) {
 	switch outcome.(type) {
 	case retrier.ConnectionLost, retrier.Truncated:
 	default:
@@ -58,9 +85,11 @@
 	}
 	p.State.Eject(time.Now())
 	fingerprint := c.fingerprint()
-	crashes := b.recordCrash(c.service, fingerprint)
+	crashes := b.recordCrash(c.service, fingerprint, attempt)
 	b.opts.Log.Warn("Backend server died under a request.", "id", c.id, "server", p.ID, "deaths", crashes)
-	b.opts.NotifySuspect(c.service, fingerprint, crashes)
+	if crashes > 0 {
+		b.opts.NotifySuspect(c.service, fingerprint, crashes, attempt)
+	}
 }
 
 // connectsToOther reports whether any server but one responds to this entry on a new
@@ -93,10 +122,28 @@
 	return err == nil || responded(err)
 }
 
-func (b *Balancer) recordCrash(service string, fingerprint quarantiner.Fingerprint) (crashes int) {
+func (b *Balancer) recordCrash(service string, fingerprint quarantiner.Fingerprint, attempt quarantiner.Attempt) (crashes int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.suspectsOf(service).RecordCrash(time.Now(), fingerprint)
+	return b.suspectsOf(service).RecordCrash(time.Now(), fingerprint, attempt)
+}
+
+// recordSuccess records that the request succeeded, if its service has suspects. If that
+// clears it, the other entries are notified.
+func (b *Balancer) recordSuccess(c *call) {
+	b.mu.Lock()
+	suspects, ok := b.suspects[c.service]
+	if !ok || suspects.Len() == 0 {
+		b.mu.Unlock()
+		return
+	}
+	fingerprint := c.fingerprint()
+	cleared := suspects.RecordSuccess(time.Now(), fingerprint)
+	b.mu.Unlock()
+	if cleared {
+		b.opts.Log.Info("Request is no longer suspected of crashing servers.", "id", c.id)
+		go b.opts.NotifySuspect(c.service, fingerprint, 0, quarantiner.Attempt{})
+	}
 }
 
 // suspectsOf returns the suspects of a service. The caller must hold b.mu.
@@ -129,10 +176,10 @@
 	b.suspectsOf(q.Service).SetStored(time.Now(), q.Fingerprint, stored)
 }
 
-// AddPeerSuspect records the crashes that another entry saw for a request. Zero
-// crashes clear the suspect unless it is quarantined.
-func (b *Balancer) AddPeerSuspect(service string, fingerprint quarantiner.Fingerprint, entry string, crashes int) {
+// AddPeerSuspect records the crashes that another entry saw for a request, and the attempt
+// of the last one. Zero crashes clear the suspect unless the store holds it.
+func (b *Balancer) AddPeerSuspect(service string, fingerprint quarantiner.Fingerprint, entry string, crashes int, last quarantiner.Attempt) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.suspectsOf(service).RecordPeerCrashes(time.Now(), fingerprint, entry, crashes)
+	b.suspectsOf(service).RecordPeerCrash(time.Now(), fingerprint, entry, crashes, last)
 }
--- a/entry/enroller/enroller.go
+++ b/entry/enroller/enroller.go
@@ -213,6 +213,13 @@
 	return rank, entries + 1
 }
 
+// IsFirst reports whether this entry is the first of the usable ones in the rendezvous order
+// for a key.
+func (e *Enroller) IsFirst(key string) bool {
+	first, ok := tracker.HighestRanked(key, e.UsableMembers(time.Now()))
+	return ok && first.ID == e.o.Self.ID
+}
+
 // Deregister announces to the other entries that this entry is leaving and revokes
 // the lease of its registration.
 func (e *Enroller) Deregister(ctx context.Context) {
--- a/entry/forwarder/attempt.go
+++ b/entry/forwarder/attempt.go
@@ -170,6 +170,7 @@
 	start := f.node.Now()
 	result.server = srv.Name
 	result.response, result.outcome = f.servers.Send(ctx, msg)
+	ended := f.node.Now()
 	if result.response != nil {
 		result.response.Header.Set(PassedHeader, "true")
 		permit.ObserveRateLimit(result.response.RateLimit)
@@ -188,7 +189,7 @@
 		f.servers.CloseIdle(srv.Address)
 	}
 	permit.Done(result.outcome, isFailure(result.response))
-	f.detectCrash(c, srv.Address, result.outcome)
+	f.detectCrash(c, srv.Address, quarantiner.Attempt{Begun: start, Ended: ended}, result.outcome)
 	return result
 }
 
@@ -253,14 +254,14 @@
 	cleared := false
 	c.withSuspects(func(now time.Time, s *quarantiner.Suspects) { cleared = s.RecordSuccess(now, c.fingerprint) })
 	if cleared {
-		f.notifier.NotifySuspect(c.service.Spec.Name, c.fingerprint, 0)
+		f.notifier.NotifySuspect(c.service.Spec.Name, c.fingerprint, 0, quarantiner.Attempt{})
 	}
 }
 
 // detectCrash checks after a lost connection or a truncated response whether
 // the server crashed while it ran the request. If so, the request becomes a
 // suspect and the other entries are notified.
-func (f *Forwarder) detectCrash(c *call, address netip.AddrPort, o retrier.Outcome) {
+func (f *Forwarder) detectCrash(c *call, address netip.AddrPort, attempt quarantiner.Attempt, o retrier.Outcome) {
 	switch o.(type) {
 	case retrier.ConnectionLost, retrier.Truncated:
 	default:
@@ -275,10 +276,10 @@
 		return
 	}
 	deaths := 0
-	c.withSuspects(func(now time.Time, s *quarantiner.Suspects) { deaths = s.RecordCrash(now, c.fingerprint) })
+	c.withSuspects(func(now time.Time, s *quarantiner.Suspects) { deaths = s.RecordCrash(now, c.fingerprint, attempt) })
 	if deaths == 0 {
 		return
 	}
 	f.log.Warn("Backend server died under a request.", "service", c.service.Spec.Name, "server", address, "deaths", deaths)
-	f.notifier.NotifySuspect(c.service.Spec.Name, c.fingerprint, deaths)
+	f.notifier.NotifySuspect(c.service.Spec.Name, c.fingerprint, deaths, attempt)
 }
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -62,7 +62,7 @@
 	// NotifySuspect reports how many servers this entry saw crash while they
 	// ran requests with a fingerprint. Zero clears the fingerprint of
 	// suspicion.
-	NotifySuspect(service string, f quarantiner.Fingerprint, crashes int)
+	NotifySuspect(service string, f quarantiner.Fingerprint, crashes int, last quarantiner.Attempt)
 }
 
 // Reaches checks for a service whether this entry reaches any server but one.
--- a/entry/linkhandler/linkhandler.go
+++ b/entry/linkhandler/linkhandler.go
@@ -85,7 +85,8 @@
 		return
 	}
 	sv.Dispatcher.WithSuspects(func(now time.Time, s *quarantiner.Suspects) {
-		s.RecordPeerCrashes(now, quarantiner.Fingerprint(n.GetFingerprint()), entry, int(n.GetDeaths()))
+		last := quarantiner.AttemptBefore(now, n.GetBegunUs(), n.GetEndedUs())
+		s.RecordPeerCrash(now, quarantiner.Fingerprint(n.GetFingerprint()), entry, int(n.GetDeaths()), last)
 		h.node.Metrics().Suspects.WithLabelValues(n.GetService()).Set(float64(s.Len()))
 	})
 }
--- a/entry/notifier/notifier.go
+++ b/entry/notifier/notifier.go
@@ -40,13 +40,14 @@
 }
 
 // NotifySuspect reports to the other entries of a service how many backend servers
-// crashed while they ran the request with fingerprint f. Zero clears the suspicion,
-// unless the request is quarantined.
-func (n *Notifier) NotifySuspect(service string, f quarantiner.Fingerprint, crashes int) {
+// crashed while they ran the request with fingerprint f, and the attempt at the last of
+// them. Zero clears the suspicion.
+func (n *Notifier) NotifySuspect(service string, f quarantiner.Fingerprint, crashes int, last quarantiner.Attempt) {
+	begun, ended := last.Ages(n.node.Now())
 	n.Send(notice{service, &linkpb.TellRequest{
 		EntryId: n.node.Self().ID,
 		Notice: &linkpb.TellRequest_Suspect{Suspect: &linkpb.SuspectNotice{
-			Service: service, Fingerprint: uint64(f), Deaths: uint32(crashes),
+			Service: service, Fingerprint: uint64(f), Deaths: uint32(crashes), BegunUs: begun, EndedUs: ended,
 		}},
 	}})
 }
--- a/entry/persister/persister.go
+++ b/entry/persister/persister.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"strconv"
 	"strings"
 	"sync"
@@ -71,7 +70,7 @@
 }
 
 func (p *Persister) key(f quarantiner.Fingerprint) string {
-	return p.o.Prefix + fmt.Sprintf("%016x", uint64(f))
+	return p.o.Prefix + f.String()
 }
 
 // ApplyChange applies a change of the store. It reports false for keys that are not those
--- a/entry/persister/persister_test.go
+++ b/entry/persister/persister_test.go
@@ -93,7 +93,9 @@
 func (e *fakeEntry) recordCrash(from string, crashes int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.suspects.RecordPeerCrashes(time.Now(), fatal.Fingerprint, from, crashes)
+	for n := range crashes {
+		e.suspects.RecordPeerCrash(time.Now(), fatal.Fingerprint, from, n+1, quarantiner.AttemptBefore(time.Now(), 0, 0))
+	}
 }
 
 func (e *fakeEntry) quarantined() bool {
--- a/steer/commander/link.go
+++ b/steer/commander/link.go
@@ -22,13 +22,14 @@
 	uplinkShare = 0.5
 )
 
-// notifySuspect notifies the other entries that a backend server crashed while it ran a
-// request, so that they count it against the request's fingerprint.
-func (e *entry) notifySuspect(service string, fingerprint quarantiner.Fingerprint, crashes int) {
+// notifySuspect notifies the other entries that a backend server crashed during an attempt,
+// so that they count it against the request's fingerprint, or that the request is cleared.
+func (e *entry) notifySuspect(service string, fingerprint quarantiner.Fingerprint, crashes int, last quarantiner.Attempt) {
+	begun, ended := last.Ages(time.Now())
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	notice := &linkpb.TellRequest{EntryId: e.id, Notice: &linkpb.TellRequest_Suspect{Suspect: &linkpb.SuspectNotice{
-		Service: service, Fingerprint: uint64(fingerprint), Deaths: uint32(crashes),
+		Service: service, Fingerprint: uint64(fingerprint), Deaths: uint32(crashes), BegunUs: begun, EndedUs: ended,
 	}}}
 	e.pool.NotifyAll(ctx, e.enroller.PeerAddresses(time.Now()), notice, func(address string, err error) {
 		e.log.Debug("Peer not notified of the suspect request.", "peer", address, "error", err)
@@ -113,7 +114,8 @@
 		l.entry.roller.HandleRollback(n.Verdict)
 	case *linkpb.TellRequest_Suspect:
 		s := n.Suspect
-		l.entry.balancer.AddPeerSuspect(s.GetService(), quarantiner.Fingerprint(s.GetFingerprint()), r.GetEntryId(), int(s.GetDeaths()))
+		last := quarantiner.AttemptBefore(time.Now(), s.GetBegunUs(), s.GetEndedUs())
+		l.entry.balancer.AddPeerSuspect(s.GetService(), quarantiner.Fingerprint(s.GetFingerprint()), r.GetEntryId(), int(s.GetDeaths()), last)
 	}
 	return &linkpb.TellResponse{}, nil
 }
--- a/steer/commander/memory_network_test.go
+++ b/steer/commander/memory_network_test.go
@@ -109,6 +109,12 @@
 		case !ok || (toServer && cut != notCut):
 			return nil, syscall.ECONNREFUSED
 		}
+		select {
+		case <-l.closed:
+			// Accept may still take a connection, which a crashed process does not.
+			return nil, syscall.ECONNREFUSED
+		default:
+		}
 		client, server := net.Pipe()
 		select {
 		case l.conns <- server:
--- a/steer/commander/quarantine_test.go
+++ b/steer/commander/quarantine_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -106,3 +108,136 @@
 		}
 	})
 }
+
+// crashTogether crashes the servers that run a request with a path at this moment.
+type crashTogether struct {
+	f       *fleet
+	path    string
+	mu      sync.Mutex
+	running map[string]int
+}
+
+// respond responds after serverWork. It takes note of the servers that run the path.
+func (c *crashTogether) respond(w http.ResponseWriter, r *http.Request) {
+	server := r.Header.Get(translator.HeaderExpectInstance)
+	if r.URL.Path == c.path {
+		c.add(server, 1)
+		defer c.add(server, -1)
+	}
+	select {
+	case <-time.After(serverWork):
+		_, _ = w.Write([]byte("ok"))
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (c *crashTogether) add(server string, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[server] += n
+}
+
+// crash crashes n servers that run the path. It reports false if it runs on fewer.
+func (c *crashTogether) crash(n int) bool {
+	c.mu.Lock()
+	var servers []string
+	for server, running := range c.running {
+		if running > 0 && len(servers) < n {
+			servers = append(servers, server)
+		}
+	}
+	c.mu.Unlock()
+	if len(servers) < n {
+		return false
+	}
+	for _, server := range servers {
+		c.f.crash(server)
+	}
+	return true
+}
+
+// TestPageRefusedAfterCrashes guards against a request that all entries refuse for ten
+// minutes since it was running on servers that crashed together for another reason.
+func TestPageRefusedAfterCrashes(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// popular has the page been served before, and again after the crashes; otherwise
+		// it is asked for once at each entry.
+		popular bool
+		path    string
+	}{
+		{"popular page", true, "/look/page"},
+		{"page asked for the first time", false, "/look/page"},
+		{"order sent the first time", false, "/book/page"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, func(t *testing.T, f *fleet) {
+				group := &crashTogether{f: f, path: c.path, running: map[string]int{}}
+				f.respond = group.respond
+				time.Sleep(settleTime)
+				var calls sync.WaitGroup
+				ask := func(round int) {
+					for i := range f.entries {
+						calls.Go(func() { f.call(i, c.path, fmt.Sprintf("r%d-%d", round, i)) })
+					}
+					time.Sleep(serverWork / 2)
+				}
+				if c.popular {
+					for round := range 20 {
+						ask(round)
+					}
+				}
+				ask(100)
+				if !group.crash(3) {
+					t.Fatal("the page runs on fewer than 3 servers")
+				}
+				for round := range 10 {
+					if c.popular {
+						ask(200 + round)
+					}
+				}
+				calls.Wait()
+				time.Sleep(settleTime)
+				for i := range f.entries {
+					// One of the entries may try the page before the others serve it.
+					f.call(i, c.path, fmt.Sprintf("trial-%d", i))
+				}
+				time.Sleep(callInterval)
+				for i := range f.entries {
+					if !f.call(i, c.path, fmt.Sprintf("after-%d", i)) {
+						t.Errorf("entry %d refuses the page", i)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestFatalRequestAtAllEntries guards against a request that crashes servers again and again
+// since it arrives at several entries at the same moment.
+func TestFatalRequestAtAllEntries(t *testing.T) {
+	// maxLateTries is the number of tries that the users let reach servers from settleTime
+	// after the third crash on.
+	const maxLateTries = 3
+	withFatalRequest(t, func(f *fleet, _ *memoryStore, crashes func() int) {
+		late := 0
+		for wave := range 6 {
+			counts := crashes() >= maxCrashes
+			var calls sync.WaitGroup
+			for i := range f.entries {
+				calls.Go(func() { f.call(i, "/look/fatal", fmt.Sprintf("r%d-%d", wave, i)) })
+			}
+			calls.Wait()
+			for i := range f.entries {
+				if counts && f.runsOf(fmt.Sprintf("r%d-%d", wave, i)) > 0 {
+					late++
+				}
+			}
+			time.Sleep(settleTime)
+		}
+		if late > maxLateTries {
+			t.Errorf("%d tries reached servers after the third crash, %d allowed; %d servers crashed", late, maxLateTries, crashes())
+		}
+	})
+}
