roundtripper: endless bytes of many servers no longer fill the memory

Operators of similar systems saw a machine run out of memory, and the requests of other callers end with it, since a faulty server sent bytes that were no response until its caller closed.

Cause here: one attempt was bounded (64 KiB of head, 256 KiB of body), many at a time were not. Each request probes several servers, and a probe read up to 256 KiB of a body that it does not use, into buffers that grow by copying.

Change: a response to a probe ends its connection beyond 16 KiB of head or of body. Bodies are read into buffers of a sixteenth of the memory in all, and streamed where these are full. The start of a streamed body is let go once it is written.

--- a/entry/balancer/response.go
+++ b/entry/balancer/response.go
@@ -92,6 +92,7 @@
 	if _, err := w.Write(resp.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	resp.Body = nil // may be collected while the rest is streamed
 	if _, err := io.Copy(w, resp.Remainder); err != nil {
 		b.opts.Log.Warn("Streamed response ended early; aborting the connection to the caller.", "error", err)
 		panic(http.ErrAbortHandler)
--- a/entry/roundtripper/conn.go
+++ b/entry/roundtripper/conn.go
@@ -32,6 +32,12 @@
 	// maxHeadBytes bounds the bytes that are read for the head of a response, with the
 	// informational responses before it.
 	maxHeadBytes = 64 << 10
+	// firstBufferBytes is the size of the first buffer for a body of unknown length. It is
+	// doubled as long as the body goes on.
+	firstBufferBytes = 4 << 10
+	// maxProbeBytes bounds the bytes of a response to a probe, of the head and of the body
+	// each. Several servers are probed for each request.
+	maxProbeBytes = 16 << 10
 	// maxResponses bounds the responses that are read in search of the one to
 	// the current request. If none of them matches, the connection is closed.
 	maxResponses = 3
@@ -55,8 +61,8 @@
 	return &Conn{net: c, head: head, reader: bufio.NewReaderSize(head, readBufferSize), writer: bufio.NewWriterSize(c, writeBufferSize), fresh: true}
 }
 
-// errHeadTooLarge is returned by reads beyond maxHeadBytes of a head.
-var errHeadTooLarge = fmt.Errorf("head of the response is longer than %d bytes", maxHeadBytes)
+// errHeadTooLarge is returned by reads beyond the bound of a head.
+var errHeadTooLarge = errors.New("head of the response is too long")
 
 // errMergedHead is returned if the head of a response contains the start of another one.
 var errMergedHead = errors.New("received the head of a response within another one")
@@ -113,10 +119,11 @@
 	*http.Response
 }
 
-// readResponse reads the next final response. OnInformational, which may be nil, is called
+// readResponse reads the next final response, whose head has up to a number of bytes, with
+// those of the informational ones before it. OnInformational, which may be nil, is called
 // with the headers of the informational ones (1xx) before it.
-func (c *Conn) readResponse(r *http.Request, onInformational func(http.Header)) (reply, error) {
-	c.head.inHead, c.head.remaining = true, maxHeadBytes
+func (c *Conn) readResponse(r *http.Request, headBytes int, onInformational func(http.Header)) (reply, error) {
+	c.head.inHead, c.head.remaining = true, headBytes
 	defer func() { c.head.inHead = false }()
 	for {
 		resp, err := http.ReadResponse(c.reader, r)
@@ -174,11 +181,13 @@
 	return context.AfterFunc(ctx, c.close)
 }
 
-// readBody reads the body of a response up to a limit in bytes. If the body is
-// longer, whole is false, body holds limit+1 bytes and the rest can be read from
-// the response. Otherwise the body is closed.
-func readBody(rep reply, limit int64) (body []byte, whole bool, err error) {
+// readBody reads the body of a response up to a limit in bytes, or less if there is no room
+// in the buffers. If the body is longer, whole is false, body holds its start and the rest
+// can be read from the response. Otherwise the body is closed.
+func readBody(rep reply, limit int64, b *Buffers) (body []byte, whole bool, err error) {
+	taken := int64(0)
 	defer func() {
+		b.give(taken)
 		if whole || err != nil {
 			_ = rep.Body.Close()
 		}
@@ -187,16 +196,35 @@
 		// The response to HEAD has no body, though it may state a length.
 		return nil, true, nil
 	}
+	size := int64(firstBufferBytes)
 	if rep.ContentLength >= 0 && rep.ContentLength <= limit {
-		body = make([]byte, rep.ContentLength)
-		_, err = io.ReadFull(rep.Body, body)
-		if err != nil {
-			return nil, false, err
+		size = rep.ContentLength
+	}
+	for {
+		size = min(size, limit+1)
+		if !b.take(size) {
+			return body, false, nil
+		}
+		taken += size
+		body = append(make([]byte, 0, size), body...)
+		for int64(len(body)) < size {
+			n, err := rep.Body.Read(body[len(body):size])
+			body = body[:len(body)+n]
+			if errors.Is(err, io.EOF) {
+				return body, true, nil
+			}
+			if err != nil {
+				return nil, false, err
+			}
+		}
+		if size == rep.ContentLength {
+			// Reads to the end of the message, so that the connection is reusable.
+			_, err = io.Copy(io.Discard, rep.Body)
+			return body, true, err
+		}
+		if size > limit {
+			return body, false, nil
 		}
-		// Reads to the end of the message, so that the connection is reusable.
-		_, err = io.Copy(io.Discard, rep.Body)
-		return body, true, err
+		size *= 2
 	}
-	body, err = io.ReadAll(io.LimitReader(rep.Body, limit+1))
-	return body, int64(len(body)) <= limit, err
 }
--- a/entry/roundtripper/probe.go
+++ b/entry/roundtripper/probe.go
@@ -102,12 +102,12 @@
 		return Health{}, err
 	}
 	for range maxResponses {
-		rep, err := c.readResponse(req, nil)
+		rep, err := c.readResponse(req, maxProbeBytes, nil)
 		if err != nil {
 			return Health{}, err
 		}
 		cl.observe(rep)
-		if _, whole, err := readBody(rep, maxBuffered); err != nil || !whole {
+		if _, whole, err := readBody(rep, maxProbeBytes, cl.buffers); err != nil || !whole {
 			return Health{}, fmt.Errorf("response to the health probe truncated: %w", err)
 		}
 		if rep.Header.Get(cl.headers.Signature) != "" || rep.Header.Get(cl.headers.RequestID) != "" {
--- a/entry/roundtripper/roundtripper.go
+++ b/entry/roundtripper/roundtripper.go
@@ -64,6 +64,7 @@
 	dial     Dialer
 	headers  Headers
 	onNotice func(Notice)
+	buffers  *Buffers
 
 	mu   sync.Mutex
 	idle []*Conn // in the order of release, the latest last
@@ -73,9 +74,13 @@
 // must return in its responses to probes, and host the value of the Host header of
 // probes.
 func New(id, host string, dial Dialer, h Headers) *Client {
-	return &Client{id: id, host: host, dial: dial, headers: h, onNotice: func(Notice) {}}
+	return &Client{id: id, host: host, dial: dial, headers: h, onNotice: func(Notice) {}, buffers: NewBuffers(defaultBufferBytes)}
 }
 
+// ShareBuffers makes the client read response bodies into buffers that other clients use
+// too.
+func (cl *Client) ShareBuffers(b *Buffers) { cl.buffers = b }
+
 // Close closes the idle connections.
 func (cl *Client) Close() {
 	cl.mu.Lock()
--- a/entry/roundtripper/send.go
+++ b/entry/roundtripper/send.go
@@ -111,7 +111,7 @@
 // came that did not match, and mismatchedID is the request id of the last one.
 func (cl *Client) readMatching(c *Conn, req *http.Request, r Request) (rep reply, mismatched bool, mismatchedID string, err error) {
 	for range maxResponses {
-		rep, err = c.readResponse(req, r.OnInformational)
+		rep, err = c.readResponse(req, maxHeadBytes, r.OnInformational)
 		if err != nil {
 			return reply{}, mismatched, mismatchedID, err
 		}
@@ -121,7 +121,7 @@
 			return rep, false, "", nil
 		}
 		mismatched, mismatchedID = true, got
-		if _, whole, err := readBody(rep, maxBuffered); err != nil || !whole || rep.Close {
+		if _, whole, err := readBody(rep, maxBuffered, cl.buffers); err != nil || !whole || rep.Close {
 			return reply{}, mismatched, mismatchedID, errors.New("received a response to another request")
 		}
 	}
@@ -150,7 +150,7 @@
 // finish reads the body of a response, classifies the response, and returns the
 // connection to the pool if it is reusable.
 func (cl *Client) finish(ctx context.Context, c *Conn, rep reply, written <-chan error, stop func() bool) (*Response, retrier.Outcome) {
-	body, whole, err := readBody(rep, maxBuffered)
+	body, whole, err := readBody(rep, maxBuffered, cl.buffers)
 	if err != nil {
 		c.close()
 		stop()
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -57,6 +57,10 @@
 	// last response. Within it, an entry with a few requests a second probes each server of
 	// its failure domain.
 	answeredWindow = 5 * time.Second
+	// bufferShare is the part of the memory, as a divisor, for response bodies that are being
+	// read. While they grow and until they are collected they take several times as much.
+	bufferShare    = 16
+	maxBufferBytes = 64 << 20
 	// maxLocateTTL is the time for which callers may cache the list of entries, unless
 	// the settings allow less.
 	maxLocateTTL = 2 * time.Second
@@ -102,6 +106,15 @@
 	}
 }
 
+// bufferBytes returns the bytes of response bodies that may be read at the same time, for
+// the memory of the process in bytes, or zero if it is not limited.
+func bufferBytes(memory int64) int64 {
+	if memory == 0 {
+		return maxBufferBytes
+	}
+	return min(memory/bufferShare, maxBufferBytes)
+}
+
 // dialFunc opens a connection to an address.
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -118,11 +131,14 @@
 		Signature: translator.HeaderSignature, ReadLoad: translator.Load, ReadRateLimit: translator.RateLimit, ReadColdRemaining: translator.ColdLeft,
 		ReadLeaving: translator.IsLeaving, ReadPause: translator.Pause,
 	}
+	buffers := roundtripper.NewBuffers(bufferBytes(s.MemoryBytes))
 	e.snapshots = snapshotter.New(func(server describer.Server) *snapshotter.ServerState {
 		address := server.Address.String()
-		state := snapshotter.NewServerState(roundtripper.New(server.ID, address, func(ctx context.Context) (net.Conn, error) {
+		client := roundtripper.New(server.ID, address, func(ctx context.Context) (net.Conn, error) {
 			return dial(ctx, "tcp", address)
-		}, headers))
+		}, headers)
+		client.ShareBuffers(buffers)
+		state := snapshotter.NewServerState(client)
 		state.OnChange(func(n roundtripper.Notice) { logNotice(log, server.ID, n) })
 		return state
 	})
--- a/steer/commander/partition_test.go
+++ b/steer/commander/partition_test.go
@@ -56,6 +56,9 @@
 	respond http.HandlerFunc
 	// respondProbe adds to the responses to probes of a server. It may be nil.
 	respondProbe func(w http.ResponseWriter, server string)
+	// hijackProbe responds to a probe in place of the server. It reports false if the server
+	// is to respond. It may be nil.
+	hijackProbe func(w http.ResponseWriter, r *http.Request, server string) bool
 	// samePath makes all calls ask for the same path.
 	samePath bool
 	// calls is the number of calls by callFor, so that each has an id of its own.
@@ -73,6 +76,7 @@
 	s := translator.Settings{
 		ID: fmt.Sprintf("e%d", i), Domain: string(rune('a' + i%3)), CallerAddress: address(1), ReadyAddress: address(2),
 		LinkAddress: address(3), LocateAddress: address(4), DelegationAddress: address(5), StoreAddress: "10.0.9.9:1",
+		MemoryBytes: smallestVM,
 	}
 	s.Bounds.RetryRatio, s.Bounds.RetrySlack, s.Bounds.RetryWindow = 0.2, 60, 10*time.Second
 	return s
@@ -136,6 +140,9 @@
 	l := f.network.listenServer(address.String())
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/health" {
+			if f.hijackProbe != nil && f.hijackProbe(w, r, id) {
+				return
+			}
 			w.Header().Set(translator.HeaderInstance, id)
 			if f.respondProbe != nil {
 				f.respondProbe(w, id)
