roundtripper: targets that begin with two slashes reach servers unchanged

Cause: the target was the opaque part of a URL, before which http.Request.Write puts the scheme and a colon if it begins with two slashes.

Change: the connection writes the request line of such targets, and leaves out the one of Request.Write, which still checks the target.

Ruled out: setting path and raw path instead, which escapes bytes such as | and quotes anew.

--- a/entry/roundtripper/conn.go
+++ b/entry/roundtripper/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -108,12 +109,46 @@
 
 // write sends the whole request, or returns an error.
 func (c *Conn) write(r *http.Request) error {
-	if err := r.Write(c.writer); err != nil {
+	var out io.Writer = c.writer
+	if strings.HasPrefix(r.URL.Opaque, "//") {
+		// Request.Write would put the scheme and a colon before it.
+		if _, err := fmt.Fprintf(c.writer, "%s %s HTTP/1.1\r\n", r.Method, r.URL.Opaque); err != nil {
+			return err
+		}
+		out = &lineSkipper{writer: c.writer}
+	}
+	if err := r.Write(out); err != nil {
 		return err
 	}
 	return c.writer.Flush()
 }
 
+// lineSkipper writes everything but the first line. It implements io.ByteWriter, without
+// which http.Request.Write would use a buffer of its own.
+type lineSkipper struct {
+	writer  *bufio.Writer
+	skipped bool
+}
+
+// Write implements io.Writer.
+func (s *lineSkipper) Write(p []byte) (n int, err error) {
+	if !s.skipped {
+		n = bytes.IndexByte(p, '\n') + 1
+		if n == 0 {
+			return len(p), nil
+		}
+		s.skipped = true
+	}
+	written, err := s.writer.Write(p[n:])
+	return n + written, err
+}
+
+// WriteByte implements io.ByteWriter.
+func (s *lineSkipper) WriteByte(b byte) (err error) {
+	_, err = s.Write([]byte{b})
+	return err
+}
+
 // reply is a response whose body has not been read yet.
 type reply struct {
 	*http.Response
