balancer: request bodies share a bounded part of the memory

Cause: each body is held whole; one had a bound, all together had none.

Without room a request is refused with 503 (memory-full) before its body is read. The memory limit of the collector is 85 %.

Ruled out: streaming bodies to servers (no second server could get them).

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -18,6 +18,7 @@
 	"samphiremux/entry/meter"
 	"samphiremux/entry/monitor"
 	"samphiremux/entry/quarantiner"
+	"samphiremux/entry/reserver"
 	"samphiremux/entry/snapshotter"
 	"samphiremux/entry/throttler"
 )
@@ -78,6 +79,8 @@
 	// it ran a request, how many crashes this entry has seen for it, and the attempt at
 	// the last of them. Zero crashes clear the request. It may be nil.
 	NotifySuspect func(service string, fingerprint quarantiner.Fingerprint, crashes int, last quarantiner.Attempt)
+	// Bodies bounds the memory of request bodies. Nil means that it is not bounded.
+	Bodies *reserver.Reserver
 	// Delegator passes requests on to other entries while this one reaches no backend
 	// server. It may be nil.
 	Delegator *delegator.Delegator
@@ -178,6 +181,7 @@
 	c.traceReceived()
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline.Add(deadlineSlack))
 	defer cancel()
+	defer c.held.Release()
 	defer b.endTrial(c)
 	resp, refusal := b.run(ctx, c)
 	if refusal != nil {
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"samphiremux/entry/refuser"
+	"samphiremux/entry/reserver"
 	"samphiremux/entry/snapshotter"
 	"samphiremux/pkg/describer"
 )
@@ -27,9 +28,11 @@
 	target   string
 	header   http.Header
 	body     []byte
-	id       string
-	tried    map[string]bool
-	leftOut  leftOut
+	// held is the memory of the body.
+	held    *reserver.Hold
+	id      string
+	tried   map[string]bool
+	leftOut leftOut
 	// hop is nil for a request that comes from a caller.
 	hop *hop
 	// probes is the number of servers that were probed for the last attempt, and unreached
@@ -90,20 +93,22 @@
 			return nil, refusal
 		}
 	}
-	body, refusal := readBody(w, r, bodyLimit)
+	held := b.opts.Bodies.Hold()
+	body, refusal := readBody(w, r, bodyLimit, held)
 	switch {
 	case refusal != nil && refusal.Reason == refuser.BodyTooLarge:
-		return nil, b.notAllowed(refuser.BodyTooLarge)
-	case refusal != nil:
-		return nil, refusal
+		refusal = b.notAllowed(refuser.BodyTooLarge)
+	case refusal == nil && !b.opts.MayTake(deadline):
+		refusal = notRun(refuser.Stopping)
 	}
-	if !b.opts.MayTake(deadline) {
-		return nil, notRun(refuser.Stopping)
+	if refusal != nil {
+		held.Release()
+		return nil, refusal
 	}
 	return &call{
 		route: route, service: service, version: view.Splits[service].PickVersion(b.draw("version of " + service)),
 		view: view, arrived: now, deadline: deadline, method: r.Method, host: r.Host, target: target,
-		header: endToEndHeader(r.Header), body: body, id: id, tried: map[string]bool{}, hop: h,
+		header: endToEndHeader(r.Header), body: body, held: held, id: id, tried: map[string]bool{}, hop: h,
 	}, nil
 }
 
@@ -133,9 +138,9 @@
 	return rest[begin:]
 }
 
-// readBody reads the whole body within the limit of the configuration, until the context
-// of the request ends.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refuser.Refusal) {
+// readBody reads the whole body within the limit of the configuration and the memory of the
+// hold, until the context of the request ends.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, held *reserver.Hold) ([]byte, *refuser.Refusal) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -145,6 +150,9 @@
 		}
 		r.Body = http.MaxBytesReader(unwrapped(w), r.Body, limit)
 	}
+	if !held.Resize(r.ContentLength) {
+		return nil, notRun(refuser.MemoryFull)
+	}
 	stop := context.AfterFunc(r.Context(), func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
 	defer stop()
 	var body []byte
@@ -153,10 +161,12 @@
 		body = make([]byte, r.ContentLength)
 		_, err = io.ReadFull(r.Body, body)
 	} else {
-		body, err = io.ReadAll(r.Body)
+		body, err = readUnknownLength(r.Body, held)
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errMemoryFull):
+		return nil, notRun(refuser.MemoryFull)
 	case errors.As(err, &tooLarge):
 		return nil, notRun(refuser.BodyTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded) && r.Context().Err() != nil:
@@ -168,6 +178,34 @@
 	return body, nil
 }
 
+// firstBodyBytes is the size in bytes of the first buffer for a body of unknown length.
+const firstBodyBytes = 4 << 10
+
+// errMemoryFull is returned if a body grows beyond the memory that is left.
+var errMemoryFull = errors.New("no memory is left for the body")
+
+// readUnknownLength reads a whole body into a buffer that grows. While it is copied to a
+// larger one, both are held.
+func readUnknownLength(r io.Reader, held *reserver.Hold) (body []byte, err error) {
+	for size := int64(firstBodyBytes); ; size *= 2 {
+		if !held.Resize(int64(cap(body)) + size) {
+			return nil, errMemoryFull
+		}
+		body = append(make([]byte, 0, size), body...)
+		held.Resize(size)
+		for len(body) < cap(body) {
+			n, err := r.Read(body[len(body):cap(body)])
+			body = body[:len(body)+n]
+			switch {
+			case errors.Is(err, io.EOF):
+				return body, nil
+			case err != nil:
+				return nil, err
+			}
+		}
+	}
+}
+
 // unwrapped returns the writer of net/http, which a reader tells to close the connection
 // behind a body that is too large.
 func unwrapped(w http.ResponseWriter) http.ResponseWriter {
--- a/entry/balancer/response.go
+++ b/entry/balancer/response.go
@@ -20,6 +20,8 @@
 	// unreachableRetryAfter is for an entry that reaches no backend server. It exceeds
 	// the time between two checks whether it does again.
 	unreachableRetryAfter = 300 * time.Millisecond
+	// memoryRetryAfter is long enough for one of the largest bodies to be passed on.
+	memoryRetryAfter = 500 * time.Millisecond
 )
 
 func retryAfter(now time.Time, refusal refuser.Refusal) time.Duration {
@@ -31,6 +33,8 @@
 		return unconfiguredRetryAfter
 	case refuser.UnreachableServers:
 		return unreachableRetryAfter
+	case refuser.MemoryFull:
+		return memoryRetryAfter
 	default:
 		return queueRetryAfter
 	}
--- a/entry/refuser/refuser.go
+++ b/entry/refuser/refuser.go
@@ -71,6 +71,9 @@
 	Stopping Reason = "stopping"
 	// PausedServers means that every server asked this entry for a pause.
 	PausedServers Reason = "servers-paused"
+	// MemoryFull means that the bodies of other requests take all memory that is meant for
+	// them.
+	MemoryFull Reason = "memory-full"
 )
 
 // Reasons for refusals of kind OutcomeUnknown.
@@ -89,7 +92,7 @@
 func NotRunReasons() []Reason {
 	return []Reason{
 		BackendUnreachable, BackendShedding, BadRequest, BodyTooLarge, CallerDisconnected, CallerOverShare, DeadlinePassed,
-		DeadlineTooNear, EntryUnreachable, HeadersTooLarge, Isolated, KeyFromFuture, Misdirected, NoBackendServer, NoDocument,
+		DeadlineTooNear, EntryUnreachable, HeadersTooLarge, Isolated, KeyFromFuture, MemoryFull, Misdirected, NoBackendServer, NoDocument,
 		NoSuchRoute, NoSuchService, Outdated, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, PausedServers, RateLimitedServers, Stopping, Suspect, UnreachableServers,
 	}
 }
--- a/steer/commander/commander.go
+++ b/steer/commander/commander.go
@@ -87,6 +87,9 @@
 		return exitOK
 	}
 	debug.SetGCPercent(gcPercent)
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
+	}
 	lines := logwriter.New(out, logBufferLines)
 	defer lines.Close(logFlushTimeout)
 	log := hclog.New(&hclog.LoggerOptions{
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -19,6 +20,7 @@
 	"samphiremux/entry/meter"
 	"samphiremux/entry/persister"
 	"samphiremux/entry/reflector"
+	"samphiremux/entry/reserver"
 	"samphiremux/entry/roller"
 	"samphiremux/entry/roundtripper"
 	"samphiremux/entry/snapshotter"
@@ -61,6 +63,10 @@
 	// read. While they grow and until they are collected they take several times as much.
 	bufferShare    = 16
 	maxBufferBytes = 64 << 20
+	// bodyShare is the part of the memory for request bodies. The collector keeps the rest
+	// of the heap within heapShare.
+	bodyShare = 0.75
+	heapShare = 0.85
 	// maxLocateTTL is the time for which callers may cache the list of entries, unless
 	// the settings allow less.
 	maxLocateTTL = 2 * time.Second
@@ -115,6 +121,15 @@
 	return min(memory/bufferShare, maxBufferBytes)
 }
 
+// bodyBytes returns the bytes of request bodies that may be held at the same time, for the
+// memory of the process in bytes, or zero if it is not limited.
+func bodyBytes(memory int64) int64 {
+	if memory == 0 {
+		return math.MaxInt64
+	}
+	return int64(bodyShare * float64(memory))
+}
+
 // dialFunc opens a connection to an address.
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -167,6 +182,7 @@
 	})
 	e.balancer = balancer.New(balancer.Options{
 		Self: s.ID, Delegator: e.delegator, Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, Outdated: e.isOutdated, EntryCount: e.enroller.MemberCount, Rank: e.enroller.Rank, IsFirst: e.enroller.IsFirst, Log: log.Named("steerer"),
+		Bodies:    reserver.New(bodyBytes(s.MemoryBytes)),
 		OnAttempt: e.roller.Observe, MayTake: e.drainer.MayTake,
 		IdleTimeout: func() time.Duration { return e.connectionLimits().Idle },
 		Headers: balancer.Headers{
--- a/steer/commander/partition_test.go
+++ b/steer/commander/partition_test.go
@@ -213,15 +213,23 @@
 // send sends one request to an entry on a new connection, and returns its response. The
 // method is POST if there is a body to send.
 func (f *fleet) send(ctx context.Context, i int, path, id, text string) (resp *http.Response, body string, err error) {
+	if text == "" {
+		return f.sendBody(ctx, i, path, id, http.NoBody)
+	}
+	return f.sendBody(ctx, i, path, id, strings.NewReader(text))
+}
+
+// sendBody is send with any body. The method is GET for http.NoBody.
+func (f *fleet) sendBody(ctx context.Context, i int, path, id string, from io.Reader) (resp *http.Response, body string, err error) {
 	address := f.entries[i].settings.Load().CallerAddress
 	transport := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
 		return f.network.dialer("caller")(ctx, network, address)
 	}}
-	method := http.MethodGet
-	if text != "" {
-		method = http.MethodPost
+	method := http.MethodPost
+	if from == http.NoBody {
+		method = http.MethodGet
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://h"+path, strings.NewReader(text))
+	req, err := http.NewRequestWithContext(ctx, method, "http://h"+path, from)
 	if err != nil {
 		return nil, "", err
 	}
