balancer, persister: trials that were refused go on, bodies of unknown length hold nothing at first

Found by rereading: a trial whose server refused it ended instead of going to the next server; a body of unknown length held -1 bytes until its first buffer; a key that another writer gave to another service left the first one in quarantine.

--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -150,7 +150,7 @@
 		}
 		r.Body = http.MaxBytesReader(unwrapped(w), r.Body, limit)
 	}
-	if !held.Resize(r.ContentLength) {
+	if !held.Resize(max(0, r.ContentLength)) {
 		return nil, notRun(refuser.MemoryFull)
 	}
 	stop := context.AfterFunc(r.Context(), func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
--- a/entry/balancer/run.go
+++ b/entry/balancer/run.go
@@ -53,7 +53,7 @@
 			return b.finish(result, &state, refuser.DeadlinePassed)
 		case state.mayHaveRun && !c.route.Idempotent:
 			return b.finish(result, &state, "")
-		case c.trial:
+		case c.trial && state.mayHaveRun:
 			return b.finish(result, &state, refuser.Suspect)
 		case state.sent >= c.route.MaxAttempts:
 			return b.finish(result, &state, refuser.BackendShedding)
--- a/entry/persister/persister.go
+++ b/entry/persister/persister.go
@@ -101,8 +101,12 @@
 	}
 	q := quarantiner.Quarantine{Service: r.Service, Fingerprint: quarantiner.Fingerprint(f)}
 	p.mu.Lock()
+	earlier, known := p.stored[key]
 	p.stored[key] = q
 	p.mu.Unlock()
+	if known && earlier != q {
+		p.o.SetStored(earlier, false)
+	}
 	p.o.SetStored(q, true)
 	return true
 }
