watcher: watches of the own interface end in an outage too

Operators would have seen: after an outage of the store in which calls were not answered, an entry keeps an older document, in the script for good.

A watch that begins in an outage is never answered; the watcher of samphire-entry had no bound of its own (26 s by the client).

Change: each watch ends after 2 s and the next one follows from its revision.

Ruled out: the compaction of the script; the revision that it drops is after the one of the watch that hangs.

--- a/entry/watcher/watcher.go
+++ b/entry/watcher/watcher.go
@@ -32,6 +32,9 @@
 	// be applied within 3 s.
 	minBackoff = 200 * time.Millisecond
 	maxBackoff = time.Second
+	// watchTimeout bounds one watch. The store may never respond to one that began in an
+	// outage.
+	watchTimeout = 2 * time.Second
 	// fetchTimeout bounds one fetch from another entry.
 	fetchTimeout = 2 * time.Second
 )
@@ -101,8 +104,8 @@
 	}
 }
 
-// listAndWatch lists the environment once, then watches it from that revision
-// until the watch fails or ctx ends.
+// listAndWatch lists the environment once, then watches it from that revision until a
+// watch fails or ctx ends. Watches follow one another without a gap.
 func (w *Watcher) listAndWatch(ctx context.Context, send func(msg any)) error {
 	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	pairs, revision, err := w.store.List(listCtx, publisher.EnvironmentPrefix(w.environment))
@@ -112,9 +115,18 @@
 		return err
 	}
 	send(StoreSnapshot{Pairs: pairs})
-	return w.store.Watch(ctx, publisher.EnvironmentPrefix(w.environment), revision, func(events []storer.Event, _ storer.Revision) {
-		send(StoreEvents{Events: events})
-	})
+	for {
+		watchCtx, cancel := context.WithTimeout(ctx, watchTimeout)
+		err := w.store.Watch(watchCtx, publisher.EnvironmentPrefix(w.environment), revision, func(events []storer.Event, upTo storer.Revision) {
+			revision = upTo
+			send(StoreEvents{Events: events})
+		})
+		expired := watchCtx.Err() != nil
+		cancel()
+		if !expired || ctx.Err() != nil {
+			return err
+		}
+	}
 }
 
 // Receive handles a message of the actor.
