--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Eleven entries of eighteen are killed for good, one zone whole; callers ask the others.
+# Three of twenty servers crash while two of them run the first requests of a later route.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-second lose-entries review/8/record.txt
+exec target/review-second late-route review/8/record.txt
--- a/review/second/platform/deaf_relays.go
+++ b/review/second/platform/deaf_relays.go
@@ -85,7 +85,7 @@
 					return
 				case <-time.After(callInterval):
 				}
-				a := w.call(client, e, movedHost, "/moved/x")
+				a := w.call(client, e, http.MethodGet, "/moved/x")
 				mu.Lock()
 				got[e] = append(got[e], a)
 				mu.Unlock()
--- a/review/second/platform/lost_entries.go
+++ b/review/second/platform/lost_entries.go
@@ -27,11 +27,14 @@
 	allowedNames = 3
 )
 
-// zoneSizes are the numbers of entries in the zones of the Association's site.
-var zoneSizes = []struct {
+// zoneSize is the number of entries in a zone.
+type zoneSize struct {
 	zone    string
 	entries int
-}{{callerZone, 6}, {goneZone, 6}, {"ogre-c", 6}}
+}
+
+// zoneSizes are the numbers of entries in the zones of the Association's site.
+var zoneSizes = []zoneSize{{callerZone, 6}, {goneZone, 6}, {"ogre-c", 6}}
 
 // isLost reports whether an entry is lost.
 func (e *entry) isLost() bool {
@@ -91,7 +94,7 @@
 			if trouble && e.isLost() {
 				continue
 			}
-			addresses, err := resolve(client, e)
+			addresses, err := resolve(client, e, callerZone)
 			if err != nil {
 				w.log("%s does not answer: %v", e.name, err)
 				continue
@@ -117,9 +120,9 @@
 	return named > allowedNames, nil
 }
 
-// resolve asks an entry where a caller of the zone is to connect.
-func resolve(client *http.Client, e *entry) (addresses []string, err error) {
-	query := url.Values{"name": {movedHost}, "region": {region}, "zone": {callerZone}}
+// resolve asks an entry where a caller of a zone is to connect.
+func resolve(client *http.Client, e *entry, zone string) (addresses []string, err error) {
+	query := url.Values{"name": {movedHost}, "region": {region}, "zone": {zone}}
 	resp, err := client.Get("http://" + e.address(directoryPort) + "/v1/resolve?" + query.Encode())
 	if err != nil {
 		return nil, err
--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -17,6 +17,7 @@
 var scripts = map[string]func(w *world, trouble bool) (broken bool, err error){
 	"deaf-relays":  deafRelays,
 	"lose-entries": loseEntries,
+	"late-route":   lateRoute,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/second/platform/world.go
+++ b/review/second/platform/world.go
@@ -300,31 +300,73 @@
 	service, zone string
 	address       string
 	mu            sync.Mutex
-	running       int
+	listener      *http.Server
+	// running holds the targets of the requests that run.
+	running map[string]string
 }
 
-const serverSlots = 4
+const (
+	serverSlots = 4
+	workTime    = 5 * time.Millisecond
+	// slowSuffix ends the targets of requests that take slowTime.
+	slowSuffix = "slow"
+	slowTime   = 300 * time.Millisecond
+)
 
 // addServer starts a backend server and registers it.
 func (w *world) addServer(service, zone string) error {
 	n := len(w.servers)
 	s := &server{world: w, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: service, zone: zone, address: w.at(10+n, serverPort)}
 	w.servers = append(w.servers, s)
-	if err := w.serve(s.address, s); err != nil {
+	w.closers = append(w.closers, s.crash)
+	return s.start()
+}
+
+// start starts the server and registers it.
+func (s *server) start() error {
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
 		return err
 	}
-	return w.put("servers/"+s.id, map[string]any{
+	s.mu.Lock()
+	s.listener, s.running = &http.Server{Handler: s}, map[string]string{}
+	h := s.listener
+	s.mu.Unlock()
+	go func() { _ = h.Serve(l) }()
+	s.world.log("server %s of %s starts", s.id, s.service)
+	return s.world.put("servers/"+s.id, map[string]any{
 		"address": s.address, "born": time.Now().UnixMilli(),
-		"info":   map[string]any{"service": service, "version": "v1", "zone": zone, "slots": serverSlots},
+		"info":   map[string]any{"service": s.service, "version": "v1", "zone": s.zone, "slots": serverSlots},
 		"status": map[string]any{"state": "ready", "sequence": 1, "cold-left-ms": 0},
 	})
 }
 
+// crash closes the server's address and all of its connections.
+func (s *server) crash() {
+	s.mu.Lock()
+	h := s.listener
+	s.mu.Unlock()
+	s.world.log("server %s of %s ends", s.id, s.service)
+	_ = h.Close()
+}
+
+// runs reports whether a request with a target runs.
+func (s *server) runs(target string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.running {
+		if t == target {
+			return true
+		}
+	}
+	return false
+}
+
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
 	s.mu.Lock()
-	h.Set("X-Backend-Load", fmt.Sprintf("%d,0,%d,100", s.running, serverSlots))
+	h.Set("X-Backend-Load", fmt.Sprintf("%d,0,%d,100", len(s.running), serverSlots))
 	s.mu.Unlock()
 	if r.URL.Path == "/health" {
 		h.Set("X-Instance-Id", s.id)
@@ -344,12 +386,17 @@
 		return
 	}
 	s.mu.Lock()
-	s.running++
+	running := s.running
+	running[id] = r.URL.Path
 	s.mu.Unlock()
 	s.world.log("server %s of %s runs %s", s.id, s.service, id)
-	time.Sleep(5 * time.Millisecond)
+	work := workTime
+	if strings.HasSuffix(r.URL.Path, slowSuffix) {
+		work = slowTime
+	}
+	time.Sleep(work)
 	s.mu.Lock()
-	s.running--
+	delete(running, id)
 	s.mu.Unlock()
 	h.Set("X-Server-Signature", s.service+"."+s.id+"."+id)
 	_, _ = fmt.Fprintf(w, "%s ran %s\n", s.service, id)
@@ -364,17 +411,22 @@
 	return nil
 }
 
-// movedHost is the host of the only route.
+// movedHost is the host of all routes.
 const movedHost = "review.example"
 
-// configuration returns a configuration whose only route goes to a service.
-func configuration(version int, service string) map[string]any {
+// route returns a route of a configuration.
+func route(name, prefix, service, kind string) map[string]any {
+	return map[string]any{
+		"name": name, "host": movedHost, "prefix": prefix, "service": service, "kind": kind,
+		"timeout-ms": 1000, "target-latency-ms": 300, "max-attempts": 2, "priority": 1,
+	}
+}
+
+// configuration returns a configuration with a route to a service and further ones.
+func configuration(version int, service string, further ...map[string]any) map[string]any {
 	return map[string]any{
 		"version": version,
-		"routes": []map[string]any{{
-			"name": "moved", "host": movedHost, "prefix": "/moved/", "service": service, "kind": "safe",
-			"timeout-ms": 1000, "target-latency-ms": 300, "max-attempts": 2, "priority": 1,
-		}},
+		"routes":  append([]map[string]any{route("moved", "/moved/", service, "safe")}, further...),
 		"services": []map[string]any{
 			{"name": "racks", "health-path": "/health", "max-conns": 240, "cold-per-s": 9.3},
 			{"name": "vans", "health-path": "/health", "max-conns": 240, "cold-per-s": 9.3},
@@ -393,14 +445,14 @@
 }
 
 // call sends one request on a kept connection of the client.
-func (w *world) call(c *http.Client, e *entry, host, path string) (a answer) {
+func (w *world) call(c *http.Client, e *entry, method, path string) (a answer) {
 	a = answer{id: fmt.Sprintf("%016x", rand.Uint64()), sent: time.Now()}
-	req, err := http.NewRequest(http.MethodGet, "http://"+e.address(callerPort)+path, nil)
+	req, err := http.NewRequest(method, "http://"+e.address(callerPort)+path, nil)
 	if err != nil {
 		a.err = err
 		return a
 	}
-	req.Host = host
+	req.Host = movedHost
 	req.Header.Set("X-Request-Id", a.id)
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(callerDeadline.Milliseconds(), 10))
 	resp, err := c.Do(req)
@@ -412,6 +464,6 @@
 		_, a.err = io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
 	}
-	w.log("caller of %s: %s sent %.3f, answered %d by %q, error %v", e.name, a.id, a.sent.Sub(w.began).Seconds(), a.status, a.service, a.err)
+	w.log("caller of %s: %s %s %s sent %.3f, answered %d by %q, error %v", e.name, method, path, a.id, a.sent.Sub(w.began).Seconds(), a.status, a.service, a.err)
 	return a
 }
