--- a/review/second/platform/late_route.go
+++ b/review/second/platform/late_route.go
@@ -75,7 +75,7 @@
 func lateRoute(w *world, trouble bool) (broken bool, err error) {
 	zones := map[string]string{}
 	for _, z := range trustZones {
-		zones[z.zone] = "bengal"
+		zones[z.zone] = region
 	}
 	peers := []string{w.at(100, linkPort), w.at(101, linkPort), w.at(102, linkPort)}
 	for _, z := range trustZones {
--- a/review/second/platform/lost_entries.go
+++ b/review/second/platform/lost_entries.go
@@ -10,6 +10,7 @@
 )
 
 const (
+	// region is the region of all zones.
 	region = "lv-central"
 	// goneZone is the zone whose entries are all lost. In callerZone, where the callers are,
 	// only leftEntry is left.
--- a/review/second/platform/world.go
+++ b/review/second/platform/world.go
@@ -202,7 +202,7 @@
 	}
 	value, err := json.Marshal(map[string]any{
 		"node": e.name, "role": "entry", "instance-class": "edge", "serves": []string{"edge", "control", "directory"},
-		"ip": fmt.Sprintf("%s.%d", w.subnet, e.host), "zone": zone, "region": "r", "zones": zones,
+		"ip": fmt.Sprintf("%s.%d", w.subnet, e.host), "zone": zone, "region": zones[zone], "zones": zones,
 		"listen": map[string]string{
 			"front": e.address(callerPort), "ready": e.address(readyPort), "control": e.address(linkPort), "directory": e.address(directoryPort),
 		},
