enroller: relays that the store does not answer give up within a second

Callers saw: the store stopped answering the entry of each failure domain that watches it for the others, and answered these.

Cause: a watch without a response counts as a quiet one, so a relay learned from its renewals alone that the store does not answer: due after 3 s, failed 3 s later. Until then it stated that it reaches the store, and nobody else watched.

Evidence: a trace of TestStoreSilentToRelays on, change 0.5 s after the loss: after 2.5 s two relays still state that they reach the store, and the entries that rely on them do not know the change; the domain whose relay's renewal had failed by then knows it.

Change: a relay renews its lease every 0.5 s. A renewal that is overdue (0.25 s, or twice the last response time) is sent again on a new connection; if that is overdue too, the entry gives up the role and tells its domain at once. A new relay sends heartbeats as such only once the store has answered it, and the others watch themselves if none does within 0.3 s. The renewals are in a file of their own now.

Ruled out: the forwarding by relays (a domain whose relay is answered knows the change at once) and the batch pause of 0.25 s (a case of the test).

--- a/entry/enroller/enroller.go
+++ b/entry/enroller/enroller.go
@@ -6,8 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -24,21 +22,6 @@
 	"samphiremux/pkg/storer"
 )
 
-const (
-	// leaseTTL is the time for which a registration is valid without renewal. Heartbeats
-	// show sooner which entries are reachable.
-	leaseTTL = 30 * time.Second
-	// renewInterval is the time between two renewals of an entry, and relayRenewInterval of
-	// a relay, which learns by them that the store does not answer it.
-	renewInterval      = leaseTTL / 3
-	relayRenewInterval = 3 * time.Second
-	// checkInterval is the time between checks whether the registration is due for
-	// renewal.
-	checkInterval = 500 * time.Millisecond
-	// retryDelay is the wait before the next renewal after a failed call of the store.
-	retryDelay = time.Second
-)
-
 // Options are the dependencies and settings of an Enroller.
 type Options struct {
 	// Self is this entry's own registration.
@@ -83,8 +66,9 @@
 	registered map[string]tracker.Member
 	// changed reports that members does not have all of registered yet.
 	changed bool
-	// relayUntil is the time until which the relay counts as alive, counted from its
-	// last heartbeat.
+	// relay is the entry that last sent a heartbeat as the relay, and relayUntil the time
+	// until which it counts as alive.
+	relay      string
 	relayUntil time.Time
 	// election determines the relay of the failure domain.
 	election election
@@ -95,15 +79,15 @@
 	// to a heartbeat.
 	peerRevisions map[string]storer.Revision
 	// wake ends the wait before the next heartbeats.
-	wake        chan struct{}
+	wake chan struct{}
+	// checkNow ends the wait before the next check whether a renewal is due.
+	checkNow    chan struct{}
 	lease       storer.LeaseID
 	nextRenewal time.Time
 	// nextRelayRenewal is when the renewal is due if this entry is a relay.
 	nextRelayRenewal time.Time
 	stopped          bool
-	// storeFailed reports that the store refused or did not answer this entry's last
-	// call.
-	storeFailed bool
+	contact          storeContact
 
 	// forwardedBytes counts the bytes of changes sent with heartbeats, and
 	// failedHeartbeats the heartbeats without an answer.
@@ -115,7 +99,7 @@
 func New(now time.Time, o Options) *Enroller {
 	e := &Enroller{
 		o: o, members: tracker.NewWithoutHistory(now, o.Self), registered: map[string]tracker.Member{o.Self.ID: o.Self},
-		peerRevisions: map[string]storer.Revision{}, remoteUntil: map[string]time.Time{}, wake: make(chan struct{}, 1),
+		peerRevisions: map[string]storer.Revision{}, remoteUntil: map[string]time.Time{}, wake: make(chan struct{}, 1), checkNow: make(chan struct{}, 1),
 		election: election{due: now.Add(electionStart), passedOver: map[string]bool{}},
 	}
 	e.members.SetRegistered(now, []tracker.Member{o.Self})
@@ -242,7 +226,7 @@
 	reached := e.o.StoreCache.StoreReachable()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return reached && !e.storeFailed
+	return reached && !e.contact.failed
 }
 
 // ReportStoreFailure records that the store refused or did not answer a call of this
@@ -250,7 +234,7 @@
 func (e *Enroller) ReportStoreFailure() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.storeFailed = true
+	e.contact.failed = true
 	e.nextRenewal = time.Now().Add(retryDelay)
 }
 
@@ -271,80 +255,6 @@
 	return e.members.PeerReachesStore(id)
 }
 
-// RunRegistration registers this entry and renews the registration until ctx ends.
-func (e *Enroller) RunRegistration(ctx context.Context) {
-	for {
-		e.renewIfDue(ctx)
-		select {
-		case <-time.After(checkInterval):
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// renewIfDue renews the registration if its time has come and the entry has not
-// stopped.
-func (e *Enroller) renewIfDue(ctx context.Context) {
-	relay := e.IsRelay()
-	now := time.Now()
-	e.mu.Lock()
-	renewalDue := !e.stopped && (!now.Before(e.nextRenewal) || (relay && !now.Before(e.nextRelayRenewal)))
-	lease := e.lease
-	e.mu.Unlock()
-	if !renewalDue {
-		return
-	}
-	sent := time.Now()
-	lease, err := e.renew(ctx, lease)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.lease = lease
-	e.storeFailed = err != nil
-	if err != nil {
-		e.nextRenewal = sent.Add(retryDelay)
-		e.o.Log.Warn("Registration not renewed.", "error", err)
-		return
-	}
-	e.nextRenewal, e.nextRelayRenewal = sent.Add(renewInterval), sent.Add(relayRenewInterval)
-	e.members.RecordRenewal(sent)
-}
-
-// renew renews the lease. If there is none or it has expired, it registers the entry
-// under a new one. It returns the lease to renew next, or zero if the entry must
-// register again.
-func (e *Enroller) renew(ctx context.Context, lease storer.LeaseID) (_ storer.LeaseID, err error) {
-	if lease != 0 {
-		err = e.o.Store.Renew(ctx, lease)
-		var expired storer.ErrLeaseExpired
-		if !errors.As(err, &expired) {
-			return lease, err
-		}
-	}
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("registering entry %q: %w", e.o.Self.ID, err)
-		}
-	}()
-	lease, err = e.o.Store.Grant(ctx, leaseTTL)
-	if err != nil {
-		return 0, err
-	}
-	value, err := json.Marshal(e.o.Self)
-	if err != nil {
-		return 0, err
-	}
-	put := storer.Put{Key: e.key(), Value: value, Lease: lease}
-	switch outcome := e.o.Store.Commit(ctx, storer.Transaction{Puts: []storer.Put{put}}).(type) {
-	case storer.NotCommitted:
-		return 0, outcome.Cause
-	case storer.Unknown:
-		return 0, outcome.Cause
-	}
-	e.o.Log.Info("Registered.", "entry", e.o.Self.ID)
-	return lease, nil
-}
-
 // PeerAddresses returns the link addresses of the other usable entries, or the seeds
 // if there are none.
 func (e *Enroller) PeerAddresses(now time.Time) (addresses []string) {
--- a/entry/enroller/enroller_test.go
+++ b/entry/enroller/enroller_test.go
@@ -62,12 +62,17 @@
 }
 
 // fakeStore accepts registrations and counts them. While refusing is set, it refuses
-// to grant and renew leases.
+// to grant and renew leases, and while silent is set, it answers no calls.
 type fakeStore struct {
 	storer.Store
 	mu       sync.Mutex
 	refusing bool
 	commits  int
+	silent   bool
+	// silentCalls is the number of coming renewals that are not answered.
+	silentCalls int
+	// delay is the time that a renewal takes.
+	delay    time.Duration
 	renewals int
 }
 
@@ -75,11 +80,46 @@
 	return 1, s.err()
 }
 
-func (s *fakeStore) Renew(context.Context, storer.LeaseID) error {
+func (s *fakeStore) Renew(ctx context.Context, _ storer.LeaseID) error {
 	s.mu.Lock()
 	s.renewals++
 	s.mu.Unlock()
-	return s.err()
+	silent, delay := s.silent || s.silentCalls > 0, s.delay
+	s.silentCalls = max(0, s.silentCalls-1)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	select {
+	case <-time.After(delay):
+		return s.err()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// callTimeout bounds a call of the store.
+const callTimeout = 3 * time.Second
+
+func (s *fakeStore) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+// silenceNext leaves the next renewal without an answer.
+func (s *fakeStore) silenceNext() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentCalls = 1
+}
+
+func (s *fakeStore) setDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
 }
 
 func (s *fakeStore) Revoke(context.Context, storer.LeaseID) error { return nil }
--- a/entry/enroller/heartbeat.go
+++ b/entry/enroller/heartbeat.go
@@ -21,6 +21,9 @@
 	// relayTimeout is the time without a heartbeat of the relay after which an entry
 	// watches the store itself.
 	relayTimeout = 700 * time.Millisecond
+	// handoverTimeout is the time in which the next relay sends heartbeats after one has
+	// reported that the store does not answer it.
+	handoverTimeout = relayInterval
 	// minChangeBytes and maxChangeBytes bound the changes in one heartbeat of a relay.
 	// Entries read larger values from the store, and watch it themselves while more changes
 	// than that come. Heartbeats of minChangeBytes to 22 entries take half of a link of
@@ -51,17 +54,20 @@
 }
 
 // RunHeartbeats sends heartbeats until ctx ends. A relay sends them to its whole
-// failure domain every relayInterval; every entry sends them to its ring targets every
-// tracker.HeartbeatInterval.
+// failure domain every relayInterval, and once more when it ceases to be the relay. Every
+// entry sends them to its ring targets every tracker.HeartbeatInterval, a relay also to
+// entries of other failure domains.
 func (e *Enroller) RunHeartbeats(ctx context.Context) {
 	var lastRing time.Time
+	wasRelay := false
 	for {
-		relay := e.IsRelay()
 		now := time.Now()
+		relay := e.IsRelay() && e.storeConfirmed(now)
 		var targets []tracker.Member
-		if relay {
+		if relay || wasRelay {
 			targets = e.domainPeers()
 		}
+		wasRelay = relay
 		if now.Sub(lastRing) >= tracker.HeartbeatInterval-relayInterval/2 {
 			lastRing = now
 			targets = append(targets, e.ringTargets(targets)...)
@@ -83,6 +89,14 @@
 	}
 }
 
+// storeConfirmed reports whether the store has answered this entry lately. One that has
+// just become the relay sends no heartbeats as such before.
+func (e *Enroller) storeConfirmed(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.contact.confirmed(now)
+}
+
 // domainPeers returns the other members of this entry's failure domain.
 func (e *Enroller) domainPeers() (targets []tracker.Member) {
 	e.mu.Lock()
@@ -198,6 +212,7 @@
 	revision := e.o.StoreCache.Revision()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.recordRelayState(now, r)
 	e.members.RecordHeartbeat(now, r.GetEntryId(), r.GetStoreReached(), r.GetStopping(), 0)
 	for _, id := range r.GetUnreachable() {
 		e.members.RecordUnreachableReport(now, id)
@@ -209,6 +224,22 @@
 	}
 }
 
+// recordRelayState records that the relay can no longer be one, if its heartbeat says so.
+// The next one takes over at once. The caller holds the lock.
+func (e *Enroller) recordRelayState(now time.Time, r *linkpb.BeatRequest) {
+	if r.GetEntryId() != e.relay || (r.GetStoreReached() && !r.GetStopping()) {
+		return
+	}
+	e.relay = ""
+	if until := now.Add(handoverTimeout); until.Before(e.relayUntil) {
+		e.relayUntil = until
+	}
+	select {
+	case e.checkNow <- struct{}{}:
+	default:
+	}
+}
+
 // coveredRevision returns the revision up to which the changes of a heartbeat are complete
 // apart from the omitted ones. Entries of earlier versions omit none. Own is the era of
 // the receiver.
@@ -235,7 +266,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.relayUntil = now.Add(relayTimeout)
+	e.relay, e.relayUntil = r.GetEntryId(), now.Add(relayTimeout)
 	e.election.recordHeartbeat(now, r.GetEntryId())
 	cutShort := r.GetCutShort()
 	if r.CutShort == nil {
--- /dev/null
+++ b/entry/enroller/registration.go
@@ -0,0 +1,141 @@
+package enroller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"samphiremux/pkg/storer"
+)
+
+const (
+	// leaseTTL is the time for which a registration is valid without renewal. Heartbeats
+	// show sooner which entries are reachable.
+	leaseTTL = 30 * time.Second
+	// renewInterval is the time between two renewals of an entry, and relayRenewInterval of
+	// a relay, which learns by them that the store does not answer it.
+	renewInterval      = leaseTTL / 3
+	relayRenewInterval = 500 * time.Millisecond
+	// checkInterval is the time between checks whether the registration is due for
+	// renewal.
+	checkInterval = 100 * time.Millisecond
+	// retryDelay is the wait before the next renewal after a failed call of the store.
+	retryDelay = time.Second
+)
+
+// RunRegistration registers this entry and renews the registration until ctx ends.
+func (e *Enroller) RunRegistration(ctx context.Context) {
+	for {
+		e.renewIfDue(ctx)
+		select {
+		case <-time.After(checkInterval):
+		case <-e.checkNow:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// renewIfDue renews the registration if its time has come and the entry has not
+// stopped.
+func (e *Enroller) renewIfDue(ctx context.Context) {
+	relay := e.IsRelay()
+	now := time.Now()
+	e.mu.Lock()
+	renewalDue := !e.stopped && (!now.Before(e.nextRenewal) || (relay && !now.Before(e.nextRelayRenewal)))
+	lease := e.lease
+	e.mu.Unlock()
+	if !renewalDue {
+		return
+	}
+	sent, lease, err := e.renewPromptly(ctx, lease)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lease = lease
+	if err != nil {
+		e.contact.failed = true
+		e.nextRenewal = sent.Add(retryDelay)
+		e.o.Log.Warn("Registration not renewed.", "error", err)
+		return
+	}
+	now = time.Now()
+	confirmed := e.contact.confirmed(now)
+	e.contact = e.contact.withResponse(sent, now)
+	e.nextRenewal, e.nextRelayRenewal = sent.Add(renewInterval), sent.Add(relayRenewInterval)
+	e.members.RecordRenewal(sent)
+	if relay && !confirmed {
+		e.HeartbeatNow()
+	}
+}
+
+// renewPromptly renews the lease, and reports when the answered call was sent. A connection
+// to the store may have gone silent, so a renewal whose response is overdue is sent once more
+// on a new one. If that response is overdue as well, the store counts as failed until it
+// arrives.
+func (e *Enroller) renewPromptly(ctx context.Context, lease storer.LeaseID) (sent time.Time, _ storer.LeaseID, err error) {
+	e.mu.Lock()
+	timeout := e.contact.timeout()
+	e.mu.Unlock()
+	sent = time.Now()
+	if lease != 0 {
+		first, cancel := context.WithTimeout(ctx, timeout)
+		renewed, err := e.renew(first, lease)
+		overdue := err != nil && first.Err() != nil && ctx.Err() == nil
+		cancel()
+		if !overdue {
+			return sent, renewed, err
+		}
+		sent = time.Now()
+	}
+	overdue := time.AfterFunc(timeout, e.reportOverdue)
+	defer overdue.Stop()
+	lease, err = e.renew(ctx, lease)
+	return sent, lease, err
+}
+
+// reportOverdue records that a response of the store is overdue. If this entry is the relay,
+// it tells its failure domain.
+func (e *Enroller) reportOverdue() {
+	e.mu.Lock()
+	e.contact.failed = true
+	e.mu.Unlock()
+	e.o.Log.Warn("Store does not answer the renewal of the registration.")
+	e.HeartbeatNow()
+}
+
+// renew renews the lease. If there is none or it has expired, it registers the entry
+// under a new one. It returns the lease to renew next, or zero if the entry must
+// register again.
+func (e *Enroller) renew(ctx context.Context, lease storer.LeaseID) (_ storer.LeaseID, err error) {
+	if lease != 0 {
+		err = e.o.Store.Renew(ctx, lease)
+		var expired storer.ErrLeaseExpired
+		if !errors.As(err, &expired) {
+			return lease, err
+		}
+	}
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("registering entry %q: %w", e.o.Self.ID, err)
+		}
+	}()
+	lease, err = e.o.Store.Grant(ctx, leaseTTL)
+	if err != nil {
+		return 0, err
+	}
+	value, err := json.Marshal(e.o.Self)
+	if err != nil {
+		return 0, err
+	}
+	put := storer.Put{Key: e.key(), Value: value, Lease: lease}
+	switch outcome := e.o.Store.Commit(ctx, storer.Transaction{Puts: []storer.Put{put}}).(type) {
+	case storer.NotCommitted:
+		return 0, outcome.Cause
+	case storer.Unknown:
+		return 0, outcome.Cause
+	}
+	e.o.Log.Info("Registered.", "entry", e.o.Self.ID)
+	return lease, nil
+}
--- /dev/null
+++ b/entry/enroller/store_contact.go
@@ -0,0 +1,36 @@
+package enroller
+
+import "time"
+
+// minStoreTimeout is the time after which a response of the store is overdue, unless the
+// store has been slow.
+const minStoreTimeout = 250 * time.Millisecond
+
+// storeContact is what an entry knows of whether the store answers it. It is immutable but
+// for failed.
+type storeContact struct {
+	// failed reports that the store refused this entry's last call, or that the response is
+	// overdue.
+	failed bool
+	// confirmedUntil is the time until which the last response shows that the store answers.
+	confirmedUntil time.Time
+	// responseTime is how long the last response took.
+	responseTime time.Duration
+}
+
+// timeout returns the time after which a response is overdue.
+func (c storeContact) timeout() time.Duration { return max(minStoreTimeout, 2*c.responseTime) }
+
+// withResponse returns the contact after the store has answered a call in time.
+func (c storeContact) withResponse(sent, received time.Time) storeContact {
+	c.failed = false
+	c.responseTime = received.Sub(sent)
+	// Until then the next renewal of a relay has been answered, or sent twice in vain.
+	c.confirmedUntil = sent.Add(relayRenewInterval + checkInterval + 2*c.timeout())
+	return c
+}
+
+// confirmed reports whether the store has answered lately.
+func (c storeContact) confirmed(now time.Time) bool {
+	return !c.failed && now.Before(c.confirmedUntil)
+}
--- a/steer/commander/memory_network_test.go
+++ b/steer/commander/memory_network_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // cutKind is what connections from an entry to the backend servers do while the entry is
@@ -31,13 +32,18 @@
 	conns     []*memoryConn
 	// partitioned holds the entries that reach no other entry.
 	partitioned map[string]bool
+	// silentStore holds the entries that the store does not answer.
+	silentStore map[string]bool
 	// closed is set once the fleet has ended. Listeners and connections that are opened
 	// later are closed.
 	closed bool
 }
 
 func newMemoryNetwork() *memoryNetwork {
-	return &memoryNetwork{listeners: map[string]*pipeListener{}, servers: map[string]bool{}, cuts: map[string]cutKind{}, partitioned: map[string]bool{}}
+	return &memoryNetwork{
+		listeners: map[string]*pipeListener{}, servers: map[string]bool{}, cuts: map[string]cutKind{}, partitioned: map[string]bool{},
+		silentStore: map[string]bool{},
+	}
 }
 
 func (n *memoryNetwork) listen(address string) *pipeListener {
@@ -80,6 +86,19 @@
 	}
 }
 
+// silenceStore lets the store answer an entry no more: its open connections carry nothing,
+// and new ones are not established.
+func (n *memoryNetwork) silenceStore(entry string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silentStore[entry] = true
+	for _, c := range n.conns {
+		if c.entry == entry && c.toStore {
+			c.hang()
+		}
+	}
+}
+
 // partition cuts an entry off from all others.
 func (n *memoryNetwork) partition(entry string) {
 	n.mu.Lock()
@@ -99,8 +118,13 @@
 		l, ok := n.listeners[address]
 		toServer := n.servers[address]
 		cut, partitioned := n.cuts[entry], n.partitioned[entry]
+		toStore := address == fleetSettings(0).StoreAddress
+		silent := toStore && n.silentStore[entry]
 		n.mu.Unlock()
 		switch {
+		case silent:
+			time.Sleep(dialTimeout)
+			return nil, syscall.ETIMEDOUT
 		case !toServer && partitioned:
 			return nil, syscall.ECONNREFUSED
 		case toServer && cut == hanging:
@@ -123,7 +147,7 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
-		c := &memoryConn{Conn: client, entry: entry, toServer: toServer, hung: make(chan struct{}), closed: make(chan struct{})}
+		c := &memoryConn{Conn: client, entry: entry, toServer: toServer, toStore: toStore, hung: make(chan struct{}), closed: make(chan struct{})}
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		if n.closed {
@@ -148,11 +172,13 @@
 	}
 }
 
-// memoryConn is a connection from an entry to a backend server or to another entry.
+// memoryConn is a connection from an entry to a backend server, to another entry or to the
+// store.
 type memoryConn struct {
 	net.Conn
 	entry    string
 	toServer bool
+	toStore  bool
 
 	hangOnce, closeOnce sync.Once
 	hung, closed        chan struct{}
--- a/steer/commander/quarantine_test.go
+++ b/steer/commander/quarantine_test.go
@@ -32,18 +32,24 @@
 			time.Sleep(serverWork)
 			_, _ = w.Write([]byte("ok"))
 		}
-		store := serveStore(f.network)
-		f.ends = map[*entry]context.CancelFunc{}
-		for _, e := range f.entries {
-			ctx, cancel := context.WithCancel(context.Background())
-			f.ends[e] = cancel
-			e.followStore(ctx)
-		}
+		store := f.followStore()
 		time.Sleep(settleTime)
 		test(f, store, func() int { return int(crashes.Load()) })
 	})
 }
 
+// followStore lets the entries of a fleet follow a new store.
+func (f *fleet) followStore() *memoryStore {
+	store := serveStore(f.network)
+	f.ends = map[*entry]context.CancelFunc{}
+	for _, e := range f.entries {
+		ctx, cancel := context.WithCancel(context.Background())
+		f.ends[e] = cancel
+		e.followStore(ctx)
+	}
+	return store
+}
+
 // followStore lets an entry follow the store until ctx ends.
 func (e *entry) followStore(ctx context.Context) {
 	go e.reflector.Run(ctx)
