enroller, commander: changes are fetched from entries that respond first

Change: entries from which a heartbeat or an answer has arrived within 1.5 s are asked before the others.

Ruled out: several fetches at once. A large configuration takes 0.8 s of a slow link, and copies of it would share that link.

--- a/entry/enroller/enroller.go
+++ b/entry/enroller/enroller.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -22,6 +23,10 @@
 	"samphiremux/pkg/storer"
 )
 
+// responsiveTime is the time for which an entry is asked for changes before others after its
+// last heartbeat or answer.
+const responsiveTime = tracker.HeartbeatInterval * 3 / 2
+
 // Options are the dependencies and settings of an Enroller.
 type Options struct {
 	// Self is this entry's own registration.
@@ -255,15 +260,25 @@
 	return e.members.PeerReachesStore(id)
 }
 
-// PeerAddresses returns the link addresses of the other usable entries, or the seeds
-// if there are none.
+// PeerAddresses returns the link addresses of the other usable entries, first of those from
+// which a heartbeat has arrived lately, or the seeds if there are no other entries. The order
+// is random otherwise.
 func (e *Enroller) PeerAddresses(now time.Time) (addresses []string) {
-	for _, m := range e.UsableMembers(now) {
-		if m.ID != e.o.Self.ID {
+	members := e.UsableMembers(now)
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	var silent []string
+	e.mu.Lock()
+	for _, m := range members {
+		switch {
+		case m.ID == e.o.Self.ID:
+		case e.members.HeardWithin(now, m.ID, responsiveTime):
 			addresses = append(addresses, m.LinkAddress)
+		default:
+			silent = append(silent, m.LinkAddress)
 		}
 	}
-	if len(addresses) > 0 {
+	e.mu.Unlock()
+	if addresses = append(addresses, silent...); len(addresses) > 0 {
 		return addresses
 	}
 	for _, a := range e.o.Seeds() {
--- a/entry/tracker/tracker.go
+++ b/entry/tracker/tracker.go
@@ -332,6 +332,11 @@
 	return p.lastHeartbeat.IsZero() || p.storeReached
 }
 
+// HeardWithin reports whether a member has sent a heartbeat, or answered one, within a time.
+func (t *Tracker) HeardWithin(now time.Time, id string, d time.Duration) bool {
+	return now.Sub(t.peer(id).lastHeartbeat) < d
+}
+
 // SetStopping records that this entry is stopping.
 func (t *Tracker) SetStopping() { t.peer(t.self.ID).stopping = true }
 
--- a/steer/commander/link.go
+++ b/steer/commander/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"samphiremux/entry/quarantiner"
@@ -36,14 +35,13 @@
 	})
 }
 
-// fetchFromPeers asks other entries, in random order, for the changes above a revision
-// until one of them has newer ones. If none has, it returns an empty batch and the
+// fetchFromPeers asks other entries for the changes above a revision until one of them has
+// newer ones, those last from which no heartbeat has arrived lately. If none has, it returns an empty batch and the
 // error of the last call, which is nil if that entry answered.
 func (e *entry) fetchFromPeers(ctx context.Context, above storer.Revision) (b reflector.Batch, err error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	peers := e.enroller.PeerAddresses(time.Now())
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	err = errors.New("no other entry to fetch changes from")
 	for _, address := range peers {
 		peerCtx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
--- a/steer/commander/partition_test.go
+++ b/steer/commander/partition_test.go
@@ -85,16 +85,11 @@
 func newFleet() *fleet {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &fleet{network: newMemoryNetwork(), runs: map[string]int{}, backends: map[string]*http.Server{}, cancel: cancel}
-	registrations := map[string][]byte{}
 	for i := range fleetSize {
-		s := fleetSettings(i)
 		f.entries = append(f.entries, f.newEntry(i))
-		registrations[entryPrefix+s.ID], _ = json.Marshal(registration(s))
 	}
 	for _, e := range f.entries {
-		for key, value := range registrations {
-			e.enroller.ApplyChange(time.Now(), key, value, false)
-		}
+		f.register(e)
 		f.start(ctx, e)
 	}
 	for i := range fleetServers {
@@ -103,6 +98,15 @@
 	return f
 }
 
+// register makes the entries of the fleet known to an entry.
+func (f *fleet) register(e *entry) {
+	for i := range f.entries {
+		s := fleetSettings(i)
+		value, _ := json.Marshal(registration(s))
+		e.enroller.ApplyChange(time.Now(), entryPrefix+s.ID, value, false)
+	}
+}
+
 func (f *fleet) newEntry(i int) *entry {
 	s := fleetSettings(i)
 	return newEntry(s, chooser.ExpectedCompletion{}, f.network.dialer(s.ID), hclog.NewNullLogger())
