enroller: entries that are lost with their domain or its relay are found

Callers saw: 11 of 18 entries were lost for good, one failure domain whole.

Cause: who watches whom rested on entries that are lost. Reports of another domain come from that domain alone, and a relay passes on only what it has found itself: entries that it was told of it sends no heartbeats, and presumed relays it finds silent one after the other. In a large domain each lost candidate takes 0.7 s before a running one becomes the relay.

Evidence: a trace on, the same loss in memory: from 9 s to 24 s after it the relay does not name e02, which a ring neighbour has reported, and the five others of its domain do.

Change: a relay that does not hear the presumed relay of another domain for 1.2 s asks four more entries there, 0.3 s later all, and keeps asking those that it has found unresponsive. Candidates that are silent are passed over in groups of 1, 3, 12, 48. An entry that says that the store does not answer it is not presumed to be a relay. That an entry is unresponsive lapses 2.5 s after the last heartbeat to it, since nothing would show its return.

Ruled out: leases, which end after 30 s as designed; reports that lapse too early (they are repeated every 0.3 s).

--- a/entry/enroller/enroller_test.go
+++ b/entry/enroller/enroller_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,12 +68,12 @@
 	storer.Store
 	mu       sync.Mutex
 	refusing bool
-	commits  int
 	silent   bool
 	// silentCalls is the number of coming renewals that are not answered.
 	silentCalls int
 	// delay is the time that a renewal takes.
 	delay    time.Duration
+	commits  int
 	renewals int
 }
 
@@ -83,9 +84,9 @@
 func (s *fakeStore) Renew(ctx context.Context, _ storer.LeaseID) error {
 	s.mu.Lock()
 	s.renewals++
-	s.mu.Unlock()
 	silent, delay := s.silent || s.silentCalls > 0, s.delay
 	s.silentCalls = max(0, s.silentCalls-1)
+	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if silent {
@@ -158,6 +159,8 @@
 	caches  []*fakeStoreCache
 	stores  []*fakeStore
 	cancels []context.CancelFunc
+	// lossesHang makes connections to a lost entry hang. They are refused otherwise.
+	lossesHang atomic.Bool
 }
 
 type listener struct {
@@ -208,12 +211,15 @@
 		members = append(members, m)
 		listeners[m.LinkAddress] = &listener{conns: make(chan net.Conn), closed: make(chan struct{})}
 	}
-	dial := func(_ context.Context, address string) (net.Conn, error) {
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		own, other := net.Pipe()
 		select {
 		case listeners[address].conns <- other:
 			return own, nil
 		case <-listeners[address].closed:
+			if f.lossesHang.Load() {
+				<-ctx.Done()
+			}
 			return nil, net.ErrClosed
 		}
 	}
--- a/entry/enroller/heartbeat.go
+++ b/entry/enroller/heartbeat.go
@@ -71,9 +71,9 @@
 		if now.Sub(lastRing) >= tracker.HeartbeatInterval-relayInterval/2 {
 			lastRing = now
 			targets = append(targets, e.ringTargets(targets)...)
-			if relay {
-				targets = append(targets, e.otherRelays(targets)...)
-			}
+		}
+		if relay {
+			targets = append(targets, slices.DeleteFunc(e.remoteTargets(now), func(m tracker.Member) bool { return slices.Contains(targets, m) })...)
 		}
 		e.sendHeartbeats(ctx, targets, relay)
 		wait := tracker.HeartbeatInterval
--- a/entry/enroller/relay.go
+++ b/entry/enroller/relay.go
@@ -14,9 +14,14 @@
 	// electionStart is the time after the start in which no relay is passed over: those of
 	// the other entries need some time to receive the registration of this one.
 	electionStart = 2 * time.Second
-	// remoteReportTimeout is the time for which the report of another failure domain's
-	// relay that one of its entries is unreachable applies.
-	remoteReportTimeout = 2500 * time.Millisecond
+	// successorTimeout is the time within which the next candidate sends a heartbeat as the
+	// relay once one has been passed over.
+	successorTimeout = 400 * time.Millisecond
+	// roundGrowth is the factor by which the number of candidates grows that are passed over
+	// in a round, 1 << roundGrowthBits, and maxRounds bounds the rounds in which it does.
+	roundGrowthBits = 2
+	roundGrowth     = 1 << roundGrowthBits
+	maxRounds       = 8
 	// relayKey is the key of the rendezvous order of relays.
 	relayKey = "scout"
 )
@@ -30,30 +35,54 @@
 	// passedOver holds the entries that have not. Most entries exchange no heartbeats with a
 	// candidate, so nothing else shows that it has crashed.
 	passedOver map[string]bool
+	// rounds is the number of times that candidates were passed over since the last
+	// heartbeat of a relay.
+	rounds int
 }
 
 // recordHeartbeat records a heartbeat of a relay.
 func (l *election) recordHeartbeat(now time.Time, id string) {
 	delete(l.passedOver, id)
+	l.rounds = 0
 	if due := now.Add(relayTimeout); due.After(l.due) {
 		l.due = due
 	}
 }
 
 // expect records which other entry should be the relay now. It reports false if that one
-// has been silent for too long, and passes it over.
+// has been silent for too long.
 func (l *election) expect(now time.Time, id string) bool {
 	if id != l.expected {
 		l.expected = id
-		if due := now.Add(relayTimeout); due.After(l.due) {
+		timeout := relayTimeout
+		if l.rounds > 0 {
+			timeout = successorTimeout
+		}
+		if due := now.Add(timeout); due.After(l.due) {
 			l.due = due
 		}
 	}
-	if now.Before(l.due) {
-		return true
+	return now.Before(l.due)
+}
+
+// passOver passes over candidates until it meets an entry, and returns the others. The first
+// time it is one of them, then three, then twelve, and so on, so that a few rounds suffice
+// when most entries are lost at once.
+func (l *election) passOver(candidates []tracker.Member, until string) []tracker.Member {
+	n := 1
+	if l.rounds > 0 {
+		n = (roundGrowth - 1) << (roundGrowthBits * min(l.rounds-1, maxRounds))
 	}
-	l.passedOver[id] = true
-	return false
+	l.rounds++
+	for ; n > 0 && len(candidates) > 0; n-- {
+		first := firstRelay(candidates)
+		if first.ID == until {
+			break
+		}
+		l.passedOver[first.ID] = true
+		candidates = slices.DeleteFunc(candidates, func(m tracker.Member) bool { return m.ID == first.ID })
+	}
+	return candidates
 }
 
 // IsRelay reports whether this entry watches the store for the other entries of its
@@ -77,7 +106,7 @@
 		if e.election.expect(now, first.ID) {
 			return false
 		}
-		candidates = slices.DeleteFunc(candidates, func(m tracker.Member) bool { return m.ID == first.ID })
+		candidates = e.election.passOver(candidates, e.o.Self.ID)
 	}
 	return false
 }
@@ -130,50 +159,6 @@
 	return first
 }
 
-// otherRelays returns the presumed relays of the other failure domains, without those in
-// targets.
-func (e *Enroller) otherRelays(targets []tracker.Member) (relays []tracker.Member) {
-	now := time.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	t := e.tracked(now)
-	domains := map[string][]tracker.Member{}
-	for _, m := range t.Members() {
-		if m.Domain != e.o.Self.Domain && t.Usable(now, m.ID) {
-			domains[m.Domain] = append(domains[m.Domain], m)
-		}
-	}
-	for _, candidates := range domains {
-		if first := firstRelay(candidates); !slices.Contains(targets, first) {
-			relays = append(relays, first)
-		}
-	}
-	return relays
-}
-
-// recordRemote records that an entry of another failure domain reports one of that domain
-// as unreachable. A relay passes this on to its own domain, and only this, so that reports
-// do not keep each other alive. The caller holds the lock.
-func (e *Enroller) recordRemote(now time.Time, reporter, id string) {
-	domain := e.registered[reporter].Domain
-	if domain != "" && domain != e.o.Self.Domain && e.registered[id].Domain == domain {
-		e.remoteUntil[id] = now.Add(remoteReportTimeout)
-	}
-}
-
-// remoteUnreachable returns the entries of other failure domains that are reported as
-// unreachable. The caller holds the lock.
-func (e *Enroller) remoteUnreachable(now time.Time) (ids []string) {
-	for id, until := range e.remoteUntil {
-		if now.Before(until) {
-			ids = append(ids, id)
-			continue
-		}
-		delete(e.remoteUntil, id)
-	}
-	return ids
-}
-
 // changeLimit returns the size in bytes up to which changes are sent in one heartbeat, so
 // that those to all entries of the failure domain take half of the link. The caller holds
 // the lock.
--- a/entry/tracker/tracker.go
+++ b/entry/tracker/tracker.go
@@ -61,8 +61,10 @@
 // peer is what this entry knows of a member.
 type peer struct {
 	lastHeartbeat time.Time
-	// unansweredSince is when the first heartbeat after lastHeartbeat was sent.
+	// unansweredSince is when the first heartbeat after lastHeartbeat was sent, and lastSent
+	// when the latest one was.
 	unansweredSince time.Time
+	lastSent        time.Time
 	// storeReached is true if the peer last reported that it reaches the store.
 	storeReached bool
 	stopping     bool
@@ -277,9 +279,11 @@
 
 // RecordHeartbeatSent records that a heartbeat was sent to a peer.
 func (t *Tracker) RecordHeartbeatSent(now time.Time, id string) {
-	if p := t.peer(id); p.unansweredSince.Before(p.lastHeartbeat) || p.unansweredSince.IsZero() {
+	p := t.peer(id)
+	if p.unansweredSince.Before(p.lastHeartbeat) || now.Sub(p.lastSent) >= heartbeatTimeout {
 		p.unansweredSince = now
 	}
+	p.lastSent = now
 }
 
 // RecordUnreachableReport records a report that a member is unreachable. It
@@ -302,13 +306,24 @@
 	return ids
 }
 
-// unresponsive reports whether a peer was sent a heartbeat at least
-// heartbeatTimeout ago and has sent none within that time.
+// unresponsive reports whether a peer has been sent heartbeats for at least heartbeatTimeout
+// and has sent none within that time. This lapses once it is sent no more, since nothing
+// would show that it responds again.
 func (t *Tracker) unresponsive(now time.Time, id string) bool {
 	p := t.peer(id)
-	return !p.unansweredSince.IsZero() && now.Sub(p.unansweredSince) >= heartbeatTimeout && now.Sub(p.lastHeartbeat) >= heartbeatTimeout
+	return now.Sub(p.lastSent) < heartbeatTimeout && now.Sub(p.unansweredSince) >= heartbeatTimeout && now.Sub(p.lastHeartbeat) >= heartbeatTimeout
 }
 
+// Unanswered reports whether a member that is sent heartbeats has answered none of them for
+// a time.
+func (t *Tracker) Unanswered(now time.Time, id string, d time.Duration) bool {
+	p := t.peer(id)
+	return now.Sub(p.lastSent) < heartbeatTimeout && p.unansweredSince.After(p.lastHeartbeat) && now.Sub(p.unansweredSince) >= d
+}
+
+// Unresponsive reports whether a member does not answer this entry's own heartbeats.
+func (t *Tracker) Unresponsive(now time.Time, id string) bool { return t.unresponsive(now, id) }
+
 // Usable reports whether callers may be referred to a member. A member that is
 // stopping, unresponsive or reported unreachable is not usable.
 func (t *Tracker) Usable(now time.Time, id string) bool {
@@ -332,11 +347,22 @@
 	return p.lastHeartbeat.IsZero() || p.storeReached
 }
 
+// PeerLacksStore reports whether a member has stated lately that it does not reach the store.
+func (t *Tracker) PeerLacksStore(now time.Time, id string) bool {
+	p := t.peer(id)
+	return !p.storeReached && now.Sub(p.lastHeartbeat) < heartbeatTimeout
+}
+
 // HeardWithin reports whether a member has sent a heartbeat, or answered one, within a time.
 func (t *Tracker) HeardWithin(now time.Time, id string, d time.Duration) bool {
 	return now.Sub(t.peer(id).lastHeartbeat) < d
 }
 
+// SentWithin reports whether a member was sent a heartbeat within a time.
+func (t *Tracker) SentWithin(now time.Time, id string, d time.Duration) bool {
+	return now.Sub(t.peer(id).lastSent) < d
+}
+
 // SetStopping records that this entry is stopping.
 func (t *Tracker) SetStopping() { t.peer(t.self.ID).stopping = true }
 
