balancer, delegator: requests that need a trial are passed on to where it is made

Callers saw: 3 of 20 servers crashed together while two of them ran the first requests for a page.

Cause: crashes whose attempts overlap count once, and until it is known whether the page was their cause one entry of all domains may try it. The others refused it, and callers use the entries of their own domain, so that one never got it.

Evidence: TestPageRefusedWhereItsCallersAre on: asked at one of six entries only, the page is refused at five and served at the first in its order.

Change: an entry passes such a request on to the first in the order, marked as a trial; if that one does not respond, reaches no server or stops, to the next, up to three. A success clears the page here too. One entry still makes the trial.

Ruled out: that the page counts as quarantined (the entries say that it needs a trial, and the first one serves it at once).

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -63,9 +63,9 @@
 	// a server, and the number of entries. Entries that know the same entries agree on
 	// the order, which differs from server to server.
 	Rank func(server string) (rank, entries int)
-	// IsFirst reports whether this entry is the first in the order for a key of the entries
-	// that callers may be directed to. It may be nil.
-	IsFirst func(key string) bool
+	// FirstEntries returns the ids of the first n entries, in the order for a key, of those
+	// that callers may be directed to. It may be nil if there is only this entry.
+	FirstEntries func(key string, n int) []string
 	// MayTake reports whether a request with this deadline may still be passed on. It may
 	// be nil.
 	MayTake func(deadline time.Time) bool
@@ -142,8 +142,8 @@
 	if opts.MayTake == nil {
 		opts.MayTake = func(time.Time) bool { return true }
 	}
-	if opts.IsFirst == nil {
-		opts.IsFirst = func(string) bool { return true }
+	if opts.FirstEntries == nil {
+		opts.FirstEntries = func(string, int) []string { return []string{opts.Self} }
 	}
 	if opts.NotifySuspect == nil {
 		opts.NotifySuspect = func(string, quarantiner.Fingerprint, int, quarantiner.Attempt) {}
--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -29,6 +29,8 @@
 	// configuration is the version of the configuration by which it accepted the
 	// request.
 	configuration int64
+	// trial reports that this entry is to run the request as a trial.
+	trial bool
 	// tell tells that entry the number of attempts, once another one is about to begin.
 	tell func(attempts int)
 }
@@ -46,10 +48,11 @@
 	from := h.Get(delegator.HopHeader)
 	attempts, _ := strconv.Atoi(h.Get(delegator.AttemptsHeader))
 	configuration, _ := strconv.ParseInt(h.Get(delegator.ConfigurationHeader), 10, 64)
-	for _, name := range []string{delegator.HopHeader, delegator.AttemptsHeader, delegator.ConfigurationHeader} {
+	trial := h.Get(delegator.TrialHeader) != ""
+	for _, name := range []string{delegator.HopHeader, delegator.AttemptsHeader, delegator.ConfigurationHeader, delegator.TrialHeader} {
 		h.Del(name)
 	}
-	return &hop{from: from, attempts: max(0, attempts), configuration: configuration}
+	return &hop{from: from, attempts: max(0, attempts), configuration: configuration, trial: trial}
 }
 
 // ServeDelegated serves the requests and probes of other entries. A request is passed on
@@ -103,7 +106,12 @@
 // delegate passes a request on to another entry, after a reason not to send it to a server
 // from here. It reports whether the request may be tried again.
 func (b *Balancer) delegate(ctx context.Context, c *call, state *attempts, reason refuser.Reason) (resp *roundtripper.Response, refusal *refuser.Refusal, retry bool) {
-	switch result := b.sendToEntry(ctx, c, state.sent, reason).(type) {
+	return b.conclude(ctx, c, state, b.sendToEntry(ctx, c, state.sent, reason), reason)
+}
+
+// conclude concludes from the result of passing a request on, as delegate does.
+func (b *Balancer) conclude(ctx context.Context, c *call, state *attempts, result delegator.Result, reason refuser.Reason) (resp *roundtripper.Response, refusal *refuser.Refusal, retry bool) {
+	switch result := result.(type) {
 	case delegator.Responded:
 		c.traceDelegated(result.Entry, delegatedResponded)
 		b.metrics.delegated.With(delegatedResponded).Inc()
@@ -158,17 +166,24 @@
 // reason not to send it to another one from here. It records what the response says of the
 // server.
 func (b *Balancer) sendToEntry(ctx context.Context, c *call, sent int, reason refuser.Reason) delegator.Result {
+	r := b.delegatedRequest(c, sent)
+	r.ReachesNone = reason == refuser.UnreachableServers || reason == refuser.BackendUnreachable
+	result := b.opts.Delegator.Send(ctx, r)
+	if responded, ok := result.(delegator.Responded); ok {
+		b.setLeaving(c.service, responded.Leaving)
+	}
+	return result
+}
+
+// delegatedRequest returns a request to pass on that has been sent to servers a number of
+// times.
+func (b *Balancer) delegatedRequest(c *call, sent int) delegator.Request {
 	header := c.header.Clone()
 	b.opts.Headers.SetDeadline(header, time.Until(c.deadline))
-	result := b.opts.Delegator.Send(ctx, delegator.Request{
+	return delegator.Request{
 		Request:  roundtripper.Request{Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id},
 		Attempts: sent, Configuration: c.view.Table.Version, Service: c.service,
-		ReachesNone: reason == refuser.UnreachableServers || reason == refuser.BackendUnreachable,
-	})
-	if responded, ok := result.(delegator.Responded); ok {
-		b.setLeaving(c.service, responded.Leaving)
 	}
-	return result
 }
 
 // delegateHedge passes on the hedge of an idempotent request. A refusal as not run counts as
--- a/entry/balancer/run.go
+++ b/entry/balancer/run.go
@@ -17,7 +17,14 @@
 	}
 	deposited := false
 	for {
-		if !b.admitted(c) {
+		switch b.admissionOf(c) {
+		case ordinaryRequest:
+		case trialRequest:
+			here, resp, refusal := b.runTrial(ctx, c, &state)
+			if !here {
+				return resp, refusal
+			}
+		default:
 			return nil, state.refusal(refuser.Suspect)
 		}
 		p, reason := b.pick(ctx, c)
--- a/entry/balancer/suspect.go
+++ b/entry/balancer/suspect.go
@@ -24,42 +24,6 @@
 	return quarantiner.FingerprintOf(c.service, c.method, c.target, c.body)
 }
 
-// admitted reports whether the request may be sent to a server: it is not in quarantine, and
-// if it needs a trial, this entry is to make it and does so with this request.
-func (b *Balancer) admitted(c *call) bool {
-	b.mu.Lock()
-	suspects, ok := b.suspects[c.service]
-	if !ok || suspects.Len() == 0 {
-		b.mu.Unlock()
-		return true
-	}
-	now, fingerprint := time.Now(), c.fingerprint()
-	quarantined, needsTrial := suspects.Quarantined(now, fingerprint), suspects.NeedsTrial(now, fingerprint)
-	b.mu.Unlock()
-	switch {
-	case quarantined:
-		return false
-	case !needsTrial || c.trial:
-		return true
-	case !b.opts.IsFirst(fingerprint.String()):
-		return false
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	c.trial = suspects.BeginTrial(now, fingerprint)
-	return c.trial || !suspects.NeedsTrial(now, fingerprint)
-}
-
-// endTrial ends the trial that the request has been, if it has.
-func (b *Balancer) endTrial(c *call) {
-	if !c.trial {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.suspectsOf(c.service).End(time.Now(), c.fingerprint())
-}
-
 // detectCrash finds whether the server crashed while it ran the request. It
 // counts as crashed if it refuses connections after it broke off the one that
 // carried the request, while another server accepts one: otherwise this entry may have
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -50,6 +50,8 @@
 	// LeavingHeader carries the server that sent a response, if it is shutting down, as in
 	// LeavingServer.Header.
 	LeavingHeader = "Samphire-Leaving-Server"
+	// TrialHeader marks a request that may run only as a trial, which the entry is to make.
+	TrialHeader = "Samphire-Trial"
 	// RetryHeader carries the time after which a refused request may be served, as a Go
 	// duration. It is missing if that is not known.
 	RetryHeader = "Samphire-Retry"
@@ -125,6 +127,8 @@
 	Configuration int64
 	// Service is the service that the request is for.
 	Service string
+	// Trial reports that the entry is to run the request as a trial.
+	Trial bool
 	// ReachesNone reports whether this entry reaches no server of the service, so that one
 	// that reaches some of them is good enough.
 	ReachesNone bool
@@ -228,9 +232,7 @@
 // Send passes a request on until ctx is done. An entry that turns it down unsent makes
 // room for the next one.
 func (d *Delegator) Send(ctx context.Context, r Request) Result {
-	r.Header.Set(HopHeader, d.opts.Self)
-	r.Header.Set(AttemptsHeader, strconv.Itoa(r.Attempts))
-	r.Header.Set(ConfigurationHeader, strconv.FormatInt(r.Configuration, 10))
+	d.setHeaders(r)
 	var last Result = Unreached{}
 	var tried []*peerState
 	for len(tried) < maxTries {
@@ -270,6 +272,34 @@
 	return last
 }
 
+// SendTo passes a request on to one entry until ctx is done.
+func (d *Delegator) SendTo(ctx context.Context, id string, r Request) Result {
+	d.setHeaders(r)
+	p := d.peer(id)
+	if p == nil {
+		return Unreached{}
+	}
+	probed := p.probe(ctx, probePath(r))
+	switch {
+	case probed.conn == nil:
+		return Unreached{}
+	case ctx.Err() != nil:
+		probed.release()
+		return Unreached{}
+	}
+	return p.send(ctx, probed.conn, r)
+}
+
+// setHeaders sets the headers that tell another entry of a request.
+func (d *Delegator) setHeaders(r Request) {
+	r.Header.Set(HopHeader, d.opts.Self)
+	r.Header.Set(AttemptsHeader, strconv.Itoa(r.Attempts))
+	r.Header.Set(ConfigurationHeader, strconv.FormatInt(r.Configuration, 10))
+	if r.Trial {
+		r.Header.Set(TrialHeader, "1")
+	}
+}
+
 // send sends a request to one entry.
 func (p *peerState) send(ctx context.Context, conn *roundtripper.Conn, r Request) Result {
 	attempts := r.Attempts + 1
--- a/entry/delegator/probe.go
+++ b/entry/delegator/probe.go
@@ -38,15 +38,12 @@
 // and the connection of the probe, or nil if there is none. Those that have turned the
 // request down are left out.
 func (d *Delegator) pick(ctx context.Context, r Request, tried []*peerState) (*peerState, *roundtripper.Conn) {
-	path := HealthPath + "?" + url.Values{
-		ConfigurationParameter: {strconv.FormatInt(r.Configuration, 10)}, ServiceParameter: {r.Service},
-	}.Encode()
 	candidates := d.candidates(time.Now(), r.search(), tried)
 	candidates = candidates[:min(len(candidates), maxProbes)]
 	if len(candidates) == 0 {
 		return nil, nil
 	}
-	if p, conn := d.probe(ctx, path, candidates, r.ReachesNone); p != nil {
+	if p, conn := d.probe(ctx, probePath(r), candidates, r.ReachesNone); p != nil {
 		return p, conn
 	}
 	if ctx.Err() == nil && len(tried) == 0 {
@@ -57,6 +54,37 @@
 	return nil, nil
 }
 
+// probePath returns the target of the probes for a request.
+func probePath(r Request) string {
+	return HealthPath + "?" + url.Values{
+		ConfigurationParameter: {strconv.FormatInt(r.Configuration, 10)}, ServiceParameter: {r.Service},
+	}.Encode()
+}
+
+// peer returns the state of an entry, or nil if it takes no requests.
+func (d *Delegator) peer(id string) *peerState {
+	peers := d.opts.Peers()
+	i := slices.IndexFunc(peers, func(p Peer) bool { return p.ID == id })
+	if i < 0 {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state(peers[i])
+}
+
+// state returns the state of an entry. The caller holds the lock.
+func (d *Delegator) state(p Peer) *peerState {
+	state, ok := d.peers[p]
+	if !ok {
+		state = &peerState{Peer: p, Client: roundtripper.New(p.ID, p.Address, func(ctx context.Context) (net.Conn, error) {
+			return d.opts.Dial(ctx, p.Address)
+		}, d.headers())}
+		d.peers[p] = state
+	}
+	return state
+}
+
 // candidates returns the other entries in random order, those of the own failure domain
 // first, and those that failed lately last. Entries of domains in which one has turned the
 // request down come after others.
@@ -68,13 +96,7 @@
 		return nil
 	}
 	for _, p := range peers {
-		state, ok := d.peers[p]
-		if !ok {
-			state = &peerState{Peer: p, Client: roundtripper.New(p.ID, p.Address, func(ctx context.Context) (net.Conn, error) {
-				return d.opts.Dial(ctx, p.Address)
-			}, d.headers())}
-			d.peers[p] = state
-		}
+		state := d.state(p)
 		if !slices.Contains(tried, state) {
 			candidates = append(candidates, state)
 		}
--- a/entry/enroller/enroller.go
+++ b/entry/enroller/enroller.go
@@ -202,11 +202,19 @@
 	return rank, entries + 1
 }
 
-// IsFirst reports whether this entry is the first of the usable ones in the rendezvous order
-// for a key.
-func (e *Enroller) IsFirst(key string) bool {
-	first, ok := tracker.HighestRanked(key, e.UsableMembers(time.Now()))
-	return ok && first.ID == e.o.Self.ID
+// FirstMembers returns the ids of the first n of the usable entries in the rendezvous order
+// for a key, or of all if there are fewer.
+func (e *Enroller) FirstMembers(key string, n int) (ids []string) {
+	members := e.UsableMembers(time.Now())
+	for len(ids) < n {
+		first, ok := tracker.HighestRanked(key, members)
+		if !ok {
+			break
+		}
+		ids = append(ids, first.ID)
+		members = slices.DeleteFunc(members, func(m tracker.Member) bool { return m.ID == first.ID })
+	}
+	return ids
 }
 
 // Deregister announces to the other entries that this entry is leaving and revokes
--- a/steer/commander/quarantine_test.go
+++ b/steer/commander/quarantine_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"samphiremux/entry/quarantiner"
 	"samphiremux/platform/translator"
 )
 
@@ -220,6 +222,67 @@
 	}
 }
 
+// crashedPage is a page of a route whose requests run once at most.
+const crashedPage = "/book/page"
+
+// pageAfterCrashes runs a test on a fleet after a page was running on servers that crashed
+// together.
+func pageAfterCrashes(t *testing.T, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	withFleet(t, func(t *testing.T, f *fleet) {
+		group := &crashTogether{f: f, path: crashedPage, running: map[string]int{}}
+		f.respond = group.respond
+		time.Sleep(settleTime)
+		var calls sync.WaitGroup
+		for n := range 2 {
+			calls.Go(func() { f.call(n, crashedPage, fmt.Sprintf("r%d", n)) })
+		}
+		time.Sleep(serverWork / 2)
+		if !group.crash(2) {
+			t.Fatal("the page runs on fewer than 2 servers")
+		}
+		calls.Wait()
+		time.Sleep(settleTime)
+		test(t, f)
+	})
+}
+
+// TestPageRefusedWhereItsCallersAre guards against a page that was running on servers which
+// crashed together, and that the entries of its callers refuse while another one, which they
+// do not use, may try it.
+func TestPageRefusedWhereItsCallersAre(t *testing.T) {
+	for i := range fleetSize {
+		t.Run(fmt.Sprintf("callers of entry %d", i), func(t *testing.T) {
+			pageAfterCrashes(t, func(t *testing.T, f *fleet) {
+				for n := range 5 {
+					if !f.call(i, crashedPage, fmt.Sprintf("after-%d", n)) {
+						t.Errorf("call %d for the page was refused", n)
+					}
+					time.Sleep(callInterval)
+				}
+			})
+		})
+	}
+}
+
+// TestTrialAtEntryThatDoesNotRespond guards against a page that is refused since the entries
+// that may try it reach no server.
+func TestTrialAtEntryThatDoesNotRespond(t *testing.T) {
+	pageAfterCrashes(t, func(t *testing.T, f *fleet) {
+		fingerprint := quarantiner.FingerprintOf("stock", http.MethodGet, crashedPage, nil)
+		unreaching := f.entries[0].enroller.FirstMembers(fingerprint.String(), 2)
+		for _, id := range unreaching {
+			f.network.setCut(id, hanging)
+		}
+		time.Sleep(settleTime)
+		for i, e := range f.entries {
+			if !slices.Contains(unreaching, e.id) && !f.call(i, crashedPage, fmt.Sprintf("after-%d", i)) {
+				t.Errorf("entry %d refuses the page", i)
+			}
+		}
+	})
+}
+
 // TestFatalRequestAtAllEntries guards against a request that crashes servers again and again
 // since it arrives at several entries at the same moment.
 func TestFatalRequestAtAllEntries(t *testing.T) {
