enroller: a response that arrives as it becomes overdue does not count as missing

Found by reading: the timer that finds a renewal overdue may run while its response is being recorded, and mark the store as failed after it. The entry would stay without the role of a relay until its next renewal, 10 s later.

Change: the timer does nothing once the renewal has ended.

TestHandoverWhileStoreIsSlow now also has responses that take just as long as the timer, ten times each; it did not fail before (the two do not meet there), so this stands by reading alone.

--- a/entry/enroller/registration.go
+++ b/entry/enroller/registration.go
@@ -89,20 +89,27 @@
 		}
 		sent = time.Now()
 	}
-	overdue := time.AfterFunc(timeout, e.reportOverdue)
+	renewing, ended := context.WithCancel(ctx)
+	defer ended()
+	overdue := time.AfterFunc(timeout, func() { e.reportOverdue(renewing) })
 	defer overdue.Stop()
 	lease, err = e.renew(ctx, lease)
 	return sent, lease, err
 }
 
-// reportOverdue records that a response of the store is overdue. If this entry is the relay,
-// it tells its failure domain.
-func (e *Enroller) reportOverdue() {
+// reportOverdue records that the response to a renewal is overdue, unless it has ended by
+// now. If this entry is the relay, it tells its failure domain.
+func (e *Enroller) reportOverdue(renewing context.Context) {
 	e.mu.Lock()
-	e.contact.failed = true
+	overdue := renewing.Err() == nil
+	if overdue {
+		e.contact.failed = true
+	}
 	e.mu.Unlock()
-	e.o.Log.Warn("Store does not answer the renewal of the registration.")
-	e.HeartbeatNow()
+	if overdue {
+		e.o.Log.Warn("Store does not answer the renewal of the registration.")
+		e.HeartbeatNow()
+	}
 }
 
 // renew renews the lease. If there is none or it has expired, it registers the entry
--- a/entry/enroller/silent_store_test.go
+++ b/entry/enroller/silent_store_test.go
@@ -58,21 +58,26 @@
 // TestHandoverWhileStoreIsSlow guards against entries that give up the role of the relay
 // again and again while the store answers all calls, but slowly.
 func TestHandoverWhileStoreIsSlow(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFleet(domains("a", 6)...)
-		defer f.close()
-		time.Sleep(5 * time.Second)
-		before := f.relays()
-		for _, s := range f.stores {
-			s.setDelay(400 * time.Millisecond)
-		}
-		time.Sleep(5 * time.Second)
-		for range 50 {
-			is.Equal(f.relays(), before)
-			time.Sleep(100 * time.Millisecond)
+	// The shorter delay ends when the response is found overdue.
+	for _, delay := range []time.Duration{250 * time.Millisecond, 400 * time.Millisecond} {
+		for range 10 {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(domains("a", 6)...)
+				defer f.close()
+				time.Sleep(5 * time.Second)
+				before := f.relays()
+				for _, s := range f.stores {
+					s.setDelay(delay)
+				}
+				time.Sleep(5 * time.Second)
+				for range 50 {
+					is.Equal(f.relays(), before)
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
 		}
-	})
+	}
 }
 
 // TestSilentConnectionTakenForSilentStore guards against an entry that gives up the role of
