enroller: relays cost the start of a large fleet no more calls and connections

Cause: while all entries start, each takes itself for the relay. They renewed their leases twice a second, sought relays in the other domains, and sent a last heartbeat to their whole domain when they ceased to be the relay. After a relay has given up, its successor needs connections to its whole domain, for which 0.3 s is short with 78 entries; the others then watch the store themselves.

Change: in the first 2 s a relay renews once and seeks the presumed relays only; the last heartbeat is sent only by one that the store does not answer; the wait for a successor is 0.3 s and 4 ms for each entry of the domain; checks whether a renewal is due come every 0.25 s instead of 0.1 s.

The wait for a successor was not measured by itself.

--- a/entry/enroller/enroller.go
+++ b/entry/enroller/enroller.go
@@ -82,6 +82,8 @@
 	relayUntil time.Time
 	// election determines the relay of the failure domain.
 	election election
+	// electionStart is when electionDelay ends.
+	electionStart time.Time
 	// remoteUntil holds the time until which a report applies that an entry of another
 	// failure domain is unreachable, by the id of that entry.
 	remoteUntil map[string]time.Time
@@ -111,7 +113,7 @@
 		o: o, members: tracker.NewWithoutHistory(now, o.Self), registered: map[string]tracker.Member{o.Self.ID: o.Self},
 		departed: map[string]time.Time{}, settledAt: now.Add(settleTime),
 		peerRevisions: map[string]storer.Revision{}, remoteUntil: map[string]time.Time{}, wake: make(chan struct{}, 1), checkNow: make(chan struct{}, 1),
-		election: election{due: now.Add(electionStart), passedOver: map[string]bool{}},
+		electionStart: now.Add(electionDelay), election: election{due: now.Add(electionDelay), passedOver: map[string]bool{}},
 	}
 	e.members.SetRegistered(now, []tracker.Member{o.Self})
 	return e
--- a/entry/enroller/heartbeat.go
+++ b/entry/enroller/heartbeat.go
@@ -21,9 +21,11 @@
 	// relayTimeout is the time without a heartbeat of the relay after which an entry
 	// watches the store itself.
 	relayTimeout = 700 * time.Millisecond
-	// handoverTimeout is the time in which the next relay sends heartbeats after one has
-	// reported that the store does not answer it.
-	handoverTimeout = relayInterval
+	// minHandover is the time in which the next relay sends heartbeats after one has reported
+	// that the store does not answer it, and peerHandover what it takes longer for each
+	// entry that it has no connection to yet.
+	minHandover  = relayInterval
+	peerHandover = 4 * time.Millisecond
 	// minChangeBytes and maxChangeBytes bound the changes in one heartbeat of a relay.
 	// Entries read larger values from the store, and watch it themselves while more changes
 	// than that come. Heartbeats of minChangeBytes to 22 entries take half of a link of
@@ -54,9 +56,9 @@
 }
 
 // RunHeartbeats sends heartbeats until ctx ends. A relay sends them to its whole
-// failure domain every relayInterval, and once more when it ceases to be the relay. Every
-// entry sends them to its ring targets every tracker.HeartbeatInterval, a relay also to
-// entries of other failure domains.
+// failure domain every relayInterval, and once more when the store no longer answers
+// it. Every entry sends them to its ring targets every tracker.HeartbeatInterval, a
+// relay also to entries of other failure domains.
 func (e *Enroller) RunHeartbeats(ctx context.Context) {
 	var lastRing time.Time
 	wasRelay := false
@@ -64,15 +66,16 @@
 		now := time.Now()
 		relay := e.IsRelay() && e.storeConfirmed(now)
 		var targets []tracker.Member
-		if relay || wasRelay {
+		if relay || (wasRelay && !e.ReachesStore()) {
 			targets = e.domainPeers()
 		}
 		wasRelay = relay
-		if now.Sub(lastRing) >= tracker.HeartbeatInterval-relayInterval/2 {
+		ringDue := now.Sub(lastRing) >= tracker.HeartbeatInterval-relayInterval/2
+		if ringDue {
 			lastRing = now
 			targets = append(targets, e.ringTargets(targets)...)
 		}
-		if relay {
+		if relay && (ringDue || now.After(e.electionStart)) {
 			targets = append(targets, slices.DeleteFunc(e.remoteTargets(now), func(m tracker.Member) bool { return slices.Contains(targets, m) })...)
 		}
 		e.sendHeartbeats(ctx, targets, relay)
@@ -231,7 +234,8 @@
 		return
 	}
 	e.relay = ""
-	if until := now.Add(handoverTimeout); until.Before(e.relayUntil) {
+	peers := len(e.domainMembers(now, func(tracker.Member) bool { return true }))
+	if until := now.Add(minHandover + time.Duration(peers)*peerHandover); until.Before(e.relayUntil) {
 		e.relayUntil = until
 	}
 	select {
--- a/entry/enroller/other_domains.go
+++ b/entry/enroller/other_domains.go
@@ -37,7 +37,7 @@
 		}
 	}
 	for _, members := range domains {
-		sought := relayTargets(now, t, members)
+		sought := relayTargets(now, t, members, now.Before(e.electionStart))
 		for _, m := range members {
 			wanted := slices.Contains(sought, m) || t.Unresponsive(now, m.ID)
 			if wanted && !t.SentWithin(now, m.ID, remoteInterval) {
@@ -49,8 +49,9 @@
 }
 
 // relayTargets returns the members of a failure domain among which its relay is sought: the
-// presumed one, if it does not respond the next ones, and if none of these does, all.
-func relayTargets(now time.Time, t *tracker.Tracker, members []tracker.Member) (targets []tracker.Member) {
+// presumed one, if it does not respond the next ones, and if none of these does, all. While
+// entries start, it is the presumed one only.
+func relayTargets(now time.Time, t *tracker.Tracker, members []tracker.Member, starting bool) (targets []tracker.Member) {
 	candidates := slices.DeleteFunc(slices.Clone(members), func(m tracker.Member) bool {
 		return !t.Usable(now, m.ID) || t.PeerLacksStore(now, m.ID)
 	})
@@ -66,7 +67,7 @@
 			responding = responding || t.HeardWithin(now, first.ID, remoteRelayTimeout)
 			waiting = waiting || !t.Unanswered(now, first.ID, relayInterval)
 		}
-		if responding || waiting {
+		if responding || waiting || starting {
 			return targets
 		}
 	}
--- a/entry/enroller/registration.go
+++ b/entry/enroller/registration.go
@@ -20,7 +20,7 @@
 	relayRenewInterval = 500 * time.Millisecond
 	// checkInterval is the time between checks whether the registration is due for
 	// renewal.
-	checkInterval = 100 * time.Millisecond
+	checkInterval = 250 * time.Millisecond
 	// retryDelay is the wait before the next renewal after a failed call of the store.
 	retryDelay = time.Second
 )
@@ -62,8 +62,12 @@
 	}
 	now = time.Now()
 	confirmed := e.contact.confirmed(now)
-	e.contact = e.contact.withResponse(sent, now)
 	e.nextRenewal, e.nextRelayRenewal = sent.Add(renewInterval), sent.Add(relayRenewInterval)
+	if e.electionStart.After(e.nextRelayRenewal) {
+		// Until then most entries consider themselves the relay.
+		e.nextRelayRenewal = e.electionStart
+	}
+	e.contact = e.contact.withResponse(sent, now, e.nextRelayRenewal)
 	e.members.RecordRenewal(sent)
 	if relay && !confirmed {
 		e.HeartbeatNow()
--- a/entry/enroller/relay.go
+++ b/entry/enroller/relay.go
@@ -11,9 +11,10 @@
 	// maxRelayCandidates is the number of entries of a failure domain, in the order in which
 	// they become its relay, that follow the store closely while it is unavailable.
 	maxRelayCandidates = 3
-	// electionStart is the time after the start in which no relay is passed over: those of
-	// the other entries need some time to receive the registration of this one.
-	electionStart = 2 * time.Second
+	// electionDelay is the time after the start in which no relay is passed over, and other
+	// failure domains are not sought for relays: the others need some time to receive the
+	// registration of this entry.
+	electionDelay = 2 * time.Second
 	// successorTimeout is the time within which the next candidate sends a heartbeat as the
 	// relay once one has been passed over.
 	successorTimeout = 400 * time.Millisecond
--- a/entry/enroller/store_contact.go
+++ b/entry/enroller/store_contact.go
@@ -21,12 +21,13 @@
 // timeout returns the time after which a response is overdue.
 func (c storeContact) timeout() time.Duration { return max(minStoreTimeout, 2*c.responseTime) }
 
-// withResponse returns the contact after the store has answered a call in time.
-func (c storeContact) withResponse(sent, received time.Time) storeContact {
+// withResponse returns the contact after the store has answered a renewal, when the next one
+// of a relay is due at a time.
+func (c storeContact) withResponse(sent, received, next time.Time) storeContact {
 	c.failed = false
 	c.responseTime = received.Sub(sent)
-	// Until then the next renewal of a relay has been answered, or sent twice in vain.
-	c.confirmedUntil = sent.Add(relayRenewInterval + checkInterval + 2*c.timeout())
+	// Until then the next renewal has been answered, or sent twice in vain.
+	c.confirmedUntil = next.Add(checkInterval + 2*c.timeout())
 	return c
 }
 
