delegator: a caller's header does not mark a request as a trial

Found by reading: a header of the name that marks trials between entries, sent by a caller, was passed on with a request that goes to another entry for another reason, and the request would run there as a trial. TestTrialByCaller fails before.

--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -295,6 +295,8 @@
 	r.Header.Set(HopHeader, d.opts.Self)
 	r.Header.Set(AttemptsHeader, strconv.Itoa(r.Attempts))
 	r.Header.Set(ConfigurationHeader, strconv.FormatInt(r.Configuration, 10))
+	// A caller may have sent a header of this name.
+	r.Header.Del(TrialHeader)
 	if r.Trial {
 		r.Header.Set(TrialHeader, "1")
 	}
--- a/entry/delegator/delegator_test.go
+++ b/entry/delegator/delegator_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,8 +21,10 @@
 // requests.
 type peer struct {
 	takes bool
-	reach delegator.Reach
-	delay time.Duration
+	// trials counts the requests that it is to run as trials. It may be nil.
+	trials *atomic.Int32
+	reach  delegator.Reach
+	delay  time.Duration
 }
 
 // dial connects to a peer.
@@ -39,6 +42,9 @@
 			}
 			return
 		}
+		if p.trials != nil && r.Header.Get(delegator.TrialHeader) != "" {
+			p.trials.Add(1)
+		}
 		w.Header().Set("Id", r.Header.Get("Id"))
 		w.Header().Set("Served-By", id)
 		w.Header().Set(delegator.OutcomeHeader, delegator.Passed)
@@ -75,7 +81,9 @@
 		},
 	})
 	result := d.Send(context.Background(), delegator.Request{
-		Request:     roundtripper.Request{Method: http.MethodGet, Host: "h", Target: "/", Header: http.Header{"Id": {"r1"}}, ID: "r1"},
+		Request: roundtripper.Request{
+			Method: http.MethodGet, Host: "h", Target: "/", Header: http.Header{"Id": {"r1"}, delegator.TrialHeader: {"1"}}, ID: "r1",
+		},
 		ReachesNone: reachesNone,
 	})
 	time.Sleep(time.Second)
@@ -100,6 +108,18 @@
 	}
 }
 
+// TestTrialByCaller guards against a caller that marks its own request as a trial, which
+// would run although another trial may be under way.
+func TestTrialByCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var trials atomic.Int32
+		_, responded := send(map[string]peer{"e1": {takes: true, trials: &trials}}, true).(delegator.Responded)
+		is.True(responded)
+		is.Equal(trials.Load(), int32(0))
+	})
+}
+
 func TestNoEntryTakesRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
