--- a/standin/soaker/fleet_test.go
+++ b/standin/soaker/fleet_test.go
@@ -44,6 +44,10 @@
 	backends map[string]*backend
 	entries  []*entryProcess
 	checks   *checks
+	// zones are the failure domains of the entries. Nil means those of all tests.
+	zones []string
+	// storeOf returns the address of the store for an entry. Nil means storeURL.
+	storeOf func(entry int) string
 	// version is the version of the configuration that was written last.
 	version int64
 
@@ -202,6 +206,15 @@
 
 func (e *entryProcess) callerAddress() string { return e.at(callerPort) }
 
+// zone returns the failure domain of the entry.
+func (e *entryProcess) zone() string {
+	all := e.fleet.zones
+	if all == nil {
+		all = zones
+	}
+	return all[e.number%len(all)]
+}
+
 func (e *entryProcess) at(port int) string { return net.JoinHostPort(e.address, strconv.Itoa(port)) }
 
 // current returns the process that runs, or nil.
@@ -219,14 +232,18 @@
 	for n := range min(3, e.fleet.script.entries) {
 		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", e.fleet.subnet, 100+n, linkPort))
 	}
+	store := e.fleet.storeURL
+	if e.fleet.storeOf != nil {
+		store = e.fleet.storeOf(e.number)
+	}
 	value, _ := json.Marshal(map[string]any{
-		"node": "edge-" + strconv.Itoa(e.number), "zone": zones[e.number%len(zones)], "region": "r",
+		"node": "edge-" + strconv.Itoa(e.number), "zone": e.zone(), "region": "r",
 		"listen":         map[string]string{"front": e.at(callerPort), "ready": e.at(readyPort), "control": e.at(linkPort), "directory": e.at(locatePort)},
 		"internal-ports": []int{delegatedPort, delegatedPort + 15}, "seeds": seeds,
 		"limits": map[string]any{"memory-mb": 284, "link-mbps": 1000.0},
 		"bounds": []string{fmt.Sprintf("grace-s=%v", grace.Seconds()), "loss-slack-ms=200", "drain-ms=2000"},
 		"provider": map[string]any{
-			"address": e.fleet.storeURL, "form": "kv", "writes-per-s": 400, "reads-per-s": 2000,
+			"address": store, "form": "kv", "writes-per-s": 400, "reads-per-s": 2000,
 		},
 	})
 	// The file changes as a whole, so that no process reads a part of it.
