balancer: logs and metrics show attempts at cold servers and how many share their rate

Cause: whether an entry took a server for cold, and of how many holders it took itself for one, was in no log and no metric, so that floods of cold servers by entries that count too few others could not be told from floods by entries that do not know that the server is cold.

Change: decisions on requests to cold servers carry the rank of the entry, the holders and the entries that it counts, and are logged also for good requests that are not sampled. Metrics cold_attempts_total, limit_entries, limit_settled.

--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -162,7 +162,7 @@
 		return nil
 	}
 	c.tried[p.ID] = true
-	c.traceChosen(Hedged, p)
+	b.observeChosen(c, Hedged, p)
 	c.tellAttempts(state.sent + 2)
 	return func(ctx context.Context) attemptResult { return b.send(ctx, c, p) }
 }
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -194,6 +194,15 @@
 
 // newEntryFixture returns the fixture of one of several entries that share the backends.
 func newEntryFixture(t *testing.T, entry uint64, policy chooser.Policy, backends ...*backend) *fixture {
+	return newFixtureOf(t, entry, hclog.NewNullLogger(), policy, backends...)
+}
+
+// newLoggingFixture returns a fixture with a log.
+func newLoggingFixture(t *testing.T, log hclog.Logger, policy chooser.Policy, backends ...*backend) *fixture {
+	return newFixtureOf(t, 0, log, policy, backends...)
+}
+
+func newFixtureOf(t *testing.T, entry uint64, log hclog.Logger, policy chooser.Policy, backends ...*backend) *fixture {
 	f := &fixture{t: t, backends: backends, metrics: meter.New()}
 	byID := map[string]*backend{}
 	for _, b := range backends {
@@ -238,7 +247,7 @@
 			Self: "e0", Domain: "a", RequestID: "Id", Peers: func() []delegator.Peer { return f.peers },
 			Dial: func(ctx context.Context, address string) (net.Conn, error) { return f.dialPeer(ctx, address) },
 		}),
-		Domain: "a", Policy: policy, Snapshot: f.snapshotter.Snapshot, Outdated: func() bool { return f.outdated }, EntryCount: func() int { return fixtureEntries }, Rank: func(server string) (int, int) { return rankOf(entry, server), fixtureEntries }, Log: hclog.NewNullLogger(), Metrics: f.metrics,
+		Domain: "a", Policy: policy, Snapshot: f.snapshotter.Snapshot, Outdated: func() bool { return f.outdated }, EntryCount: func() int { return fixtureEntries }, Rank: func(server string) (int, int) { return rankOf(entry, server), fixtureEntries }, Log: log, Metrics: f.metrics,
 		RetryLimits: func() balancer.Limits { return balancer.Limits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second} },
 		NotifySuspect: func(_ string, fingerprint quarantiner.Fingerprint, crashes int, _ quarantiner.Attempt) {
 			f.mu.Lock()
--- a/entry/balancer/metrics.go
+++ b/entry/balancer/metrics.go
@@ -18,6 +18,8 @@
 	// failedProbes counts the probes of result "error" by how they failed.
 	failedProbes *meter.CounterVec
 	dropped      *meter.CounterVec
+	// coldAttempts counts the attempts at cold servers.
+	coldAttempts *meter.CounterVec
 	latency      *meter.HistogramVec
 	// delegated counts requests that were passed on to other entries, and taken those
 	// that other entries passed on to this one.
@@ -34,6 +36,7 @@
 		retries:      r.CounterVec("retries_total", "Requests sent again, by cause.", "cause"),
 		probes:       r.CounterVec("probes_total", "Probes of backend servers, by result.", "result"),
 		failedProbes: r.CounterVec("failed_probes_total", "Probes of backend servers that failed, by cause.", "cause"),
+		coldAttempts: r.CounterVec("cold_attempts_total", "Attempts at cold servers, by service.", "service"),
 		dropped:      r.CounterVec("dropped_lines_total", "Log lines of requests that were dropped by their rate.", "of"),
 		latency:      r.HistogramVec("request_seconds", "Time from arrival to answer, by service, route and status class.", "service", "route", "class"),
 	}
--- a/entry/balancer/pick.go
+++ b/entry/balancer/pick.go
@@ -92,6 +92,8 @@
 	rateLimit describer.RateLimit
 	// probed is the number of servers that were probed for the attempt.
 	probed int
+	// cold is this entry's part in the rate of the server, or nil if it is not cold.
+	cold *coldPart
 }
 
 // slowdown returns how many times longer the server takes than an idle one
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -7,7 +7,6 @@
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/roundtripper"
 	"samphiremux/entry/snapshotter"
-	"samphiremux/entry/throttler"
 )
 
 // probeResult is the outcome of one probe.
@@ -152,35 +151,6 @@
 	return p, cost, ""
 }
 
-// admitCold takes a token from this entry's part of the rate of the server if it is
-// cold.
-func (b *Balancer) admitCold(view *snapshotter.Snapshot, p *picked) bool {
-	now := time.Now()
-	if !p.State.Snapshot(now).Cold {
-		return true
-	}
-	holders, isHolder := b.coldHolders(view, p.Backend)
-	return isHolder && p.State.TakeColdToken(now, view.Table.Services[p.Service].ColdRate, holders)
-}
-
-// hasColdToken reports whether this entry may send a server a request now if it is cold.
-func (b *Balancer) hasColdToken(view *snapshotter.Snapshot, cand candidate) bool {
-	if !cand.state.ColdReady {
-		return false
-	}
-	_, isHolder := b.coldHolders(view, cand.Backend)
-	return isHolder
-}
-
-// coldHolders returns the number of entries that share the rate of a cold server, and
-// whether this entry is one of them. It is none for some time after its start: it may have
-// sent requests just before, and may not know all other entries yet.
-func (b *Balancer) coldHolders(view *snapshotter.Snapshot, server snapshotter.Backend) (holders int, isHolder bool) {
-	rank, entries := b.opts.Rank(server.ID)
-	holders = throttler.ColdHolders(view.Table.Services[server.Service].ColdRate, entries)
-	return holders, rank < holders && b.opts.Settled()
-}
-
 // probes is the probes of servers of one service for one attempt.
 type probes struct {
 	balancer *Balancer
--- a/entry/balancer/run.go
+++ b/entry/balancer/run.go
@@ -48,7 +48,7 @@
 			b.deposit(c.service)
 			deposited = true
 		}
-		c.traceChosen(Chosen, p)
+		b.observeChosen(c, Chosen, p)
 		c.useStableVersion()
 		c.tellAttempts(state.sent + 1)
 		result := b.attempt(ctx, c, p, &state)
--- a/entry/balancer/trace.go
+++ b/entry/balancer/trace.go
@@ -62,7 +62,11 @@
 }
 
 // trace holds the decisions on one request until it ends.
-type trace struct{ steps []step }
+type trace struct {
+	steps []step
+	// metCold is set once a cold server was picked.
+	metCold bool
+}
 
 func (t *trace) add(d Decision, inputs ...any) {
 	if len(t.steps) < maxTraceSteps {
@@ -103,10 +107,10 @@
 	return true
 }
 
-// flush logs the decisions on a request that has ended, if it went wrong or is
-// sampled, and if the rate limit allows.
+// flush logs the decisions on a request that has ended, if it went wrong, was sent to a cold
+// server or is sampled, and if the rate limit allows.
 func (b *Balancer) flush(id string, t *trace, good bool) {
-	if b.opts.Log.GetLevel() > hclog.Info || (good && !sampled(id)) {
+	if b.opts.Log.GetLevel() > hclog.Info || (good && !t.metCold && !sampled(id)) {
 		return
 	}
 	b.mu.Lock()
@@ -189,8 +193,15 @@
 // traceChosen records a picked server with the state that it reported just
 // before.
 func (c *call) traceChosen(d Decision, p *picked) {
-	c.trace.add(d, "server", p.ID, "version", p.Version, "domain", p.Domain, "slowness", p.slowness,
-		"busy", p.busy, "slots", p.Slots, "expected-ms", p.expected.Milliseconds(), "asked", p.probed, "rate-limit", p.rateLimit.PerSecond)
+	inputs := []any{
+		"server", p.ID, "version", p.Version, "domain", p.Domain, "slowness", p.slowness,
+		"busy", p.busy, "slots", p.Slots, "expected-ms", p.expected.Milliseconds(), "asked", p.probed, "rate-limit", p.rateLimit.PerSecond,
+	}
+	if p.cold != nil {
+		c.trace.metCold = true
+		inputs = append(inputs, "cold-rank", p.cold.rank, "cold-holders", p.cold.holders, "entries", p.cold.entries)
+	}
+	c.trace.add(d, inputs...)
 }
 
 // traceEnded records the end of an attempt.
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -241,6 +241,13 @@
 		return float64(len(e.balancer.Quarantines()))
 	})
 	e.metrics.Gauge("entries", "Entries that this entry knows of.", func() float64 { return float64(e.enroller.MemberCount()) })
+	e.metrics.Gauge("limit_entries", "Entries that this entry counts in limits for all of them.", func() float64 { return float64(e.enroller.LimitShares()) })
+	e.metrics.Gauge("limit_settled", "1 if this entry takes part in limits for all entries.", func() float64 {
+		if e.enroller.Settled() {
+			return 1
+		}
+		return 0
+	})
 	e.metrics.Gauge("configuration_version", "Version of the configuration in force, 0 if none.", func() float64 {
 		if t := e.snapshots.Snapshot().Table; t != nil {
 			return float64(t.Version)
