enroller: entries that are not registered take no part in limits for all entries

Callers saw (own runs, real processes): all entries are killed in an outage of the store in which their leases end. When it returns, servers that are cold get 19 to 33 requests in a second from up to 20 entries; 15.8 are allowed.

Cause: an entry took part in the rates of cold servers from 3 s after the start of its process, whether it knew the others or not. After the outage the list of registrations was empty, so for a second or two each entry counted itself alone, and sent each cold server the whole rate, 5 requests a second.

Evidence: the decisions on requests to cold servers: 328 of 460 attempts are of entries that count 1 entry and 1 holder, 132 of such that count 60 and 6.

Change: an entry takes part from 3 s after its own registration has reached its copy of the store. The copy then has all earlier registrations, and the others have this one by the end of these 3 s. When the registration is removed, it takes part for 15 s more: the others count it for 30 s.

Measured: TestSettledWithoutRegistration and TestSettledAfterLeasesLapse fail before. TestColdServersOnDays/all-restart-as-leases-end: 23, 33, 23 before, with a second crash in it 19; now 0 at the first crash and 6 at the second, 0 with 116 entries (21 before). The price: after such an outage cold servers get nothing for 3 s, which where all servers of a service are cold means refusals (1,470 of 7,600 calls not served before, 1,861 after, one run each).

Ruled out: servers that an entry does not take for cold (no attempt of the flood is of that kind).

--- a/entry/enroller/enroller.go
+++ b/entry/enroller/enroller.go
@@ -72,8 +72,8 @@
 	// count for limits that all entries share.
 	departed map[string]time.Time
 	ranks    ranks
-	// settledAt is the time from which this entry counts as settled.
-	settledAt time.Time
+	// participation is when this entry takes part in these limits.
+	participation participation
 	// changed reports that members does not have all of registered yet.
 	changed bool
 	// relay is the entry that last sent a heartbeat as the relay, and relayUntil the time
@@ -111,8 +111,7 @@
 func New(now time.Time, o Options) *Enroller {
 	e := &Enroller{
 		o: o, members: tracker.NewWithoutHistory(now, o.Self), registered: map[string]tracker.Member{o.Self.ID: o.Self},
-		departed: map[string]time.Time{}, settledAt: now.Add(settleTime),
-		peerRevisions: map[string]storer.Revision{}, remoteUntil: map[string]time.Time{}, wake: make(chan struct{}, 1), checkNow: make(chan struct{}, 1),
+		departed: map[string]time.Time{}, peerRevisions: map[string]storer.Revision{}, remoteUntil: map[string]time.Time{}, wake: make(chan struct{}, 1), checkNow: make(chan struct{}, 1),
 		electionStart: now.Add(electionDelay), election: election{due: now.Add(electionDelay), passedOver: map[string]bool{}},
 	}
 	e.members.SetRegistered(now, []tracker.Member{o.Self})
@@ -139,10 +138,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
+	case id == e.o.Self.ID && deleted:
+		e.lease, e.nextRenewal = 0, time.Time{}
+		e.participation = e.participation.withoutRegistration(now)
+		return true
 	case id == e.o.Self.ID:
-		if deleted {
-			e.lease, e.nextRenewal = 0, time.Time{}
-		}
+		e.participation = e.participation.withRegistration(now)
 		return true
 	case deleted:
 		if _, ok := e.registered[id]; ok {
--- a/entry/enroller/shares.go
+++ b/entry/enroller/shares.go
@@ -11,9 +11,6 @@
 	// for limits that all entries share. It may still run: registrations are also lost in
 	// outages of the store, and an entry serves for its grace period after it deregisters.
 	departedMemory = 30 * time.Second
-	// settleTime is the time after its start for which an entry does not count as settled.
-	// The registrations of entries that start together arrive within it.
-	settleTime = 3 * time.Second
 	// maxRanks bounds the results of Rank that are held.
 	maxRanks = 1024
 )
@@ -89,6 +86,10 @@
 	}
 }
 
-// Settled reports whether this entry has run for so long that it knows the others, and that
-// what an earlier process of it has sent no longer counts in limits for a second.
-func (e *Enroller) Settled() bool { return !time.Now().Before(e.settledAt) }
+// Settled reports whether the others count this entry in limits for all of them, and this one
+// them. What an earlier process of it has sent no longer counts for a second by then.
+func (e *Enroller) Settled() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.participation.includes(time.Now())
+}
--- a/entry/enroller/shares_test.go
+++ b/entry/enroller/shares_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"samphiremux/entry/enroller"
 	"samphiremux/entry/tracker"
 )
 
@@ -57,3 +58,51 @@
 		is.True(f.entries[0].Settled())
 	})
 }
+
+// TestSettledWithoutRegistration guards against entries that start in an outage, none of them
+// registered, and together exceed limits, since each takes itself for the only one.
+func TestSettledWithoutRegistration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := enroller.New(time.Now(), enroller.Options{Self: tracker.Member{ID: memberID(0)}, Prefix: "entries/"})
+		time.Sleep(10 * time.Second)
+		is.True(!e.Settled())
+		e.ApplyChange(time.Now(), "entries/"+memberID(0), []byte("{}"), false)
+		time.Sleep(2 * time.Second)
+		is.True(!e.Settled()) // others may not know it yet
+		time.Sleep(2 * time.Second)
+		is.True(e.Settled())
+	})
+}
+
+// setRegistered lets an entry learn that it is registered, or no longer is.
+func (f *fleet) setRegistered(i int, registered bool) {
+	f.entries[i].ApplyChange(time.Now(), "entries/"+memberID(i), []byte("{}"), !registered)
+}
+
+// TestSettledAfterLeasesLapse guards against entries that send nothing to cold servers since
+// the store has removed their registrations, and against entries that still do when the others
+// no longer count them.
+func TestSettledAfterLeasesLapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet("a", "a")
+		defer f.close()
+		time.Sleep(5 * time.Second)
+		f.setRegistered(0, false)
+		time.Sleep(5 * time.Second)
+		is.True(f.entries[0].Settled())
+		f.setRegistered(0, true)
+		time.Sleep(30 * time.Second)
+		is.True(f.entries[0].Settled())
+		f.setRegistered(0, false)
+		f.setRegistered(0, false)
+		time.Sleep(20 * time.Second)
+		is.True(!f.entries[0].Settled())
+		f.setRegistered(0, true)
+		time.Sleep(2 * time.Second)
+		is.True(!f.entries[0].Settled())
+		time.Sleep(2 * time.Second)
+		is.True(f.entries[0].Settled())
+	})
+}
--- a/standin/soaker/cold_day_fleet_test.go
+++ b/standin/soaker/cold_day_fleet_test.go
@@ -369,6 +369,9 @@
 				f.day.name, s.id, s.zone, w.requests, w.from.Sub(f.began).Round(time.Millisecond), coldBound, w.byEntry)
 		}
 	}
+	if cold == 0 {
+		failurefilter.Errorf(t, "%s: no request reached a cold server", f.day.name)
+	}
 	t.Logf("%s: %d calls served, %d not; %d requests at servers, %d servers got some while cold, %d at most in a second, %.1f allowed",
 		f.day.name, f.answered[0].Load(), f.answered[1].Load(), requests, cold, most.requests, coldBound)
 }
