snapshotter: a cold server that starts again under its id gives no further tokens

Callers would see: a cold server that starts again under its id gets two requests in a second from each holder. Found by reading, not seen in a run.

Cause: with a new incarnation the state of a server is new, and with it the interval between the requests of a holder. 6 holders at 5.2 a second could send 12 in a second, of 15.8 allowed; the rest is needed for entries that know different holders: with four added ones it is 20.

Change: the interval of the earlier incarnation goes on.

Measured: TestColdTokensAfterRestart fails before.

Ruled out: keeping more of the state; load, failures and the time until which a server is cold are those of an incarnation.

--- a/entry/snapshotter/backend.go
+++ b/entry/snapshotter/backend.go
@@ -281,6 +281,17 @@
 	return s.coldLimiter.Allow(now, perSecond, holders)
 }
 
+// inheritColdTokens continues the token interval of an earlier incarnation, so that a restart
+// gives no further token.
+func (s *ServerState) inheritColdTokens(earlier *ServerState) {
+	earlier.mu.Lock()
+	limiter := earlier.coldLimiter
+	earlier.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldLimiter = limiter
+}
+
 // Begin records the start of an attempt.
 func (s *ServerState) Begin() {
 	s.mu.Lock()
--- a/entry/snapshotter/snapshotter.go
+++ b/entry/snapshotter/snapshotter.go
@@ -104,7 +104,7 @@
 }
 
 // PutServer adds or updates a backend server. A new incarnation or address starts
-// with an empty state. An older incarnation than the known one is ignored. A server that
+// with an empty state, but for the tokens of a cold server. An older incarnation than the known one is ignored. A server that
 // was removed keeps its state if the same incarnation reappears.
 func (s *Snapshotter) PutServer(server describer.Server) {
 	s.mu.Lock()
@@ -120,10 +120,11 @@
 	}
 	b := Backend{Server: server, State: known.State}
 	if !ok || known.Incarnation != server.Incarnation || known.Address != server.Address {
+		b.State = s.connect(server)
 		if ok {
 			known.State.Close()
+			b.State.inheritColdTokens(known.State)
 		}
-		b.State = s.connect(server)
 	}
 	b.State.SetCold(server.ColdUntil)
 	delete(s.departed, server.ID)
--- a/entry/snapshotter/snapshotter_test.go
+++ b/entry/snapshotter/snapshotter_test.go
@@ -185,6 +185,24 @@
 	is.True(!state.Snapshot(after).Cold) // the server has stated since that it is not
 }
 
+// TestColdTokensAfterRestart guards against a cold server that starts again under its id and
+// gets two requests in a second from each holder.
+func TestColdTokensAfterRestart(t *testing.T) {
+	const perSecond, holders = 5.2, 6
+	is := is.New(t)
+	s := newSnapshotter()
+	srv := server("i-1", "v1")
+	srv.Incarnation = 1
+	s.PutServer(srv)
+	now := time.Unix(100, 0)
+	is.True(s.Snapshot().Services["stock"][0].State.TakeColdToken(now, perSecond, holders))
+	srv.Incarnation = 2
+	s.PutServer(srv)
+	state := s.Snapshot().Services["stock"][0].State
+	is.True(!state.TakeColdToken(now.Add(time.Second), perSecond, holders))
+	is.True(state.TakeColdToken(now.Add(2*time.Second), perSecond, holders))
+}
+
 // TestManyChanges adds thousands of servers between two reads. The snapshot read
 // before must not change, and the next one must hold all of them.
 func TestManyChanges(t *testing.T) {
