--- a/standin/soaker/cold_day_fleet_test.go
+++ b/standin/soaker/cold_day_fleet_test.go
@@ -228,6 +228,12 @@
 		for _, p := range frozen {
 			_ = p.cmd.Process.Signal(syscall.SIGCONT)
 		}
+	case "add":
+		var running sync.WaitGroup
+		for _, p := range f.entries[len(f.entries)-f.day.spare:] {
+			running.Go(func() { p.keepRunning(ctx) })
+		}
+		running.Wait()
 	case "burst":
 		x, _ := strconv.ParseFloat(e.args[0], 64)
 		f.burst.Store(int64(100 * x))
@@ -300,7 +306,7 @@
 	var work sync.WaitGroup
 	defer f.end(&work)
 	defer cancel()
-	for _, e := range f.entries {
+	for _, e := range f.entries[:len(f.entries)-f.day.spare] {
 		work.Go(func() { e.keepRunning(ctx) })
 	}
 	time.Sleep(startTime)
--- a/standin/soaker/cold_day_test.go
+++ b/standin/soaker/cold_day_test.go
@@ -50,6 +50,8 @@
 type day struct {
 	name    string
 	entries int
+	// spare is how many of the entries start only when they are added.
+	spare int
 	// servers is the number of servers of each service.
 	servers []int
 	// rate is the number of calls a second.
@@ -82,7 +84,9 @@
 	"roll":   3,
 	"kill":   2,
 	"freeze": 2,
-	"burst":  2,
+	// add starts the spare entries.
+	"add":   0,
+	"burst": 2,
 }
 
 // parseDay reads a day. Each line is a setting or an event, as in parseScript.
@@ -108,6 +112,8 @@
 	switch fields[0] {
 	case "entries":
 		d.entries, err = strconv.Atoi(fields[1])
+	case "spare":
+		d.spare, err = strconv.Atoi(fields[1])
 	case "rate":
 		d.rate, err = strconv.ParseFloat(fields[1], 64)
 	case "length":
--- a/standin/soaker/cold_draw_test.go
+++ b/standin/soaker/cold_draw_test.go
@@ -25,6 +25,7 @@
 		name: fmt.Sprintf("drawn-%d", seed), entries: entries, rate: []float64{650, 1000}[r.IntN(2)] * load, length: 26 * time.Second,
 		lag: time.Duration(r.IntN(4)) * 50 * time.Millisecond,
 	}
+	d.spare = entries * r.IntN(3) / 10
 	load *= []float64{1, 0.5, 0.3}[r.IntN(3)]
 	for _, servers := range []float64{172, 67, 23} {
 		d.servers = append(d.servers, max(len(dayZones), int(servers*load)))
@@ -38,6 +39,7 @@
 		return []string{"2s", []string{"0s", "500ms", "2s", "5s"}[r.IntN(4)]}
 	}
 	zone := func() string { return dayZones[r.IntN(len(dayZones))] }
+	added := false
 	for at := time.Second; at < d.length-6*time.Second; at += time.Duration(3000+r.IntN(4000)) * time.Millisecond {
 		// The servers turn cold at about this time, and trouble comes around it.
 		cold := at + 3*time.Second
@@ -55,7 +57,7 @@
 		}
 		for range 1 + r.IntN(3) {
 			near := max(0, cold+time.Duration(r.IntN(4000)-2500)*time.Millisecond)
-			switch r.IntN(7) {
+			switch r.IntN(9) {
 			case 0:
 				add(near, "kill", share(), []string{"50ms", "500ms", "2s"}[r.IntN(3)])
 			case 1:
@@ -66,7 +68,17 @@
 				add(near, "refuse-store", share(), span())
 			case 4:
 				add(near, "store-away", span())
-			case 5, 6:
+			case 5:
+				add(near, "store-lapse", span())
+				if r.IntN(2) == 0 {
+					add(near+100*time.Millisecond, "kill", share(), "50ms")
+				}
+			case 6:
+				if !added {
+					add(near, "add")
+				}
+				added = true
+			case 7, 8:
 				add(near, "burst", []string{"1.5", "3"}[r.IntN(2)], "3s")
 			}
 		}
@@ -78,7 +90,7 @@
 // String returns the day in the form that parseDay reads.
 func (d day) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "entries %d\nservers %s\nrate %g\nlength %v\nlag %v\n", d.entries, strings.Trim(fmt.Sprint(d.servers), "[]"), d.rate, d.length, d.lag)
+	fmt.Fprintf(&b, "entries %d\nspare %d\nservers %s\nrate %g\nlength %v\nlag %v\n", d.entries, d.spare, strings.Trim(fmt.Sprint(d.servers), "[]"), d.rate, d.length, d.lag)
 	for _, e := range d.events {
 		fmt.Fprintln(&b, strings.Join(append([]string{"at", e.at.String(), e.verb}, e.args...), " "))
 	}
