--- a/standin/soaker/cold_day_fleet_test.go
+++ b/standin/soaker/cold_day_fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -21,6 +22,14 @@
 	"samphiremux/standin/platformemulator"
 )
 
+// lineCounter counts the lines that are written to it.
+type lineCounter struct{ lines atomic.Int64 }
+
+func (c *lineCounter) Write(line []byte) (int, error) {
+	c.lines.Add(1)
+	return len(line), nil
+}
+
 // dayFleet is a fleet that plays a day.
 type dayFleet struct {
 	*fleet
@@ -32,8 +41,10 @@
 	// refused holds whether the store turns an entry away.
 	refused  []atomic.Bool
 	answered [2]atomic.Int64
-	began    time.Time
-	client   *http.Client
+	// errors counts what the HTTP servers of the backend servers say.
+	errors lineCounter
+	began  time.Time
+	client *http.Client
 }
 
 func newDayFleet(t *testing.T, d day, seed uint64) *dayFleet {
@@ -65,7 +76,7 @@
 	for i, s := range dayServices {
 		for n := range d.servers[i] {
 			server := &dayServer{
-				name: fmt.Sprintf("%s-%d", s.name, n), service: s.name, zone: dayZones[n%len(dayZones)], work: s.work, lag: d.lag, store: f.store,
+				name: fmt.Sprintf("%s-%d", s.name, n), service: s.name, zone: dayZones[n%len(dayZones)], work: s.work, lag: d.lag, store: f.store, errors: log.New(&f.errors, "", 0),
 				address: fmt.Sprintf("%s.2:%d", f.subnet, serverPort+len(f.servers)),
 			}
 			if err := server.start(false, false); err != nil {
@@ -378,6 +389,6 @@
 	if cold == 0 {
 		failurefilter.Errorf(t, "%s: no request reached a cold server", f.day.name)
 	}
-	t.Logf("%s: %d calls served, %d not; %d requests at servers, %d servers got some while cold, %d at most in a second, %.1f allowed",
-		f.day.name, f.answered[0].Load(), f.answered[1].Load(), requests, cold, most.requests, coldBound)
+	t.Logf("%s: %d calls served, %d not; %d requests at servers, %d servers got some while cold, %d at most in a second, %.1f allowed; %d errors of HTTP servers",
+		f.day.name, f.answered[0].Load(), f.answered[1].Load(), requests, cold, most.requests, coldBound, f.errors.lines.Load())
 }
--- a/standin/soaker/cold_day_server_test.go
+++ b/standin/soaker/cold_day_server_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -29,6 +30,8 @@
 	name, service, zone, address string
 	work, lag                    time.Duration
 	store                        *platformemulator.Store
+	// errors logs what the HTTP server says, as that it runs out of descriptors.
+	errors *log.Logger
 
 	mu        sync.Mutex
 	starts    int
@@ -62,7 +65,7 @@
 		s.coldUntil = time.Now().Add(coldTime)
 	}
 	s.slots, s.waiting = make(chan struct{}, coldSlots), 0
-	s.server = &http.Server{Handler: s}
+	s.server = &http.Server{Handler: s, ErrorLog: s.errors}
 	server := s.server
 	s.mu.Unlock()
 	go func() { _ = server.Serve(l) }()
