--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -63,8 +63,9 @@
 	// a server, and the number of entries. Entries that know the same entries agree on
 	// the order, which differs from server to server.
 	Rank func(server string) (rank, entries int)
-	// Settled reports whether this entry and the others know one another, so that it takes
-	// part in limits for all of them. It may be nil if that is always so.
+	// Settled reports whether this entry and the others know one another. Only then does it
+	// send requests to cold servers and to those that state a rate limit. It may be nil if
+	// that is always so.
 	Settled func() bool
 	// FirstEntries returns the ids of the first n entries, in the order for a key, of those
 	// that callers may be directed to. It may be nil if there is only this entry.
--- a/entry/balancer/cold_server.go
+++ b/entry/balancer/cold_server.go
@@ -14,16 +14,14 @@
 	// holders is the number of entries that share the rate, and entries the number of those
 	// that this entry counts.
 	holders, entries int
-	// settled is false for some time after the start of this entry.
+	// settled is as in Options.Settled.
 	settled bool
 }
 
 // isHolder reports whether this entry may send the server requests.
 func (p coldPart) isHolder() bool { return p.settled && p.rank < p.holders }
 
-// coldPartOf returns the part of this entry in the rate of a cold server. It has none for some
-// time after its start: it may have sent requests just before, and may not know all other
-// entries yet.
+// coldPartOf returns the part of this entry in the rate of a cold server.
 func (b *Balancer) coldPartOf(view *snapshotter.Snapshot, server snapshotter.Backend) coldPart {
 	rank, entries := b.opts.Rank(server.ID)
 	holders := throttler.ColdHolders(view.Table.Services[server.Service].ColdRate, entries)
--- a/entry/balancer/rate_limit.go
+++ b/entry/balancer/rate_limit.go
@@ -18,7 +18,7 @@
 }
 
 // rateLimitHolders returns the number of entries that share the rate limit of a server,
-// and whether this entry is one of them. It is not while it may not know all others.
+// and whether this entry is one of them.
 func (b *Balancer) rateLimitHolders(server string, l describer.RateLimit) (holders int, isHolder bool) {
 	rank, entries := b.opts.Rank(server)
 	holders = throttler.Holders(l.PerSecond, entries)
--- a/entry/snapshotter/snapshotter.go
+++ b/entry/snapshotter/snapshotter.go
@@ -103,9 +103,9 @@
 	return nil
 }
 
-// PutServer adds or updates a backend server. A new incarnation or address starts
-// with an empty state, but for the tokens of a cold server. An older incarnation than the known one is ignored. A server that
-// was removed keeps its state if the same incarnation reappears.
+// PutServer adds or updates a backend server. A new incarnation or address starts with an
+// empty state, but for the tokens of a cold server. An older incarnation than the known one
+// is ignored. A server that was removed keeps its state if the same incarnation reappears.
 func (s *Snapshotter) PutServer(server describer.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
