reflector, enroller: entries that will not become relays call the store seldom in an outage

Calls that fail are paid for in full. Change: an entry that is not among the first three relays of its failure domain tries again after 3 to 5 s, or takes the changes from a relay as soon as one sends heartbeats, without a list of its own.

--- a/entry/enroller/registration.go
+++ b/entry/enroller/registration.go
@@ -21,8 +21,12 @@
 	// checkInterval is the time between checks whether the registration is due for
 	// renewal.
 	checkInterval = 250 * time.Millisecond
-	// retryDelay is the wait before the next renewal after a failed call of the store.
-	retryDelay = time.Second
+	// retryDelay is the wait before the next renewal after a failed call of the store, and
+	// passiveRetryDelay that of an entry which is not among the first relays of its failure
+	// domain. Its lease lasts for several of them, and in an outage the renewals of all
+	// entries would cost more than anything else.
+	retryDelay        = time.Second
+	passiveRetryDelay = 4 * time.Second
 )
 
 // RunRegistration registers this entry and renews the registration until ctx ends.
@@ -50,13 +54,17 @@
 	if !renewalDue {
 		return
 	}
+	delay := retryDelay
+	if lease != 0 && !relay && !e.MayBecomeRelay() {
+		delay = passiveRetryDelay
+	}
 	sent, lease, err := e.renewPromptly(ctx, lease)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.lease = lease
 	if err != nil {
 		e.contact.failed = true
-		e.nextRenewal = sent.Add(retryDelay)
+		e.nextRenewal = sent.Add(delay)
 		e.o.Log.Warn("Registration not renewed.", "error", err)
 		return
 	}
--- a/entry/reflector/list_watch.go
+++ b/entry/reflector/list_watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"samphiremux/pkg/storer"
@@ -18,6 +19,12 @@
 	// to reach the store.
 	initialBackoff = 100 * time.Millisecond
 	maxBackoff     = 800 * time.Millisecond
+	// minPassiveBackoff and maxPassiveBackoff bound the time between attempts of an entry
+	// that is not among the first relays of its failure domain. Those find sooner that the
+	// store answers again; if all entries tried as often, an outage of 8 s would cost 10
+	// calls for each.
+	minPassiveBackoff = 3 * time.Second
+	maxPassiveBackoff = 5 * time.Second
 	// startDelay is the time that an entry waits after its start for a relay, before it
 	// lists the keys once more and watches the store itself.
 	startDelay = time.Second
@@ -67,13 +74,29 @@
 		if compacted && lasted {
 			continue
 		}
-		if !sleep(ctx, backoff) {
+		if !r.awaitRetry(ctx, backoff) {
 			return
 		}
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
+// awaitRetry waits until the next attempt to reach the store. It reports false if ctx ends
+// first. An entry that is not among the first relays waits longer, but no longer than until
+// a relay sends heartbeats.
+func (r *Reflector) awaitRetry(ctx context.Context, backoff time.Duration) bool {
+	if !r.Ready() || r.o.MayBecomeRelay() {
+		return sleep(ctx, backoff)
+	}
+	until := time.Now().Add(minPassiveBackoff + rand.N(maxPassiveBackoff-minPassiveBackoff))
+	for time.Now().Before(until) && !r.o.HasRelay() {
+		if !sleep(ctx, relayCheckInterval) {
+			return false
+		}
+	}
+	return true
+}
+
 // sleep waits for d. It reports false if ctx ends first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
@@ -102,6 +125,8 @@
 func (r *Reflector) listAndWatch(ctx context.Context, compacted bool) error {
 	list := r.list
 	switch {
+	case r.Ready() && r.o.HasRelay() && !r.o.IsRelay():
+		list = r.awaitRelayed
 	case compacted || (r.Ready() && r.o.MayBecomeRelay()):
 	case r.Ready():
 		list = r.listStale
@@ -136,6 +161,18 @@
 	return nil
 }
 
+// awaitRelayed takes the place of a list while a relay sends the changes since this entry's
+// revision, or all keys if it no longer knows them.
+func (r *Reflector) awaitRelayed(context.Context) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.storeLost {
+		r.storeLost = false
+		r.o.Log.Info("A relay sends the changes of the store again.", "revision", r.revision.Number())
+	}
+	return nil
+}
+
 // listStale lists all keys in a state that may be seconds old. The relay brings the changes
 // since then, or a watch from there does.
 func (r *Reflector) listStale(ctx context.Context) error { return r.list(storer.WithStaleReads(ctx)) }
--- a/entry/reflector/reflector_test.go
+++ b/entry/reflector/reflector_test.go
@@ -79,6 +79,8 @@
 	peerBatch reflector.Batch
 	hasRelay  bool
 	isRelay   bool
+	// passive reports that the entry is not among the first relays.
+	passive bool
 }
 
 // startTime is the time after its start from which an entry watches the store and considers
@@ -107,8 +109,12 @@
 			defer f.mu.Unlock()
 			return f.hasRelay
 		},
-		MayBecomeRelay: func() bool { return true },
-		HoldTime:       func(string, bool) time.Duration { return 2 * time.Second },
+		MayBecomeRelay: func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return !f.passive
+		},
+		HoldTime: func(string, bool) time.Duration { return 2 * time.Second },
 		FetchFromPeers: func(context.Context, storer.Revision) (reflector.Batch, error) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -149,6 +155,13 @@
 	return f.values[key]
 }
 
+// calls returns the number of lists and watches of the store.
+func (f *fixture) calls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.store.lists + f.store.watches
+}
+
 func (f *fixture) watches() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
