hedger, balancer: operators limit the share of hedged requests

Cause: the delay of a hedge was a constant of the code, and operators could neither limit nor see hedges. Without the setting the delay is as before. Metrics count hedges won and lost, those not sent by reason, and the wasted time.

--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -15,12 +15,6 @@
 )
 
 const (
-	// hedgeRatio is the multiple of the expected latency after which an
-	// idempotent request is hedged to a second server.
-	hedgeRatio = 2.0
-	// hedgeObjective is the fraction of the target latency that must have
-	// passed as well.
-	hedgeObjective = 0.5
 	// bytesWindow is the number of responses over which the mean response size
 	// is averaged.
 	bytesWindow = 50
@@ -77,10 +71,12 @@
 	}
 	results := make(chan attemptResult, 2)
 	var cancels []context.CancelFunc
+	var begun []time.Time
 	start := func(send sendFunc) {
 		index := len(cancels)
 		ctx, cancel := context.WithCancel(ctx)
 		cancels = append(cancels, cancel)
+		begun = append(begun, time.Now())
 		go func() {
 			result := send(ctx)
 			result.index = index
@@ -88,14 +84,19 @@
 		}()
 	}
 	start(func(ctx context.Context) attemptResult { return b.send(ctx, c, p) })
-	timer := time.NewTimer(hedgeDelay(c, p))
+	due := b.hedgeDue(c, p, begun[0])
+	timer := time.NewTimer(time.Until(due))
 	defer timer.Stop()
-	running := 1
+	running, looks := 1, 1
 	for {
 		select {
 		case <-timer.C:
 			send := b.hedge(ctx, c, state)
 			if send == nil {
+				if looks < b.maxHedgeLooks() {
+					looks++
+					timer.Reset(b.estimate(c.route.Name).latency)
+				}
 				continue
 			}
 			b.metrics.retries.With(string(retrier.CauseHedge)).Inc()
@@ -107,6 +108,7 @@
 			state.add(last.outcome)
 			state.sent = max(state.sent, last.attempts)
 			if running == 0 || last.isFinal(true) {
+				b.countHedged(last, begun, running)
 				return last.withCancels(cancels)
 			}
 		}
@@ -136,37 +138,6 @@
 	}
 }
 
-func hedgeDelay(c *call, p *picked) time.Duration {
-	byObjective := time.Duration(hedgeObjective * float64(c.route.TargetLatency))
-	return max(byObjective, time.Duration(hedgeRatio*float64(p.expected)))
-}
-
-// hedge picks a second server and returns the function that sends the request there. If
-// this entry reaches no server, the hedge is passed on to another entry. It returns nil if
-// the route allows no further attempt, if the server is full or too slow, or if the retry
-// budget is used up.
-func (b *Balancer) hedge(ctx context.Context, c *call, state *attempts) (send sendFunc) {
-	if c.trial || state.sent+2 > c.route.MaxAttempts {
-		return nil
-	}
-	p, reason := b.pick(ctx, c)
-	if p == nil {
-		if !b.mayDelegate(c, reason) || !b.tryWithdraw(c.service) {
-			return nil
-		}
-		sent := state.sent + 1
-		return func(ctx context.Context) attemptResult { return b.delegateHedge(ctx, c, sent, reason) }
-	}
-	if ctx.Err() != nil || p.slowness > goodSlowness || p.busy >= p.Slots || !b.tryWithdraw(c.service) {
-		p.release()
-		return nil
-	}
-	c.tried[p.ID] = true
-	b.observeChosen(c, Hedged, p)
-	c.tellAttempts(state.sent + 2)
-	return func(ctx context.Context) attemptResult { return b.send(ctx, c, p) }
-}
-
 // send sends one attempt and records what it shows about the server.
 func (b *Balancer) send(ctx context.Context, c *call, p *picked) attemptResult {
 	now := time.Now()
@@ -228,6 +199,9 @@
 		b.recordSuccess(c)
 	}
 	ratio := b.updateStats(c, p, now.Sub(sent), resp, failed)
+	if resp != nil && !failed {
+		b.observeHedgeRatio(now, c.route.Name, ratio)
+	}
 	b.opts.OnAttempt(Attempt{
 		Service: c.service, Version: p.Version, Route: c.route.Name, Server: p.ID, LatencyRatio: ratio, Failed: failed,
 	})
@@ -242,6 +216,7 @@
 	if ratio >= hedgeRatio {
 		p.State.ObserveFailure(time.Now())
 	}
+	b.observeHedgeRatio(time.Now(), c.route.Name, ratio)
 	b.opts.OnAttempt(Attempt{Service: c.service, Version: p.Version, Route: c.route.Name, Server: p.ID, LatencyRatio: ratio})
 }
 
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -15,6 +15,7 @@
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/delegator"
 	"samphiremux/entry/estimator"
+	"samphiremux/entry/hedger"
 	"samphiremux/entry/meter"
 	"samphiremux/entry/monitor"
 	"samphiremux/entry/quarantiner"
@@ -125,6 +126,8 @@
 	// suspects has no element for a service until one of its servers crashes
 	// under a request.
 	suspects map[string]*quarantiner.Suspects
+	// hedger is nil if no limit of hedges is set.
+	hedger *hedger.Hedger
 	// reaches holds which servers of each service were reached lately.
 	reaches map[string]reach
 }
@@ -166,6 +169,10 @@
 	}
 }
 
+// UseHedger makes h decide when idempotent requests are hedged. Without one, they are hedged
+// after a fixed multiple of the expected latency. It must be called before the first request.
+func (b *Balancer) UseHedger(h *hedger.Hedger) { b.hedger = h }
+
 // deadlineSlack is added to the deadline of the request's context, so that a
 // response that the server sends at the deadline still reaches the caller.
 const deadlineSlack = 20 * time.Millisecond
--- a/entry/balancer/metrics.go
+++ b/entry/balancer/metrics.go
@@ -25,6 +25,7 @@
 	// that other entries passed on to this one.
 	delegated *meter.CounterVec
 	taken     *meter.CounterVec
+	hedges    hedgeMetrics
 }
 
 // newMetrics registers the metrics. The counters of each refusal reason and retry
@@ -45,6 +46,7 @@
 		m.delegated.With(result)
 	}
 	m.taken = r.CounterVec("taken_total", "Requests that other entries passed on to this one, by whether it reaches servers.", "reaches")
+	m.hedges = newHedgeMetrics(r)
 	for _, reason := range refuser.NotRunReasons() {
 		m.refusals.With(string(refuser.NotRun), string(reason))
 	}
--- a/entry/balancer/run.go
+++ b/entry/balancer/run.go
@@ -30,6 +30,7 @@
 		p, reason := b.pick(ctx, c)
 		if p == nil {
 			b.observePick(c, reason)
+			b.observeShortage(c.service, reason)
 			if !b.mayDelegate(c, reason) {
 				return nil, state.refusal(reason)
 			}
@@ -46,6 +47,7 @@
 		if !deposited {
 			// The entry that a request is passed on to counts it there.
 			b.deposit(c.service)
+			b.observeHedgeable(c.service)
 			deposited = true
 		}
 		b.observeChosen(c, Chosen, p)
@@ -67,6 +69,9 @@
 		case reachedServer(result.outcome) && !b.tryWithdraw(c.service):
 			return b.finish(result, &state, refuser.RetryBudgetSpent)
 		}
+		if _, shed := result.outcome.(retrier.Shed); shed {
+			b.observeShortage(c.service, refuser.BackendShedding)
+		}
 		b.metrics.retries.With(causeOf(result)).Inc()
 		result.discard()
 	}
--- a/entry/balancer/trace.go
+++ b/entry/balancer/trace.go
@@ -29,6 +29,8 @@
 	Chosen Decision = "chosen"
 	// Hedged means that a second server was picked to hedge the first.
 	Hedged Decision = "hedged"
+	// HedgeSkipped means that a hedge was due and was not sent. It carries the reason.
+	HedgeSkipped Decision = "hedge-skipped"
 	// Delegated means that the request was passed on to another entry. It carries what
 	// became of it there.
 	Delegated Decision = "delegated"
@@ -42,7 +44,7 @@
 
 // Decisions returns every decision.
 func Decisions() []Decision {
-	return []Decision{Received, LeftOut, Chosen, Hedged, Delegated, Ended, Answered, Refused}
+	return []Decision{Received, LeftOut, Chosen, Hedged, HedgeSkipped, Delegated, Ended, Answered, Refused}
 }
 
 const (
--- /dev/null
+++ b/entry/hedger/hedger_test.go
@@ -0,0 +1,211 @@
+package hedger_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"samphiremux/entry/hedger"
+)
+
+var start = time.Now()
+
+// TestDueAt guards against hedges of ordinary responses, and against hedges that come too
+// late to serve the caller in time.
+func TestDueAt(t *testing.T) {
+	text, err := os.ReadFile("_fixtures/due-at.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		t.Run(strings.TrimSpace(line), func(t *testing.T) {
+			is := is.New(t)
+			f := strings.Fields(line)
+			after := func(i int) time.Duration {
+				d, err := time.ParseDuration(f[i])
+				is.NoErr(err)
+				return d
+			}
+			a := hedger.Attempt{Service: "s", Route: "r", Sent: start, Expected: after(0), Usual: after(1), Deadline: start.Add(after(3))}
+			if f[2] != "-" {
+				a.Objective = start.Add(after(2))
+			}
+			is.Equal(hedger.New(0.05).DueAt(a).Sub(start), after(5))
+		})
+	}
+}
+
+// TestLimitOfAllEntries guards against entries that together exceed the operators' limit:
+// each hedges as often as it is allowed to, and the load is divided unevenly.
+func TestLimitOfAllEntries(t *testing.T) {
+	for _, entries := range []int{1, 16, 116, 471} {
+		for _, limit := range []float64{0, 0.02, 0.1, 1} {
+			t.Run(strconv.Itoa(entries)+" entries "+strconv.FormatFloat(limit, 'f', -1, 64), func(t *testing.T) {
+				is := is.New(t)
+				rng := rand.New(rand.NewPCG(1, uint64(entries)))
+				fleet := make([]*hedger.Hedger, entries)
+				for i := range fleet {
+					fleet[i] = hedger.New(limit)
+				}
+				requests, hedges := 0, 0
+				for range 200 * entries {
+					// The cube concentrates the load on the first entries.
+					h := fleet[int(float64(entries)*math.Pow(rng.Float64(), 3))]
+					h.ObserveRequest("s")
+					requests++
+					for range 3 {
+						if _, ok := h.Admit(start, "s").(hedger.Hedge); ok && h.Take("s") {
+							hedges++
+						}
+					}
+					is.True(float64(hedges) <= limit*float64(requests)+1e-6)
+				}
+				is.True(float64(hedges) >= limit*float64(requests)-2*float64(entries))
+			})
+		}
+	}
+}
+
+// TestSavedHedges guards against a service that saves hedges for hours and then doubles the
+// load of its servers.
+func TestSavedHedges(t *testing.T) {
+	is := is.New(t)
+	h := hedger.New(0.5)
+	for range 1000 {
+		h.ObserveRequest("s")
+	}
+	is.True(h.Take("s"))
+	is.True(h.Take("s"))
+	is.True(!h.Take("s"))
+}
+
+// TestShortage guards against hedges that take the place of requests which wait or are
+// refused.
+func TestShortage(t *testing.T) {
+	is := is.New(t)
+	h := hedger.New(1)
+	h.ObserveRequest("s")
+	h.ObserveRequest("other")
+	h.ObserveShortage(start, "s")
+	is.Equal(h.Admit(start.Add(900*time.Millisecond), "s"), hedger.Verdict(hedger.Skip{Reason: hedger.Shortage}))
+	is.Equal(h.Admit(start, "other"), hedger.Verdict(hedger.Hedge{}))
+	is.Equal(h.Admit(start.Add(1100*time.Millisecond), "s"), hedger.Verdict(hedger.Hedge{}))
+}
+
+// TestTargets guards against hedges at servers that are full, slow, cold or state a rate
+// limit.
+func TestTargets(t *testing.T) {
+	is := is.New(t)
+	good := hedger.Target{FreeSlots: 1, Slowness: 1}
+	is.True(good.Suits())
+	for _, change := range []func(*hedger.Target){
+		func(t *hedger.Target) { t.FreeSlots = 0 },
+		func(t *hedger.Target) { t.Slowness = 7 },
+		func(t *hedger.Target) { t.Cold = true },
+		func(t *hedger.Target) { t.RateLimited = true },
+	} {
+		bad := good
+		change(&bad)
+		is.True(!bad.Suits())
+	}
+}
+
+const (
+	usual     = 80 * time.Millisecond
+	objective = 250 * time.Millisecond
+	deadline  = time.Second
+)
+
+// latency draws the latency of an attempt. Some responses are slow since a noisy neighbour
+// came, or lost.
+func latency(rng *rand.Rand) time.Duration {
+	d := time.Duration(float64(usual) * math.Exp(0.3*rng.NormFloat64()))
+	switch draw := rng.Float64(); {
+	case draw < 0.01:
+		return time.Hour
+	case draw < 0.05:
+		return 7 * d
+	}
+	return d
+}
+
+// play sends requests one after the other and returns the share in time, the share without
+// a response, and the hedges for each request.
+func play(limit float64, requests int) (inTime, lost, hedged float64) {
+	rng := rand.New(rand.NewPCG(7, 7))
+	h := hedger.New(limit)
+	now := start
+	for range requests {
+		now = now.Add(200 * time.Millisecond)
+		h.ObserveRequest("s")
+		due := h.DueAt(hedger.Attempt{
+			Service: "s", Route: "r", Sent: now, Expected: usual, Usual: usual, Objective: now.Add(objective), Deadline: now.Add(deadline),
+		})
+		took := latency(rng)
+		seen := took
+		if wait := due.Sub(now); wait < took {
+			if _, ok := h.Admit(now, "s").(hedger.Hedge); ok && h.Take("s") {
+				hedged++
+				took = min(took, wait+latency(rng))
+				seen = took
+			}
+		}
+		h.ObserveLatency(now, "r", float64(min(seen, deadline))/float64(usual))
+		switch {
+		case took <= objective:
+			inTime++
+		case took > deadline:
+			lost++
+		}
+	}
+	n := float64(requests)
+	return inTime / n, lost / n, hedged / n
+}
+
+// TestSlowAndLostResponses plays the load that hedges are for: 4 in 100 responses slow and
+// 1 in 100 lost. It guards against a limit that is spent on responses that are not late.
+func TestSlowAndLostResponses(t *testing.T) {
+	is := is.New(t)
+	before, lostBefore, none := play(0, 20000)
+	is.Equal(none, 0.0)
+	for _, limit := range []float64{0.02, 0.05, 0.1} {
+		inTime, lost, hedged := play(limit, 20000)
+		t.Logf("limit %.2f: in time %.3f (%.3f without), lost %.4f (%.4f), hedged %.3f", limit, inTime, before, lost, lostBefore, hedged)
+		is.True(hedged <= limit)
+		// At twice the usual latency, about one response in four is just slow by chance, and
+		// one hedge in four takes too long itself, so half of the hedges can gain.
+		is.True(inTime-before >= min(limit, 1-before)*0.4)
+		is.True(lost <= lostBefore)
+	}
+}
+
+// TestStuckRoute guards against a route whose responses all become slow: hedges follow what
+// its responses take now.
+func TestStuckRoute(t *testing.T) {
+	is := is.New(t)
+	h := hedger.New(0.05)
+	a := hedger.Attempt{Service: "s", Route: "r", Sent: start, Expected: usual, Usual: usual, Deadline: start.Add(time.Minute)}
+	for range 100 {
+		h.ObserveLatency(start, "r", 1)
+	}
+	fast := h.DueAt(a)
+	is.True(fast.Sub(start) < 2*usual)
+	for range 100 {
+		h.ObserveLatency(start, "r", 6)
+	}
+	is.True(h.DueAt(a).Sub(start) > 4*usual)
+	for i := range 100 {
+		// Windows of 10 s pass, until only fast responses count.
+		h.ObserveLatency(start.Add(time.Duration(i)*time.Second), "r", 1)
+	}
+	is.True(h.DueAt(a).Sub(start) < 2*usual)
+}
--- a/steer/commander/commander.go
+++ b/steer/commander/commander.go
@@ -46,6 +46,7 @@
 type arguments struct {
 	Settings string `arg:"--settings" help:"settings file; the platform names the default one in the environment"`
 	Policy   string `arg:"--policy" default:"expected-completion" help:"policy by which backend servers are chosen"`
+	HedgeLimit *float64 `arg:"--hedge-limit" help:"hedged requests as a share of the requests of a service, from 0 to 1; without it, the built-in delay applies and the share is not limited"`
 	LogLevel string `arg:"--log-level" default:"info" help:"trace, debug, info, warn, error or off"`
 	Check    bool   `arg:"--check" help:"check the settings file and exit"`
 }
@@ -69,6 +70,10 @@
 		_, _ = fmt.Fprintln(out, err)
 		return exitUsage
 	}
+	if a.HedgeLimit != nil && !(*a.HedgeLimit >= 0 && *a.HedgeLimit <= 1) {
+		_, _ = fmt.Fprintf(out, "--hedge-limit %g must be from 0 to 1\n", *a.HedgeLimit)
+		return exitUsage
+	}
 	if a.Settings == "" {
 		a.Settings = os.Getenv(translator.SettingsVariable)
 	}
@@ -99,7 +104,7 @@
 	// logger.
 	stdlog.SetOutput(log.Named("http").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}))
 	signal.Ignore(syscall.SIGPIPE)
-	if err := serve(ctx, a.Settings, s, policy, log); err != nil {
+	if err := serve(ctx, a.Settings, s, policy, a.HedgeLimit, log); err != nil {
 		log.Error("Entry failed; exiting.", "error", err)
 		return exitFailed
 	}
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -15,14 +15,18 @@
 	"samphiremux/entry/delegator"
 	"samphiremux/entry/drainer"
 	"samphiremux/entry/expirer"
+	"samphiremux/entry/hedger"
 	"samphiremux/pkg/linker"
 	"samphiremux/platform/translator"
 )
 
 // serve runs an entry until ctx ends, and then until its last requests are answered or
-// the grace period is over.
-func serve(ctx context.Context, file string, s translator.Settings, policy chooser.Policy, log hclog.Logger) error {
+// the grace period is over. Without a hedge limit, hedges are not limited.
+func serve(ctx context.Context, file string, s translator.Settings, policy chooser.Policy, hedgeLimit *float64, log hclog.Logger) error {
 	e := newEntry(s, policy, dialer().DialContext, log)
+	if hedgeLimit != nil {
+		e.balancer.UseHedger(hedger.New(*hedgeLimit))
+	}
 	l, err := listen(s)
 	if err != nil {
 		return err
