describer: workspaces, API keys by their hashes, and the rank of a request

Requests are ordered by their workspace before their route when capacity is short; nothing could express this.

--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -17,17 +17,19 @@
 
 // call is the state of one caller's request.
 type call struct {
-	route    describer.Route
-	service  string
-	version  string
-	view     *snapshotter.Snapshot
-	arrived  time.Time
-	deadline time.Time
-	method   string
-	host     string
-	target   string
-	header   http.Header
-	body     []byte
+	route   describer.Route
+	service string
+	// workspace is the zero value for a request without an API key.
+	workspace describer.Workspace
+	version   string
+	view      *snapshotter.Snapshot
+	arrived   time.Time
+	deadline  time.Time
+	method    string
+	host      string
+	target    string
+	header    http.Header
+	body      []byte
 	// held is the memory of the body.
 	held    *reserver.Hold
 	id      string
--- a/pkg/describer/table.go
+++ b/pkg/describer/table.go
@@ -24,6 +24,8 @@
 	MaxAttempts int
 	// Importance ranks routes when capacity is short. Zero is the highest rank.
 	Importance int
+	// Public reports that requests need no API key although there are workspaces.
+	Public bool
 	// Services holds the services that share the route's requests.
 	Services []WeightedService
 }
@@ -64,6 +66,7 @@
 	Services map[string]Service
 	Limits   Limits
 	hosts    map[string][]Route
+	access   access
 }
 
 // NewRouteTable returns a table of routes and services.
