balancer: API keys of callers, workspaces at the servers

With tenants in the configuration, a request on a route that is not public needs a key that the configuration contains; otherwise it is refused with 401 (unknown-key) before its body is read, or with 503 while a newer configuration may exist. Servers get the name of the workspace and never the key, nor a workspace that the caller claims. The key is looked up in the newest table again before each attempt and each hedge, so that a revoked key ends waiting requests and retries. Another entry gets the caller's key and decides by its own configuration.

Without tenants both headers are forwarded as before. The fixture of the balancer's tests names the headers.

--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -151,13 +151,13 @@
 	}
 	p, reason := b.pick(ctx, c)
 	if p == nil {
-		if !b.mayDelegate(c, reason) || !b.tryWithdraw(c.service) {
+		if !b.mayDelegate(c, reason) || !b.mayHedge(c) || !b.tryWithdraw(c.service) {
 			return nil
 		}
 		sent := state.sent + 1
 		return func(ctx context.Context) attemptResult { return b.delegateHedge(ctx, c, sent, reason) }
 	}
-	if ctx.Err() != nil || p.slowness > goodSlowness || p.busy >= p.Slots || !b.tryWithdraw(c.service) {
+	if ctx.Err() != nil || p.slowness > goodSlowness || p.busy >= p.Slots || !b.mayHedge(c) || !b.tryWithdraw(c.service) {
 		p.release()
 		return nil
 	}
@@ -173,6 +173,7 @@
 	header := c.header.Clone()
 	b.opts.Headers.SetDeadline(header, c.deadline.Sub(now))
 	header.Set(b.opts.Headers.Instance, p.ID)
+	b.setWorkspace(header, c.identity)
 	p.State.Begin()
 	defer p.State.End()
 	resp, outcome := p.State.Send(ctx, p.conn, roundtripper.Request{
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -32,6 +32,14 @@
 	ReadDeadline  func(http.Header) (time.Duration, bool)
 	SetDeadline   func(http.Header, time.Duration)
 	SetRetryAfter func(http.Header, time.Duration)
+	// Key names the header with the caller's API key, which ReadKey reads. Servers do not
+	// get it while the configuration has workspaces. Both are unset if there are no keys.
+	Key     string
+	ReadKey func(http.Header) (key string, ok bool)
+	// Workspace names the header that tells servers the workspace of a request.
+	Workspace string
+	// SetChallenge adds to a response how to send a key. It may be nil.
+	SetChallenge func(http.Header)
 }
 
 // Limits bounds the retries of a service over all entries together: Ratio
@@ -127,6 +135,8 @@
 	suspects map[string]*quarantiner.Suspects
 	// reaches holds which servers of each service were reached lately.
 	reaches map[string]reach
+	// workspaceLabels holds the workspaces that have a counter of their own.
+	workspaceLabels map[string]bool
 }
 
 // routeStats holds the running means of a route's responses.
@@ -155,6 +165,12 @@
 	if opts.NotifySuspect == nil {
 		opts.NotifySuspect = func(string, quarantiner.Fingerprint, int, quarantiner.Attempt) {}
 	}
+	if opts.Headers.ReadKey == nil {
+		opts.Headers.ReadKey = func(http.Header) (string, bool) { return "", false }
+	}
+	if opts.Headers.SetChallenge == nil {
+		opts.Headers.SetChallenge = func(http.Header) {}
+	}
 	if opts.Metrics == nil {
 		opts.Metrics = meter.New()
 	}
@@ -162,7 +178,7 @@
 		opts: opts, metrics: newMetrics(opts.Metrics), rng: rng, chooser: chooser.New(opts.Policy, rng),
 		badLines: lineBucket{perSecond: badLinesPerSecond}, goodLines: lineBucket{perSecond: goodLinesPerSecond},
 		budgets: map[string]*throttler.RetryBudget{}, routes: map[string]*routeStats{}, draws: map[string]float64{}, suspects: map[string]*quarantiner.Suspects{},
-		reaches: map[string]reach{},
+		reaches: map[string]reach{}, workspaceLabels: map[string]bool{},
 	}
 }
 
@@ -186,6 +202,7 @@
 		return
 	}
 	c.traceReceived()
+	b.countWorkspace(c)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline.Add(deadlineSlack))
 	defer cancel()
 	defer c.held.Release()
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -277,6 +277,9 @@
 			},
 			SetDeadline:   func(h http.Header, d time.Duration) { h.Set("Left", d.String()) },
 			SetRetryAfter: func(h http.Header, d time.Duration) { h.Set("Retry-After", d.String()) },
+			Key:           "Key", Workspace: "Workspace",
+			ReadKey:      func(h http.Header) (string, bool) { return h.Get("Key"), len(h.Values("Key")) == 1 },
+			SetChallenge: func(h http.Header) { h.Set("Challenge", "key") },
 		},
 	}, rand.New(rand.NewPCG(1, 1+entry)))
 	return f
--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -180,6 +180,7 @@
 func (b *Balancer) delegatedRequest(c *call, sent int) delegator.Request {
 	header := c.header.Clone()
 	b.opts.Headers.SetDeadline(header, time.Until(c.deadline))
+	b.setCredentials(header, c.identity)
 	return delegator.Request{
 		Request:  roundtripper.Request{Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id},
 		Attempts: sent, Configuration: c.view.Table.Version, Service: c.service,
--- a/entry/balancer/metrics.go
+++ b/entry/balancer/metrics.go
@@ -25,6 +25,8 @@
 	// that other entries passed on to this one.
 	delegated *meter.CounterVec
 	taken     *meter.CounterVec
+	// workspaces counts callers' requests by workspace.
+	workspaces *meter.CounterVec
 }
 
 // newMetrics registers the metrics. The counters of each refusal reason and retry
@@ -45,6 +47,7 @@
 		m.delegated.With(result)
 	}
 	m.taken = r.CounterVec("taken_total", "Requests that other entries passed on to this one, by whether it reaches servers.", "reaches")
+	m.workspaces = r.CounterVec("workspace_requests_total", "Callers' requests with a valid API key, by workspace.", "workspace")
 	for _, reason := range refuser.NotRunReasons() {
 		m.refusals.With(string(refuser.NotRun), string(reason))
 	}
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -17,19 +17,18 @@
 
 // call is the state of one caller's request.
 type call struct {
-	route   describer.Route
-	service string
-	// workspace is the zero value for a request without an API key.
-	workspace describer.Workspace
-	version   string
-	view      *snapshotter.Snapshot
-	arrived   time.Time
-	deadline  time.Time
-	method    string
-	host      string
-	target    string
-	header    http.Header
-	body      []byte
+	identity
+	route    describer.Route
+	service  string
+	version  string
+	view     *snapshotter.Snapshot
+	arrived  time.Time
+	deadline time.Time
+	method   string
+	host     string
+	target   string
+	header   http.Header
+	body     []byte
 	// held is the memory of the body.
 	held    *reserver.Hold
 	id      string
@@ -73,6 +72,10 @@
 	if !ok {
 		return nil, b.notAllowed(refuser.NoSuchRoute)
 	}
+	caller, refusal := b.identify(r, view.Table, route)
+	if refusal != nil {
+		return nil, refusal
+	}
 	id := r.Header.Get(b.opts.Headers.RequestID)
 	if id == "" {
 		return nil, notRun(refuser.BadRequest)
@@ -107,10 +110,11 @@
 		held.Release()
 		return nil, refusal
 	}
+	header := b.takeIdentity(&caller, r.Header)
 	return &call{
-		route: route, service: service, version: view.Splits[service].PickVersion(b.draw("version of " + service)),
+		identity: caller, route: route, service: service, version: view.Splits[service].PickVersion(b.draw("version of " + service)),
 		view: view, arrived: now, deadline: deadline, method: r.Method, host: r.Host, target: target,
-		header: endToEndHeader(r.Header), body: body, held: held, id: id, tried: map[string]bool{}, hop: h,
+		header: header, body: body, held: held, id: id, tried: map[string]bool{}, hop: h,
 	}, nil
 }
 
--- a/entry/balancer/response.go
+++ b/entry/balancer/response.go
@@ -56,6 +56,9 @@
 	if status == http.StatusServiceUnavailable {
 		b.opts.Headers.SetRetryAfter(w.Header(), retryAfter(time.Now(), refusal))
 	}
+	if status == http.StatusUnauthorized {
+		b.opts.Headers.SetChallenge(w.Header())
+	}
 	if h != nil {
 		w.Header().Set(delegator.OutcomeHeader, refusal.Header())
 		if !refusal.RetryAt.IsZero() {
@@ -66,12 +69,12 @@
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 	inputs := []any{"kind", string(refusal.Kind), "reason", string(refusal.Reason), "status", status}
-	noRoute := refusal.Reason == refuser.NoSuchRoute || refusal.Reason == refuser.Outdated
-	if table := b.opts.Snapshot().Table; noRoute && table != nil {
+	unknown := refusal.Reason == refuser.NoSuchRoute || refusal.Reason == refuser.Outdated || refusal.Reason == refuser.UnknownKey
+	if table := b.opts.Snapshot().Table; unknown && table != nil {
 		inputs = append(inputs, "host", r.Host, "configuration", table.Version)
 	}
 	t.add(Refused, inputs...)
-	b.flush(r.Header.Get(b.opts.Headers.RequestID), t, noRoute)
+	b.flush(r.Header.Get(b.opts.Headers.RequestID), t, unknown)
 }
 
 // writeResponse writes a server's response to the caller. If a streamed
--- a/entry/balancer/run.go
+++ b/entry/balancer/run.go
@@ -17,6 +17,9 @@
 	}
 	deposited := false
 	for {
+		if refusal := b.reauthorize(c, &state); refusal != nil {
+			return nil, refusal
+		}
 		switch b.admissionOf(c) {
 		case ordinaryRequest:
 		case trialRequest:
@@ -43,6 +46,10 @@
 			p.release()
 			return nil, state.refusal(refuser.DeadlinePassed)
 		}
+		if refusal := b.reauthorize(c, &state); refusal != nil {
+			p.release()
+			return nil, refusal
+		}
 		if !deposited {
 			// The entry that a request is passed on to counts it there.
 			b.deposit(c.service)
--- a/entry/balancer/trace.go
+++ b/entry/balancer/trace.go
@@ -165,8 +165,14 @@
 	if c.hop != nil {
 		from = c.hop.from
 	}
-	c.trace.add(Received, "from", from, "route", c.route.Name, "service", c.service, "version", c.version,
-		"configuration", c.view.Table.Version, "deadline-ms", c.deadline.Sub(c.arrived).Milliseconds())
+	inputs := []any{
+		"from", from, "route", c.route.Name, "service", c.service, "version", c.version,
+		"configuration", c.view.Table.Version, "deadline-ms", c.deadline.Sub(c.arrived).Milliseconds(),
+	}
+	if c.guarded {
+		inputs = append(inputs, "workspace", c.workspace.Name)
+	}
+	c.trace.add(Received, inputs...)
 }
 
 // leftOut holds the ids of the servers that an attempt left out, the first maxLeftOut of
--- a/entry/refuser/refuser.go
+++ b/entry/refuser/refuser.go
@@ -74,6 +74,9 @@
 	// MemoryFull means that the bodies of other requests take all memory that is meant for
 	// them.
 	MemoryFull Reason = "memory-full"
+	// UnknownKey means that a request has no API key that the configuration contains, on a
+	// route that needs one.
+	UnknownKey Reason = "unknown-key"
 )
 
 // Reasons for refusals of kind OutcomeUnknown.
@@ -93,7 +96,7 @@
 	return []Reason{
 		BackendUnreachable, BackendShedding, BadRequest, BodyTooLarge, CallerDisconnected, CallerOverShare, DeadlinePassed,
 		DeadlineTooNear, EntryUnreachable, HeadersTooLarge, Isolated, KeyFromFuture, MemoryFull, Misdirected, NoBackendServer, NoDocument,
-		NoSuchRoute, NoSuchService, Outdated, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, PausedServers, RateLimitedServers, Stopping, Suspect, UnreachableServers,
+		NoSuchRoute, NoSuchService, Outdated, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, PausedServers, RateLimitedServers, Stopping, Suspect, UnknownKey, UnreachableServers,
 	}
 }
 
@@ -167,6 +170,8 @@
 		return http.StatusNotFound
 	case BadRequest, KeyFromFuture:
 		return http.StatusBadRequest
+	case UnknownKey:
+		return http.StatusUnauthorized
 	case BodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case HeadersTooLarge:
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -188,6 +188,7 @@
 		Headers: balancer.Headers{
 			RequestID: translator.HeaderRequestID, Instance: translator.HeaderExpectInstance, ReadDeadline: translator.ReadDeadline,
 			SetDeadline: translator.SetDeadline, SetRetryAfter: translator.SetRetryAfter,
+			Key: translator.HeaderKey, ReadKey: translator.ReadKey, Workspace: translator.HeaderWorkspace, SetChallenge: translator.SetChallenge,
 		},
 		Metrics: e.metrics, RetryLimits: e.retryLimits, NotifySuspect: e.notifySuspect,
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
