--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -144,6 +144,7 @@
 	header := c.header.Clone()
 	b.opts.Headers.SetDeadline(header, c.deadline.Sub(now))
 	header.Set(b.opts.Headers.Instance, p.ID)
+	b.setWorkspace(header, c.identity)
 	p.State.Begin()
 	defer p.State.End()
 	resp, outcome := p.State.Send(ctx, p.conn, roundtripper.Request{
--- a/entry/balancer/hedge.go
+++ b/entry/balancer/hedge.go
@@ -102,6 +102,9 @@
 	if c.trial || state.sent+2 > c.route.MaxAttempts {
 		return nil, hedger.AttemptsUsed
 	}
+	if !b.mayHedge(c) {
+		return nil, hedger.KeyRevoked
+	}
 	if skip, ok := b.checkHedgeLimit(c.service).(hedger.Skip); ok {
 		return nil, skip.Reason
 	}
@@ -116,7 +119,7 @@
 		sent := state.sent + 1
 		return func(ctx context.Context) attemptResult { return b.delegateHedge(ctx, c, sent, cause) }, ""
 	}
-	if ctx.Err() != nil || !b.suitsHedge(p) {
+	if ctx.Err() != nil || !b.suitsHedge(p) || !b.mayHedge(c) {
 		p.release()
 		return nil, hedger.NoServer
 	}
--- a/entry/balancer/metrics.go
+++ b/entry/balancer/metrics.go
@@ -26,6 +26,8 @@
 	delegated *meter.CounterVec
 	taken     *meter.CounterVec
 	hedges    hedgeMetrics
+	// workspaces counts callers' requests by workspace.
+	workspaces *meter.CounterVec
 }
 
 // newMetrics registers the metrics. The counters of each refusal reason and retry
@@ -47,6 +49,7 @@
 	}
 	m.taken = r.CounterVec("taken_total", "Requests that other entries passed on to this one, by whether it reaches servers.", "reaches")
 	m.hedges = newHedgeMetrics(r)
+	m.workspaces = r.CounterVec("workspace_requests_total", "Callers' requests with a valid API key, by workspace.", "workspace")
 	for _, reason := range refuser.NotRunReasons() {
 		m.refusals.With(string(refuser.NotRun), string(reason))
 	}
--- a/entry/hedger/hedger.go
+++ b/entry/hedger/hedger.go
@@ -188,11 +188,14 @@
 	AttemptsUsed Reason = "attempts"
 	// BudgetSpent means that the retry budget of the service is spent.
 	BudgetSpent Reason = "retry-budget"
+	// KeyRevoked means that the configuration in force no longer allows the request as it
+	// was first sent.
+	KeyRevoked Reason = "key-revoked"
 )
 
 // Reasons returns all reasons.
 func Reasons() []Reason {
-	return []Reason{AttemptsUsed, LimitReached, NoServer, BudgetSpent, Shortage}
+	return []Reason{AttemptsUsed, KeyRevoked, LimitReached, NoServer, BudgetSpent, Shortage}
 }
 
 // Admit reports whether a hedge of a service may be sent now, before a server is sought for
