soaker: API keys and their revocation

Servers check that they get the workspace of the key, and no key; the checker that no request runs with a key later than 2.5 s after its revocation (3 s after an outage of the store), and that no valid key gets 401.

--- a/standin/soaker/backend_test.go
+++ b/standin/soaker/backend_test.go
@@ -198,6 +198,7 @@
 	if sum := r.Header.Get(sumHeader); sum != sumOf(string(body)) || !strings.HasSuffix(r.URL.RawQuery, requestID) {
 		b.log.report("UNASKED", "request %s reached %s changed: %s %s, %d bytes", requestID, id, r.Method, r.URL, len(body))
 	}
+	b.log.checkIdentity(r, id)
 	sent, _ := strconv.ParseInt(r.Header.Get(sentHeader), 10, 64)
 	if late := time.Unix(0, sent).Sub(leavingAt); !leavingAt.IsZero() && late > drainTime {
 		b.log.report("DRAIN", "request %s, sent %v after %s began to leave, reached it", requestID, late, id)
