--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -21,6 +21,7 @@
 	"samphiremux/entry/reserver"
 	"samphiremux/entry/snapshotter"
 	"samphiremux/entry/throttler"
+	"samphiremux/pkg/placer"
 )
 
 // Headers holds the header names that callers and backend servers use, and the
@@ -63,6 +64,9 @@
 	// a server, and the number of entries. Entries that know the same entries agree on
 	// the order, which differs from server to server.
 	Rank func(server string) (rank, entries int)
+	// Entries returns the entries that use the servers, this one included. If it is nil, the
+	// balancer uses all servers of a service alike, and no subset of them.
+	Entries func() []placer.Member
 	// Settled reports whether this entry and the others know one another. Only then does it
 	// send requests to cold servers and to those that state a rate limit. It may be nil if
 	// that is always so.
@@ -127,6 +131,8 @@
 	suspects map[string]*quarantiner.Suspects
 	// reaches holds which servers of each service were reached lately.
 	reaches map[string]reach
+	// subsets holds the subset of each service that has more than a few servers.
+	subsets map[string]*serviceSubset
 }
 
 // routeStats holds the running means of a route's responses.
@@ -162,7 +168,7 @@
 		opts: opts, metrics: newMetrics(opts.Metrics), rng: rng, chooser: chooser.New(opts.Policy, rng),
 		badLines: lineBucket{perSecond: badLinesPerSecond}, goodLines: lineBucket{perSecond: goodLinesPerSecond},
 		budgets: map[string]*throttler.RetryBudget{}, routes: map[string]*routeStats{}, draws: map[string]float64{}, suspects: map[string]*quarantiner.Suspects{},
-		reaches: map[string]reach{},
+		reaches: map[string]reach{}, subsets: map[string]*serviceSubset{},
 	}
 }
 
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -30,6 +30,7 @@
 	"samphiremux/entry/roundtripper"
 	"samphiremux/entry/snapshotter"
 	"samphiremux/pkg/describer"
+	"samphiremux/pkg/placer"
 )
 
 // backend is a scripted backend server.
@@ -145,6 +146,8 @@
 	outdated bool
 	// alone reports that the entry knows no others, since it is not registered yet.
 	alone bool
+	// entries are the other entries that use the servers. Without them there are no subsets.
+	entries []placer.Member
 	// peers are the other entries, and dialPeer connects to one.
 	peers    []delegator.Peer
 	dialPeer func(ctx context.Context, address string) (net.Conn, error)
@@ -262,6 +265,7 @@
 			}
 			return rankOf(entry, server), fixtureEntries
 		},
+		Entries: func() []placer.Member { return f.entries },
 		Settled: func() bool { return !f.alone }, Metrics: f.metrics,
 		RetryLimits: func() balancer.Limits { return balancer.Limits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second} },
 		NotifySuspect: func(_ string, fingerprint quarantiner.Fingerprint, crashes int, _ quarantiner.Attempt) {
--- a/entry/balancer/cold_server.go
+++ b/entry/balancer/cold_server.go
@@ -48,10 +48,14 @@
 	return true
 }
 
-// observeChosen records a picked server, and counts the attempt if the server is cold.
+// observeChosen records a picked server, and counts the attempt if the server is cold or
+// outside the subset.
 func (b *Balancer) observeChosen(c *call, d Decision, p *picked) {
 	c.traceChosen(d, p)
 	if p.cold != nil {
 		b.metrics.coldAttempts.With(p.Service).Inc()
 	}
+	if p.beyond {
+		b.metrics.beyondSubset.With(p.Service).Inc()
+	}
 }
--- a/entry/balancer/metrics.go
+++ b/entry/balancer/metrics.go
@@ -20,6 +20,8 @@
 	dropped      *meter.CounterVec
 	// coldAttempts counts the attempts at cold servers.
 	coldAttempts *meter.CounterVec
+	// beyondSubset counts the attempts at servers outside the subset of their service.
+	beyondSubset *meter.CounterVec
 	latency      *meter.HistogramVec
 	// delegated counts requests that were passed on to other entries, and taken those
 	// that other entries passed on to this one.
@@ -37,6 +39,7 @@
 		probes:       r.CounterVec("probes_total", "Probes of backend servers, by result.", "result"),
 		failedProbes: r.CounterVec("failed_probes_total", "Probes of backend servers that failed, by cause.", "cause"),
 		coldAttempts: r.CounterVec("cold_attempts_total", "Attempts at cold servers, by service.", "service"),
+		beyondSubset: r.CounterVec("beyond_subset_total", "Attempts at servers outside the subset of their service, by service.", "service"),
 		dropped:      r.CounterVec("dropped_lines_total", "Log lines of requests that were dropped by their rate.", "of"),
 		latency:      r.HistogramVec("request_seconds", "Time from arrival to answer, by service, route and status class.", "service", "route", "class"),
 	}
--- a/entry/balancer/pick.go
+++ b/entry/balancer/pick.go
@@ -94,6 +94,8 @@
 	probed int
 	// cold is this entry's part in the rate of the server, or nil if it is not cold.
 	cold *coldPart
+	// beyond reports that the server is outside the subset of its service.
+	beyond bool
 }
 
 // slowdown returns how many times longer the server takes than an idle one
@@ -111,6 +113,9 @@
 // maxCandidates, it scans them from a random offset and prefers the entry's own
 // failure domain.
 func (b *Balancer) eligible(now time.Time, c *call, view *snapshotter.Snapshot) (candidates []candidate) {
+	if s := b.subsetOf(now, view, c.service); s != nil {
+		return b.eligibleBySubset(now, c, view, s)
+	}
 	servers := view.Services[c.service]
 	if len(servers) <= maxCandidates {
 		return c.collect(nil, now, view, servers, maxCandidates, func(snapshotter.Backend) bool { return true })
@@ -157,6 +162,8 @@
 	snapshotter.Backend
 	state snapshotter.StateSnapshot
 	cost  float64
+	// subset is the subset of the service, or nil if it has none.
+	subset *subset
 }
 
 // pick picks the server for the next attempt. If there is none, it returns the
@@ -207,6 +214,7 @@
 	for i := range candidates {
 		candidates[i].cost = b.priorCost(c, est, candidates[i])
 	}
+	addTierCosts(now, candidates)
 	slices.SortFunc(candidates, func(x, y candidate) int { return cmp.Compare(x.cost, y.cost) })
 	return b.probeRounds(ctx, c, view, est, candidates)
 }
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -146,7 +146,7 @@
 		}
 		cost *= coldSlowness
 	}
-	p = &picked{Backend: r.Backend, conn: r.conn, slowness: slowness, busy: busy, rateLimit: h.RateLimit}
+	p = &picked{Backend: r.Backend, conn: r.conn, slowness: slowness, busy: busy, rateLimit: h.RateLimit, beyond: r.isBeyond()}
 	p.expected = time.Duration(float64(est.latency) * p.slowdown())
 	return p, cost, ""
 }
--- /dev/null
+++ b/entry/balancer/subset.go
@@ -0,0 +1,225 @@
+package balancer
+
+import (
+	"time"
+
+	"samphiremux/entry/snapshotter"
+	"samphiremux/entry/subsetter"
+	"samphiremux/pkg/placer"
+)
+
+const (
+	// subsetInterval is the time for which a subset holds. A server that is registered or
+	// returns is to get requests within 4 s.
+	subsetInterval = 500 * time.Millisecond
+	// memberAge is the time since the last response of a member from which it is probed
+	// first. Connections expire after 8 s without use, so that they stay open.
+	memberAge = 3 * time.Second
+	// holderAge is the same for servers that only some entries may use. Cold servers get
+	// requests only if they are probed.
+	holderAge = 500 * time.Millisecond
+	// tierCost is the difference of the prior costs of two tiers. It exceeds any expected
+	// latency, and all tiers together are below the cost of an ejected server.
+	tierCost = float64(time.Minute)
+)
+
+// tier is the order in which candidates of a service with a subset are probed.
+type tier int
+
+const (
+	// tierDue is for the member that has not responded for the longest time.
+	tierDue tier = iota
+	// tierIdle is for members with an idle connection.
+	tierIdle
+	// tierUnconnected is for members to which a connection would have to be opened.
+	tierUnconnected
+	// tierBad is for members that were slow or full by a recent report.
+	tierBad
+	// tierBeyond is for servers outside the subset.
+	tierBeyond
+)
+
+// subset is the part of a service's servers that this entry uses first. It is immutable.
+type subset struct {
+	// members holds the ids of the servers of the subset, of all versions.
+	members map[string]bool
+	// holders holds the ids of further servers: those that are cold or state a rate limit,
+	// if this entry holds a part of the rate.
+	holders map[string]bool
+}
+
+// has reports whether a server is probed before servers outside the subset.
+func (s *subset) has(id string) bool { return s.members[id] || s.holders[id] }
+
+// serviceSubset is the subset of a service with the state that it follows from.
+type serviceSubset struct {
+	rate subsetter.Rate
+	// size is the size for each version.
+	size int
+	// current is nil before the first choice, and while the service has no subset.
+	current     *subset
+	chosenUntil time.Time
+}
+
+// subsetOf returns the subset of a service, or nil if this entry uses all servers alike. It
+// counts a request.
+func (b *Balancer) subsetOf(now time.Time, view *snapshotter.Snapshot, service string) *subset {
+	servers := view.Services[service]
+	if len(servers) <= subsetter.MaxWhole || b.opts.Entries == nil {
+		return nil
+	}
+	b.mu.Lock()
+	s, ok := b.subsets[service]
+	if !ok {
+		s = &serviceSubset{}
+		b.subsets[service] = s
+	}
+	s.rate.Observe(now)
+	if now.Before(s.chosenUntil) {
+		defer b.mu.Unlock()
+		return s.current
+	}
+	s.chosenUntil = now.Add(subsetInterval)
+	size, rate := s.size, s.rate.PerSecond(now)
+	b.mu.Unlock()
+	entries := b.opts.Entries()
+	size = subsetter.Size(size, rate, len(servers), len(entries))
+	chosen := b.chooseSubset(now, view, servers, entries, size)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s.current, s.size = chosen, size
+	return chosen
+}
+
+// chooseSubset chooses the members for each version of a service, and the further servers that
+// this entry holds a part of the rate of. It returns nil if the subset would be all servers.
+func (b *Balancer) chooseSubset(now time.Time, view *snapshotter.Snapshot, servers []snapshotter.Backend, entries []placer.Member, size int) *subset {
+	if size >= len(servers) {
+		return nil
+	}
+	chosen := &subset{members: map[string]bool{}, holders: map[string]bool{}}
+	byVersion := map[string][]subsetter.Server{}
+	for _, srv := range servers {
+		state := srv.State.Snapshot(now)
+		switch {
+		case !view.Eligible(srv) || state.Leaving || state.Paused || state.Ejected:
+		case b.isHolder(view, srv, state):
+			chosen.holders[srv.ID] = true
+		case state.Cold || (state.RateLimit.Stated && state.RateLimitFresh):
+		default:
+			byVersion[srv.Version] = append(byVersion[srv.Version], subsetter.Server{ID: srv.ID, Domain: srv.Domain, Slots: srv.Slots})
+		}
+	}
+	fleet := subsetter.Fleet{Self: placer.Member{ID: b.opts.Self, Domain: b.opts.Domain}}
+	for _, e := range entries {
+		if e.ID != b.opts.Self {
+			fleet.Others = append(fleet.Others, e)
+		}
+	}
+	for _, fleet.Servers = range byVersion {
+		for _, srv := range fleet.Choose(size) {
+			chosen.members[srv.ID] = true
+		}
+	}
+	return chosen
+}
+
+// isHolder reports whether a server is cold or states a rate limit, and this entry holds a
+// part of the rate.
+func (b *Balancer) isHolder(view *snapshotter.Snapshot, srv snapshotter.Backend, state snapshotter.StateSnapshot) bool {
+	if !state.Cold && !state.RateLimit.Stated {
+		return false
+	}
+	if state.Cold && !b.coldPartOf(view, srv).isHolder() {
+		return false
+	}
+	if !state.RateLimit.Stated {
+		return true
+	}
+	_, isHolder := b.rateLimitHolders(srv.ID, state.RateLimit)
+	return isHolder
+}
+
+// eligibleBySubset returns the servers that may run the request: those of the subset, and a
+// sample of the others, as many as in eligible together.
+func (b *Balancer) eligibleBySubset(now time.Time, c *call, view *snapshotter.Snapshot, s *subset) (candidates []candidate) {
+	servers := view.Services[c.service]
+	b.mu.Lock()
+	start := b.rng.IntN(len(servers))
+	b.mu.Unlock()
+	for _, part := range []struct {
+		limit int
+		match func(snapshotter.Backend) bool
+	}{
+		{maxLocalCandidates, func(srv snapshotter.Backend) bool { return s.has(srv.ID) }},
+		{maxLocalCandidates, func(srv snapshotter.Backend) bool { return !s.has(srv.ID) && srv.Domain == b.opts.Domain }},
+		{maxCandidates, func(srv snapshotter.Backend) bool { return !s.has(srv.ID) && srv.Domain != b.opts.Domain }},
+	} {
+		for _, section := range [][]snapshotter.Backend{servers[start:], servers[:start]} {
+			candidates = c.collect(candidates, now, view, section, part.limit, part.match)
+		}
+	}
+	for i := range candidates {
+		candidates[i].subset = s
+	}
+	return candidates
+}
+
+// addTierCosts raises the prior costs of candidates by their tiers, if the service has a
+// subset.
+func addTierCosts(now time.Time, candidates []candidate) {
+	due := -1
+	for i := range candidates {
+		cand := &candidates[i]
+		if cand.subset == nil {
+			return
+		}
+		cand.cost += tierCost * float64(cand.tier(now))
+		if cand.isDue(now) && (due < 0 || cand.state.HeardAt.Before(candidates[due].state.HeardAt)) {
+			due = i
+		}
+	}
+	if due >= 0 {
+		candidates[due].cost -= tierCost * float64(candidates[due].tier(now)-tierDue)
+	}
+}
+
+// tier returns the tier of a candidate that is not due.
+func (cand *candidate) tier(now time.Time) tier {
+	switch {
+	case !cand.subset.has(cand.ID):
+		return tierBeyond
+	case cand.state.LoadFresh && (cand.state.Load.Slowness > goodSlowness || cand.state.Load.Running+cand.state.Load.Waiting >= cand.Slots):
+		return tierBad
+	case cand.State.HasIdle(now):
+		return tierIdle
+	default:
+		return tierUnconnected
+	}
+}
+
+// isDue reports whether a member has not responded for so long that it is probed first, as
+// after it was registered.
+func (cand *candidate) isDue(now time.Time) bool {
+	age := memberAge
+	if cand.subset.holders[cand.ID] {
+		age = holderAge
+	}
+	return cand.subset.has(cand.ID) && !cand.state.Ejected && now.Sub(cand.state.HeardAt) >= age
+}
+
+// isBeyond reports whether the server is outside the subset of its service.
+func (cand *candidate) isBeyond() bool { return cand.subset != nil && !cand.subset.has(cand.ID) }
+
+// SubsetSizes returns the number of servers in the subset of each service that has one.
+func (b *Balancer) SubsetSizes() map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sizes := map[string]float64{}
+	for service, s := range b.subsets {
+		if s.current != nil {
+			sizes[service] = float64(len(s.current.members) + len(s.current.holders))
+		}
+	}
+	return sizes
+}
--- /dev/null
+++ b/entry/balancer/subset_test.go
@@ -0,0 +1,185 @@
+package balancer_test
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"samphiremux/entry/chooser"
+	"samphiremux/entry/subsetter"
+	"samphiremux/pkg/describer"
+	"samphiremux/pkg/placer"
+)
+
+// fleetOf returns n other entries of the failure domain of the fixture.
+func fleetOf(n int) (entries []placer.Member) {
+	for i := range n {
+		entries = append(entries, placer.Member{ID: fmt.Sprintf("e-%d", i), Domain: "a"})
+	}
+	return entries
+}
+
+// sendPaced sends requests one after the other, with a pause before each.
+func (f *fixture) sendPaced(n int, pause time.Duration) (failed int) {
+	for i := range n {
+		time.Sleep(pause)
+		if w := f.send("GET", "/look/1", fmt.Sprintf("p%d-%d", time.Now().UnixNano(), i)); w.Code != 200 {
+			failed++
+		}
+	}
+	return failed
+}
+
+// used returns the number of servers that got requests or probes.
+func used(all []*backend) (n int) {
+	for _, b := range all {
+		b.mu.Lock()
+		if b.probed > 0 || len(b.arrived) > 0 {
+			n++
+		}
+		b.mu.Unlock()
+	}
+	return n
+}
+
+func (f *fixture) opened() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
+
+// TestConnectionsReused guards against an entry that spreads a few requests a second over all
+// servers of a large service, so that it opens a connection for most of its probes.
+func TestConnectionsReused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := servers(100, respondOK)
+		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+		defer f.close()
+		f.entries = fleetOf(100)
+		is.Equal(f.sendPaced(200, 250*time.Millisecond), 0)
+		is.True(f.opened() <= 15) // the subset has up to 10 servers
+		is.True(used(all) <= 15)
+	})
+}
+
+// TestFewServersAsBefore guards against a subset in a service with few servers.
+func TestFewServersAsBefore(t *testing.T) {
+	for n, want := range map[int]int{24: 0, 25: 1} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, chooser.ExpectedCompletion{}, servers(n, respondOK)...)
+			defer f.close()
+			f.entries = fleetOf(100)
+			is.Equal(f.sendPaced(10, 50*time.Millisecond), 0)
+			is.Equal(len(f.balancer.SubsetSizes()), want)
+		})
+	}
+}
+
+// TestSubsetExceeded guards against requests that are refused, or wait, because all servers of
+// the subset are full while others are free.
+func TestSubsetExceeded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := servers(100, respondOK)
+		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+		defer f.close()
+		f.entries = fleetOf(100)
+		is.Equal(f.sendPaced(40, 250*time.Millisecond), 0)
+		var free, full []*backend
+		for _, b := range all {
+			b.mu.Lock()
+			if b.probed == 0 {
+				free = append(free, b)
+			} else {
+				full = append(full, b)
+				b.running = 40
+			}
+			b.mu.Unlock()
+		}
+		before := arrivals(full)
+		is.Equal(f.sendPaced(40, 250*time.Millisecond), 0)
+		is.Equal(arrivals(full), before)
+		is.Equal(arrivals(free), 40)
+	})
+}
+
+// TestSubsetWithoutDomain guards against an entry that keeps its subset in a failure domain that
+// is excluded, and one that finds no server of a version.
+func TestSubsetWithoutDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := servers(60, respondOK)
+		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+		defer f.close()
+		f.entries = fleetOf(60)
+		for i, b := range all[30:] {
+			f.put(b.id, i+31, "b", time.Time{})
+		}
+		is.Equal(f.sendPaced(40, 250*time.Millisecond), 0)
+		is.Equal(arrivals(all[:30]), 40) // the own domain
+		f.snapshotter.SetDomainExcluded("a", true)
+		before := f.opened()
+		is.Equal(f.sendPaced(80, 250*time.Millisecond), 0)
+		is.Equal(arrivals(all[30:]), 80)
+		is.True(f.opened()-before <= 20)
+	})
+}
+
+// put registers a server of a failure domain.
+func (f *fixture) put(id string, number int, domain string, coldUntil time.Time) {
+	f.snapshotter.PutServer(describer.Server{
+		ID: id, Service: "stock", Domain: domain, Version: "v1", Slots: 2, ColdUntil: coldUntil,
+		Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(number)),
+	})
+}
+
+// TestNewServersUsed guards against servers that are registered later and get no request within
+// 4 s from the entries that use them, since the members of their subsets have open connections.
+func TestNewServersUsed(t *testing.T) {
+	for _, cold := range []time.Duration{0, 10 * time.Second} {
+		t.Run(fmt.Sprintf("cold for %v", cold), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				all := servers(100, respondOK)
+				added := all[99]
+				added.id = newServer(cold > 0, fleetOf(100))
+				f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+				defer f.close()
+				f.entries = fleetOf(100)
+				f.snapshotter.RemoveServer(added.id)
+				is.Equal(f.sendPaced(60, 333*time.Millisecond), 0)
+				for _, b := range all[:99] {
+					b.slowness = 300 // so that the cold server may be the best one
+				}
+				added.cold = cold
+				f.put(added.id, 100, "a", time.Now().Add(cold))
+				is.Equal(f.sendPaced(12, 333*time.Millisecond), 0)
+				is.True(added.count() > 0)
+			})
+		})
+	}
+}
+
+// newServer returns the id of a server that is added to 99 others: one of which the fixture's
+// entry holds a part of the cold rate and that its subset does not have, or one that it has.
+func newServer(cold bool, others []placer.Member) (id string) {
+	fleet := subsetter.Fleet{Self: placer.Member{Domain: "a"}, Others: others}
+	for i := range 99 {
+		fleet.Servers = append(fleet.Servers, subsetter.Server{ID: fmt.Sprintf("i-%d", i), Domain: "a", Slots: 2})
+	}
+	for i := 0; ; i++ {
+		id = fmt.Sprintf("new-%d", i)
+		all := subsetter.Fleet{Self: fleet.Self, Others: others, Servers: append(fleet.Servers[:99:99], subsetter.Server{ID: id, Domain: "a", Slots: 2})}
+		isMember := slices.ContainsFunc(all.Choose(10), func(s subsetter.Server) bool { return s.ID == id })
+		if isMember != cold && (!cold || rankOf(0, id) < 10) {
+			return id
+		}
+	}
+}
--- a/entry/enroller/enroller.go
+++ b/entry/enroller/enroller.go
@@ -197,6 +197,14 @@
 	return max(1, len(e.tracked(time.Now()).Members()))
 }
 
+// Members returns the entries that are registered and this one, in no order. Unlike
+// UsableMembers it does not depend on which of them answered lately.
+func (e *Enroller) Members() []tracker.Member {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Collect(maps.Values(e.registered))
+}
+
 // FirstMembers returns the ids of the first n of the usable entries in the rendezvous order
 // for a key, or of all if there are fewer.
 func (e *Enroller) FirstMembers(key string, n int) (ids []string) {
--- a/entry/meter/meter.go
+++ b/entry/meter/meter.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -65,8 +66,10 @@
 	// values holds a *Counter or *Histogram for each set of label values, by
 	// the text of the labels.
 	values map[string]any
-	// read returns the value of a gauge. It is nil for other kinds.
-	read func() float64
+	// read returns the value of a gauge without labels, and readAll the values of one with
+	// a label, by its value. They are nil for other kinds.
+	read    func() float64
+	readAll func() map[string]float64
 }
 
 // Registry is a set of metrics. It serves them as an http.Handler. All metrics
@@ -117,6 +120,12 @@
 	r.add("gauge", name, help, nil).read = read
 }
 
+// GaugeVec adds a gauge with one label. Read is called for its values, by the value of the
+// label, each time that the metrics are served.
+func (r *Registry) GaugeVec(name, help, label string, read func() map[string]float64) {
+	r.add("gauge", name, help, []string{label}).readAll = read
+}
+
 // with returns the series for the label values, and creates it with newSeries if it
 // does not exist.
 func (f *family) with(values []string, newSeries func() any) any {
@@ -156,6 +165,13 @@
 		_, _ = fmt.Fprintf(w, "%s %g\n", f.name, f.read())
 		return
 	}
+	if f.readAll != nil {
+		values := f.readAll()
+		for _, v := range slices.Sorted(maps.Keys(values)) {
+			_, _ = fmt.Fprintf(w, "%s{%s} %g\n", f.name, f.key([]string{v}), values[v])
+		}
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	keys := make([]string, 0, len(f.values))
--- a/entry/roundtripper/conn.go
+++ b/entry/roundtripper/conn.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -55,11 +56,14 @@
 	fresh     bool
 	// refusedID is the id of the last request that the server refused on the connection.
 	refusedID string
+	// openings counts the connection until ended is set.
+	openings *openings
+	ended    atomic.Bool
 }
 
-func newConn(c net.Conn) *Conn {
+func newConn(c net.Conn, o *openings) *Conn {
 	head := &headLimiter{source: c}
-	return &Conn{net: c, head: head, reader: bufio.NewReaderSize(head, readBufferSize), writer: bufio.NewWriterSize(c, writeBufferSize), fresh: true}
+	return &Conn{net: c, head: head, reader: bufio.NewReaderSize(head, readBufferSize), writer: bufio.NewWriterSize(c, writeBufferSize), fresh: true, openings: o}
 }
 
 // errHeadTooLarge is returned by reads beyond the bound of a head.
@@ -91,7 +95,7 @@
 	return n, err
 }
 
-func (c *Conn) close() { _ = c.net.Close() }
+func (c *Conn) close() { _ = c.end(OpenedClosed) }
 
 // clean reports whether an idle connection is open and has no unread bytes. Bytes
 // that arrive before the next request is sent cannot be its response.
--- a/entry/roundtripper/roundtripper.go
+++ b/entry/roundtripper/roundtripper.go
@@ -64,7 +64,9 @@
 	dial     Dialer
 	headers  Headers
 	onNotice func(Notice)
+	onOpen   func(OpenCause)
 	buffers  *Buffers
+	openings openings
 
 	mu   sync.Mutex
 	idle []*Conn // in the order of release, the latest last
@@ -74,7 +76,7 @@
 // must return in its responses to probes, and host the value of the Host header of
 // probes.
 func New(id, host string, dial Dialer, h Headers) *Client {
-	return &Client{id: id, host: host, dial: dial, headers: h, onNotice: func(Notice) {}, buffers: NewBuffers(defaultBufferBytes)}
+	return &Client{id: id, host: host, dial: dial, headers: h, onNotice: func(Notice) {}, onOpen: func(OpenCause) {}, buffers: NewBuffers(defaultBufferBytes)}
 }
 
 // ShareBuffers makes the client read response bodies into buffers that other clients use
@@ -101,7 +103,7 @@
 			kept = append(kept, c)
 			continue
 		}
-		c.close()
+		_ = c.end(OpenedExpired)
 	}
 	clear(cl.idle[len(kept):])
 	cl.idle = kept
@@ -116,10 +118,14 @@
 		c := cl.idle[len(cl.idle)-1]
 		cl.idle[len(cl.idle)-1] = nil
 		cl.idle = cl.idle[:len(cl.idle)-1]
-		if now.Before(c.idleUntil) && c.clean() {
+		switch {
+		case !now.Before(c.idleUntil):
+			_ = c.end(OpenedExpired)
+		case c.clean():
 			return c
+		default:
+			c.close()
 		}
-		c.close()
 	}
 	return nil
 }
@@ -137,9 +143,12 @@
 
 // open dials a new connection.
 func (cl *Client) open(ctx context.Context) (*Conn, error) {
+	cause := cl.openings.cause()
 	c, err := cl.dial(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return newConn(c), nil
+	cl.openings.open.Add(1)
+	cl.onOpen(cause)
+	return newConn(c, &cl.openings), nil
 }
--- a/entry/roundtripper/send.go
+++ b/entry/roundtripper/send.go
@@ -242,5 +242,5 @@
 // Close closes the connection, which is not reused after a streamed response.
 func (b *streamedBody) Close() error {
 	b.stop()
-	return b.conn.net.Close()
+	return b.conn.end(OpenedClosed)
 }
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -28,6 +28,7 @@
 	"samphiremux/entry/tracker"
 	"samphiremux/pkg/describer"
 	"samphiremux/pkg/linker"
+	"samphiremux/pkg/placer"
 	"samphiremux/platform/storeadapter"
 	"samphiremux/platform/translator"
 )
@@ -147,12 +148,17 @@
 		ReadLeaving: translator.IsLeaving, ReadPause: translator.Pause,
 	}
 	buffers := roundtripper.NewBuffers(bufferBytes(s.MemoryBytes))
+	connections := e.metrics.CounterVec("server_connections_total", "Connections opened to backend servers, by why no open one was used.", "cause")
+	for _, cause := range roundtripper.OpenCauses() {
+		connections.With(string(cause))
+	}
 	e.snapshots = snapshotter.New(func(server describer.Server) *snapshotter.ServerState {
 		address := server.Address.String()
 		client := roundtripper.New(server.ID, address, func(ctx context.Context) (net.Conn, error) {
 			return dial(ctx, "tcp", address)
 		}, headers)
 		client.ShareBuffers(buffers)
+		client.OnOpen(func(cause roundtripper.OpenCause) { connections.With(string(cause)).Inc() })
 		state := snapshotter.NewServerState(client)
 		state.OnChange(func(n roundtripper.Notice) { logNotice(log, server.ID, n) })
 		return state
@@ -181,7 +187,7 @@
 		Dial: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) },
 	})
 	e.balancer = balancer.New(balancer.Options{
-		Self: s.ID, Delegator: e.delegator, Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, Outdated: e.isOutdated, EntryCount: e.enroller.LimitShares, Rank: e.enroller.Rank, FirstEntries: e.enroller.FirstMembers, Settled: e.enroller.Settled, Log: log.Named("steerer"),
+		Self: s.ID, Delegator: e.delegator, Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, Outdated: e.isOutdated, EntryCount: e.enroller.LimitShares, Rank: e.enroller.Rank, Entries: e.members, FirstEntries: e.enroller.FirstMembers, Settled: e.enroller.Settled, Log: log.Named("steerer"),
 		Bodies:    reserver.New(bodyBytes(s.MemoryBytes)),
 		OnAttempt: e.roller.Observe, MayTake: e.drainer.MayTake,
 		IdleTimeout: func() time.Duration { return e.connectionLimits().Idle },
@@ -240,6 +246,7 @@
 	e.metrics.Gauge("quarantined_requests", "Requests that are refused since servers crashed while they ran them.", func() float64 {
 		return float64(len(e.balancer.Quarantines()))
 	})
+	e.metrics.GaugeVec("subset_servers", "Backend servers that this entry uses first, by service.", "service", e.balancer.SubsetSizes)
 	e.metrics.Gauge("entries", "Entries that this entry knows of.", func() float64 { return float64(e.enroller.MemberCount()) })
 	e.metrics.Gauge("limit_entries", "Entries that this entry counts in limits for all of them.", func() float64 { return float64(e.enroller.LimitShares()) })
 	e.metrics.Gauge("limit_settled", "1 if this entry takes part in limits for all entries.", func() float64 {
@@ -304,6 +311,14 @@
 	return peers
 }
 
+// members returns the entries that use the backend servers, this one included.
+func (e *entry) members() (members []placer.Member) {
+	for _, m := range e.enroller.Members() {
+		members = append(members, placer.Member{ID: m.ID, Domain: m.Domain})
+	}
+	return members
+}
+
 // retryLimits returns the retry budget in force.
 func (e *entry) retryLimits() balancer.Limits {
 	b := e.settings.Load().Bounds
