balancer: servers beyond the subset are reused; a due member gets the request

A new member was probed but got no request for 4 s while others had reported a low load just before (found by TestNewServersUsed with equal servers).

Change: candidates outside the subset are ordered like members: with an idle connection first, slow or full ones last. The cost of a warm member that was probed because it was due is lowered by a fifth. The trace of a chosen server says if it is beyond the subset.

--- a/entry/balancer/pick.go
+++ b/entry/balancer/pick.go
@@ -162,8 +162,10 @@
 	snapshotter.Backend
 	state snapshotter.StateSnapshot
 	cost  float64
-	// subset is the subset of the service, or nil if it has none.
+	// subset is the subset of the service, or nil if it has none, and due reports that the
+	// server is probed first because it has not responded for long.
 	subset *subset
+	due    bool
 }
 
 // pick picks the server for the next attempt. If there is none, it returns the
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -145,6 +145,8 @@
 			return nil, 0, refuser.ColdServers
 		}
 		cost *= coldSlowness
+	} else if r.due {
+		cost *= dueFactor
 	}
 	p = &picked{Backend: r.Backend, conn: r.conn, slowness: slowness, busy: busy, rateLimit: h.RateLimit, beyond: r.isBeyond()}
 	p.expected = time.Duration(float64(est.latency) * p.slowdown())
--- a/entry/balancer/subset.go
+++ b/entry/balancer/subset.go
@@ -21,6 +21,10 @@
 	// tierCost is the difference of the prior costs of two tiers. It exceeds any expected
 	// latency, and all tiers together are below the cost of an ejected server.
 	tierCost = float64(time.Minute)
+	// dueFactor is the factor of the cost of a member that was probed because it was due, so
+	// that of equal servers it gets the request. Otherwise a new server could stay unused for
+	// long, since each request prefers the servers that reported a low load just before.
+	dueFactor = 0.8
 )
 
 // tier is the order in which candidates of a service with a subset are probed.
@@ -35,7 +39,7 @@
 	tierUnconnected
 	// tierBad is for members that were slow or full by a recent report.
 	tierBad
-	// tierBeyond is for servers outside the subset.
+	// tierBeyond is for servers outside the subset. They are ordered in the same way.
 	tierBeyond
 )
 
@@ -181,14 +185,21 @@
 	}
 	if due >= 0 {
 		candidates[due].cost -= tierCost * float64(candidates[due].tier(now)-tierDue)
+		candidates[due].due = true
 	}
 }
 
 // tier returns the tier of a candidate that is not due.
 func (cand *candidate) tier(now time.Time) tier {
+	if !cand.subset.has(cand.ID) {
+		return tierBeyond + cand.connectionTier(now)
+	}
+	return cand.connectionTier(now)
+}
+
+// connectionTier returns the tier of a member, by its connections and its last report.
+func (cand *candidate) connectionTier(now time.Time) tier {
 	switch {
-	case !cand.subset.has(cand.ID):
-		return tierBeyond
 	case cand.state.LoadFresh && (cand.state.Load.Slowness > goodSlowness || cand.state.Load.Running+cand.state.Load.Waiting >= cand.Slots):
 		return tierBad
 	case cand.State.HasIdle(now):
--- a/entry/balancer/trace.go
+++ b/entry/balancer/trace.go
@@ -197,6 +197,9 @@
 		"server", p.ID, "version", p.Version, "domain", p.Domain, "slowness", p.slowness,
 		"busy", p.busy, "slots", p.Slots, "expected-ms", p.expected.Milliseconds(), "asked", p.probed, "rate-limit", p.rateLimit.PerSecond,
 	}
+	if p.beyond {
+		inputs = append(inputs, "beyond-subset", true)
+	}
 	if p.cold != nil {
 		c.trace.metCold = true
 		inputs = append(inputs, "cold-rank", p.cold.rank, "cold-holders", p.cold.holders, "entries", p.cold.entries)
