balancer: servers that have not answered since an ejection are no members

Cause: when the ejections of the servers of a lost failure domain ended, they were members again at once, and requests met 15 dead servers in their rounds.

Change: such a server is replaced in the subset until it answers. One of them is probed first in 0.5 s. Servers outside the subset that have not answered are probed after those that are not known.

--- a/entry/balancer/subset.go
+++ b/entry/balancer/subset.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"time"
 
 	"samphiremux/entry/snapshotter"
@@ -31,13 +32,13 @@
 type tier int
 
 const (
-	// tierDue is for the member that has not responded for the longest time.
+	// tierDue is for the member, or returning one, that has not responded for the longest time.
 	tierDue tier = iota
 	// tierIdle is for members with an idle connection.
 	tierIdle
 	// tierUnconnected is for members to which a connection would have to be opened.
 	tierUnconnected
-	// tierBad is for members that were slow or full by a recent report.
+	// tierBad is for members that were slow or full by a recent report, or did not answer.
 	tierBad
 	// tierBeyond is for servers outside the subset. They are ordered in the same way.
 	tierBeyond
@@ -50,11 +51,18 @@
 	// holders holds the ids of further servers: those that are cold or state a rate limit,
 	// if this entry holds a part of the rate.
 	holders map[string]bool
+	// returning is the id of one of the servers that would be members if they had answered
+	// since they were ejected, or empty. It is probed first once, and is a member again if it
+	// answers. More of them at a time would delay each request while a failure domain is lost.
+	returning string
 }
 
 // has reports whether a server is probed before servers outside the subset.
 func (s *subset) has(id string) bool { return s.members[id] || s.holders[id] }
 
+// prefers reports whether a server is a candidate in any case: a member, or the returning one.
+func (s *subset) prefers(id string) bool { return s.has(id) || s.returning == id }
+
 // serviceSubset is the subset of a service with the state that it follows from.
 type serviceSubset struct {
 	rate subsetter.Rate
@@ -103,14 +111,21 @@
 	}
 	chosen := &subset{members: map[string]bool{}, holders: map[string]bool{}}
 	byVersion := map[string][]subsetter.Server{}
+	// unanswered holds the servers that have not answered since they were ejected, and
+	// whether they still are.
+	unanswered := map[string]bool{}
+	isUnanswered := func(srv subsetter.Server) bool { _, ok := unanswered[srv.ID]; return ok }
 	for _, srv := range servers {
 		state := srv.State.Snapshot(now)
 		switch {
-		case !view.Eligible(srv) || state.Leaving || state.Paused || state.Ejected:
+		case !view.Eligible(srv) || state.Leaving || state.Paused:
 		case b.isHolder(view, srv, state):
 			chosen.holders[srv.ID] = true
 		case state.Cold || (state.RateLimit.Stated && state.RateLimitFresh):
 		default:
+			if state.Unanswered {
+				unanswered[srv.ID] = state.Ejected
+			}
 			byVersion[srv.Version] = append(byVersion[srv.Version], subsetter.Server{ID: srv.ID, Domain: srv.Domain, Slots: srv.Slots})
 		}
 	}
@@ -120,25 +135,38 @@
 			fleet.Others = append(fleet.Others, e)
 		}
 	}
+	var returning []string
 	for _, fleet.Servers = range byVersion {
-		for _, srv := range fleet.Choose(size) {
+		members := fleet.Choose(size)
+		if slices.ContainsFunc(members, isUnanswered) {
+			for _, srv := range members {
+				if ejected, ok := unanswered[srv.ID]; ok && !ejected {
+					returning = append(returning, srv.ID)
+				}
+			}
+			fleet.Servers = slices.DeleteFunc(fleet.Servers, isUnanswered)
+			members = fleet.Choose(size)
+		}
+		for _, srv := range members {
 			chosen.members[srv.ID] = true
 		}
 	}
+	if len(returning) > 0 {
+		b.mu.Lock()
+		chosen.returning = returning[b.rng.IntN(len(returning))]
+		b.mu.Unlock()
+	}
 	return chosen
 }
 
 // isHolder reports whether a server is cold or states a rate limit, and this entry holds a
 // part of the rate.
 func (b *Balancer) isHolder(view *snapshotter.Snapshot, srv snapshotter.Backend, state snapshotter.StateSnapshot) bool {
-	if !state.Cold && !state.RateLimit.Stated {
-		return false
-	}
 	if state.Cold && !b.coldPartOf(view, srv).isHolder() {
 		return false
 	}
 	if !state.RateLimit.Stated {
-		return true
+		return state.Cold
 	}
 	_, isHolder := b.rateLimitHolders(srv.ID, state.RateLimit)
 	return isHolder
@@ -155,9 +183,9 @@
 		limit int
 		match func(snapshotter.Backend) bool
 	}{
-		{maxLocalCandidates, func(srv snapshotter.Backend) bool { return s.has(srv.ID) }},
-		{maxLocalCandidates, func(srv snapshotter.Backend) bool { return !s.has(srv.ID) && srv.Domain == b.opts.Domain }},
-		{maxCandidates, func(srv snapshotter.Backend) bool { return !s.has(srv.ID) && srv.Domain != b.opts.Domain }},
+		{maxLocalCandidates, func(srv snapshotter.Backend) bool { return s.prefers(srv.ID) }},
+		{maxLocalCandidates, func(srv snapshotter.Backend) bool { return !s.prefers(srv.ID) && srv.Domain == b.opts.Domain }},
+		{maxCandidates, func(srv snapshotter.Backend) bool { return !s.prefers(srv.ID) && srv.Domain != b.opts.Domain }},
 	} {
 		for _, section := range [][]snapshotter.Backend{servers[start:], servers[:start]} {
 			candidates = c.collect(candidates, now, view, section, part.limit, part.match)
@@ -200,6 +228,8 @@
 // connectionTier returns the tier of a member, by its connections and its last report.
 func (cand *candidate) connectionTier(now time.Time) tier {
 	switch {
+	case cand.state.Unanswered:
+		return tierBad
 	case cand.state.LoadFresh && (cand.state.Load.Slowness > goodSlowness || cand.state.Load.Running+cand.state.Load.Waiting >= cand.Slots):
 		return tierBad
 	case cand.State.HasIdle(now):
@@ -216,7 +246,7 @@
 	if cand.subset.holders[cand.ID] {
 		age = holderAge
 	}
-	return cand.subset.has(cand.ID) && !cand.state.Ejected && now.Sub(cand.state.HeardAt) >= age
+	return cand.subset.prefers(cand.ID) && !cand.state.Ejected && now.Sub(cand.state.HeardAt) >= age
 }
 
 // isBeyond reports whether the server is outside the subset of its service.
--- a/entry/balancer/subset_test.go
+++ b/entry/balancer/subset_test.go
@@ -1,9 +1,13 @@
 package balancer_test
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"net/http/httptest"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -215,3 +219,55 @@
 		}
 	}
 }
+
+// setSilent makes servers break off or hang all connections, or answer again.
+func setSilent(all []*backend, silent bool) {
+	for _, b := range all {
+		b.mu.Lock()
+		b.silent, b.respondProbe = silent, nil
+		if silent {
+			b.respondProbe = func(io.Writer) bool { return false }
+		}
+		b.mu.Unlock()
+	}
+}
+
+// probeErrors returns the number of probes that failed.
+func (f *fixture) probeErrors() (n int) {
+	w := httptest.NewRecorder()
+	f.metrics.ServeHTTP(w, nil)
+	_, rest, _ := strings.Cut(w.Body.String(), `samphire_probes_total{result="error"} `)
+	_, _ = fmt.Sscan(rest, &n)
+	return n
+}
+
+// TestLostDomain guards against an entry that takes the servers of its lost failure domain as
+// members again each time that their ejections end, so that it finds no server in its rounds,
+// and against servers that are not used again when the domain has returned.
+func TestLostDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := servers(60, respondOK)
+		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+		defer f.close()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.balancer.RunReachChecks(ctx)
+		f.entries = fleetOf(120)
+		for i, b := range all[30:] {
+			f.entries[60+2*i].Domain, f.entries[61+2*i].Domain = "b", "b"
+			f.put(b.id, i+31, "b", time.Time{})
+		}
+		is.Equal(f.sendPaced(40, 300*time.Millisecond), 0)
+		setSilent(all[:30], true)
+		f.sendPaced(20, 300*time.Millisecond) // until the servers are ejected
+		before := f.probeErrors()
+		is.Equal(f.sendPaced(100, 300*time.Millisecond), 0)
+		is.True(f.probeErrors()-before <= 80) // at most one in 0.5 s, in 32 s
+		setSilent(all[:30], false)
+		f.sendPaced(40, 300*time.Millisecond)
+		before = arrivals(all[:30])
+		is.Equal(f.sendPaced(40, 300*time.Millisecond), 0)
+		is.Equal(arrivals(all[:30])-before, 40)
+	})
+}
--- a/entry/snapshotter/backend.go
+++ b/entry/snapshotter/backend.go
@@ -110,6 +110,9 @@
 	// Ejected reports whether the server is ejected because it recently did not
 	// answer.
 	Ejected bool
+	// Unanswered reports whether it has not answered a probe since it was ejected, though the
+	// ejection may be over.
+	Unanswered bool
 	// Leaving reports whether the server is shutting down or has lost its address
 	// to another server.
 	Leaving bool
@@ -134,7 +137,7 @@
 	_, paused := s.pause.ResumesAt(now)
 	return StateSnapshot{
 		InFlight: s.inFlight, Load: s.load, LoadFresh: !s.loadAt.IsZero() && now.Sub(s.loadAt) < loadMaxAge,
-		Cold: now.Before(s.coldUntil), ColdFresh: now.Before(s.coldUntil) && now.Sub(s.coldStatedAt) < statementMaxAge, ColdReady: s.coldLimiter.Ready(now), HeardAt: s.heardAt, Ejected: now.Before(s.ejectedUntil), Leaving: s.leaving,
+		Cold: now.Before(s.coldUntil), ColdFresh: now.Before(s.coldUntil) && now.Sub(s.coldStatedAt) < statementMaxAge, ColdReady: s.coldLimiter.Ready(now), HeardAt: s.heardAt, Ejected: now.Before(s.ejectedUntil), Unanswered: s.ejections > 0, Leaving: s.leaving,
 		Paused: paused, RecentFailures: s.decayedFailures(now), RateLimit: s.rateLimit,
 		RateLimitFresh: now.Sub(s.rateLimitAt) < statementMaxAge,
 	}
