--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -22,6 +22,7 @@
 	"samphiremux/entry/reserver"
 	"samphiremux/entry/snapshotter"
 	"samphiremux/entry/throttler"
+	"samphiremux/pkg/placer"
 )
 
 // Headers holds the header names that callers and backend servers use, and the
@@ -72,6 +73,9 @@
 	// a server, and the number of entries. Entries that know the same entries agree on
 	// the order, which differs from server to server.
 	Rank func(server string) (rank, entries int)
+	// Entries returns the entries that use the servers, this one included. If it is nil, the
+	// balancer uses all servers of a service alike, and no subset of them.
+	Entries func() []placer.Member
 	// Settled reports whether this entry and the others know one another. Only then does it
 	// send requests to cold servers and to those that state a rate limit. It may be nil if
 	// that is always so.
@@ -140,6 +144,8 @@
 	reaches map[string]reach
 	// workspaceLabels holds the workspaces that have a counter of their own.
 	workspaceLabels map[string]bool
+	// subsets holds the subset of each service that has more than a few servers.
+	subsets map[string]*serviceSubset
 }
 
 // routeStats holds the running means of a route's responses.
@@ -181,7 +187,7 @@
 		opts: opts, metrics: newMetrics(opts.Metrics), rng: rng, chooser: chooser.New(opts.Policy, rng),
 		badLines: lineBucket{perSecond: badLinesPerSecond}, goodLines: lineBucket{perSecond: goodLinesPerSecond},
 		budgets: map[string]*throttler.RetryBudget{}, routes: map[string]*routeStats{}, draws: map[string]float64{}, suspects: map[string]*quarantiner.Suspects{},
-		reaches: map[string]reach{}, workspaceLabels: map[string]bool{},
+		reaches: map[string]reach{}, workspaceLabels: map[string]bool{}, subsets: map[string]*serviceSubset{},
 	}
 }
 
