--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -127,6 +127,8 @@
 	suspects map[string]*quarantiner.Suspects
 	// reaches holds which servers of each service were reached lately.
 	reaches map[string]reach
+
+	shortage shortage
 }
 
 // routeStats holds the running means of a route's responses.
@@ -158,12 +160,14 @@
 	if opts.Metrics == nil {
 		opts.Metrics = meter.New()
 	}
-	return &Balancer{
+	b := &Balancer{
 		opts: opts, metrics: newMetrics(opts.Metrics), rng: rng, chooser: chooser.New(opts.Policy, rng),
 		badLines: lineBucket{perSecond: badLinesPerSecond}, goodLines: lineBucket{perSecond: goodLinesPerSecond},
 		budgets: map[string]*throttler.RetryBudget{}, routes: map[string]*routeStats{}, draws: map[string]float64{}, suspects: map[string]*quarantiner.Suspects{},
 		reaches: map[string]reach{},
 	}
+	opts.Metrics.Gauge("waiting_requests", "Requests that wait for capacity of backend servers.", func() float64 { return float64(b.shortage.waiting()) })
+	return b
 }
 
 // deadlineSlack is added to the deadline of the request's context, so that a
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -145,6 +146,8 @@
 	outdated bool
 	// alone reports that the entry knows no others, since it is not registered yet.
 	alone bool
+	// stopping reports that the entry stops.
+	stopping atomic.Bool
 	// peers are the other entries, and dialPeer connects to one.
 	peers    []delegator.Peer
 	dialPeer func(ctx context.Context, address string) (net.Conn, error)
@@ -263,6 +266,7 @@
 			return rankOf(entry, server), fixtureEntries
 		},
 		Settled: func() bool { return !f.alone }, Metrics: f.metrics,
+		MayTake:     func(time.Time) bool { return !f.stopping.Load() },
 		RetryLimits: func() balancer.Limits { return balancer.Limits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second} },
 		NotifySuspect: func(_ string, fingerprint quarantiner.Fingerprint, crashes int, _ quarantiner.Attempt) {
 			f.mu.Lock()
--- a/entry/balancer/metrics.go
+++ b/entry/balancer/metrics.go
@@ -25,6 +25,10 @@
 	// that other entries passed on to this one.
 	delegated *meter.CounterVec
 	taken     *meter.CounterVec
+	// refusalsByRank counts the refusals for lack of capacity, and waits holds the time that
+	// requests waited for it.
+	refusalsByRank *meter.CounterVec
+	waits          *meter.HistogramVec
 }
 
 // newMetrics registers the metrics. The counters of each refusal reason and retry
@@ -45,6 +49,8 @@
 		m.delegated.With(result)
 	}
 	m.taken = r.CounterVec("taken_total", "Requests that other entries passed on to this one, by whether it reaches servers.", "reaches")
+	m.refusalsByRank = r.CounterVec("shortage_refusals_total", "Requests that were refused for lack of capacity, by service, rank (0 is the highest) and reason.", "service", "rank", "reason")
+	m.waits = r.HistogramVec("wait_seconds", "Time that requests waited for capacity, by service, rank (0 is the highest) and result.", "service", "rank", "result")
 	for _, reason := range refuser.NotRunReasons() {
 		m.refusals.With(string(refuser.NotRun), string(reason))
 	}
--- a/entry/balancer/pause.go
+++ b/entry/balancer/pause.go
@@ -60,7 +60,7 @@
 	}
 	first, allPaused := b.resumption(now, c)
 	if !allPaused {
-		return r
+		return c.withCapacityTime(r)
 	}
 	b.mu.Lock()
 	draw := b.rng.Float64()
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -31,7 +31,7 @@
 	probes := b.newProbes(view, c.service)
 	defer probes.end()
 	for ctx.Err() == nil {
-		batch := candidates[probed:min(len(candidates), maxProbes, probed+round)]
+		batch := candidates[probed:min(len(candidates), c.maxProbes(), probed+round)]
 		if len(batch) == 0 && (answers > 0 || !probes.mayAnswer(time.Now())) {
 			break
 		}
@@ -57,7 +57,7 @@
 			}
 			best, bestCost = p, cost
 		}
-		if best == nil || !best.isGood() {
+		if best == nil || !c.suffices(best) {
 			continue
 		}
 		if reason = b.admit(view, best); reason == "" {
@@ -148,6 +148,9 @@
 	}
 	p = &picked{Backend: r.Backend, conn: r.conn, slowness: slowness, busy: busy, rateLimit: h.RateLimit}
 	p.expected = time.Duration(float64(est.latency) * p.slowdown())
+	if !b.hasRoom(c, est, p) {
+		return nil, 0, refuser.DeadlineTooNear
+	}
 	return p, cost, ""
 }
 
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -48,6 +48,8 @@
 	// trial reports that the request is the trial of one that is suspected of crashing
 	// servers.
 	trial bool
+	// turn is nil if the requests of the service do not differ in urgency.
+	turn  *turn
 	trace trace
 }
 
--- a/entry/balancer/run.go
+++ b/entry/balancer/run.go
@@ -15,6 +15,7 @@
 	if c.hop != nil {
 		state.sent = c.hop.attempts
 	}
+	defer b.takeTurn(c)()
 	deposited := false
 	for {
 		switch b.admissionOf(c) {
@@ -27,7 +28,7 @@
 		default:
 			return nil, state.refusal(refuser.Suspect)
 		}
-		p, reason := b.pick(ctx, c)
+		p, reason := b.pickInTurn(ctx, c)
 		if p == nil {
 			b.observePick(c, reason)
 			if !b.mayDelegate(c, reason) {
@@ -52,6 +53,7 @@
 		c.useStableVersion()
 		c.tellAttempts(state.sent + 1)
 		result := b.attempt(ctx, c, p, &state)
+		b.capacityFreed(c.service)
 		c.backend = result.backend
 		switch {
 		case result.isFinal(c.route.Idempotent):
--- /dev/null
+++ b/entry/balancer/shortage.go
@@ -0,0 +1,286 @@
+package balancer
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"samphiremux/entry/chooser"
+	"samphiremux/entry/refuser"
+	"samphiremux/entry/scheduler"
+	"samphiremux/pkg/describer"
+)
+
+const (
+	// shortProbes is the number of servers that a request probes at first while its service
+	// is short of capacity. Most are full then, and a request that can wait tries again.
+	shortProbes = firstRoundProbes + nextRoundProbes
+	// retryProbes is the number of servers that a waiting request probes with each further
+	// try.
+	retryProbes = nextRoundProbes
+	// maxServerQueue bounds the queue of a server that is taken into account.
+	maxServerQueue = 64
+	// maxRankLabel bounds the values of the label "rank". Lower ranks share the last one.
+	maxRankLabel = 9
+)
+
+// shortage holds the schedulers of the services whose requests differ in urgency.
+type shortage struct {
+	mu         sync.Mutex
+	schedulers map[string]*scheduler.Scheduler
+	// ranks holds the ranks of each service in the table.
+	table *describer.RouteTable
+	ranks map[string][]describer.Rank
+}
+
+// turn is the place of a request in the schedule of its service.
+type turn struct {
+	scheduler *scheduler.Scheduler
+	ticket    *scheduler.Ticket
+	// rank is the position of the request's rank in its service, 0 the highest.
+	rank int
+	// short reports that the service was short of capacity when the request came.
+	short bool
+	// tries is the number of times that the request looked for capacity since it was last
+	// sent.
+	tries  int
+	waited time.Duration
+	// retryAt is when a caller that is refused may be served.
+	retryAt time.Time
+}
+
+// ranksOf returns the ranks of a service. Scheduling is enabled if there is more than one or
+// if there are workspaces.
+func (s *shortage) ranksOf(t *describer.RouteTable, service string) (ranks []describer.Rank, enabled bool) {
+	if s.table != t {
+		s.table, s.ranks = t, map[string][]describer.Rank{}
+	}
+	ranks, ok := s.ranks[service]
+	if !ok {
+		ranks = t.Ranks(service)
+		s.ranks[service] = ranks
+	}
+	return ranks, len(ranks) > 1 || t.HasWorkspaces()
+}
+
+// waiting returns the number of waiting requests of all services.
+func (s *shortage) waiting() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, sched := range s.schedulers {
+		n += sched.Waiting()
+	}
+	return n
+}
+
+// takeTurn gives a request a place in the schedule of its service, if that is enabled. The
+// function that it returns ends it.
+func (b *Balancer) takeTurn(c *call) (end func()) {
+	if !chooser.Coordinated(b.opts.Policy) {
+		return func() {}
+	}
+	est := b.estimate(c.route.Name)
+	s := &b.shortage
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ranks, enabled := s.ranksOf(c.view.Table, c.service)
+	if !enabled {
+		return func() {}
+	}
+	sched, ok := s.schedulers[c.service]
+	if !ok {
+		sched = scheduler.New(b.drawUniform)
+		if s.schedulers == nil {
+			s.schedulers = map[string]*scheduler.Scheduler{}
+		}
+		s.schedulers[c.service] = sched
+	}
+	rank, _ := slices.BinarySearchFunc(ranks, c.view.Table.Rank(c.route, c.workspace), describer.Rank.Compare)
+	slots := 1
+	if servers := c.view.Services[c.service]; len(servers) > 0 {
+		slots = servers[0].Slots
+	}
+	now := time.Now()
+	c.turn = &turn{scheduler: sched, rank: rank, short: sched.Short(now)}
+	c.turn.ticket = sched.Offer(now, scheduler.Request{
+		Rank: rank, Ranks: len(ranks), Workspace: c.workspace.Name, Route: c.route.Name, Target: c.route.TargetLatency,
+		Limit: c.deadline.Sub(c.arrived), Arrived: c.arrived, Deadline: c.deadline,
+		Work: time.Duration((1 + loadWeight) * float64(est.latency)), Slots: slots,
+	})
+	return func() { b.endTurn(c) }
+}
+
+// drawUniform returns a random number in [0, 1).
+func (b *Balancer) drawUniform() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rng.Float64()
+}
+
+// endTurn ends the place of a request in the schedule.
+func (b *Balancer) endTurn(c *call) {
+	b.shortage.mu.Lock()
+	defer b.shortage.mu.Unlock()
+	c.turn.scheduler.Done(c.turn.ticket)
+}
+
+// capacityFreed wakes a waiting request of the service after an attempt has ended.
+func (b *Balancer) capacityFreed(service string) {
+	b.shortage.mu.Lock()
+	defer b.shortage.mu.Unlock()
+	if sched, ok := b.shortage.schedulers[service]; ok {
+		sched.Freed()
+	}
+}
+
+// pickInTurn is pick for a request that has a place in the schedule: if no server has room
+// for it, it waits for as long as it can be in time.
+func (b *Balancer) pickInTurn(ctx context.Context, c *call) (p *picked, reason refuser.Reason) {
+	if c.turn == nil {
+		return b.pick(ctx, c)
+	}
+	c.turn.waited = 0
+	for {
+		tried := b.mayTry(c)
+		if tried {
+			if p, reason = b.pick(ctx, c); p == nil && (!c.turn.ticket.MetFull() || b.mayDelegate(c, reason)) {
+				break
+			}
+			c.turn.tries++
+		}
+		verdict := b.judge(c, p != nil, tried)
+		if p != nil {
+			break
+		}
+		if refuse, ok := verdict.(scheduler.Refuse); ok {
+			c.turn.retryAt = refuse.RetryAt
+			reason = refuse.Reason
+			b.metrics.refusalsByRank.With(c.service, c.turn.rankLabel(), string(reason)).Inc()
+			break
+		}
+		if reason = b.await(ctx, c, verdict.(scheduler.Wait)); reason != "" {
+			break
+		}
+	}
+	c.turn.tries = 0
+	if c.turn.waited > 0 {
+		b.metrics.waits.With(c.service, c.turn.rankLabel(), waitResult(p != nil)).Observe(c.turn.waited)
+	}
+	return p, reason
+}
+
+// waitResult returns the label value of the histogram of waits.
+func waitResult(found bool) string {
+	if found {
+		return "sent"
+	}
+	return "refused"
+}
+
+func (t *turn) rankLabel() string { return strconv.Itoa(min(t.rank, maxRankLabel)) }
+
+func (b *Balancer) mayTry(c *call) bool {
+	b.shortage.mu.Lock()
+	defer b.shortage.mu.Unlock()
+	return c.turn.scheduler.MayTry(c.turn.ticket)
+}
+
+// judge records what a request has found. Without a server, it returns what the request does
+// next.
+func (b *Balancer) judge(c *call, found, tried bool) scheduler.Verdict {
+	now := time.Now()
+	b.shortage.mu.Lock()
+	defer b.shortage.mu.Unlock()
+	switch {
+	case found:
+		c.turn.scheduler.Found(now, c.turn.ticket)
+		return nil
+	case tried:
+		return c.turn.scheduler.Missed(now, c.turn.ticket)
+	}
+	return c.turn.scheduler.Defer(now, c.turn.ticket)
+}
+
+// await waits until the request may try again. It returns the reason for a refusal if the
+// request ends before.
+func (b *Balancer) await(ctx context.Context, c *call, w scheduler.Wait) refuser.Reason {
+	if c.turn.waited == 0 {
+		c.trace.add(Waiting, "rank", c.turn.rank, "queue-position", w.Position, "reason", c.turn.cause())
+	}
+	begun := time.Now()
+	timer := time.NewTimer(time.Until(w.Until))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return refuser.DeadlinePassed
+	case <-c.turn.ticket.Wake:
+	case <-timer.C:
+	}
+	c.turn.waited += max(1, time.Since(begun))
+	if !b.opts.MayTake(c.deadline) {
+		return refuser.Stopping
+	}
+	return ""
+}
+
+// cause returns why the request waits, as log lines have it.
+func (t *turn) cause() string {
+	if t.tries == 0 {
+		return "behind-others"
+	}
+	return "servers-full"
+}
+
+// hasRoom reports whether a server that was probed has room for the request by its rank.
+func (b *Balancer) hasRoom(c *call, est routeEstimate, p *picked) bool {
+	if c.turn == nil {
+		return true
+	}
+	now := time.Now()
+	limit := b.maxQueueLatency(c)
+	if !c.turn.ticket.Late() {
+		limit = min(limit, c.turn.ticket.Objective().Sub(now))
+	}
+	alone := p.slowness * float64(est.latency)
+	full := p.Slots
+	for full < p.Slots+maxServerQueue && time.Duration(alone*loadFactor(full, p.Slots)) <= limit {
+		full++
+	}
+	b.shortage.mu.Lock()
+	defer b.shortage.mu.Unlock()
+	return c.turn.scheduler.Room(now, c.turn.ticket, scheduler.Server{
+		Busy: p.busy, Slots: p.Slots, Full: full, Work: time.Duration(alone),
+	})
+}
+
+// suffices reports whether no further server is probed: the server is good, or it is fast and
+// has room while others are full too. Entries that all look for the emptiest server find the
+// same one.
+func (c *call) suffices(p *picked) bool {
+	return p.isGood() || (c.turn != nil && (c.turn.short || c.turn.tries > 0) && p.slowness <= goodSlowness)
+}
+
+// maxProbes returns the number of servers that are probed for the next attempt at most.
+func (c *call) maxProbes() int {
+	switch {
+	case c.turn == nil:
+		return maxProbes
+	case c.turn.tries > 0:
+		return retryProbes
+	case c.turn.short && c.turn.ticket.Late():
+		return firstRoundProbes
+	case c.turn.short:
+		return shortProbes
+	}
+	return maxProbes
+}
+
+// withCapacityTime adds the time at which capacity is expected to a refusal for lack of it.
+func (c *call) withCapacityTime(r refuser.Refusal) refuser.Refusal {
+	if c.turn == nil || c.turn.retryAt.IsZero() {
+		return r
+	}
+	return r.WithRetryAt(c.turn.retryAt)
+}
--- /dev/null
+++ b/entry/balancer/shortage_test.go
@@ -0,0 +1,132 @@
+package balancer_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"samphiremux/entry/chooser"
+	"samphiremux/pkg/describer"
+)
+
+// newShortFixture returns a fixture of servers that each run or hold a number of requests. The
+// route "look" ranks below "book" by a number.
+func newShortFixture(t *testing.T, busy, ranksBelow int) *fixture {
+	all := servers(3, respondOK)
+	for _, b := range all {
+		b.running = busy
+	}
+	// With the draws of this entry, the first request is not promoted by its guaranteed share.
+	f := newEntryFixture(t, 1, chooser.ExpectedCompletion{}, all...)
+	route := func(name string, importance int) describer.Route {
+		return describer.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Importance: importance, TimeLimit: 500 * time.Millisecond,
+			TargetLatency: 400 * time.Millisecond, MaxAttempts: 2, Services: []describer.WeightedService{{Service: "stock", Share: 1}},
+		}
+	}
+	if err := f.snapshotter.SetTable(describer.NewRouteTable(2, []describer.Route{route("book", 0), route("look", ranksBelow)},
+		[]describer.Service{{Name: "stock", HealthPath: "/health"}}, describer.Limits{})); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// setBusy changes the number of requests that the servers report.
+func (f *fixture) setBusy(busy int) {
+	for _, b := range f.backends {
+		b.mu.Lock()
+		b.running = busy
+		b.mu.Unlock()
+	}
+}
+
+// waiting returns the number of waiting requests by the metrics.
+func (f *fixture) waiting() string {
+	w := httptest.NewRecorder()
+	f.metrics.ServeHTTP(w, nil)
+	_, rest, _ := strings.Cut(w.Body.String(), "\nsamphire_waiting_requests ")
+	n, _, _ := strings.Cut(rest, "\n")
+	return n
+}
+
+// TestUrgentRequestsUseFullServers guards against requests of a lower rank that queue at full
+// servers as urgent ones do, and against a change for services whose requests have one rank.
+func TestUrgentRequestsUseFullServers(t *testing.T) {
+	for _, c := range []struct {
+		name, path       string
+		busy, ranksBelow int
+		status           int
+		waits            bool
+	}{
+		{"an urgent request queues at a full server", "/book/1", 4, 1, 200, false},
+		{"another one does not", "/look/1", 4, 1, 503, true},
+		{"with one rank it does", "/look/1", 4, 0, 200, false},
+		{"an urgent request waits for fuller servers", "/book/1", 5, 1, 503, true},
+		{"with one rank it is refused at once", "/book/1", 5, 0, 503, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newShortFixture(t, c.busy, c.ranksBelow)
+				defer f.close()
+				begun := time.Now()
+				w := f.send(http.MethodPost, c.path, "r1")
+				is.Equal(w.Code, c.status)
+				is.Equal(c.waits, c.status != 200 && time.Since(begun) > 100*time.Millisecond)
+				is.True(time.Since(begun) < 400*time.Millisecond)
+				if c.status == http.StatusOK {
+					return
+				}
+				after, err := time.ParseDuration(w.Header().Get("Retry-After"))
+				is.NoErr(err)
+				is.True(after >= 30*time.Millisecond && after <= 2*time.Second)
+				is.Equal(arrivals(f.backends), 0)
+			})
+		})
+	}
+}
+
+// TestWaitingEnds guards against a waiting request that is not sent once there is capacity, and
+// against one that is sent or held after its caller has disconnected or while the entry stops.
+func TestWaitingEnds(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		then     func(f *fixture, cancel func())
+		status   int
+		arrivals int
+	}{
+		{"capacity becomes free", func(f *fixture, _ func()) { f.setBusy(0) }, 200, 1},
+		{"the caller disconnects", func(_ *fixture, cancel func()) { cancel() }, 503, 0},
+		{"the entry stops", func(f *fixture, _ func()) { f.stopping.Store(true) }, 503, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newShortFixture(t, 4, 1)
+				defer f.close()
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				time.AfterFunc(60*time.Millisecond, func() {
+					is.Equal(f.waiting(), "1")
+					c.then(f, cancel)
+				})
+				r := httptest.NewRequest(http.MethodPost, "http://h/look/1", nil).WithContext(ctx)
+				r.RequestURI = "/look/1"
+				r.Header.Set("Id", "r1")
+				w := httptest.NewRecorder()
+				begun := time.Now()
+				f.balancer.ServeHTTP(w, r)
+				is.True(time.Since(begun) < 160*time.Millisecond)
+				is.Equal(w.Code, c.status)
+				is.Equal(arrivals(f.backends), c.arrivals)
+				is.Equal(f.waiting(), "0")
+			})
+		})
+	}
+}
--- a/entry/balancer/trace.go
+++ b/entry/balancer/trace.go
@@ -24,6 +24,9 @@
 	// LeftOut means that servers got no attempt, since they are leaving or asked for a
 	// pause.
 	LeftOut Decision = "left-out"
+	// Waiting means that the request waits, since no server that was probed has room for
+	// it. It carries the number of requests before it.
+	Waiting Decision = "waiting"
 	// Chosen means that a server was picked for an attempt. It carries the
 	// state that the server reported.
 	Chosen Decision = "chosen"
@@ -42,7 +45,7 @@
 
 // Decisions returns every decision.
 func Decisions() []Decision {
-	return []Decision{Received, LeftOut, Chosen, Hedged, Delegated, Ended, Answered, Refused}
+	return []Decision{Received, LeftOut, Waiting, Chosen, Hedged, Delegated, Ended, Answered, Refused}
 }
 
 const (
--- /dev/null
+++ b/entry/scheduler/shared_test.go
@@ -0,0 +1,278 @@
+package scheduler_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"samphiremux/entry/scheduler"
+)
+
+const (
+	work        = 70 * time.Millisecond
+	target      = 300 * time.Millisecond
+	timeLimit   = 800 * time.Millisecond
+	slots       = 3
+	serverQueue = 12
+	staleness   = 50 * time.Millisecond
+)
+
+// played is one case of _fixtures/shared.json: entries that share servers without messages.
+type played struct {
+	Name    string
+	Entries []int
+	// Load is the load in multiples of the servers' capacity.
+	Load float64
+	// Silent servers report no load, and Stale ones that of some time ago.
+	Silent, Stale bool
+	Callers       []caller
+}
+
+// caller is what callers of one kind send, and what they got.
+type caller struct {
+	Rank      int
+	Workspace string
+	Share     float64
+	// Hammers reports that they retry without pause.
+	Hammers bool
+	// InTime is the least share of requests in percent that must be served in time.
+	InTime float64 `json:"in-time"`
+
+	sent, inTime, late, refusals, refusedTwice int
+}
+
+func (c *caller) percent(n int) float64 { return 100 * float64(n) / float64(max(1, c.sent)) }
+func (c *caller) served() float64       { return c.percent(c.inTime + c.late) }
+
+// world is the entries, servers and callers of one run. Its lock guards all their state.
+type world struct {
+	played
+	before bool
+	ranks  int
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	servers []*server
+	entries []*scheduler.Scheduler
+	probes  int
+}
+
+type server struct {
+	busy  int
+	slots chan struct{}
+}
+
+func locked[T any](w *world, f func() T) T {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return f()
+}
+
+func (w *world) add(n *int, d int) { locked(w, func() int { *n += d; return *n }) }
+
+func (w *world) draw() float64 { return locked(w, w.rng.Float64) }
+
+// run runs a request at a server, unless the queue there is full.
+func (w *world) run(s *server) (ok bool) {
+	time.Sleep(time.Millisecond)
+	if !locked(w, func() bool { return s.busy < slots+serverQueue }) {
+		return false
+	}
+	w.add(&s.busy, 1)
+	s.slots <- struct{}{}
+	time.Sleep(60*time.Millisecond + time.Duration(w.draw()*float64(20*time.Millisecond)))
+	<-s.slots
+	if !w.Stale {
+		w.add(&s.busy, -1)
+		return true
+	}
+	time.AfterFunc(staleness, func() { w.add(&s.busy, -1) })
+	return true
+}
+
+// fullAt is the rule of the balancer for requests of the highest rank.
+func fullAt(left time.Duration) (n int) {
+	for n = slots; n < slots+serverQueue && (1.4+1.2*float64(n-slots+1)/slots)*float64(work) <= float64(min(left, target*3/4)); {
+		n++
+	}
+	return n
+}
+
+// pick probes servers in rounds. A ticket of nil stands for the entry without a scheduler.
+func (w *world) pick(e int, t *scheduler.Ticket, limit time.Time, probes int, short bool) (best *server) {
+	bestBusy := 0
+	for n := 0; n < probes && (best == nil || (bestBusy >= slots && !short)); n += 4 {
+		time.Sleep(time.Duration((1 + 5*w.draw()) * float64(time.Millisecond)))
+		w.mu.Lock()
+		for range min(4, probes-n) {
+			w.probes++
+			s := w.servers[w.rng.IntN(len(w.servers))]
+			told := scheduler.Server{Busy: s.busy, Slots: slots, Full: fullAt(time.Until(limit)), Work: work}
+			if w.Silent {
+				told.Busy = 0
+			}
+			ok := told.Busy < told.Full
+			if t != nil {
+				ok = w.entries[e].Room(time.Now(), t, told)
+			}
+			if ok && (best == nil || told.Busy < bestBusy) {
+				best, bestBusy = s, told.Busy
+			}
+		}
+		w.mu.Unlock()
+	}
+	return best
+}
+
+// serve serves a request as the balancer does.
+func (w *world) serve(c *caller, deadline time.Time) (retryAfter time.Duration, ok bool) {
+	now, e := time.Now(), locked(w, func() int { return w.rng.IntN(len(w.entries)) })
+	sched := w.entries[e]
+	if w.before {
+		s := w.pick(e, nil, deadline, 15, false)
+		return 50 * time.Millisecond, s != nil && w.run(s)
+	}
+	t := locked(w, func() *scheduler.Ticket {
+		return sched.Offer(now, scheduler.Request{
+			Rank: c.Rank, Ranks: w.ranks, Workspace: c.Workspace, Route: "r", Target: target, Limit: deadline.Sub(now),
+			Arrived: now, Deadline: deadline, Work: work * 14 / 10, Slots: slots,
+		})
+	})
+	defer func() { locked(w, func() bool { sched.Done(t); return true }) }()
+	limit, probes, short := t.Objective(), 15, locked(w, func() bool { return sched.Short(now) })
+	switch {
+	case short && t.Late():
+		limit, probes = deadline, 3
+	case t.Late():
+		limit = deadline
+	case short:
+		probes = 7
+	}
+	for {
+		decide := sched.Defer
+		if locked(w, func() bool { return sched.MayTry(t) }) {
+			if s := w.pick(e, t, limit, probes, short); s != nil {
+				locked(w, func() bool { sched.Found(time.Now(), t); return true })
+				ok = w.run(s)
+				locked(w, func() bool { sched.Freed(); return true })
+				return 50 * time.Millisecond, ok
+			}
+			decide, probes, short = sched.Missed, 4, true
+		}
+		switch v := locked(w, func() scheduler.Verdict { return decide(time.Now(), t) }).(type) {
+		case scheduler.Refuse:
+			return time.Until(v.RetryAt), false
+		case scheduler.Wait:
+			select {
+			case <-t.Wake:
+			case <-time.After(time.Until(v.Until)):
+			}
+		}
+	}
+}
+
+// call sends a request until it is served, up to three times again.
+func (w *world) call(c *caller) {
+	w.add(&c.sent, 1)
+	begun := time.Now()
+	deadline := begun.Add(timeLimit)
+	for try := 0; try < 4 && time.Until(deadline) > 20*time.Millisecond; try++ {
+		after, ok := w.serve(c, deadline)
+		switch {
+		case ok && time.Since(begun) <= target:
+			w.add(&c.inTime, 1)
+			return
+		case ok:
+			w.add(&c.late, 1)
+			return
+		case try == 1:
+			w.add(&c.refusedTwice, 1)
+		}
+		w.add(&c.refusals, 1)
+		if !c.Hammers {
+			time.Sleep(min(after, time.Until(deadline)/3))
+		}
+	}
+}
+
+// play sends requests for 10 s, or longer with few entries, and returns what the callers got.
+func play(t *testing.T, p played, entries int, before bool) (w *world) {
+	p.Callers = append([]caller(nil), p.Callers...)
+	w = &world{played: p, before: before, rng: rand.New(rand.NewPCG(1, 1))}
+	for _, c := range p.Callers {
+		w.ranks = max(w.ranks, c.Rank+1)
+	}
+	synctest.Test(t, func(*testing.T) {
+		for range max(2, int(8*float64(entries)/p.Load*work.Seconds()/slots+0.5)) {
+			w.servers = append(w.servers, &server{slots: make(chan struct{}, slots)})
+		}
+		rate := p.Load * float64(len(w.servers)) * slots / work.Seconds()
+		for range entries {
+			w.entries = append(w.entries, scheduler.New(w.rng.Float64))
+		}
+		duration := 10 * time.Second * time.Duration(min(8, max(1, 100/entries)))
+		var wg sync.WaitGroup
+		for i := range w.Callers {
+			c := &w.Callers[i]
+			wg.Go(func() {
+				for end := time.Now().Add(duration); time.Now().Before(end); {
+					time.Sleep(time.Duration(2 * w.draw() / (rate * c.Share) * float64(time.Second)))
+					wg.Go(func() { w.call(c) })
+				}
+			})
+		}
+		wg.Wait()
+	})
+	return w
+}
+
+// TestSharedServers guards against requests of a low rank or of a large workspace that take
+// the capacity that more urgent ones need, against ranks, workspaces and callers that starve,
+// and against callers that gain by retries without pause, where no entry knows of another.
+func TestSharedServers(t *testing.T) {
+	data, err := os.ReadFile("_fixtures/shared.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []played
+	if err := json.Unmarshal(data, &cases); err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range cases {
+		for _, entries := range p.Entries {
+			t.Run(fmt.Sprintf("%s, %d entries", p.Name, entries), func(t *testing.T) {
+				checkShares(t, play(t, p, entries, true), play(t, p, entries, false))
+			})
+		}
+	}
+}
+
+func checkShares(t *testing.T, before, w *world) {
+	sent, served := 0, 0
+	for i, c := range w.Callers {
+		sent, served = sent+c.sent, served+c.inTime+c.late
+		for _, c := range []caller{before.Callers[i], c} {
+			t.Logf("rank %d %-5s sent %5d: in time %5.1f, late %4.1f, refused %5.1f, refused twice %5.1f, refusals %5.1f",
+				c.Rank, c.Workspace, c.sent, c.percent(c.inTime), c.percent(c.late), 100-c.served(), c.percent(c.refusedTwice), c.percent(c.refusals))
+		}
+	}
+	t.Logf("probes: %d before, %d after, for %d requests", before.probes, w.probes, sent)
+	for _, c := range w.Callers {
+		if c.percent(c.inTime) < c.InTime {
+			t.Errorf("rank %d %s: %.1f %% served in time, want %.0f", c.Rank, c.Workspace, c.percent(c.inTime), c.InTime)
+		}
+		if overall := 100 * float64(served) / float64(sent); c.served() < overall/4 {
+			t.Errorf("rank %d %s starves: %.1f %% served, %.1f of all", c.Rank, c.Workspace, c.served(), overall)
+		}
+		for _, o := range w.Callers {
+			if (o.Rank > c.Rank || (o.Rank == c.Rank && o.Hammers && !c.Hammers)) && o.served() > c.served()+5 {
+				t.Errorf("rank %d (hammers %v) is served better than rank %d: %.1f and %.1f %%", o.Rank, o.Hammers, c.Rank, o.served(), c.served())
+			}
+		}
+	}
+}
