--- a/entry/balancer/metrics.go
+++ b/entry/balancer/metrics.go
@@ -29,6 +29,8 @@
 	// requests waited for it.
 	refusalsByRank *meter.CounterVec
 	waits          *meter.HistogramVec
+	// workspaces counts callers' requests by workspace.
+	workspaces *meter.CounterVec
 }
 
 // newMetrics registers the metrics. The counters of each refusal reason and retry
@@ -51,6 +53,7 @@
 	m.taken = r.CounterVec("taken_total", "Requests that other entries passed on to this one, by whether it reaches servers.", "reaches")
 	m.refusalsByRank = r.CounterVec("shortage_refusals_total", "Requests that were refused for lack of capacity, by service, rank (0 is the highest) and reason.", "service", "rank", "reason")
 	m.waits = r.HistogramVec("wait_seconds", "Time that requests waited for capacity, by service, rank (0 is the highest) and result.", "service", "rank", "result")
+	m.workspaces = r.CounterVec("workspace_requests_total", "Callers' requests with a valid API key, by workspace.", "workspace")
 	for _, reason := range refuser.NotRunReasons() {
 		m.refusals.With(string(refuser.NotRun), string(reason))
 	}
--- a/entry/balancer/shortage.go
+++ b/entry/balancer/shortage.go
@@ -222,6 +222,10 @@
 	if !b.opts.MayTake(c.deadline) {
 		return refuser.Stopping
 	}
+	id := c.identity
+	if refusal := b.authorize(&id, b.opts.Snapshot().Table, c.route); refusal != nil {
+		return refusal.Reason
+	}
 	return ""
 }
 
