scheduler: a request that can wait looks for a faster server before it is late

With servers that noisy neighbours slow sevenfold, a request of a low rank took a free slot of a slow one, since the fast ones were full for its rank, and was late. A server on which a request would miss its objective now counts as full for as long as the request can wait; after that it takes any free slot. Tries that found only slow servers do not count as a shortage.

--- a/entry/balancer/shortage.go
+++ b/entry/balancer/shortage.go
@@ -237,7 +237,8 @@
 	return "servers-full"
 }
 
-// hasRoom reports whether a server that was probed has room for the request by its rank.
+// hasRoom reports whether a server that was probed has room for the request by its rank, and
+// is fast enough for a request that can still wait.
 func (b *Balancer) hasRoom(c *call, est routeEstimate, p *picked) bool {
 	if c.turn == nil {
 		return true
@@ -255,7 +256,7 @@
 	b.shortage.mu.Lock()
 	defer b.shortage.mu.Unlock()
 	return c.turn.scheduler.Room(now, c.turn.ticket, scheduler.Server{
-		Busy: p.busy, Slots: p.Slots, Full: full, Work: time.Duration(alone),
+		Busy: p.busy, Slots: p.Slots, Full: full, Work: time.Duration(alone), Expected: p.expected,
 	})
 }
 
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -65,8 +65,9 @@
 	Slots int
 	// Full is the value of Busy from which a request of the highest rank does not go there.
 	Full int
-	// Work is the expected time of a request there without others.
-	Work time.Duration
+	// Work is the expected time of a request there without others, and Expected that of the
+	// request there now.
+	Work, Expected time.Duration
 }
 
 // Ticket is the place of one request in the schedule of its service.
@@ -98,6 +99,8 @@
 	// full reports that a server had no room, and roomAbove that one of them had room for
 	// the highest rank.
 	full, roomAbove bool
+	// slow reports that a server had room but is too slow.
+	slow bool
 }
 
 // Late reports whether the request cannot be served within its objective any more.
@@ -109,8 +112,9 @@
 // Standing returns the urgency of the request, from 0, the highest, to 1.
 func (t *Ticket) Standing() float64 { return t.standing }
 
-// MetFull reports whether the last try found a server without room for the request.
-func (t *Ticket) MetFull() bool { return t.miss.full }
+// MetFull reports whether the last try found a server without room for the request, or too
+// slow for it to be in time.
+func (t *Ticket) MetFull() bool { return t.miss.full || t.miss.slow }
 
 // latestStart returns the time at which the request must be sent to be in time.
 func (t *Ticket) latestStart() time.Time { return t.objective.Add(-t.request.Work) }
@@ -217,7 +221,12 @@
 func (s *Scheduler) Room(now time.Time, t *Ticket, srv Server) bool {
 	limit := s.limit(now, t, srv)
 	if float64(srv.Busy) < limit {
-		return true
+		if t.request.Target == 0 || t.late || t.served || !now.Add(srv.Expected).After(t.objective) {
+			return true
+		}
+		// A request that can wait looks for a server that is not slow before it is late.
+		t.miss.slow = true
+		return false
 	}
 	excess := float64(srv.Busy) - math.Ceil(limit) + 1
 	drain := time.Duration(excess * float64(srv.Work) / float64(max(1, srv.Slots)))
@@ -273,6 +282,9 @@
 
 // Missed decides what a request does that has found no capacity.
 func (s *Scheduler) Missed(now time.Time, t *Ticket) Verdict {
+	if !t.miss.full {
+		return s.Defer(now, t)
+	}
 	s.hitsOf(t).add(now, 0)
 	s.shortUntil = now.Add(shortageTime)
 	if t.standing == 0 && t.promotedBy == nil && !t.late {
@@ -290,6 +302,9 @@
 	switch {
 	case t.evicted:
 		return s.refuse(now, t, refuser.QueueFull, wait)
+	case !t.late && left < pause/2 && t.miss.slow:
+		t.late = true
+		return Wait{Until: now, Position: ahead}
 	case t.late || left < pause/2:
 		// Refusing others by an estimate of their wait would reward callers that retry at
 		// once: they would ask again until the estimate is lower.
--- a/entry/scheduler/shared_test.go
+++ b/entry/scheduler/shared_test.go
@@ -30,7 +30,9 @@
 	Load float64
 	// Silent servers report no load, and Stale ones that of some time ago.
 	Silent, Stale bool
-	Callers       []caller
+	// Slow servers take seven times as long for half a second in two.
+	Slow    bool
+	Callers []caller
 }
 
 // caller is what callers of one kind send, and what they got.
@@ -55,6 +57,8 @@
 	before bool
 	ranks  int
 
+	begun time.Time
+
 	mu      sync.Mutex
 	rng     *rand.Rand
 	servers []*server
@@ -63,6 +67,7 @@
 }
 
 type server struct {
+	index int
 	busy  int
 	slots chan struct{}
 }
@@ -85,7 +90,7 @@
 	}
 	w.add(&s.busy, 1)
 	s.slots <- struct{}{}
-	time.Sleep(60*time.Millisecond + time.Duration(w.draw()*float64(20*time.Millisecond)))
+	time.Sleep(time.Duration(w.slowness(s) * (60 + 20*w.draw()) * float64(time.Millisecond)))
 	<-s.slots
 	if !w.Stale {
 		w.add(&s.busy, -1)
@@ -95,9 +100,25 @@
 	return true
 }
 
-// fullAt is the rule of the balancer for requests of the highest rank.
-func fullAt(left time.Duration) (n int) {
-	for n = slots; n < slots+serverQueue && (1.4+1.2*float64(n-slots+1)/slots)*float64(work) <= float64(min(left, target*3/4)); {
+// slowness is how many times longer a server takes than usual at the moment.
+func (w *world) slowness(s *server) float64 {
+	if phase := time.Since(w.begun) / (500 * time.Millisecond); w.Slow && (int(phase)+s.index)%4 == 0 {
+		return 7
+	}
+	return 1
+}
+
+// expected and fullAt are the rules of the balancer, the latter for requests of the highest rank.
+func expected(busy int, slowness float64) time.Duration {
+	factor := 1 + 0.4*float64(busy)/slots
+	if busy >= slots {
+		factor = 1.4 + 1.2*float64(busy-slots+1)/slots
+	}
+	return time.Duration(slowness * factor * float64(work))
+}
+
+func fullAt(left time.Duration, slowness float64) (n int) {
+	for n = slots; n < slots+serverQueue && expected(n, slowness) <= min(left, target*3/4); {
 		n++
 	}
 	return n
@@ -105,23 +126,26 @@
 
 // pick probes servers in rounds. A ticket of nil stands for the entry without a scheduler.
 func (w *world) pick(e int, t *scheduler.Ticket, limit time.Time, probes int, short bool) (best *server) {
-	bestBusy := 0
-	for n := 0; n < probes && (best == nil || (bestBusy >= slots && !short)); n += 4 {
+	bestCost, good := time.Duration(0), false
+	for n := 0; n < probes && !good; n += 4 {
 		time.Sleep(time.Duration((1 + 5*w.draw()) * float64(time.Millisecond)))
 		w.mu.Lock()
 		for range min(4, probes-n) {
 			w.probes++
 			s := w.servers[w.rng.IntN(len(w.servers))]
-			told := scheduler.Server{Busy: s.busy, Slots: slots, Full: fullAt(time.Until(limit)), Work: work}
+			busy, slowness := s.busy, w.slowness(s)
 			if w.Silent {
-				told.Busy = 0
+				busy = 0
+			}
+			told := scheduler.Server{
+				Busy: busy, Slots: slots, Full: fullAt(time.Until(limit), slowness), Work: time.Duration(slowness * float64(work)), Expected: expected(busy, slowness),
 			}
 			ok := told.Busy < told.Full
 			if t != nil {
 				ok = w.entries[e].Room(time.Now(), t, told)
 			}
-			if ok && (best == nil || told.Busy < bestBusy) {
-				best, bestBusy = s, told.Busy
+			if ok && (best == nil || told.Expected < bestCost) {
+				best, bestCost, good = s, told.Expected, slowness == 1 && (busy < slots || short)
 			}
 		}
 		w.mu.Unlock()
@@ -208,8 +232,9 @@
 		w.ranks = max(w.ranks, c.Rank+1)
 	}
 	synctest.Test(t, func(*testing.T) {
+		w.begun = time.Now()
 		for range max(2, int(8*float64(entries)/p.Load*work.Seconds()/slots+0.5)) {
-			w.servers = append(w.servers, &server{slots: make(chan struct{}, slots)})
+			w.servers = append(w.servers, &server{index: len(w.servers), slots: make(chan struct{}, slots)})
 		}
 		rate := p.Load * float64(len(w.servers)) * slots / work.Seconds()
 		for range entries {
