--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -146,6 +146,8 @@
 	workspaceLabels map[string]bool
 	// subsets holds the subset of each service that has more than a few servers.
 	subsets map[string]*serviceSubset
+	// shortage has a lock of its own, which is taken before mu.
+	shortage shortage
 }
 
 // routeStats holds the running means of a route's responses.
@@ -183,12 +185,14 @@
 	if opts.Metrics == nil {
 		opts.Metrics = meter.New()
 	}
-	return &Balancer{
+	b := &Balancer{
 		opts: opts, metrics: newMetrics(opts.Metrics), rng: rng, chooser: chooser.New(opts.Policy, rng),
 		badLines: lineBucket{perSecond: badLinesPerSecond}, goodLines: lineBucket{perSecond: goodLinesPerSecond},
 		budgets: map[string]*throttler.RetryBudget{}, routes: map[string]*routeStats{}, draws: map[string]float64{}, suspects: map[string]*quarantiner.Suspects{},
 		reaches: map[string]reach{}, workspaceLabels: map[string]bool{}, subsets: map[string]*serviceSubset{},
 	}
+	opts.Metrics.Gauge("waiting_requests", "Requests that wait for capacity of backend servers.", func() float64 { return float64(b.shortage.waiting()) })
+	return b
 }
 
 // UseHedger makes h decide when idempotent requests are hedged. Without one, they are hedged
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -148,6 +149,8 @@
 	alone bool
 	// entries are the other entries that use the servers. Without them there are no subsets.
 	entries []placer.Member
+	// stopping reports that the entry stops.
+	stopping atomic.Bool
 	// peers are the other entries, and dialPeer connects to one.
 	peers    []delegator.Peer
 	dialPeer func(ctx context.Context, address string) (net.Conn, error)
@@ -267,6 +270,7 @@
 		},
 		Entries: func() []placer.Member { return f.entries },
 		Settled: func() bool { return !f.alone }, Metrics: f.metrics,
+		MayTake:     func(time.Time) bool { return !f.stopping.Load() },
 		RetryLimits: func() balancer.Limits { return balancer.Limits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second} },
 		NotifySuspect: func(_ string, fingerprint quarantiner.Fingerprint, crashes int, _ quarantiner.Attempt) {
 			f.mu.Lock()
--- a/entry/balancer/metrics.go
+++ b/entry/balancer/metrics.go
@@ -28,6 +28,10 @@
 	delegated *meter.CounterVec
 	taken     *meter.CounterVec
 	hedges    hedgeMetrics
+	// refusalsByRank counts the refusals for lack of capacity, and waits holds the time that
+	// requests waited for it.
+	refusalsByRank *meter.CounterVec
+	waits          *meter.HistogramVec
 	// workspaces counts callers' requests by workspace.
 	workspaces *meter.CounterVec
 }
@@ -52,6 +56,8 @@
 	}
 	m.taken = r.CounterVec("taken_total", "Requests that other entries passed on to this one, by whether it reaches servers.", "reaches")
 	m.hedges = newHedgeMetrics(r)
+	m.refusalsByRank = r.CounterVec("shortage_refusals_total", "Requests that were refused for lack of capacity, by service, rank (0 is the highest) and reason.", "service", "rank", "reason")
+	m.waits = r.HistogramVec("wait_seconds", "Time that requests waited for capacity, by service, rank (0 is the highest) and result.", "service", "rank", "result")
 	m.workspaces = r.CounterVec("workspace_requests_total", "Callers' requests with a valid API key, by workspace.", "workspace")
 	for _, reason := range refuser.NotRunReasons() {
 		m.refusals.With(string(refuser.NotRun), string(reason))
