--- a/entry/balancer/subset.go
+++ b/entry/balancer/subset.go
@@ -1,7 +1,8 @@
 package balancer
 
 import (
-	"slices"
+	"maps"
+	"sync"
 	"time"
 
 	"samphiremux/entry/snapshotter"
@@ -71,6 +72,7 @@
 	// current is nil before the first choice, and while the service has no subset.
 	current     *subset
 	chosenUntil time.Time
+	orders      orders
 }
 
 // subsetOf returns the subset of a service, or nil if this entry uses all servers alike. It
@@ -83,7 +85,7 @@
 	b.mu.Lock()
 	s, ok := b.subsets[service]
 	if !ok {
-		s = &serviceSubset{}
+		s = &serviceSubset{orders: orders{byVersion: map[string]order{}}}
 		b.subsets[service] = s
 	}
 	s.rate.Observe(now)
@@ -96,7 +98,7 @@
 	b.mu.Unlock()
 	entries := b.opts.Entries()
 	size = subsetter.Size(size, rate, len(servers), len(entries))
-	chosen := b.chooseSubset(now, view, servers, entries, size)
+	chosen := b.chooseSubset(now, view, servers, entries, size, &s.orders)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s.current, s.size = chosen, size
@@ -105,28 +107,31 @@
 
 // chooseSubset chooses the members for each version of a service, and the further servers that
 // this entry holds a part of the rate of. It returns nil if the subset would be all servers.
-func (b *Balancer) chooseSubset(now time.Time, view *snapshotter.Snapshot, servers []snapshotter.Backend, entries []placer.Member, size int) *subset {
+func (b *Balancer) chooseSubset(now time.Time, view *snapshotter.Snapshot, servers []snapshotter.Backend, entries []placer.Member, size int, o *orders) *subset {
 	if size >= len(servers) {
 		return nil
 	}
 	chosen := &subset{members: map[string]bool{}, holders: map[string]bool{}}
 	byVersion := map[string][]subsetter.Server{}
-	// unanswered holds the servers that have not answered since they were ejected, and
-	// whether they still are.
-	unanswered := map[string]bool{}
-	isUnanswered := func(srv subsetter.Server) bool { _, ok := unanswered[srv.ID]; return ok }
+	states := map[string]memberState{}
 	for _, srv := range servers {
+		if !view.Eligible(srv) {
+			continue
+		}
+		byVersion[srv.Version] = append(byVersion[srv.Version], subsetter.Server{ID: srv.ID, Domain: srv.Domain, Slots: srv.Slots})
 		state := srv.State.Snapshot(now)
 		switch {
-		case !view.Eligible(srv) || state.Leaving || state.Paused:
+		case state.Leaving || state.Paused:
+			states[srv.ID] = memberUnusable
 		case b.isHolder(view, srv, state):
 			chosen.holders[srv.ID] = true
+			states[srv.ID] = memberUnusable
 		case state.Cold || (state.RateLimit.Stated && state.RateLimitFresh):
-		default:
-			if state.Unanswered {
-				unanswered[srv.ID] = state.Ejected
-			}
-			byVersion[srv.Version] = append(byVersion[srv.Version], subsetter.Server{ID: srv.ID, Domain: srv.Domain, Slots: srv.Slots})
+			states[srv.ID] = memberUnusable
+		case state.Unanswered && state.Ejected:
+			states[srv.ID] = memberUnusable
+		case state.Unanswered:
+			states[srv.ID] = memberReturning
 		}
 	}
 	fleet := subsetter.Fleet{Self: placer.Member{ID: b.opts.Self, Domain: b.opts.Domain}}
@@ -135,21 +140,11 @@
 			fleet.Others = append(fleet.Others, e)
 		}
 	}
+	o.retain(byVersion)
 	var returning []string
-	for _, fleet.Servers = range byVersion {
-		members := fleet.Choose(size)
-		if slices.ContainsFunc(members, isUnanswered) {
-			for _, srv := range members {
-				if ejected, ok := unanswered[srv.ID]; ok && !ejected {
-					returning = append(returning, srv.ID)
-				}
-			}
-			fleet.Servers = slices.DeleteFunc(fleet.Servers, isUnanswered)
-			members = fleet.Choose(size)
-		}
-		for _, srv := range members {
-			chosen.members[srv.ID] = true
-		}
+	for version := range byVersion {
+		fleet.Servers = byVersion[version]
+		returning = append(returning, chosen.addMembers(o.of(version, fleet), states, size)...)
 	}
 	if len(returning) > 0 {
 		b.mu.Lock()
@@ -159,6 +154,67 @@
 	return chosen
 }
 
+// memberState is why a server is no member, though it may be by the order of the servers.
+type memberState int
+
+const (
+	memberUsable memberState = iota
+	memberUnusable
+	// memberReturning is for servers whose ejection is over, but that have not answered.
+	memberReturning
+)
+
+// addMembers adds the first usable servers of an order, up to a number. It returns those that
+// would be among the first but have not answered since they were ejected.
+func (s *subset) addMembers(order []string, states map[string]memberState, size int) (returning []string) {
+	added := 0
+	for i, id := range order {
+		switch {
+		case added >= size:
+			return returning
+		case states[id] == memberUsable:
+			s.members[id] = true
+			added++
+		case states[id] == memberReturning && i < size:
+			returning = append(returning, id)
+		}
+	}
+	return returning
+}
+
+// orders holds the order of the servers of each version, since it takes long to determine
+// and rarely changes.
+type orders struct {
+	mu        sync.Mutex
+	byVersion map[string]order
+}
+
+// order is an order of servers and the hash of what it follows from.
+type order struct {
+	inputs uint64
+	ids    []string
+}
+
+// retain forgets the versions that no server has any more.
+func (o *orders) retain(byVersion map[string][]subsetter.Server) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	maps.DeleteFunc(o.byVersion, func(version string, _ order) bool { return byVersion[version] == nil })
+}
+
+// of returns the order of the servers of a version.
+func (o *orders) of(version string, fleet subsetter.Fleet) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	inputs := fleet.Inputs()
+	if known, ok := o.byVersion[version]; ok && known.inputs == inputs {
+		return known.ids
+	}
+	ids := fleet.Order()
+	o.byVersion[version] = order{inputs, ids}
+	return ids
+}
+
 // isHolder reports whether a server is cold or states a rate limit, and this entry holds a
 // part of the rate.
 func (b *Balancer) isHolder(view *snapshotter.Snapshot, srv snapshotter.Backend, state snapshotter.StateSnapshot) bool {
--- a/entry/subsetter/subsetter.go
+++ b/entry/subsetter/subsetter.go
@@ -4,8 +4,9 @@
 // new connection costs a server work. It has no clock and no state of its own.
 //
 // Each server ranks the entries by rendezvous hashing, and an entry takes the servers that
-// rank it first. Every server is then used by nearly the same number of entries, and an entry
-// or a server that comes or goes changes a few subsets by one server each.
+// rank it first, unless they have enough entries already. Every server is then used by nearly
+// the same number of entries, and an entry or a server that comes or goes changes a few subsets
+// by one or two servers each.
 package subsetter
 
 import (
@@ -44,12 +45,19 @@
 	sizeSlack = 2
 )
 
+// EvenSize returns the size of the subsets for which the servers are assigned evenly to the
+// entries.
+func EvenSize(servers, entries int) int {
+	serversPerEntry := float64(servers) / float64(max(1, entries))
+	size := max(minSize, min(maxEvenSize, int(math.Ceil(evenUsers*serversPerEntry))))
+	return min(servers, max(size, int(math.Ceil(leastUsers*serversPerEntry))))
+}
+
 // Size returns the size of the subset of an entry that sends a service a rate of requests,
 // per second. Servers and entries are their numbers, and previous is the size so far, or 0.
 func Size(previous int, rate float64, servers, entries int) (size int) {
-	serversPerEntry := float64(servers) / float64(max(1, entries))
-	size = max(minSize, min(maxEvenSize, int(sizePerRate*rate), int(math.Ceil(evenUsers*serversPerEntry))))
-	size = max(size, int(math.Ceil(rate/maxServerRate)), int(math.Ceil(leastUsers*serversPerEntry)))
+	size = max(minSize, min(EvenSize(servers, entries), int(sizePerRate*rate)))
+	size = max(size, int(math.Ceil(rate/maxServerRate)), int(math.Ceil(leastUsers*float64(servers)/float64(max(1, entries)))))
 	if size < previous && previous <= size+sizeSlack {
 		size = previous
 	}
@@ -74,69 +82,145 @@
 	Servers []Server
 }
 
-// Choose returns the servers of the subset of the entry, up to a size. It takes those of the
-// entry's own failure domain, unless this has fewer servers for its entries than the whole
-// service: then a part of the subset is in the domains that have more.
-func (f Fleet) Choose(size int) (chosen []Server) {
-	if size >= len(f.Servers) {
-		return slices.Clone(f.Servers)
-	}
+// Order returns the ids of the servers in the order in which the entry takes them into its
+// subset. Of the first ones, as many as EvenSize states, each server has nearly the same number
+// of entries by its slots, provided that they know the same fleet. They are in the entry's own
+// failure domain, unless this has fewer slots for its entries than the whole service: then a
+// part of them is in the domains that have more.
+func (f Fleet) Order() (ids []string) {
 	d := f.domains()
-	var own, spare, rest []preference
+	size := EvenSize(len(f.Servers), d.entries())
+	share := float64(d[f.Self.Domain].entries) / float64(d.entries())
+	var own, spare, rest []competed
 	for _, s := range f.Servers {
+		c := competed{Server: s, slots: float64(max(1, s.Slots))}
 		switch {
 		case s.Domain == f.Self.Domain:
-			own = append(own, f.preference(s, f.isPeer))
+			own = append(own, c)
 		case d[s.Domain].entries == 0:
-			own = append(own, f.preference(s, func(placer.Member) bool { return true }))
+			// The entries of each domain use their part of it.
+			c.slots *= share
+			own = append(own, c)
 		case d.supply(s.Domain) > 1:
-			spare = append(spare, f.preference(s, f.isPeer))
+			spare = append(spare, c)
 		default:
-			rest = append(rest, preference{Server: s, weight: placer.Weight(s.ID, f.Self.ID)})
+			rest = append(rest, c)
 		}
 	}
 	local := min(len(own), int(math.Ceil(float64(size)*min(1, d.supply(f.Self.Domain)))))
-	for _, section := range [][]preference{first(own, local), spare, rest, own[local:]} {
-		for _, p := range first(section, size-len(chosen)) {
-			chosen = append(chosen, p.Server)
+	assigned, unassigned := f.assign(own, local)
+	assignedSpare, unassignedSpare := f.assign(spare, size-local)
+	assigned = append(assigned, assignedSpare...)
+	sortByKey(assigned)
+	for _, section := range [][]competed{assigned, unassigned, unassignedSpare, f.byWeight(rest)} {
+		for _, c := range section {
+			ids = append(ids, c.ID)
 		}
 	}
-	return chosen
+	return ids
 }
 
-// isPeer reports whether an entry is in the same failure domain.
-func (f Fleet) isPeer(entry placer.Member) bool { return entry.Domain == f.Self.Domain }
-
-// preference is a server and how far it prefers other entries.
-type preference struct {
+// competed is a server for which the entries of a failure domain compete.
+type competed struct {
 	Server
-	// rank is the number of entries that the server prefers to this one, for each slot.
-	rank   float64
-	weight uint64
+	// slots is the number of slots that count for the domain.
+	slots float64
+	// key orders the servers of an entry: it is the rank of the entry at the server, for each
+	// slot.
+	key float64
+}
+
+func sortByKey(servers []competed) {
+	slices.SortStableFunc(servers, func(x, y competed) int { return cmp.Compare(x.key, y.key) })
 }
 
-// preference returns the rank of this entry among those entries that compete with it for a
-// server.
-func (f Fleet) preference(s Server, competes func(placer.Member) bool) preference {
-	weight := placer.Weight(s.ID, f.Self.ID)
-	rank := 0.5
+// pair is an entry, as an index in the entries of the domain, at its rank for a server.
+type pair struct {
+	key    float32
+	entry  uint16
+	server uint16
+}
+
+// assign assigns servers to the entries of the domain, a number to each entry. It goes through
+// all pairs by rank, and leaves out a server that has its part of the entries. It returns the
+// servers of this entry, and the others in the order of its keys.
+func (f Fleet) assign(servers []competed, number int) (assigned, others []competed) {
+	if number == 0 {
+		return nil, f.byWeight(servers)
+	}
+	entries := []placer.Member{f.Self}
 	for _, e := range f.Others {
-		if !competes(e) {
+		if e.Domain == f.Self.Domain {
+			entries = append(entries, e)
+		}
+	}
+	slots := 0.0
+	pairs := make([]pair, 0, len(entries)*len(servers))
+	ranked := make([]weighted, len(entries))
+	for i := range servers {
+		for j, e := range entries {
+			ranked[j] = weighted{placer.Weight(servers[i].ID, e.ID), uint16(j)}
+		}
+		slices.SortFunc(ranked, func(x, y weighted) int { return cmp.Compare(y.weight, x.weight) })
+		for rank, w := range ranked {
+			key := (float64(rank) + 0.5) / servers[i].slots
+			pairs = append(pairs, pair{float32(key), w.entry, uint16(i)})
+			if w.entry == 0 {
+				servers[i].key = key
+			}
+		}
+		slots += servers[i].slots
+	}
+	slices.SortFunc(pairs, func(x, y pair) int {
+		return cmp.Or(cmp.Compare(x.key, y.key), cmp.Compare(servers[x.server].ID, servers[y.server].ID))
+	})
+	users, has := make([]int, len(servers)), make([]int, len(entries))
+	mine := make([]bool, len(servers))
+	for _, p := range pairs {
+		part := math.Ceil(float64(number*len(entries)) * servers[p.server].slots / slots)
+		if has[p.entry] >= number || float64(users[p.server]) >= part {
 			continue
 		}
-		if w := placer.Weight(s.ID, e.ID); w > weight || (w == weight && e.ID < f.Self.ID) {
-			rank++
+		has[p.entry]++
+		users[p.server]++
+		mine[p.server] = mine[p.server] || p.entry == 0
+	}
+	for i, s := range servers {
+		if mine[i] {
+			assigned = append(assigned, s)
+		} else {
+			others = append(others, s)
 		}
 	}
-	return preference{Server: s, rank: rank / float64(max(1, s.Slots)), weight: weight}
+	sortByKey(others)
+	return assigned, others
 }
 
-// first sorts servers by preference and returns the first n, or all if there are fewer.
-func first(all []preference, n int) []preference {
-	slices.SortFunc(all, func(x, y preference) int {
-		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(y.weight, x.weight), cmp.Compare(x.ID, y.ID))
-	})
-	return all[:min(n, len(all))]
+// byWeight sorts servers for which the entries do not compete.
+func (f Fleet) byWeight(servers []competed) []competed {
+	for i, s := range servers {
+		servers[i].key = -float64(placer.Weight(s.ID, f.Self.ID)) * s.slots
+	}
+	sortByKey(servers)
+	return servers
+}
+
+// weighted is an entry, as an index, with its rendezvous weight for a server.
+type weighted struct {
+	weight uint64
+	entry  uint16
+}
+
+// Inputs returns a hash of all that Order depends on. The order of entries and servers does
+// not matter.
+func (f Fleet) Inputs() (sum uint64) {
+	for _, e := range f.Others {
+		sum += placer.Weight("entry "+e.Domain, e.ID)
+	}
+	for _, s := range f.Servers {
+		sum += placer.Weight("server "+s.Domain, s.ID) * uint64(1+2*s.Slots)
+	}
+	return sum
 }
 
 // domain is the numbers of entries and of slots of a failure domain.
@@ -145,6 +229,14 @@
 // domains holds the failure domains by name.
 type domains map[string]domain
 
+// entries returns the number of entries in all domains.
+func (d domains) entries() (n int) {
+	for _, of := range d {
+		n += of.entries
+	}
+	return n
+}
+
 func (f Fleet) domains() domains {
 	d := domains{f.Self.Domain: {entries: 1}}
 	for _, e := range f.Others {
@@ -163,14 +255,13 @@
 // supply returns the slots for each entry of a failure domain, relative to the mean of all. A
 // domain without entries counts for all domains, in proportion to their entries.
 func (d domains) supply(name string) float64 {
-	entries, slots, shared := 0, 0, 0
+	slots, shared := 0, 0
 	for _, of := range d {
-		entries += of.entries
 		slots += of.slots
 		if of.entries == 0 {
 			shared += of.slots
 		}
 	}
-	share := float64(d[name].entries) / float64(entries)
+	share := float64(d[name].entries) / float64(d.entries())
 	return (float64(d[name].slots) + share*float64(shared)) / (share * float64(slots))
 }
--- a/entry/subsetter/subsetter_test.go
+++ b/entry/subsetter/subsetter_test.go
@@ -62,9 +62,7 @@
 	all := map[string][]string{}
 	for i, e := range entries {
 		others := slices.Delete(slices.Clone(entries), i, i+1)
-		for _, s := range (subsetter.Fleet{Self: e, Others: others, Servers: servers}).Choose(size) {
-			all[e.ID] = append(all[e.ID], s.ID)
-		}
+		all[e.ID] = (subsetter.Fleet{Self: e, Others: others, Servers: servers}).Order()[:size]
 		slices.Sort(all[e.ID])
 	}
 	return all
