--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -57,7 +57,7 @@
 			}
 			best, bestCost = p, cost
 		}
-		if best == nil || !c.suffices(best) {
+		if best == nil || !best.isGood() {
 			continue
 		}
 		if reason = b.admit(view, best); reason == "" {
--- a/entry/balancer/shortage.go
+++ b/entry/balancer/shortage.go
@@ -260,13 +260,6 @@
 	})
 }
 
-// suffices reports whether no further server is probed: the server is good, or it is fast and
-// has room while others are full too. Entries that all look for the emptiest server find the
-// same one.
-func (c *call) suffices(p *picked) bool {
-	return p.isGood() || (c.turn != nil && (c.turn.short || c.turn.tries > 0) && p.slowness <= goodSlowness)
-}
-
 // maxProbes returns the number of servers that are probed for the next attempt at most.
 func (c *call) maxProbes() int {
 	switch {
--- a/entry/scheduler/shared_test.go
+++ b/entry/scheduler/shared_test.go
@@ -121,7 +121,7 @@
 }
 
 // pick probes servers in rounds. A ticket of nil stands for the entry without a scheduler.
-func (w *world) pick(e int, t *scheduler.Ticket, limit time.Time, probes int, short bool) (best *server) {
+func (w *world) pick(e int, t *scheduler.Ticket, limit time.Time, probes int) (best *server) {
 	bestCost, good := time.Duration(0), false
 	for n := 0; n < probes && !good; n += 4 {
 		time.Sleep(time.Duration((1 + 5*w.draw()) * float64(time.Millisecond)))
@@ -141,7 +141,7 @@
 				ok = w.entries[e].Room(time.Now(), t, told)
 			}
 			if ok && (best == nil || told.Expected < bestCost) {
-				best, bestCost, good = s, told.Expected, slowness == 1 && (busy < slots || short)
+				best, bestCost, good = s, told.Expected, slowness == 1 && busy < slots
 			}
 		}
 		w.mu.Unlock()
@@ -154,7 +154,7 @@
 	now, e := time.Now(), locked(w, func() int { return w.rng.IntN(len(w.entries)) })
 	sched := w.entries[e]
 	if w.before {
-		s := w.pick(e, nil, deadline, 15, false)
+		s := w.pick(e, nil, deadline, 15)
 		return 50 * time.Millisecond, s != nil && w.run(s)
 	}
 	t := locked(w, func() *scheduler.Ticket {
@@ -164,8 +164,8 @@
 		})
 	})
 	defer func() { locked(w, func() bool { sched.Done(t); return true }) }()
-	limit, probes, short := t.Objective(), 15, locked(w, func() bool { return sched.Short(now) })
-	if short {
+	limit, probes := t.Objective(), 15
+	if locked(w, func() bool { return sched.Short(now) }) {
 		probes = 7
 	}
 	if t.Late() {
@@ -174,13 +174,13 @@
 	for {
 		decide := sched.Defer
 		if locked(w, func() bool { return sched.MayTry(t) }) {
-			if s := w.pick(e, t, limit, probes, short); s != nil {
+			if s := w.pick(e, t, limit, probes); s != nil {
 				locked(w, func() bool { sched.Found(time.Now(), t); return true })
 				ok = w.run(s)
 				locked(w, func() bool { sched.Freed(); return true })
 				return 50 * time.Millisecond, ok
 			}
-			decide, probes, short = sched.Missed, 4, true
+			decide, probes = sched.Missed, 4
 		}
 		switch v := locked(w, func() scheduler.Verdict { return decide(time.Now(), t) }).(type) {
 		case scheduler.Refuse:
