--- a/entry/scheduler/shared_test.go
+++ b/entry/scheduler/shared_test.go
@@ -19,7 +19,6 @@
 	timeLimit   = 800 * time.Millisecond
 	slots       = 3
 	serverQueue = 12
-	staleness   = 50 * time.Millisecond
 )
 
 // played is one case of _fixtures/shared.json: entries that share servers without messages.
@@ -28,11 +27,12 @@
 	Entries []int
 	// Load is the load in multiples of the servers' capacity.
 	Load float64
-	// Silent servers report no load, and Stale ones still count requests that have ended.
-	Silent, Stale bool
-	// Slow servers take seven times as long for half a second in two.
-	Slow    bool
-	Callers []caller
+	// Silent servers report no load, and Slow ones take seven times as long for half a second of
+	// every two.
+	Silent, Slow bool
+	// Staleness is the milliseconds for which servers still count requests that have ended.
+	Staleness time.Duration
+	Callers   []caller
 }
 
 // caller is what callers of one kind send, and what they got.
@@ -92,11 +92,7 @@
 	s.slots <- struct{}{}
 	time.Sleep(time.Duration(w.slowness(s) * (60 + 20*w.draw()) * float64(time.Millisecond)))
 	<-s.slots
-	if !w.Stale {
-		w.add(&s.busy, -1)
-		return true
-	}
-	time.AfterFunc(staleness, func() { w.add(&s.busy, -1) })
+	time.AfterFunc(w.Staleness*time.Millisecond, func() { w.add(&s.busy, -1) })
 	return true
 }
 
@@ -125,7 +121,7 @@
 }
 
 // pick probes servers in rounds. A ticket of nil stands for the entry without a scheduler.
-func (w *world) pick(e int, t *scheduler.Ticket, limit time.Time, probes int, short bool) (best *server) {
+func (w *world) pick(e int, t *scheduler.Ticket, limit time.Time, probes int) (best *server) {
 	bestCost, good := time.Duration(0), false
 	for n := 0; n < probes && !good; n += 4 {
 		time.Sleep(time.Duration((1 + 5*w.draw()) * float64(time.Millisecond)))
@@ -145,7 +141,7 @@
 				ok = w.entries[e].Room(time.Now(), t, told)
 			}
 			if ok && (best == nil || told.Expected < bestCost) {
-				best, bestCost, good = s, told.Expected, slowness == 1 && (busy < slots || short)
+				best, bestCost, good = s, told.Expected, slowness == 1 && busy < slots
 			}
 		}
 		w.mu.Unlock()
@@ -158,7 +154,7 @@
 	now, e := time.Now(), locked(w, func() int { return w.rng.IntN(len(w.entries)) })
 	sched := w.entries[e]
 	if w.before {
-		s := w.pick(e, nil, deadline, 15, false)
+		s := w.pick(e, nil, deadline, 15)
 		return 50 * time.Millisecond, s != nil && w.run(s)
 	}
 	t := locked(w, func() *scheduler.Ticket {
@@ -168,25 +164,23 @@
 		})
 	})
 	defer func() { locked(w, func() bool { sched.Done(t); return true }) }()
-	limit, probes, short := t.Objective(), 15, locked(w, func() bool { return sched.Short(now) })
-	switch {
-	case short && t.Late():
-		limit, probes = deadline, 3
-	case t.Late():
-		limit = deadline
-	case short:
+	limit, probes := t.Objective(), 15
+	if locked(w, func() bool { return sched.Short(now) }) {
 		probes = 7
 	}
+	if t.Late() {
+		limit, probes = deadline, 3
+	}
 	for {
 		decide := sched.Defer
 		if locked(w, func() bool { return sched.MayTry(t) }) {
-			if s := w.pick(e, t, limit, probes, short); s != nil {
+			if s := w.pick(e, t, limit, probes); s != nil {
 				locked(w, func() bool { sched.Found(time.Now(), t); return true })
 				ok = w.run(s)
 				locked(w, func() bool { sched.Freed(); return true })
 				return 50 * time.Millisecond, ok
 			}
-			decide, probes, short = sched.Missed, 4, true
+			decide, probes = sched.Missed, 4
 		}
 		switch v := locked(w, func() scheduler.Verdict { return decide(time.Now(), t) }).(type) {
 		case scheduler.Refuse:
