throttler, balancer: the retry budget goes to urgent requests first

Change: a request takes a retry only if the budget covers it beside those that more urgent requests asked for within the window. Ruled out: suspending servers that fail requests (trial, worse).

--- a/entry/balancer/budget.go
+++ b/entry/balancer/budget.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"math"
 	"time"
 
 	"samphiremux/entry/throttler"
@@ -21,10 +22,20 @@
 	b.budgetOf(service).Deposit(time.Now())
 }
 
-func (b *Balancer) tryWithdraw(service string) bool {
+// tryWithdraw takes a retry or a hedge of a request from the retry budget of its service.
+func (b *Balancer) tryWithdraw(c *call) bool {
 	limits := b.opts.RetryLimits()
-	limit := throttler.RetryLimit{Ratio: limits.Ratio, Slack: limits.Slack, Entries: b.opts.EntryCount()}
+	limit := throttler.RetryLimit{Ratio: limits.Ratio, Slack: limits.Slack, Entries: b.opts.EntryCount(), Class: c.retryClass()}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.budgetOf(service).TryWithdraw(time.Now(), limit)
+	return b.budgetOf(c.service).TryWithdraw(time.Now(), limit)
+}
+
+// retryClass returns the class of the request in the retry budget: of its standing, or the
+// first if the requests of the service do not differ in urgency.
+func (c *call) retryClass() int {
+	if c.turn == nil {
+		return 0
+	}
+	return int(math.Ceil(c.turn.ticket.Standing() * (throttler.RetryClasses - 1)))
 }
--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -131,7 +131,7 @@
 		state.add(result.Outcome)
 		state.sent = max(state.sent, result.Attempts)
 		retry = c.route.Idempotent && ctx.Err() == nil && time.Now().Before(c.deadline) &&
-			state.sent < c.route.MaxAttempts && b.tryWithdraw(c.service)
+			state.sent < c.route.MaxAttempts && b.tryWithdraw(c)
 		if retry {
 			b.metrics.retries.With(causeOf(attemptResult{outcome: result.Outcome})).Inc()
 		}
--- a/entry/balancer/hedge.go
+++ b/entry/balancer/hedge.go
@@ -113,7 +113,7 @@
 		if !b.mayDelegate(c, cause) {
 			return nil, hedger.NoServer
 		}
-		if reason = b.takeHedge(c.service); reason != "" {
+		if reason = b.takeHedge(c); reason != "" {
 			return nil, reason
 		}
 		sent := state.sent + 1
@@ -123,7 +123,7 @@
 		p.release()
 		return nil, hedger.NoServer
 	}
-	if reason = b.takeHedge(c.service); reason != "" {
+	if reason = b.takeHedge(c); reason != "" {
 		p.release()
 		return nil, reason
 	}
@@ -155,8 +155,8 @@
 
 // takeHedge takes a hedge from the retry budget of the service and from the operators'
 // limit. It returns the reason if either is used up.
-func (b *Balancer) takeHedge(service string) hedger.Reason {
-	if !b.tryWithdraw(service) {
+func (b *Balancer) takeHedge(c *call) hedger.Reason {
+	if !b.tryWithdraw(c) {
 		return hedger.BudgetSpent
 	}
 	if b.hedger == nil {
@@ -164,7 +164,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.hedger.Take(service) {
+	if !b.hedger.Take(c.service) {
 		return hedger.LimitReached
 	}
 	return ""
--- a/entry/balancer/run.go
+++ b/entry/balancer/run.go
@@ -75,7 +75,7 @@
 			return b.finish(result, &state, refuser.Suspect)
 		case state.sent >= c.route.MaxAttempts:
 			return b.finish(result, &state, refuser.BackendShedding)
-		case reachedServer(result.outcome) && !b.tryWithdraw(c.service):
+		case reachedServer(result.outcome) && !b.tryWithdraw(c):
 			return b.finish(result, &state, refuser.RetryBudgetSpent)
 		}
 		if _, shed := result.outcome.(retrier.Shed); shed {
--- a/entry/throttler/throttler.go
+++ b/entry/throttler/throttler.go
@@ -24,9 +24,14 @@
 	started     time.Time
 	current     int64 // number of the current bucket, counted from started
 	firsts      [windowBuckets]int
-	retries     [windowBuckets]int
+	// retries and wanted hold the retries, and those that were asked for, by class.
+	retries [windowBuckets][RetryClasses]int
+	wanted  [windowBuckets][RetryClasses]int
 }
 
+// RetryClasses is the number of classes of urgency among which a retry budget is divided.
+const RetryClasses = 3
+
 // RetryLimit bounds the retries of a service by all entries together, within the window
 // of the budget.
 type RetryLimit struct {
@@ -35,6 +40,9 @@
 	Ratio, Slack float64
 	// Entries is the number of entries that share the slack.
 	Entries int
+	// Class is the urgency of the request, from 0, the highest, to RetryClasses - 1. What
+	// more urgent classes asked for within the window is left to them.
+	Class int
 }
 
 // NewRetryBudget returns a budget with an empty window of the given length.
@@ -49,7 +57,8 @@
 	for b.current < current {
 		b.current++
 		b.firsts[b.current%windowBuckets] = 0
-		b.retries[b.current%windowBuckets] = 0
+		b.retries[b.current%windowBuckets] = [RetryClasses]int{}
+		b.wanted[b.current%windowBuckets] = [RetryClasses]int{}
 		if current-b.current > windowBuckets {
 			b.current = current - windowBuckets
 		}
@@ -61,19 +70,28 @@
 func (b *RetryBudget) Deposit(now time.Time) { b.firsts[b.advance(now)]++ }
 
 // TryWithdraw records one retry and reports true, or reports false if the entry's share
-// of the budget is used up.
+// of the budget is used up. When most requests need a retry, as when servers refuse them at
+// random, the budget is short for the less urgent first.
 func (b *RetryBudget) TryWithdraw(now time.Time, l RetryLimit) bool {
 	i := b.advance(now)
-	firsts, retries := 0, 0
+	b.wanted[i][l.Class]++
+	firsts, retries, claimed := 0, 0, 0
 	for j := range b.firsts {
 		firsts += b.firsts[j]
-		retries += b.retries[j]
+		for class := range RetryClasses {
+			retries += b.retries[j][class]
+			if class < l.Class {
+				claimed += b.wanted[j][class]
+			} else {
+				claimed += b.retries[j][class]
+			}
+		}
 	}
 	allowed := (1 - reserve) * (l.Ratio*float64(firsts) + l.Slack/float64(max(1, l.Entries)))
-	if float64(retries+1) > allowed {
+	if float64(max(retries, claimed)+1) > allowed {
 		return false
 	}
-	b.retries[i]++
+	b.retries[i][l.Class]++
 	return true
 }
 
--- a/entry/throttler/throttler_test.go
+++ b/entry/throttler/throttler_test.go
@@ -11,6 +11,40 @@
 	"samphiremux/entry/throttler"
 )
 
+// TestRetriesByClass guards against urgent requests that are refused since less urgent ones
+// have used the retry budget, and against a budget that stays unused for urgent requests that
+// need none. Servers refuse 55 in 100 requests, of which every third is urgent.
+func TestRetriesByClass(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	play := func(urgentFail bool) (urgent, others int) {
+		b := throttler.NewRetryBudget(now, 10*time.Second)
+		for i := range 900 {
+			at := now.Add(time.Duration(i) * 20 * time.Millisecond)
+			b.Deposit(at)
+			if i%20 >= 11 {
+				continue
+			}
+			class := min(i%3, 1)
+			if class == 0 && !urgentFail {
+				continue
+			}
+			if b.TryWithdraw(at, throttler.RetryLimit{Ratio: 0.2, Slack: 16, Entries: 16, Class: class}) {
+				urgent += 1 - class
+				others += class
+			}
+		}
+		return urgent, others
+	}
+	urgent, others := play(true)
+	t.Logf("%d urgent retries and %d others of 165 and 330 that were asked for", urgent, others)
+	is.True(urgent >= 2*others)
+	urgent, others = play(false)
+	is.Equal(urgent, 0)
+	// Three quarters of the ratio are used, the rest is kept for entries that restart.
+	is.True(others >= 900*15/100-16)
+}
+
 // TestBudgetOverAllEntries guards against a retry storm that comes about when the budgets
 // of the entries add up to more than the limit. It draws first attempts and retries at
 // several entries: in every window, the retries of all entries together must stay within
@@ -36,7 +70,9 @@
 			if rapid.Bool().Draw(t, "first") {
 				b.Deposit(now)
 				seen = append(seen, event{now, false})
-			} else if b.TryWithdraw(now, throttler.RetryLimit{Ratio: ratio, Slack: slack, Entries: entries}) {
+			} else if b.TryWithdraw(now, throttler.RetryLimit{
+				Ratio: ratio, Slack: slack, Entries: entries, Class: rapid.IntRange(0, throttler.RetryClasses-1).Draw(t, "class"),
+			}) {
 				seen = append(seen, event{now, true})
 			}
 			firsts, retries, before := 0, 0, 0
