--- a/pkg/parser/node.go
+++ b/pkg/parser/node.go
@@ -19,7 +19,10 @@
 	File   string
 	Line   int
 	Column int
-	Rule   string
+	// Path is the path of the value, such as services[0].routes[1]. It is empty if the rule
+	// concerns the whole file.
+	Path string
+	Rule string
 }
 
 func (p Problem) Error() string {
@@ -45,10 +48,8 @@
 
 // addProblem records a problem at the position of n.
 func (r *reader) addProblem(n node, format string, args ...any) {
-	p := Problem{File: r.file, Line: 1, Column: 1, Rule: fmt.Sprintf(format, args...)}
-	if tk := n.token(); tk != nil && tk.Position != nil {
-		p.Line, p.Column = tk.Position.Line, tk.Position.Column
-	}
+	p := Problem{File: r.file, Path: n.path, Rule: fmt.Sprintf(format, args...)}
+	p.Line, p.Column = n.position()
 	r.problems = append(r.problems, p)
 }
 
@@ -73,6 +74,15 @@
 
 func (n node) present() bool { return n.value != nil }
 
+// position returns the line and the column of a value, or those of the beginning of the file
+// if it has none.
+func (n node) position() (line, column int) {
+	if tk := n.token(); tk != nil && tk.Position != nil {
+		return tk.Position.Line, tk.Position.Column
+	}
+	return 1, 1
+}
+
 func (n node) token() *token.Token {
 	if n.value != nil {
 		if m, ok := n.value.(*ast.MappingNode); ok && len(m.Values) > 0 {
