commander: check of a configuration, and diff between two files

Exit codes of check: 0 nothing found, 1 findings (3 before), 2 a file could not be read (1 before). So the case of TestExitCodes for a file that does not exist expects 2.

--- a/ctl/commander/commander.go
+++ b/ctl/commander/commander.go
@@ -45,14 +45,6 @@
 	ExitNotConverged = 7
 )
 
-type checkCommand struct {
-	File string `arg:"positional,required" help:"document"`
-}
-
-type diffCommand struct {
-	File string `arg:"positional,required" help:"document to compare with the one in force"`
-}
-
 type applyCommand struct {
 	File string        `arg:"positional,required" help:"document"`
 	Base int64         `arg:"--base" default:"-1" help:"revision that the change is based on; -1 takes the one in force"`
@@ -85,8 +77,8 @@
 }
 
 type arguments struct {
-	Check      *checkCommand       `arg:"subcommand:check" help:"validate a document"`
-	Diff       *diffCommand        `arg:"subcommand:diff" help:"compare a document with the one in force"`
+	Check      *checkCommand       `arg:"subcommand:check" help:"check a document or a configuration of the platform"`
+	Diff       *diffCommand        `arg:"subcommand:diff" help:"compare a document with the one in force, or two files"`
 	Apply      *applyCommand       `arg:"subcommand:apply" help:"apply a document"`
 	Promote    *promoteCommand     `arg:"subcommand:promote" help:"apply the document of another environment"`
 	History    *environmentCommand `arg:"subcommand:history" help:"list the applied documents"`
@@ -98,6 +90,7 @@
 	Store      []string            `arg:"--store,env:SAMPHIRE_STORE" help:"base URLs of the platform's store"`
 	Author     string              `arg:"--author,env:SAMPHIRE_AUTHOR" default:"operator" help:"author to record with a publication"`
 	Output     string              `arg:"--output" default:"text" help:"output format: text or json"`
+	JSON       bool                `arg:"--json" help:"same as --output json"`
 	Timeout    time.Duration       `arg:"--timeout" default:"10s" help:"timeout of store calls"`
 }
 
@@ -112,7 +105,8 @@
 // Epilogue implements arg.Epilogued.
 func (arguments) Epilogue() string {
 	return "Exit codes: 0 done, 1 failed, 2 usage, 3 invalid document, 4 conflict with another operator, " +
-		"5 store does not answer, 6 outcome not known, 7 applied but not yet in force everywhere."
+		"5 store does not answer, 6 outcome not known, 7 applied but not yet in force everywhere. " +
+		"Of check, and of diff with --against: 0 nothing found, 1 findings or differences, 2 a file could not be read."
 }
 
 // session is one run of samphirectl: its arguments, outputs and dependencies.
@@ -136,7 +130,14 @@
 	if err := s.checkArguments(p); err != nil {
 		return flagparser.ReportUsageError(p, errOut, err)
 	}
+	if s.JSON {
+		s.Output = "json"
+	}
 	switch {
+	case s.Check != nil:
+		return s.finish(s.check())
+	case s.Diff != nil && s.Diff.Against != "":
+		return s.finish(s.diffFiles())
 	case s.Explain != nil:
 		return s.finish(s.explain())
 	case s.Fleet != nil:
@@ -155,6 +156,8 @@
 		return errors.New("no command given")
 	case s.Output != "text" && s.Output != "json":
 		return fmt.Errorf("output %q must be text or json", s.Output)
+	case s.Check != nil && !isFormat(s.Check.Format), s.Diff != nil && !isFormat(s.Diff.Format):
+		return errors.New("--format must be auto, document or platform")
 	case s.needsStore() && len(s.Store) == 0:
 		return errors.New("--store or SAMPHIRE_STORE must name the store")
 	default:
@@ -162,26 +165,25 @@
 	}
 }
 
+// isFormat reports whether s is a value of the flag --format.
+func isFormat(s string) bool {
+	return s == formatAuto || s == formatDocument || s == formatPlatform
+}
+
 // needsStore reports whether the command uses the platform's store.
 func (s *session) needsStore() bool {
+	if s.Diff != nil && s.Diff.Against != "" {
+		return false
+	}
 	return s.Check == nil && s.Explain == nil && s.Fleet == nil && s.Completion == nil
 }
 
-// dispatch runs a command that works on documents or on the store. Apply, promote
+// dispatch runs a command that works on the store. Apply, promote
 // and watch bound their store calls themselves, since they also wait.
 func (s *session) dispatch(ctx context.Context) error {
 	if s.Watch != nil {
 		return s.watch(ctx)
 	}
-	if s.Check != nil {
-		_, err := s.read(s.Check.File)
-		if err == nil {
-			s.print(struct {
-				Valid bool `json:"valid"`
-			}{true}, "the document is valid")
-		}
-		return err
-	}
 	switch {
 	case s.Apply != nil:
 		return s.apply(ctx)
@@ -206,6 +208,9 @@
 		return ExitOK
 	}
 	code := exitCode(err)
+	if errors.Is(err, errFindings) {
+		return code
+	}
 	if s.Output == "json" {
 		_ = json.NewEncoder(s.err).Encode(struct {
 			Error string `json:"error"`
@@ -226,7 +231,12 @@
 	var notConverged applier.ErrNotConverged
 	var wrongEnvironment applier.ErrWrongEnvironment
 	var unavailable storer.ErrUnavailable
+	var unreadable ErrUnreadable
 	switch {
+	case errors.Is(err, errFindings):
+		return ExitFindings
+	case errors.As(err, &unreadable):
+		return ExitUnreadable
 	case errors.As(err, &problems), errors.As(err, &wrongEnvironment):
 		return ExitInvalid
 	case errors.As(err, &stale), errors.As(err, &mismatch):
--- a/ctl/commander/commander_test.go
+++ b/ctl/commander/commander_test.go
@@ -31,7 +31,7 @@
 		{"no such flag", []string{"--nothing"}, ExitUsage},
 		{"no such output", []string{"--output", "xml", "completion", "bash"}, ExitUsage},
 		{"no store", []string{"history", "production"}, ExitUsage},
-		{"no such file", []string{"check", "none.yaml"}, ExitFailed},
+		{"no such file", []string{"check", "none.yaml"}, ExitUnreadable},
 		{"completion", []string{"completion", "bash"}, ExitOK},
 		{"no such shell", []string{"completion", "sh"}, ExitFailed},
 		{"unreachable entry is shown", []string{"fleet", "127.0.0.1:1"}, ExitOK},
--- a/ctl/differ/differ.go
+++ b/ctl/differ/differ.go
@@ -1,5 +1,6 @@
-// Package differ computes the semantic difference between two environment documents:
-// the order of lists and the layout of the file do not count.
+// Package differ computes the semantic difference between two environment documents, or two
+// configurations of the users' platform: the order of lists and the layout of the file do
+// not count.
 package differ
 
 import (
@@ -29,9 +30,14 @@
 	Kind Kind   `json:"kind"`
 	Old  string `json:"old,omitempty"`
 	New  string `json:"new,omitempty"`
+	// Text is the change as a sentence. Changes of environment documents have none.
+	Text string `json:"text,omitempty"`
 }
 
 func (c Change) String() string {
+	if c.Text != "" {
+		return c.Text
+	}
 	switch c.Kind {
 	case Added:
 		return fmt.Sprintf("+ %s: %s", c.Path, c.New)
--- a/pkg/auditor/auditor.go
+++ b/pkg/auditor/auditor.go
@@ -114,7 +114,7 @@
 		if w.Importance.V < 0 {
 			a.add(w.Importance.At, Invalid, "%s is %d but must be at least 0, the highest rank", w.Importance.At.Path, w.Importance.V)
 		}
-		if len(w.Keys) == 0 {
+		if len(w.Keys) == 0 && !w.Incomplete {
 			a.add(w.At, NoEffect, "%s has no API keys, so no request belongs to it", w.At.Path)
 		}
 		for _, k := range w.Keys {
--- a/pkg/auditor/draft.go
+++ b/pkg/auditor/draft.go
@@ -85,6 +85,8 @@
 	Name       Value[string]
 	Importance Value[int64]
 	Keys       []Key
+	// Incomplete reports that keys could not be read, so that there may be more of them.
+	Incomplete bool
 }
 
 // Key is an API key. It holds the hash only, so that no output can contain the key.
