auditor: configurations without any API key

A configuration with workspaces but without a key refuses every request on routes that are not public, which the list of workspaces without keys does not tell. The check reports it as a contradiction.

--- a/ctl/differ/draft.go
+++ b/ctl/differ/draft.go
@@ -99,7 +99,7 @@
 
 func items(d auditor.Draft) (all []item) {
 	access := "without an API key"
-	if d.Keyed {
+	if d.Workspaces.Present {
 		access = "with an API key (except on public routes)"
 	}
 	all = append(all, item{title: "the configuration", fields: []field{{"version", show(d.Version)}, {"access", access}}})
@@ -124,7 +124,7 @@
 			{"requests per second to a cold server", show(s.ColdRate)},
 		}})
 	}
-	for _, w := range d.Workspaces {
+	for _, w := range d.Workspaces.V {
 		keys := map[string]bool{}
 		for _, k := range w.Keys {
 			keys[string(k.Hash[:])] = true
--- a/pkg/auditor/auditor.go
+++ b/pkg/auditor/auditor.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"strings"
 )
 
@@ -25,13 +26,14 @@
 		a.route(r)
 		a.destinations(r, services)
 		a.attempts(r, budget)
-		if r.Public.V && !d.Keyed {
+		if r.Public.V && !d.Workspaces.Present {
 			a.add(r.Public.At, NoEffect, "%s has no effect: there are no workspaces, so every route is public", r.Public.At.Path)
 		}
 	}
 	a.places(d.Routes)
 	a.unusedServices(d)
-	a.workspaces(d.Workspaces)
+	a.workspaces(d.Workspaces.V)
+	a.closedRoutes(d)
 	a.limits(d)
 	Sort(a.findings)
 	return a.findings
@@ -123,6 +125,16 @@
 	}
 }
 
+// closedRoutes reports that there is no API key although routes need one.
+func (a *audit) closedRoutes(d Draft) {
+	if !d.Workspaces.Present || !slices.ContainsFunc(d.Routes, func(r Route) bool { return !r.Public.V }) {
+		return
+	}
+	if !slices.ContainsFunc(d.Workspaces.V, func(w Workspace) bool { return len(w.Keys) > 0 || w.Incomplete }) {
+		a.add(d.Workspaces.At, Contradiction, "%s contains no API key, so requests are refused on every route that is not public", d.Workspaces.At.Path)
+	}
+}
+
 func (a *audit) key(k Key, seen map[[sha256.Size]byte]Place) {
 	if k.Empty {
 		a.add(k.At, Invalid, "%s is empty", k.At.Path)
@@ -155,14 +167,14 @@
 		return
 	}
 	var key int64
-	for _, w := range d.Workspaces {
+	for _, w := range d.Workspaces.V {
 		for _, k := range w.Keys {
 			key = max(key, k.HeadBytes)
 		}
 	}
 	for _, r := range d.Routes {
 		needed := r.HeadBytes
-		if d.Keyed && !r.Public.V {
+		if d.Workspaces.Present && !r.Public.V {
 			needed += key
 		}
 		if needed > l.HeaderBytes.V {
--- a/pkg/auditor/draft.go
+++ b/pkg/auditor/draft.go
@@ -36,9 +36,8 @@
 	Base     Value[int64]
 	Routes   []Route
 	Services []Service
-	// Keyed reports that there is a list of workspaces, even an empty one.
-	Keyed      bool
-	Workspaces []Workspace
+	// Workspaces is present if there is a list, even an empty one: callers need API keys then.
+	Workspaces Value[[]Workspace]
 	Limits     Limits
 }
 
