scheduler: lower ranks keep slots clear where no request may queue

With an objective of 150 ms and work of 70 ms, no request may queue at a server, so ranks differ only by the slots that they keep clear. One slot for 2 s after a miss of the highest rank at the same entry was too little: in a burst of 1.4 at 101 entries rank 0 was served in time in 76 of 100, rank 1 in 75.

A request that has just come is no longer late because the expected time has risen beyond its objective; then all ranks would be late alike.

--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -27,8 +27,12 @@
 	// requests were still promoted by the ratio of calm times for 3 s of a burst.
 	servedWindow = 10
 	// pressureTime is how long lower ranks keep a free slot clear after a request of the
-	// highest rank found no capacity. It spans several requests of an entry.
-	pressureTime = 2 * time.Second
+	// highest rank found no capacity. It spans several such requests of an entry; after 2 s,
+	// a third of 101 entries had forgotten it.
+	pressureTime = 4 * time.Second
+	// minUrgentHits is the share of tries of the highest rank that find capacity below which
+	// lower ranks keep half of the slots clear.
+	minUrgentHits = 0.7
 	// shortageTime is how long the service counts as short of capacity after a request found
 	// none. It spans several requests of an entry.
 	shortageTime = time.Second
@@ -181,6 +185,9 @@
 	age := s.usualLimitOf(r.Route).age(r.Limit)
 	if r.Target > 0 {
 		t.objective = r.Arrived.Add(r.Target - age)
+		// The expected time rises with the queues at the servers. A request that has just
+		// come is not late because of that.
+		t.request.Work = min(r.Work, r.Target/2)
 	}
 	t.late = now.After(t.latestStart())
 	levels := float64(r.Ranks - 1)
@@ -248,8 +255,11 @@
 	// Half of the queue is enough to keep the slots of a server in use between two reports.
 	lowest := max(slots, full/2)
 	if srv.Full <= srv.Slots && srv.Slots > 1 && now.Before(s.pressedUntil) {
-		// No request may queue, so the last slot is what urgent requests can find free.
+		// No request may queue, so free slots are all that urgent requests can find.
 		lowest = slots - 1
+		if s.hits[0].value(now) < minUrgentHits {
+			lowest = slots / 2
+		}
 	}
 	if t.late {
 		return min(slots, lowest)
--- a/entry/scheduler/scheduler_test.go
+++ b/entry/scheduler/scheduler_test.go
@@ -16,6 +16,8 @@
 func none() float64 { return 0 }
 func half() float64 { return 0.5 }
 
+const target = 300 * time.Millisecond
+
 // offer offers a request of a rank with the time that is left of 800 ms.
 func offer(s *scheduler.Scheduler, now time.Time, rank, ranks int, left time.Duration) *scheduler.Ticket {
 	return s.Offer(now, scheduler.Request{
--- a/entry/scheduler/shared_test.go
+++ b/entry/scheduler/shared_test.go
@@ -15,7 +15,6 @@
 
 const (
 	work        = 70 * time.Millisecond
-	target      = 300 * time.Millisecond
 	timeLimit   = 800 * time.Millisecond
 	slots       = 3
 	serverQueue = 12
@@ -27,6 +26,8 @@
 	Entries []int
 	// Load is the load in multiples of the servers' capacity.
 	Load float64
+	// Objective is the latency objective in milliseconds.
+	Objective time.Duration
 	// Silent servers report no load, and Slow ones take seven times as long for half a second of
 	// every two.
 	Silent, Slow bool
@@ -56,6 +57,7 @@
 	played
 	before bool
 	ranks  int
+	target time.Duration
 
 	begun time.Time
 
@@ -113,8 +115,8 @@
 	return time.Duration(slowness * factor * float64(work))
 }
 
-func fullAt(left time.Duration, slowness float64) (n int) {
-	for n = slots; n < slots+serverQueue && expected(n, slowness) <= min(left, target*3/4); {
+func (w *world) fullAt(left time.Duration, slowness float64) (n int) {
+	for n = slots; n < slots+serverQueue && expected(n, slowness) <= min(left, w.target*3/4); {
 		n++
 	}
 	return n
@@ -134,7 +136,7 @@
 				busy = 0
 			}
 			told := scheduler.Server{
-				Busy: busy, Slots: slots, Full: fullAt(time.Until(limit), slowness), Work: time.Duration(slowness * float64(work)), Expected: expected(busy, slowness),
+				Busy: busy, Slots: slots, Full: w.fullAt(time.Until(limit), slowness), Work: time.Duration(slowness * float64(work)), Expected: expected(busy, slowness),
 			}
 			ok := told.Busy < told.Full
 			if t != nil {
@@ -159,7 +161,7 @@
 	}
 	t := locked(w, func() *scheduler.Ticket {
 		return sched.Offer(now, scheduler.Request{
-			Rank: c.Rank, Ranks: w.ranks, Workspace: c.Workspace, Route: "r", Target: target, Limit: deadline.Sub(now),
+			Rank: c.Rank, Ranks: w.ranks, Workspace: c.Workspace, Route: "r", Target: w.target, Limit: deadline.Sub(now),
 			Arrived: now, Deadline: deadline, Work: work * 14 / 10, Slots: slots,
 		})
 	})
@@ -202,7 +204,7 @@
 	for try := 0; try < 4 && time.Until(deadline) > 20*time.Millisecond; try++ {
 		after, ok := w.serve(c, deadline)
 		switch {
-		case ok && time.Since(begun) <= target:
+		case ok && time.Since(begun) <= w.target:
 			w.add(&c.inTime, 1)
 			return
 		case ok:
@@ -221,7 +223,7 @@
 // play sends requests for 10 s, or longer with few entries, and returns what the callers got.
 func play(t *testing.T, p played, entries int, before bool) (w *world) {
 	p.Callers = append([]caller(nil), p.Callers...)
-	w = &world{played: p, before: before, rng: rand.New(rand.NewPCG(1, 1))}
+	w = &world{played: p, target: p.Objective * time.Millisecond, before: before, rng: rand.New(rand.NewPCG(1, 1))}
 	for _, c := range p.Callers {
 		w.ranks = max(w.ranks, c.Rank+1)
 	}
