balancer: a request that is passed on to another entry leaves the queue

A waiting request that found that this entry reaches too few servers stayed the first of the queue while another entry served it, so that those behind it waited in vain. It leaves the queue whenever it stops looking for a server.

--- a/entry/balancer/shortage.go
+++ b/entry/balancer/shortage.go
@@ -142,35 +142,46 @@
 		return b.pick(ctx, c)
 	}
 	c.turn.waited = 0
-	for {
-		tried := b.mayTry(c)
-		if tried {
-			if p, reason = b.pick(ctx, c); p == nil && (!c.turn.ticket.MetFull() || b.mayDelegate(c, reason)) {
-				break
-			}
-			c.turn.tries++
-		}
-		verdict := b.judge(c, p != nil, tried)
-		if p != nil {
-			break
-		}
-		if refuse, ok := verdict.(scheduler.Refuse); ok {
-			c.turn.retryAt = refuse.RetryAt
-			reason = refuse.Reason
-			b.metrics.refusalsByRank.With(c.service, c.turn.rankLabel(), string(reason)).Inc()
-			break
-		}
-		if reason = b.await(ctx, c, verdict.(scheduler.Wait)); reason != "" {
-			break
-		}
+	for done := false; !done; {
+		p, reason, done = b.tryInTurn(ctx, c)
 	}
 	c.turn.tries = 0
+	if p == nil {
+		// Those behind it need not wait while it is passed on to another entry.
+		b.leaveQueue(c)
+	}
 	if c.turn.waited > 0 {
 		b.metrics.waits.With(c.service, c.turn.rankLabel(), waitResult(p != nil)).Observe(c.turn.waited)
 	}
 	return p, reason
 }
 
+// tryInTurn looks for a server unless others come first, and waits if there is none. It reports
+// done if the request need not try again.
+func (b *Balancer) tryInTurn(ctx context.Context, c *call) (p *picked, reason refuser.Reason, done bool) {
+	tried := b.mayTry(c)
+	if tried {
+		p, reason = b.pick(ctx, c)
+		c.turn.tries++
+		switch {
+		case p != nil:
+			b.found(c)
+			return p, "", true
+		case !c.turn.ticket.MetFull() || b.mayDelegate(c, reason):
+			return nil, reason, true
+		}
+	}
+	switch v := b.judge(c, tried).(type) {
+	case scheduler.Refuse:
+		c.turn.retryAt = v.RetryAt
+		b.metrics.refusalsByRank.With(c.service, c.turn.rankLabel(), string(v.Reason)).Inc()
+		return nil, v.Reason, true
+	case scheduler.Wait:
+		reason = b.await(ctx, c, v)
+	}
+	return nil, reason, reason != ""
+}
+
 // waitResult returns the label value of the histogram of waits.
 func waitResult(found bool) string {
 	if found {
@@ -181,26 +192,33 @@
 
 func (t *turn) rankLabel() string { return strconv.Itoa(min(t.rank, maxRankLabel)) }
 
+func (b *Balancer) leaveQueue(c *call) {
+	b.shortage.mu.Lock()
+	defer b.shortage.mu.Unlock()
+	c.turn.scheduler.Leave(c.turn.ticket)
+}
+
 func (b *Balancer) mayTry(c *call) bool {
 	b.shortage.mu.Lock()
 	defer b.shortage.mu.Unlock()
 	return c.turn.scheduler.MayTry(c.turn.ticket)
 }
 
-// judge records what a request has found. Without a server, it returns what the request does
-// next.
-func (b *Balancer) judge(c *call, found, tried bool) scheduler.Verdict {
-	now := time.Now()
+func (b *Balancer) found(c *call) {
 	b.shortage.mu.Lock()
 	defer b.shortage.mu.Unlock()
-	switch {
-	case found:
-		c.turn.scheduler.Found(now, c.turn.ticket)
-		return nil
-	case tried:
-		return c.turn.scheduler.Missed(now, c.turn.ticket)
+	c.turn.scheduler.Found(time.Now(), c.turn.ticket)
+}
+
+// judge returns what a request does next that has found no server, or must not look for one
+// yet.
+func (b *Balancer) judge(c *call, tried bool) scheduler.Verdict {
+	b.shortage.mu.Lock()
+	defer b.shortage.mu.Unlock()
+	if tried {
+		return c.turn.scheduler.Missed(time.Now(), c.turn.ticket)
 	}
-	return c.turn.scheduler.Defer(now, c.turn.ticket)
+	return c.turn.scheduler.Defer(time.Now(), c.turn.ticket)
 }
 
 // await waits until the request may try again. It returns the reason for a refusal if the
--- a/entry/scheduler/queue.go
+++ b/entry/scheduler/queue.go
@@ -60,8 +60,8 @@
 	return true
 }
 
-// leave removes a request from the queue, and wakes the next one if it was the first.
-func (s *Scheduler) leave(t *Ticket) {
+// Leave removes a request from the queue, and wakes the next one if it was the first.
+func (s *Scheduler) Leave(t *Ticket) {
 	t.waitsSince = time.Time{}
 	i := slices.Index(s.queue, t)
 	if i < 0 {
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -270,7 +270,7 @@
 // Found records that a server has room for the request, which no longer waits.
 func (s *Scheduler) Found(now time.Time, t *Ticket) {
 	s.hitsOf(t).add(now, 1)
-	s.leave(t)
+	s.Leave(t)
 	if t.served {
 		return
 	}
@@ -354,14 +354,14 @@
 // refuse refuses a request. Retry-After is the time until a server that was probed has room
 // or, if that is longer, until a try is expected to find one.
 func (s *Scheduler) refuse(now time.Time, t *Ticket, reason refuser.Reason, wait time.Duration) Verdict {
-	s.leave(t)
+	s.Leave(t)
 	after := min(maxRetryAfter, max(minRetryAfter, wait, t.miss.drain))
 	return Refuse{Reason: reason, RetryAt: now.Add(time.Duration((0.75 + 0.5*s.draw()) * float64(after)))}
 }
 
 // Done ends a request.
 func (s *Scheduler) Done(t *Ticket) {
-	s.leave(t)
+	s.Leave(t)
 	if !t.served {
 		s.servedRatio -= s.servedRatio / servedWindow
 		if t.promotedBy != nil {
