balancer: servers that stated a rate limit are probed before they are members

Cause: two seconds after its last statement a server with a rate limit was a member again at entries that hold no part of the rate, and took the place of a usable server in the first round until it was probed.

Change: it is treated like a server that has not answered: one of them is probed first in 0.5 s, and is a member once it states no limit. Tests for this and for the members of both versions of a move; two tests are merged into others with the same checks.

--- a/entry/balancer/subset.go
+++ b/entry/balancer/subset.go
@@ -53,8 +53,8 @@
 	// if this entry holds a part of the rate.
 	holders map[string]bool
 	// returning is the id of one of the servers that would be members if they had answered
-	// since they were ejected, or empty. It is probed first once, and is a member again if it
-	// answers. More of them at a time would delay each request while a failure domain is lost.
+	// since they were ejected, or had stated no rate limit since, or empty. It is probed first
+	// once, and is a member again if it answers so. More of them at a time would delay each request while a failure domain is lost.
 	returning string
 }
 
@@ -126,11 +126,9 @@
 		case b.isHolder(view, srv, state):
 			chosen.holders[srv.ID] = true
 			states[srv.ID] = memberUnusable
-		case state.Cold || (state.RateLimit.Stated && state.RateLimitFresh):
+		case state.Cold || state.Ejected || (state.RateLimit.Stated && state.RateLimitFresh):
 			states[srv.ID] = memberUnusable
-		case state.Unanswered && state.Ejected:
-			states[srv.ID] = memberUnusable
-		case state.Unanswered:
+		case state.Unanswered || state.RateLimit.Stated:
 			states[srv.ID] = memberReturning
 		}
 	}
@@ -160,12 +158,13 @@
 const (
 	memberUsable memberState = iota
 	memberUnusable
-	// memberReturning is for servers whose ejection is over, but that have not answered.
+	// memberReturning is for servers whose ejection is over, but that have not answered, and
+	// for those that may have ceased to state a rate limit.
 	memberReturning
 )
 
 // addMembers adds the first usable servers of an order, up to a number. It returns those that
-// would be among the first but have not answered since they were ejected.
+// would be among the first and are returning.
 func (s *subset) addMembers(order []string, states map[string]memberState, size int) (returning []string) {
 	added := 0
 	for i, id := range order {
--- a/entry/balancer/subset_test.go
+++ b/entry/balancer/subset_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"samphiremux/entry/chooser"
+	"samphiremux/entry/snapshotter"
 	"samphiremux/entry/subsetter"
 	"samphiremux/pkg/describer"
 	"samphiremux/pkg/placer"
@@ -59,23 +60,9 @@
 }
 
 // TestConnectionsReused guards against an entry that spreads a few requests a second over all
-// servers of a large service, so that it opens a connection for most of its probes.
+// servers of a large service, so that it opens a connection for most of its probes, and against
+// probes of servers whose connections are in use while others have idle ones.
 func TestConnectionsReused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		all := servers(100, respondOK)
-		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
-		defer f.close()
-		f.entries = fleetOf(100)
-		is.Equal(f.sendPaced(100, 500*time.Millisecond), 0) // load reports are out of date each time
-		is.True(used(all) <= 15)                            // the subset has up to 10 servers
-		is.True(f.opened() <= 15)
-	})
-}
-
-// TestServersInUseAvoided guards against probes of servers whose connections are in use, while
-// members of the subset with idle connections are left.
-func TestServersInUseAvoided(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		all := servers(100, respondOK)
@@ -85,7 +72,9 @@
 		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
 		defer f.close()
 		f.entries = fleetOf(100)
-		is.Equal(f.sendPaced(20, 500*time.Millisecond), 0)
+		is.Equal(f.sendPaced(100, 500*time.Millisecond), 0) // load reports are out of date each time
+		is.True(used(all) <= 15)                            // the subset has up to 10 servers
+		is.True(f.opened() <= 15)
 		before := f.opened()
 		var wg sync.WaitGroup
 		for range 40 {
@@ -271,3 +260,61 @@
 		is.Equal(arrivals(all[:30])-before, 40)
 	})
 }
+
+// TestMembersOfEachVersion guards against a subset without servers of the target version of a
+// move, so that requests for it open a connection each.
+func TestMembersOfEachVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := servers(60, respondOK)
+		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+		defer f.close()
+		f.entries = fleetOf(60)
+		for i, b := range all[50:] {
+			f.snapshotter.PutServer(describer.Server{
+				ID: b.id, Service: "stock", Domain: "a", Version: "v2", Slots: 2,
+				Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+51)),
+			})
+		}
+		f.snapshotter.SetOrder(describer.MoveOrder{Service: "stock", Target: "v2", Revision: 5})
+		f.snapshotter.SetMoveRecord("stock", snapshotter.MoveRecord{Order: 5, Step: 1, Stable: "v1", Target: "v2", Phase: snapshotter.Moving, Share: 0.5})
+		is.Equal(f.sendPaced(200, 250*time.Millisecond), 0)
+		is.True(arrivals(all[50:]) > 60)
+		is.True(arrivals(all[:50]) > 60)
+		is.Equal(f.balancer.SubsetSizes(), map[string]float64{"stock": 18}) // 9 of each version
+		is.True(used(all) <= 22)
+	})
+}
+
+// TestLimitedServerReplaced guards against a member that states a rate limit of which this
+// entry holds no part, so that each request begins with a server that it may not use.
+func TestLimitedServerReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := servers(60, respondOK)
+		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+		defer f.close()
+		f.entries = fleetOf(60)
+		is.Equal(f.sendPaced(40, 250*time.Millisecond), 0)
+		var limited []*backend
+		for _, b := range all {
+			if b.probed > 0 && rankOf(0, b.id) > 0 {
+				b.setRateLimit("1") // for one holder
+				limited = append(limited, b)
+			}
+		}
+		is.True(len(limited) >= 5)
+		f.sendPaced(20, 250*time.Millisecond) // until the limits are known
+		before, beyond := 0, arrivals(limited)
+		for _, b := range limited {
+			before += b.probed
+		}
+		is.Equal(f.sendPaced(80, 250*time.Millisecond), 0)
+		probed := -before
+		for _, b := range limited {
+			probed += b.probed
+		}
+		is.Equal(arrivals(limited), beyond)
+		is.True(probed <= 50) // at most one in 0.5 s, in 22 s
+	})
+}
--- a/entry/subsetter/subsetter_test.go
+++ b/entry/subsetter/subsetter_test.go
@@ -141,21 +141,8 @@
 
 // TestSizeFollowsRate guards against subsets that are so large that connections expire between
 // two requests, so small that none of the servers may be fast, or that change with each change
-// of the rate.
+// of the rate, and against a rate that does not fall when requests cease.
 func TestSizeFollowsRate(t *testing.T) {
-	is := is.New(t)
-	is.Equal(subsetter.Size(0, 0.1, 109, 101), 8)
-	is.Equal(subsetter.Size(0, 8, 109, 101), 10)
-	is.Equal(subsetter.Size(0, 8, 198, 144), 12)
-	is.Equal(subsetter.Size(0, 40, 109, 101), 20)
-	is.Equal(subsetter.Size(20, 37, 109, 101), 20) // a small change of the rate
-	is.Equal(subsetter.Size(20, 8, 109, 101), 10)
-	is.Equal(subsetter.Size(0, 1000, 109, 101), 109)
-	is.Equal(subsetter.Size(0, 8, 70, 1), 70) // an entry that knows no others uses all servers
-}
-
-// TestRate guards against a rate that does not fall when requests cease.
-func TestRate(t *testing.T) {
 	is := is.New(t)
 	var r subsetter.Rate
 	now := time.Now()
@@ -165,4 +152,12 @@
 	}
 	is.True(r.PerSecond(now) > 7.5 && r.PerSecond(now) < 8.5)
 	is.True(r.PerSecond(now.Add(time.Minute)) < 0.1)
+	is.Equal(subsetter.Size(0, 0.1, 109, 101), 8)
+	is.Equal(subsetter.Size(0, 8, 109, 101), 10)
+	is.Equal(subsetter.Size(0, 8, 198, 144), 12)
+	is.Equal(subsetter.Size(0, 40, 109, 101), 20)
+	is.Equal(subsetter.Size(20, 37, 109, 101), 20) // a small change of the rate
+	is.Equal(subsetter.Size(20, 8, 109, 101), 10)
+	is.Equal(subsetter.Size(0, 1000, 109, 101), 109)
+	is.Equal(subsetter.Size(0, 8, 70, 1), 70) // an entry that knows no others uses all servers
 }
