balancer: cold servers that are new get requests within 4 s

Cause: a cold server counts as 2.5 times slower, so that a holder sends it a request only if the other servers of a round are slow or full.

Change: in a service with subsets, the first five holders in the order for a cold server prefer it, while it is due and they have sent it no request yet; its rate holds as before. A member that got no request yet is due every 0.5 s.

--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -144,10 +144,8 @@
 		if !b.hasColdToken(c.view, r.candidate) {
 			return nil, 0, refuser.ColdServers
 		}
-		cost *= coldSlowness
-	} else if r.due {
-		cost *= dueFactor
 	}
+	cost *= b.costFactor(c.view, r.candidate, h.ColdRemaining > 0)
 	p = &picked{Backend: r.Backend, conn: r.conn, slowness: slowness, busy: busy, rateLimit: h.RateLimit, beyond: r.isBeyond()}
 	p.expected = time.Duration(float64(est.latency) * p.slowdown())
 	return p, cost, ""
--- a/entry/balancer/subset.go
+++ b/entry/balancer/subset.go
@@ -17,13 +17,17 @@
 	// memberAge is the time since the last response of a member from which it is probed
 	// first. Connections expire after 8 s without use, so that they stay open.
 	memberAge = 3 * time.Second
-	// holderAge is the same for servers that only some entries may use. Cold servers get
-	// requests only if they are probed.
-	holderAge = 500 * time.Millisecond
+	// urgentAge is the same for servers that this entry has not sent a request yet, and for
+	// those that only some entries may use: cold servers get requests only if they are probed.
+	urgentAge = 500 * time.Millisecond
+	// firstUsers is the number of holders that prefer a cold server until they have sent it a
+	// request. The others send it requests only if no warm one is as good, which may take
+	// longer than the 4 s within which a new server is to get some.
+	firstUsers = 5
 	// tierCost is the difference of the prior costs of two tiers. It exceeds any expected
 	// latency, and all tiers together are below the cost of an ejected server.
 	tierCost = float64(time.Minute)
-	// dueFactor is the factor of the cost of a member that was probed because it was due, so
+	// dueFactor is the factor of the cost of a server that was probed because it was due, so
 	// that of equal servers it gets the request. Otherwise a new server could stay unused for
 	// long, since each request prefers the servers that reported a low load just before.
 	dueFactor = 0.8
@@ -298,12 +302,24 @@
 // after it was registered.
 func (cand *candidate) isDue(now time.Time) bool {
 	age := memberAge
-	if cand.subset.holders[cand.ID] {
-		age = holderAge
+	if cand.subset.holders[cand.ID] || !cand.state.Used {
+		age = urgentAge
 	}
 	return cand.subset.prefers(cand.ID) && !cand.state.Ejected && now.Sub(cand.state.HeardAt) >= age
 }
 
+// costFactor returns the factor of the cost of a server that was probed.
+func (b *Balancer) costFactor(view *snapshotter.Snapshot, cand candidate, isCold bool) float64 {
+	switch {
+	case !cand.due && isCold, isCold && cand.state.Used, isCold && b.coldPartOf(view, cand.Backend).rank >= firstUsers:
+		return coldSlowness
+	case cand.due:
+		return dueFactor
+	default:
+		return 1
+	}
+}
+
 // isBeyond reports whether the server is outside the subset of its service.
 func (cand *candidate) isBeyond() bool { return cand.subset != nil && !cand.subset.has(cand.ID) }
 
--- a/entry/snapshotter/backend.go
+++ b/entry/snapshotter/backend.go
@@ -47,6 +47,7 @@
 
 	mu        sync.Mutex
 	inFlight  int
+	used      bool
 	coldUntil time.Time
 	// coldStatedAt is when a response last stated that the server is cold.
 	coldStatedAt time.Time
@@ -96,6 +97,8 @@
 type StateSnapshot struct {
 	// InFlight is the number of attempts of this entry that have not ended.
 	InFlight int
+	// Used reports whether this entry has sent it a request.
+	Used bool
 	// Load is the server's last load report. LoadFresh reports whether it is
 	// recent enough to rely on.
 	Load      describer.Load
@@ -136,7 +139,7 @@
 	defer s.mu.Unlock()
 	_, paused := s.pause.ResumesAt(now)
 	return StateSnapshot{
-		InFlight: s.inFlight, Load: s.load, LoadFresh: !s.loadAt.IsZero() && now.Sub(s.loadAt) < loadMaxAge,
+		InFlight: s.inFlight, Used: s.used, Load: s.load, LoadFresh: !s.loadAt.IsZero() && now.Sub(s.loadAt) < loadMaxAge,
 		Cold: now.Before(s.coldUntil), ColdFresh: now.Before(s.coldUntil) && now.Sub(s.coldStatedAt) < statementMaxAge, ColdReady: s.coldLimiter.Ready(now), HeardAt: s.heardAt, Ejected: now.Before(s.ejectedUntil), Unanswered: s.ejections > 0, Leaving: s.leaving,
 		Paused: paused, RecentFailures: s.decayedFailures(now), RateLimit: s.rateLimit,
 		RateLimitFresh: now.Sub(s.rateLimitAt) < statementMaxAge,
@@ -300,6 +303,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight++
+	s.used = true
 }
 
 // End records the end of an attempt.
