--- /dev/null
+++ b/entry/tallier/tallier.go
@@ -0,0 +1,351 @@
+// Package tallier counts requests by window and workspace, and merges the counts of other
+// entries. A window is a period of true time, identified by its number. Counts are
+// cumulative and kept by entry and incarnation, so that they may be received repeatedly,
+// out of order and by several ways without being counted twice. The decisions have no clock:
+// the caller names the window.
+package tallier
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"sync"
+
+	"samphiremux/pkg/linker/linkpb"
+)
+
+const (
+	// maxWindows is the number of windows that are kept for each incarnation of an entry
+	// until they are reported.
+	maxWindows = 20
+	// maxWorkspaces bounds the workspaces that are told apart. Names come from other entries.
+	maxWorkspaces = 4096
+	// maxSources bounds the incarnations of entries whose counts are kept.
+	maxSources = 2048
+)
+
+// source identifies whose counts they are.
+type source struct{ entry, incarnation string }
+
+// cell is the count of one workspace in a window. Its size matters: the holder has cells for
+// each entry.
+type cell struct {
+	// sequence is the number of the last change, in the order of this Tallier.
+	sequence  uint64
+	requests  uint32
+	workspace uint16
+}
+
+// tally holds the counts of one source.
+type tally struct {
+	windows map[int64][]cell
+	// openWindow is the window that was open at the source, as of its sequence number upTo.
+	openWindow int64
+	upTo       uint64
+	// sequence is the number of the last change of openWindow, in the order of this Tallier.
+	sequence uint64
+}
+
+// Tallier holds the counts of this entry, and of others if this entry is a relay or the
+// holder of usage reporting. It is safe for concurrent use.
+type Tallier struct {
+	self source
+
+	mu sync.Mutex
+	// sequence numbers the changes.
+	sequence uint64
+	names    []string
+	numbers  map[string]uint16
+	sources  map[source]*tally
+	// received holds the positions up to which this entry has the counts of others from
+	// themselves, by entry id.
+	received map[string]position
+	// reported is the last window whose counts are no longer needed.
+	reported int64
+	dropped  int64
+}
+
+// position is how far the counts of an incarnation have been received.
+type position struct {
+	incarnation string
+	upTo        uint64
+}
+
+// New returns a Tallier without counts for an incarnation of an entry.
+func New(entry, incarnation string) *Tallier {
+	self := source{entry, incarnation}
+	return &Tallier{
+		self: self, numbers: map[string]uint16{}, received: map[string]position{}, reported: math.MinInt64,
+		sources: map[source]*tally{self: {windows: map[int64][]cell{}}},
+	}
+}
+
+// Count counts a request of a workspace at this entry. Requests of a window whose counts are
+// no longer needed are dropped.
+func (t *Tallier) Count(window int64, workspace string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if window <= t.reported {
+		t.dropped++
+		return
+	}
+	own := t.sources[t.self]
+	c := t.cell(own, window, workspace)
+	if c == nil {
+		t.dropped++
+		return
+	}
+	c.requests++
+	t.sequence++
+	c.sequence = t.sequence
+	t.bound(own, own.openWindow)
+}
+
+// SetOpenWindow records the window that is open by the clock of this entry.
+func (t *Tallier) SetOpenWindow(window int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	own := t.sources[t.self]
+	if own.openWindow == window {
+		return
+	}
+	t.sequence++
+	own.openWindow, own.sequence = window, t.sequence
+}
+
+// Query returns what to ask another entry for.
+func (t *Tallier) Query(entry string) *linkpb.UsageQuery {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.received[entry]
+	return &linkpb.UsageQuery{Incarnation: p.incarnation, After: p.upTo}
+}
+
+// Answer returns the counts of this entry that changed after the position of a query. An
+// entry that asks for another incarnation gets all.
+func (t *Tallier) Answer(q *linkpb.UsageQuery) *linkpb.UsageCounts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	after := q.GetAfter()
+	if q.GetIncarnation() != t.self.incarnation {
+		after = 0
+	}
+	out, _ := t.changes(t.self, after)
+	out.UpTo = t.sequence
+	return out
+}
+
+// Changes returns the counts of all entries that changed after a sequence number of this
+// Tallier, and the number from which to go on.
+func (t *Tallier) Changes(after uint64) (out []*linkpb.UsageCounts, upTo uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for s, tally := range t.sources {
+		u, changed := t.changes(s, after)
+		if !changed {
+			continue
+		}
+		u.UpTo = tally.upTo
+		if s == t.self {
+			u.UpTo = t.sequence
+		}
+		out = append(out, u)
+	}
+	return out, t.sequence
+}
+
+// changes returns the counts of a source that changed after a sequence number. The caller
+// holds the lock.
+func (t *Tallier) changes(s source, after uint64) (out *linkpb.UsageCounts, changed bool) {
+	tally := t.sources[s]
+	out = &linkpb.UsageCounts{EntryId: s.entry, Incarnation: s.incarnation, OpenWindow: tally.openWindow}
+	for window, cells := range tally.windows {
+		for _, c := range cells {
+			if c.sequence > after {
+				out.Counts = append(out.Counts, &linkpb.UsageCount{Window: window, Workspace: t.names[c.workspace], Requests: uint64(c.requests)})
+			}
+		}
+	}
+	return out, len(out.Counts) > 0 || tally.sequence > after
+}
+
+// Receive merges the counts that an entry has answered to a query.
+func (t *Tallier) Receive(u *linkpb.UsageCounts) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.merge(u)
+	if p := t.received[u.GetEntryId()]; p.incarnation != u.GetIncarnation() || u.GetUpTo() > p.upTo {
+		t.received[u.GetEntryId()] = position{u.GetIncarnation(), u.GetUpTo()}
+	}
+}
+
+// Merge merges counts that a relay has passed on.
+func (t *Tallier) Merge(counts []*linkpb.UsageCounts) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, u := range counts {
+		t.merge(u)
+	}
+}
+
+// merge merges counts of another entry. The caller holds the lock.
+func (t *Tallier) merge(u *linkpb.UsageCounts) {
+	s := source{u.GetEntryId(), u.GetIncarnation()}
+	if s.entry == "" || s == t.self {
+		return
+	}
+	from, ok := t.sources[s]
+	if !ok {
+		if len(t.sources) >= maxSources {
+			t.dropped++
+			return
+		}
+		from = &tally{windows: map[int64][]cell{}}
+		t.sources[s] = from
+	}
+	// Relays may pass on states of an entry in another order than it had them.
+	if u.GetUpTo() >= from.upTo {
+		from.upTo = u.GetUpTo()
+		if from.openWindow != u.GetOpenWindow() {
+			t.sequence++
+			from.openWindow, from.sequence = u.GetOpenWindow(), t.sequence
+		}
+	}
+	for _, count := range u.GetCounts() {
+		if count.GetWindow() <= t.reported {
+			continue
+		}
+		c := t.cell(from, count.GetWindow(), count.GetWorkspace())
+		if requests := uint32(min(count.GetRequests(), math.MaxUint32)); c != nil && requests > c.requests {
+			t.sequence++
+			c.requests, c.sequence = requests, t.sequence
+		}
+	}
+	t.bound(from, from.openWindow)
+}
+
+// cell returns the cell of a workspace in a window, or nil if there are too many workspaces.
+// The caller holds the lock.
+func (t *Tallier) cell(of *tally, window int64, workspace string) *cell {
+	number, ok := t.numbers[workspace]
+	if !ok {
+		if len(t.names) == maxWorkspaces {
+			return nil
+		}
+		number = uint16(len(t.names))
+		t.names = append(t.names, workspace)
+		t.numbers[workspace] = number
+	}
+	cells := of.windows[window]
+	i, found := slices.BinarySearchFunc(cells, number, func(c cell, n uint16) int { return int(c.workspace) - int(n) })
+	if !found {
+		cells = slices.Insert(cells, i, cell{workspace: number})
+		of.windows[window] = cells
+	}
+	return &cells[i]
+}
+
+// bound drops windows beyond maxWindows, those farthest from the open window first: a clock
+// that was ahead for a while leaves windows that are newer than the true ones. The caller
+// holds the lock.
+func (t *Tallier) bound(of *tally, open int64) {
+	for len(of.windows) > maxWindows {
+		farthest := open
+		for window := range of.windows {
+			if distance(window, open) > distance(farthest, open) {
+				farthest = window
+			}
+		}
+		for _, c := range of.windows[farthest] {
+			t.dropped += int64(c.requests)
+		}
+		delete(of.windows, farthest)
+	}
+}
+
+func distance(a, b int64) int64 { return max(a-b, b-a) }
+
+// Sum returns the requests of all entries in a window, by workspace.
+func (t *Tallier) Sum(window int64) map[string]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sum := map[string]int64{}
+	for _, tally := range t.sources {
+		for _, c := range tally.windows[window] {
+			sum[t.names[c.workspace]] += int64(c.requests)
+		}
+	}
+	return sum
+}
+
+// Windows returns the windows with counts from first to last, in order.
+func (t *Tallier) Windows(first, last int64) (windows []int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, tally := range t.sources {
+		for window := range tally.windows {
+			if window >= first && window <= last {
+				windows = append(windows, window)
+			}
+		}
+	}
+	slices.Sort(windows)
+	return slices.Compact(windows)
+}
+
+// CompleteEntries returns the ids of the entries that have been heard of after a window
+// ended by their clocks, so that their counts of it are complete.
+func (t *Tallier) CompleteEntries(window int64) map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	complete := map[string]bool{}
+	for s, tally := range t.sources {
+		if tally.openWindow > window {
+			complete[s.entry] = true
+		}
+	}
+	return complete
+}
+
+// TypicalOpenWindow returns the highest window that is open, or has been, at half of the
+// entries at least. Single clocks that are ahead or behind do not change it.
+func (t *Tallier) TypicalOpenWindow() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	byEntry := map[string]int64{}
+	for s, tally := range t.sources {
+		byEntry[s.entry] = max(byEntry[s.entry], tally.openWindow)
+	}
+	open := slices.Sorted(maps.Values(byEntry))
+	return open[(len(open)-1)/2]
+}
+
+// SetReported drops the counts up to a window, and sources that have not been heard of for
+// maxWindows windows.
+func (t *Tallier) SetReported(reported int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if reported <= t.reported {
+		return
+	}
+	t.reported = reported
+	for s, tally := range t.sources {
+		for window := range tally.windows {
+			if window <= reported {
+				delete(tally.windows, window)
+			}
+		}
+		if s != t.self && len(tally.windows) == 0 && tally.openWindow < reported-maxWindows {
+			delete(t.sources, s)
+			delete(t.received, s.entry)
+		}
+	}
+}
+
+// Dropped returns the number of requests of this entry and of others that were dropped,
+// since they came after the report of their window or the bounds were exceeded.
+func (t *Tallier) Dropped() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.dropped
+}
