usagereporter: one holder reports usage by window

The decider takes the time and what the entry sees as arguments. The holder writes each report to the store under the guard of the revision before it sends it, may send for 1 s from the start of that transaction, and repeats a report unchanged until it is settled. The next holder waits for the lease time, and repeats the pending reports first. After a restore the token rises with the era.

--- /dev/null
+++ b/entry/usagereporter/usagereporter_test.go
@@ -0,0 +1,340 @@
+package usagereporter_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"samphiremux/entry/usagereporter"
+)
+
+// lateTime is the time after the end of a window after which a report is late.
+const lateTime = 10 * time.Second
+
+// TestWindowsReported guards against windows without a report, late ones, and counts that
+// lack what some entries served.
+func TestWindowsReported(t *testing.T) {
+	run(t, 4, func(w *world) {
+		is := is.New(w.t)
+		w.serve(time.Minute)
+		w.reported(0, 50*time.Second, 5*time.Second)
+		for at := time.Duration(0); at < 50*time.Second; at += limits.Window {
+			is.Equal(w.accepted[w.window(at)].Counts, map[string]int64{"stock": 40, "mail": 40})
+		}
+		is.Equal(len(w.calls), len(w.accepted)) // nothing was repeated
+		is.True(float64(w.commits) < 0.25*60)
+	})
+}
+
+// TestHolderKilled guards against reports that are lost or differ when the holder is killed
+// at any point of a report.
+func TestHolderKilled(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		commit bool
+		done   bool
+	}{
+		{"before the transaction", true, false},
+		{"between the transaction and the call", true, true},
+		{"before the call arrives", false, false},
+		{"between the call and its response", false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, 4, func(w *world) {
+				w.serve(18 * time.Second)
+				victim := w.holder()
+				kill := func(n *node, done bool) error {
+					if n != victim || n.dead || done != c.done {
+						return nil
+					}
+					w.kill(n)
+					return errLost
+				}
+				if c.commit {
+					w.onCommit = kill
+				} else {
+					w.onCall = kill
+				}
+				w.serve(30 * time.Second)
+				w.reported(0, 35*time.Second, lateTime)
+			})
+		})
+	}
+}
+
+// TestResponseOfPlatformLost guards against reports that are given up, or repeated with other
+// counts, when the platform's response is lost, late or a refusal.
+func TestResponseOfPlatformLost(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		received bool
+		delay    time.Duration
+	}{
+		{"the response is lost", true, 0},
+		{"the response is late", true, 2500 * time.Millisecond},
+		{"the call is refused", false, 0},
+		{"the platform does not answer", false, 3 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, 3, func(w *world) {
+				is := is.New(w.t)
+				tries := 0
+				w.onCall = func(_ *node, received bool) error {
+					if received != c.received || w.holder() == nil {
+						return nil
+					}
+					if tries++; tries%2 == 1 {
+						time.Sleep(c.delay)
+						return errLost
+					}
+					return nil
+				}
+				w.serve(45 * time.Second)
+				w.reported(0, 30*time.Second, lateTime)
+				is.True(w.holder().Stats().Repeated > 0)
+			})
+		})
+	}
+}
+
+// TestFrozenHolder guards against a holder that is suspended between its transaction and its
+// call, and then sends with the token of the past beside the next holder.
+func TestFrozenHolder(t *testing.T) {
+	for _, inCall := range []bool{false, true} {
+		run(t, 3, func(w *world) {
+			is := is.New(w.t)
+			w.serve(18 * time.Second)
+			frozen := w.holder()
+			freeze := func(n *node, done bool) error {
+				if n == frozen && done != inCall {
+					frozen = nil
+					n.dead = true
+					time.Sleep(12 * time.Second)
+					n.dead = false
+				}
+				return nil
+			}
+			if inCall {
+				w.onCall = freeze
+			} else {
+				w.onCommit = freeze
+			}
+			w.serve(40 * time.Second)
+			is.Equal(frozen, nil)
+			w.reported(0, 40*time.Second, lateTime)
+		})
+	}
+}
+
+// TestHolderLosesStore guards against windows without a report while the store refuses the
+// holder only, and against a holder that goes on without the store.
+func TestHolderLosesStore(t *testing.T) {
+	run(t, 3, func(w *world) {
+		is := is.New(w.t)
+		w.serve(18 * time.Second)
+		before := w.holder()
+		w.onCommit = func(n *node, committed bool) error {
+			if n == before && !committed {
+				n.lacksStore = true
+				return errors.New("refused")
+			}
+			return nil
+		}
+		w.serve(30 * time.Second)
+		w.reported(0, 35*time.Second, lateTime)
+		is.True(w.holder() != before)
+	})
+}
+
+// TestHolderLosesPlatform guards against windows that are reported too late since the holder
+// reaches the store but not the platform.
+func TestHolderLosesPlatform(t *testing.T) {
+	run(t, 3, func(w *world) {
+		is := is.New(w.t)
+		w.serve(18 * time.Second)
+		before := w.holder()
+		w.onCall = func(n *node, _ bool) error {
+			if n == before {
+				return errors.New("unreachable")
+			}
+			return nil
+		}
+		w.serve(40 * time.Second)
+		is.True(w.holder() != before)
+		w.reported(0, 45*time.Second, 15*time.Second)
+	})
+}
+
+// TestHolderLosesRelays guards against sums that lack most entries, since the holder is cut
+// off from them.
+func TestHolderLosesRelays(t *testing.T) {
+	run(t, 5, func(w *world) {
+		is := is.New(w.t)
+		w.serve(20 * time.Second)
+		w.holder().cut = true
+		w.serve(40 * time.Second)
+		is.True(!w.holder().cut)
+		for at := 20 * time.Second; at < 45*time.Second; at += limits.Window {
+			is.True(w.accepted[w.window(at)].Counts["stock"] >= 38) // of 50, 10 by the entry that is cut off
+		}
+	})
+}
+
+// TestStoreDown guards against lost windows, and against calls of a store that is down, in an
+// outage of 5 s.
+func TestStoreDown(t *testing.T) {
+	run(t, 3, func(w *world) {
+		is := is.New(w.t)
+		w.serve(16 * time.Second)
+		w.onCommit = func(*node, bool) error { return errors.New("down") }
+		commits := w.commits
+		w.serve(5 * time.Second)
+		is.True(w.commits-commits <= 3)
+		w.onCommit = func(*node, bool) error { return nil }
+		w.serve(25 * time.Second)
+		w.reported(0, 35*time.Second, lateTime)
+	})
+}
+
+// TestResponseOfStoreLost guards against reports that differ when the response to a
+// transaction is lost, whether it took effect or not.
+func TestResponseOfStoreLost(t *testing.T) {
+	run(t, 3, func(w *world) {
+		n := 0
+		w.onCommit = func(_ *node, committed bool) error {
+			if n++; committed && n%4 < 2 {
+				return errLost
+			}
+			return nil
+		}
+		w.serve(60 * time.Second)
+		w.reported(0, 40*time.Second, lateTime)
+	})
+}
+
+// TestAllRestart guards against windows reported twice with different counts when no process
+// remembers the last reports.
+func TestAllRestart(t *testing.T) {
+	run(t, 3, func(w *world) {
+		w.serve(18 * time.Second)
+		w.onCall = func(_ *node, received bool) error {
+			if received {
+				for i, n := range w.nodes {
+					n.cancel()
+					w.begin(i)
+				}
+				w.onCall = func(*node, bool) error { return nil }
+			}
+			return nil
+		}
+		w.serve(40 * time.Second)
+		w.reported(0, 15*time.Second, lateTime)
+		w.reported(25*time.Second, 45*time.Second, lateTime)
+	})
+}
+
+// TestStoreRestored guards against tokens that fall, and windows that are reported again with
+// other counts, after a restore from an older copy.
+func TestStoreRestored(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		killed  bool // whether the holder is killed with the restore
+		restart bool // whether all entries are restarted with it
+		first   bool // whether the copy is from before the first report
+	}{
+		{"holder lives", false, false, false},
+		{"holder is killed", true, false, false},
+		{"all restart", false, true, false},
+		{"all restart without the key", false, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, 3, func(w *world) {
+				is := is.New(w.t)
+				backup := w.value
+				w.serve(13 * time.Second)
+				if !c.first {
+					backup = w.value
+				}
+				w.serve(20 * time.Second)
+				last := w.calls[len(w.calls)-1].token
+				if c.killed {
+					w.kill(w.holder())
+				}
+				for i, n := range w.nodes {
+					if c.restart {
+						n.cancel()
+						w.begin(i)
+					}
+				}
+				w.restore(backup)
+				w.serve(30 * time.Second)
+				w.reported(0, 25*time.Second, lateTime)
+				w.reported(40*time.Second, 55*time.Second, lateTime)
+				if !c.killed && !c.restart {
+					w.reported(25*time.Second, 40*time.Second, lateTime) // the holder knows what it has reported
+				}
+				is.True(w.calls[len(w.calls)-1].token > last)
+			})
+		})
+	}
+}
+
+// TestPlatformDown guards against a store that is called more than 0.3 times a second while
+// the platform is down, and against windows that are lost.
+func TestPlatformDown(t *testing.T) {
+	run(t, 5, func(w *world) {
+		is := is.New(w.t)
+		w.serve(18 * time.Second)
+		w.onCall = func(*node, bool) error { return errors.New("down") }
+		commits := w.commits
+		w.serve(60 * time.Second)
+		w.t.Logf("%d transactions in 60 s", w.commits-commits)
+		is.True(float64(w.commits-commits) < 0.3*60)
+		w.onCall = func(*node, bool) error { return nil }
+		w.serve(20 * time.Second)
+		w.reported(0, 85*time.Second, 80*time.Second)
+	})
+}
+
+// TestClockJumps guards against reports of windows that have not ended, and against a holder
+// that no longer reports, when its clock or that of another entry jumps.
+func TestClockJumps(t *testing.T) {
+	for _, offset := range []time.Duration{-time.Hour, -7 * time.Second, 7 * time.Second, time.Hour} {
+		run(t, 5, func(w *world) {
+			w.serve(18 * time.Second)
+			w.holder().clockOffset = offset
+			w.serve(50 * time.Second)
+			w.reported(20*time.Second, 50*time.Second, 15*time.Second)
+			for window, c := range w.accepted {
+				if end := w.start.Add(time.Duration(window-w.window(0)+1) * limits.Window); c.at.Before(end.Add(time.Second)) {
+					w.t.Errorf("clock of the holder %s ahead: window reported %s after its end: %v", offset, c.at.Sub(end), c.Counts)
+				}
+			}
+		})
+	}
+}
+
+// TestLargeRecord guards against records that do not fit the heartbeats of relays after the
+// platform was down.
+func TestLargeRecord(t *testing.T) {
+	is := is.New(t)
+	d := usagereporter.NewDecider("e0", limits)
+	now := 1000 * time.Second
+	v := usagereporter.View{Uptime: now, Candidate: true, StoreReached: true, Members: []string{"e0"}}
+	counts := manyCounts{first: 150, last: 190}
+	for v.Uptime < now+3*time.Second {
+		if w, ok := d.Next(v, counts).(usagereporter.Write); ok {
+			d.Wrote(w, v.Uptime, v.Uptime, committed)
+		}
+		v.Uptime += 100 * time.Millisecond
+	}
+	v.Uptime += 3 * time.Second
+	w, ok := d.Next(v, counts).(usagereporter.Write)
+	is.True(ok)
+	data, err := w.Record.Encode()
+	is.NoErr(err)
+	is.True(len(data) < 8<<10)
+	is.True(len(w.Record.Pending) > 1)
+}
--- /dev/null
+++ b/entry/usagereporter/world_test.go
@@ -0,0 +1,315 @@
+package usagereporter_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"samphiremux/entry/tracker"
+	"samphiremux/entry/usagereporter"
+	"samphiremux/pkg/storer"
+)
+
+var limits = usagereporter.Limits{Window: 5 * time.Second, LeaseTime: 3 * time.Second, CallInterval: 250 * time.Millisecond}
+
+var errLost = errors.New("response lost")
+
+// world holds the entries, the store and the platform of a test. Entries exchange their
+// counts directly.
+type world struct {
+	t     *testing.T
+	start time.Time
+	nodes []*node
+
+	mu sync.Mutex
+	// value, revision and era are the state of the store, and commits its calls.
+	value    []byte
+	revision storer.Revision
+	era      int64
+	commits  int
+	// onCommit runs with each transaction before and after it takes effect. An error before
+	// refuses it, and one after loses its response.
+	onCommit func(n *node, committed bool) error
+	// calls are the calls that the platform received, and accepted the reports by window.
+	calls    []call
+	accepted map[int64]call
+	// onCall runs with each call before and after it is received, as onCommit does.
+	onCall func(n *node, received bool) error
+}
+
+// call is a call that the platform received.
+type call struct {
+	usagereporter.Report
+	at     time.Time
+	holder string
+	token  usagereporter.Token
+}
+
+// node is one entry: what it knows of the others, of the store and of the time.
+type node struct {
+	*usagereporter.Reporter
+	w      *world
+	id     string
+	cancel context.CancelFunc
+	// The fields below are set by tests.
+	dead, lacksStore, cut bool
+	clockOffset           time.Duration
+}
+
+// run runs a test with entries in virtual time, and checks the calls of the platform.
+func run(t *testing.T, entries int, test func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{
+			t: t, start: time.Now(), accepted: map[int64]call{}, revision: 1,
+			onCommit: func(*node, bool) error { return nil }, onCall: func(*node, bool) error { return nil },
+		}
+		for i := range entries {
+			w.nodes = append(w.nodes, &node{w: w, id: fmt.Sprintf("e%d", i)})
+			w.begin(i)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go w.exchange(ctx)
+		defer func() {
+			cancel()
+			for _, n := range w.nodes {
+				n.cancel()
+			}
+			time.Sleep(15 * time.Second) // calls under way end
+		}()
+		test(w)
+		w.check()
+	})
+}
+
+// begin starts a process of an entry.
+func (w *world) begin(i int) {
+	n := w.nodes[i]
+	ctx, cancel := context.WithCancel(w.t.Context())
+	n.cancel = cancel
+	n.Reporter = usagereporter.New(usagereporter.Options{
+		Self: n.id, Incarnation: fmt.Sprint(time.Since(w.start)), Store: &store{node: n}, StoreCache: n, Key: "usage",
+		Members: func() usagereporter.Members { return n },
+		Limits:  func() (usagereporter.Limits, bool) { return limits, true },
+		Uptime:  func() time.Duration { return time.Since(w.start) }, TimeOfDay: n.timeOfDay,
+		Send: n.send, Stopping: func() bool { return false }, Log: hclog.NewNullLogger(),
+	})
+	go n.Run(ctx)
+}
+
+// kill ends the process of an entry.
+func (w *world) kill(n *node) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n.dead = true
+	n.cancel()
+}
+
+// exchange lets entries ask each other for their counts.
+func (w *world) exchange(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, a := range w.nodes {
+			for _, b := range w.nodes {
+				if a != b && !a.dead && !b.dead && !a.cut && !b.cut {
+					a.Receive(b.Answer(a.Query(b.id)))
+				}
+			}
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// serve lets each entry that runs count requests for a time.
+func (w *world) serve(d time.Duration) {
+	for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(500 * time.Millisecond) {
+		for _, n := range w.nodes {
+			if !n.dead {
+				n.Count("stock", time.Now())
+				n.Count("mail", time.Now())
+			}
+		}
+	}
+}
+
+// holder returns the entry that holds usage reporting, and fails the test if none does.
+func (w *world) holder() *node {
+	for _, n := range w.nodes {
+		if !n.dead && n.Stats().Holder {
+			return n
+		}
+	}
+	w.t.Fatal("no entry holds usage reporting")
+	return nil
+}
+
+// window returns the number of the window that begins after a time since the start.
+func (w *world) window(after time.Duration) int64 {
+	return usagereporter.WindowAt(time.Duration(w.start.Add(after).UnixNano()), limits.Window)
+}
+
+// reported fails the test unless each window in a range of times was accepted, not later
+// than a time after its end.
+func (w *world) reported(from, to, late time.Duration) {
+	w.t.Helper()
+	for at := from; at < to; at += limits.Window {
+		c, ok := w.accepted[w.window(at)]
+		if end := w.start.Add(at + limits.Window); !ok || c.at.Sub(end) > late {
+			w.t.Errorf("window at %s: accepted %t, %s after its end", at, ok, c.at.Sub(end))
+		}
+	}
+}
+
+// check checks what the platform must never see.
+func (w *world) check() {
+	w.t.Helper()
+	for i, c := range w.calls {
+		if i > 0 && c.token < w.calls[i-1].token {
+			w.t.Errorf("token %s of %s after %s of %s", c.token, c.holder, w.calls[i-1].token, w.calls[i-1].holder)
+		}
+		if first := w.accepted[c.Window]; first.Counts != nil && !maps.Equal(first.Counts, c.Counts) {
+			w.t.Errorf("window %d: %v by %s, then %v by %s", c.Window, first.Counts, first.holder, c.Counts, c.holder)
+		}
+		for _, earlier := range w.calls[:i] {
+			if earlier.token == c.token && earlier.holder != c.holder {
+				w.t.Errorf("token %s used by %s and %s", c.token, earlier.holder, c.holder)
+			}
+			between := func(b call) bool { return b.holder != c.holder && !b.at.Before(earlier.at) }
+			if earlier.holder == c.holder && c.at.Sub(earlier.at) < limits.LeaseTime && slices.ContainsFunc(w.calls[:i], between) {
+				w.t.Errorf("%s acts again within the lease time after another holder", c.holder)
+			}
+		}
+	}
+}
+
+// send is the call of the platform.
+func (n *node) send(_ context.Context, s usagereporter.Send, mayBegin func() bool) (usagereporter.SendResult, error) {
+	if err := n.w.onCall(n, false); err != nil {
+		return usagereporter.Unsettled, err
+	}
+	if !mayBegin() {
+		return usagereporter.Unsettled, errors.New("not begun")
+	}
+	n.w.mu.Lock()
+	c := call{s.Report, time.Now(), n.id, s.Token}
+	n.w.calls = append(n.w.calls, c)
+	if _, ok := n.w.accepted[c.Window]; !ok {
+		n.w.accepted[c.Window] = c
+	}
+	n.w.mu.Unlock()
+	if err := n.w.onCall(n, true); err != nil {
+		return usagereporter.Unsettled, err
+	}
+	return usagereporter.Accepted, nil
+}
+
+// store is the store as one entry reaches it. Its other calls are not used.
+type store struct {
+	storer.Store
+	node *node
+}
+
+// Commit implements storer.Store.
+func (s *store) Commit(_ context.Context, t storer.Transaction) storer.Outcome {
+	n := s.node
+	n.w.mu.Lock()
+	n.w.commits++
+	n.w.mu.Unlock()
+	if err := n.w.onCommit(n, false); err != nil {
+		return storer.NotCommitted{Cause: err}
+	}
+	n.w.mu.Lock()
+	held := storer.Revision(0)
+	if n.w.value != nil {
+		held = n.w.revision
+	}
+	if t.Guards[0].ModRevision != held {
+		n.w.mu.Unlock()
+		return storer.NotCommitted{Cause: storer.ErrConflict{Key: "usage"}}
+	}
+	n.w.revision = storer.NewRevision(n.w.era, n.w.revision.Number()+1)
+	n.w.value = t.Puts[0].Value
+	committed := storer.Committed{Revision: n.w.revision}
+	n.w.mu.Unlock()
+	if err := n.w.onCommit(n, true); err != nil {
+		return storer.Unknown{Cause: err}
+	}
+	return committed
+}
+
+// restore restores the store from a copy.
+func (w *world) restore(value []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.era++
+	w.value, w.revision = value, storer.NewRevision(w.era, 2)
+}
+
+func (n *node) Get(string) ([]byte, storer.Revision) {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	if n.w.value == nil {
+		return nil, 0
+	}
+	return n.w.value, n.w.revision
+}
+
+func (n *node) Revision() storer.Revision {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	return n.w.revision
+}
+
+func (n *node) UsableMembers(time.Time) (members []tracker.Member) {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	for _, m := range n.w.nodes {
+		if !m.dead {
+			members = append(members, tracker.Member{ID: m.id})
+		}
+	}
+	return members
+}
+
+func (n *node) LacksStore(_ time.Time, id string) bool {
+	return slices.ContainsFunc(n.w.nodes, func(m *node) bool { return m.id == id && m.lacksStore })
+}
+
+func (n *node) Rank(string) (rank, entries int) { return slices.Index(n.w.nodes, n), len(n.w.nodes) }
+func (n *node) IsRelay() bool                   { return !n.lacksStore }
+func (n *node) ReachesStore() bool              { return !n.lacksStore }
+func (n *node) ReportStoreFailure()             {}
+
+func (n *node) timeOfDay() time.Duration {
+	return time.Duration(time.Now().Add(n.clockOffset).UnixNano())
+}
+
+// manyCounts has 90 workspaces in each window of a range.
+type manyCounts struct{ first, last int64 }
+
+var committed = storer.Committed{Revision: 1}
+
+func (m manyCounts) Windows(first, last int64) (windows []int64) {
+	for w := max(first, m.first); w <= min(last, m.last); w++ {
+		windows = append(windows, w)
+	}
+	return windows
+}
+
+func (m manyCounts) Sum(int64) map[string]int64 {
+	sum := map[string]int64{}
+	for i := range 90 {
+		sum[fmt.Sprintf("workspace%d", i)] = 1234
+	}
+	return sum
+}
+
+func (m manyCounts) CompleteEntries(int64) map[string]bool { return map[string]bool{"e0": true} }
+func (m manyCounts) TypicalOpenWindow() int64              { return m.last + 1 }
