balancer, delegator: count each request of a workspace that may have run

OnRun is called once for a request, when the first attempt that may have run has ended, with the time at which that attempt began, so that the window of the beginning counts. An entry that passes a request on tells the other one whether it has counted it. Until the keys of callers are checked, no call has a workspace, and nothing is counted.

--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -155,6 +155,8 @@
 			return nil
 		}
 		sent := state.sent + 1
+		// The attempt that is running here may have run, and the other entry is not to count it too.
+		b.countRun(c, time.Now(), retrier.TimedOut{})
 		return func(ctx context.Context) attemptResult { return b.delegateHedge(ctx, c, sent, reason) }
 	}
 	if ctx.Err() != nil || p.slowness > goodSlowness || p.busy >= p.Slots || !b.tryWithdraw(c.service) {
@@ -180,6 +182,7 @@
 	})
 	ended := time.Now()
 	b.observe(ctx, c, p, now, resp, outcome)
+	b.countRun(c, now, outcome)
 	if ctx.Err() == nil {
 		go b.detectCrash(c, p, quarantiner.Attempt{Begun: now, Ended: ended}, outcome)
 	}
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -79,6 +79,9 @@
 	// OnAttempt is called with each attempt that was sent, once it has ended. It
 	// may be nil.
 	OnAttempt func(Attempt)
+	// OnRun is called once for each request of a workspace, when its first attempt that may
+	// have run has ended, with the time at which that began. It may be nil.
+	OnRun func(workspace string, begun time.Time)
 	// NotifySuspect notifies the other entries that a backend server crashed while
 	// it ran a request, how many crashes this entry has seen for it, and the attempt at
 	// the last of them. Zero crashes clear the request. It may be nil.
@@ -143,6 +146,9 @@
 	if opts.OnAttempt == nil {
 		opts.OnAttempt = func(Attempt) {}
 	}
+	if opts.OnRun == nil {
+		opts.OnRun = func(string, time.Time) {}
+	}
 	if opts.MayTake == nil {
 		opts.MayTake = func(time.Time) bool { return true }
 	}
--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -31,6 +31,8 @@
 	configuration int64
 	// trial reports that this entry is to run the request as a trial.
 	trial bool
+	// counted reports that the other entry has counted the request as run.
+	counted bool
 	// tell tells that entry the number of attempts, once another one is about to begin.
 	tell func(attempts int)
 }
@@ -48,11 +50,11 @@
 	from := h.Get(delegator.HopHeader)
 	attempts, _ := strconv.Atoi(h.Get(delegator.AttemptsHeader))
 	configuration, _ := strconv.ParseInt(h.Get(delegator.ConfigurationHeader), 10, 64)
-	trial := h.Get(delegator.TrialHeader) != ""
-	for _, name := range []string{delegator.HopHeader, delegator.AttemptsHeader, delegator.ConfigurationHeader, delegator.TrialHeader} {
+	trial, counted := h.Get(delegator.TrialHeader) != "", h.Get(delegator.CountedHeader) != ""
+	for _, name := range []string{delegator.HopHeader, delegator.AttemptsHeader, delegator.ConfigurationHeader, delegator.TrialHeader, delegator.CountedHeader} {
 		h.Del(name)
 	}
-	return &hop{from: from, attempts: max(0, attempts), configuration: configuration, trial: trial}
+	return &hop{from: from, attempts: max(0, attempts), configuration: configuration, trial: trial, counted: counted}
 }
 
 // ServeDelegated serves the requests and probes of other entries. A request is passed on
@@ -182,7 +184,7 @@
 	b.opts.Headers.SetDeadline(header, time.Until(c.deadline))
 	return delegator.Request{
 		Request:  roundtripper.Request{Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id},
-		Attempts: sent, Configuration: c.view.Table.Version, Service: c.service,
+		Attempts: sent, Configuration: c.view.Table.Version, Service: c.service, Counted: c.hasCounted(),
 	}
 }
 
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"samphiremux/entry/refuser"
@@ -43,6 +44,10 @@
 	backend snapshotter.Backend
 	// delegated is the id of the entry that the request was passed on to.
 	delegated string
+	// workspace is the owner of the caller's key, zero if there is none.
+	workspace describer.Workspace
+	// counted reports that the request counts as run.
+	counted atomic.Bool
 	// trial reports that the request is the trial of one that is suspected of crashing
 	// servers.
 	trial bool
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -52,6 +52,8 @@
 	LeavingHeader = "Samphire-Leaving-Server"
 	// TrialHeader marks a request that may run only as a trial, which the entry is to make.
 	TrialHeader = "Samphire-Trial"
+	// CountedHeader marks a request that the entry that passes it on has counted as run.
+	CountedHeader = "Samphire-Counted"
 	// RetryHeader carries the time after which a refused request may be served, as a Go
 	// duration. It is missing if that is not known.
 	RetryHeader = "Samphire-Retry"
@@ -129,6 +131,8 @@
 	Service string
 	// Trial reports that the entry is to run the request as a trial.
 	Trial bool
+	// Counted reports that the request has been counted as run.
+	Counted bool
 	// ReachesNone reports whether this entry reaches no server of the service, so that one
 	// that reaches some of them is good enough.
 	ReachesNone bool
@@ -300,6 +304,10 @@
 	if r.Trial {
 		r.Header.Set(TrialHeader, "1")
 	}
+	r.Header.Del(CountedHeader)
+	if r.Counted {
+		r.Header.Set(CountedHeader, "1")
+	}
 }
 
 // send sends a request to one entry.
