steer, enroller: usage reports

Heartbeats of relays ask for the counts of their failure domain, relays pass them on to the holder, and the reporter runs in samphire-steer. An entry that stops delivers its counts at its exit, since relays do not ask one that has deregistered.

--- a/entry/enroller/enroller.go
+++ b/entry/enroller/enroller.go
@@ -19,6 +19,7 @@
 	"samphiremux/entry/reflector"
 	"samphiremux/entry/tracker"
 	"samphiremux/pkg/linker"
+	"samphiremux/pkg/linker/linkpb"
 	"samphiremux/pkg/storer"
 )
 
@@ -40,9 +41,21 @@
 	// Seeds returns link addresses of other entries, which are used while no other
 	// entry is known.
 	Seeds func() []string
+	// Usage exchanges usage counts with heartbeats. It may be nil.
+	Usage UsageExchange
 	Log   hclog.Logger
 }
 
+// UsageExchange holds the usage counts of this entry, and those of others for a relay.
+type UsageExchange interface {
+	// Query returns what a relay asks an entry for, or nil.
+	Query(entry string) *linkpb.UsageQuery
+	// Answer returns the counts that a relay asks for, or nil.
+	Answer(q *linkpb.UsageQuery) *linkpb.UsageCounts
+	// Receive records the counts of another entry, if it has sent any.
+	Receive(u *linkpb.UsageCounts)
+}
+
 // StoreCache is an entry's copy of the store.
 type StoreCache interface {
 	// Revision returns the store revision up to which the copy is complete.
@@ -257,6 +270,13 @@
 	return members
 }
 
+// LacksStore reports whether another entry has stated lately that it does not reach the store.
+func (e *Enroller) LacksStore(now time.Time, id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return id != e.o.Self.ID && e.members.PeerLacksStore(now, id)
+}
+
 func (e *Enroller) peerReachesStore(id string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/entry/enroller/heartbeat.go
+++ b/entry/enroller/heartbeat.go
@@ -164,6 +164,9 @@
 	now := time.Now()
 	revision := linker.DecodeRevision(resp.GetDocumentRevision(), resp.GetEra(), e.o.StoreCache.Revision().Era())
 	e.o.StoreCache.ObservePeerRevision(now, revision)
+	if e.o.Usage != nil {
+		e.o.Usage.Receive(resp.GetUsage())
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.peerRevisions[resp.GetEntryId()] = revision
@@ -189,6 +192,9 @@
 		r.Unreachable = append(r.Unreachable, e.remoteUnreachable(now)...)
 	}
 	e.mu.Unlock()
+	if relay && e.o.Usage != nil {
+		r.Usage = e.o.Usage.Query(peer)
+	}
 	complete := revision
 	if relay && peerRevision < revision {
 		if b := e.o.StoreCache.ChangesSince(peerRevision, limit); b.Revision != 0 {
@@ -221,10 +227,14 @@
 		e.members.RecordUnreachableReport(now, id)
 		e.recordRemote(now, r.GetEntryId(), id)
 	}
-	return &linkpb.BeatResponse{
+	resp := &linkpb.BeatResponse{
 		EntryId: e.o.Self.ID, StoreReached: reached, Stopping: e.members.Stopping(),
 		DocumentRevision: uint64(revision.Number()), Era: revision.Era(),
 	}
+	if e.o.Usage != nil {
+		resp.Usage = e.o.Usage.Answer(r.GetUsage())
+	}
+	return resp
 }
 
 // recordRelayState records that the relay can no longer be one, if its heartbeat says so.
--- a/entry/usagereporter/decider.go
+++ b/entry/usagereporter/decider.go
@@ -1,6 +1,7 @@
 package usagereporter
 
 import (
+	"math"
 	"time"
 
 	"samphiremux/pkg/storer"
@@ -285,6 +286,9 @@
 		return Write{Reason: "an earlier process of this entry was the holder, or its takeover was not confirmed"}, true
 	case !v.Candidate:
 		return Write{}, false
+	case !d.newest.exists() && len(c.Windows(math.MinInt64, math.MaxInt64)) == 0:
+		// Without workspaces there is nothing to report.
+		return Write{}, false
 	case !d.newest.exists():
 		return Write{Reason: "there is no holder yet"}, true
 	case v.HolderGone:
--- a/entry/usagereporter/usagereporter.go
+++ b/entry/usagereporter/usagereporter.go
@@ -31,7 +31,7 @@
 	sendTimeout = 3 * time.Second
 	// turnSpread is the time over which the candidates spread their takeovers, so that those
 	// behind the first see its record.
-	turnSpread = 1500 * time.Millisecond
+	turnSpread = time.Second
 	// rankKey is the key of the order in which entries take over.
 	rankKey = "usage reports"
 )
@@ -328,6 +328,7 @@
 }
 
 // RunForwarding sends the counts that this entry has as a relay to the holder until ctx ends.
+// An entry that stops does so too, since relays send no heartbeats to one that has deregistered.
 func (r *Reporter) RunForwarding(ctx context.Context) {
 	t := time.NewTicker(forwardInterval)
 	defer t.Stop()
@@ -339,8 +340,12 @@
 		case <-ctx.Done():
 			return
 		}
+		_, enabled := r.o.Limits()
+		if collects := r.o.Members().IsRelay() || r.o.Stopping(); !enabled || !collects {
+			continue
+		}
 		holder, ok := r.holder()
-		if _, enabled := r.o.Limits(); !enabled || !ok || !r.o.Members().IsRelay() {
+		if !ok {
 			continue
 		}
 		if holder.ID != to.ID || holder.Incarnation != to.Incarnation {
@@ -352,6 +357,14 @@
 	}
 }
 
+// Flush sends the counts of this entry to the holder before the process ends.
+func (r *Reporter) Flush(ctx context.Context) {
+	holder, ok := r.holder()
+	if _, enabled := r.o.Limits(); enabled && ok {
+		r.forward(ctx, holder, []*linkpb.UsageCounts{r.tallier.Answer(&linkpb.UsageQuery{})})
+	}
+}
+
 // holder returns the holder if it is another entry.
 func (r *Reporter) holder() (m tracker.Member, ok bool) {
 	r.mu.Lock()
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -26,6 +26,7 @@
 	"samphiremux/entry/snapshotter"
 	"samphiremux/entry/throttler"
 	"samphiremux/entry/tracker"
+	"samphiremux/entry/usagereporter"
 	"samphiremux/pkg/describer"
 	"samphiremux/pkg/linker"
 	"samphiremux/platform/storeadapter"
@@ -89,10 +90,13 @@
 	// invalidChanges counts the changes of the store that could not be read.
 	invalidChanges atomic.Int64
 	roller         *roller.Roller
-	metrics        *meter.Registry
-	uplink         throttler.ByteBudget
-	stopping       chan struct{}
-	drainer        *drainer.Drainer
+	usage          *usagereporter.Reporter
+	// uptime reads the clock of usage reports.
+	uptime   func() time.Duration
+	metrics  *meter.Registry
+	uplink   throttler.ByteBudget
+	stopping chan struct{}
+	drainer  *drainer.Drainer
 }
 
 const (
@@ -135,7 +139,7 @@
 
 func newEntry(s translator.Settings, policy chooser.Policy, dial dialFunc, log hclog.Logger) *entry {
 	e := &entry{
-		id: s.ID, log: log, metrics: meter.New(), expirer: expirer.New(time.Now), stopping: make(chan struct{}), drainer: drainer.New(),
+		id: s.ID, log: log, metrics: meter.New(), expirer: expirer.New(time.Now), stopping: make(chan struct{}), drainer: drainer.New(), uptime: uptime,
 		pool: linker.NewPool(func(ctx context.Context, address string) (net.Conn, error) {
 			return dial(ctx, "tcp", address)
 		}),
@@ -165,8 +169,13 @@
 		MayBecomeRelay: func() bool { return e.enroller.MayBecomeRelay() },
 		OnChange:       func() { e.enroller.HeartbeatNow() },
 	})
+	self := registration(s)
+	e.usage = usagereporter.New(usagereporter.Options{
+		Self: s.ID, Incarnation: self.Incarnation, Store: store, StoreCache: e.reflector, Key: usageKey, Members: func() usagereporter.Members { return e.enroller }, Pool: e.pool,
+		Limits: e.usageLimits, Uptime: func() time.Duration { return e.uptime() }, TimeOfDay: timeOfDay, Send: e.sendUsage(dial), Stopping: e.isStopping, Log: log.Named("usage"),
+	})
 	e.enroller = enroller.New(time.Now(), enroller.Options{
-		Self:  registration(s),
+		Self: self, Usage: e.usage,
 		Store: store, Prefix: entryPrefix, Pool: e.pool, Seeds: func() []string { return e.settings.Load().Peers }, Log: log.Named("enroller"),
 		StoreCache: e.reflector,
 	})
@@ -183,7 +192,7 @@
 	e.balancer = balancer.New(balancer.Options{
 		Self: s.ID, Delegator: e.delegator, Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, Outdated: e.isOutdated, EntryCount: e.enroller.LimitShares, Rank: e.enroller.Rank, FirstEntries: e.enroller.FirstMembers, Settled: e.enroller.Settled, Log: log.Named("steerer"),
 		Bodies:    reserver.New(bodyBytes(s.MemoryBytes)),
-		OnAttempt: e.roller.Observe, MayTake: e.drainer.MayTake,
+		OnAttempt: e.roller.Observe, OnRun: e.usage.Count, MayTake: e.drainer.MayTake,
 		IdleTimeout: func() time.Duration { return e.connectionLimits().Idle },
 		Headers: balancer.Headers{
 			RequestID: translator.HeaderRequestID, Instance: translator.HeaderExpectInstance, ReadDeadline: translator.ReadDeadline,
@@ -196,6 +205,7 @@
 		Rank: e.enroller.Rank, ReachesStore: e.enroller.ReachesStore, Log: log.Named("persister"),
 	})
 	e.addGauges(store)
+	e.addUsageGauges()
 	return e
 }
 
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -37,6 +37,8 @@
 	go e.roller.Run(work)
 	go e.balancer.RunReachChecks(work)
 	go e.persister.Run(work)
+	go e.usage.Run(work)
+	go e.usage.RunForwarding(work)
 	go e.watchSettings(work, file)
 	running := e.startServers(work, l)
 	e.serveMetrics(s.CallerAddress)
@@ -151,6 +153,7 @@
 	if err := errors.Join(s.callers.Shutdown(grace), s.delegated.Shutdown(grace)); err != nil {
 		e.log.Warn("Grace period ended with open connections.", "connections", e.expirer.Open(), "error", err)
 	}
+	e.usage.Flush(grace)
 	select {
 	case <-deregistered:
 	case <-grace.Done():
--- /dev/null
+++ b/steer/commander/usage_test.go
@@ -0,0 +1,179 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"samphiremux/entry/usagereporter"
+	"samphiremux/pkg/storer"
+	"samphiremux/platform/translator"
+)
+
+// cloudAddress is the address of the platform's cloud API in a memory network.
+const cloudAddress = "10.0.9.8:1"
+
+// usageReport is a report that the platform has received.
+type usageReport struct {
+	window int64
+	counts map[string]int64
+	at     time.Time
+}
+
+// serveCloud serves the platform's cloud API and passes the reports on.
+func serveCloud(n *memoryNetwork, received func(usageReport)) {
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		var body struct {
+			Window int64            `json:"window"`
+			Counts map[string]int64 `json:"counts"`
+		}
+		if err := json.NewDecoder(r.Body).Decode(&body); err == nil {
+			received(usageReport{body.Window, body.Counts, time.Now()})
+		}
+	})}
+	l := n.listen(cloudAddress)
+	go func() { _ = server.Serve(l) }()
+}
+
+// reportUsage enables usage reports at the entries of a fleet that follows a store, and lets
+// each count two requests a second for a time.
+func (f *fleet) reportUsage(ctx context.Context, d time.Duration) {
+	started := time.Now()
+	for _, e := range f.entries {
+		s := *e.settings.Load()
+		s.CloudAPI = translator.CloudAPI{Address: cloudAddress, ReportsUsage: true, CallInterval: 200 * time.Millisecond}
+		s.Bounds.UsageWindow, s.Bounds.LeaseTime = 5*time.Second, 3*time.Second
+		e.settings.Store(&s)
+		e.uptime = func() time.Duration { return time.Since(started) }
+		ctx, cancel := context.WithCancel(ctx)
+		end := f.ends[e]
+		f.ends[e] = func() {
+			end()
+			cancel()
+		}
+		go e.usage.Run(ctx)
+		go e.usage.RunForwarding(ctx)
+	}
+	for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(500 * time.Millisecond) {
+		for _, e := range f.entries {
+			e.usage.Count("stock", time.Now())
+		}
+	}
+}
+
+// TestStoppedEntryNotCounted guards against the counts of an entry that stops and that are
+// lost, since it serves on for a while after it has deregistered.
+func TestStoppedEntryNotCounted(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		var mu sync.Mutex
+		total := int64(0)
+		seen := map[int64]bool{}
+		serveCloud(f.network, func(r usageReport) {
+			mu.Lock()
+			defer mu.Unlock()
+			if !seen[r.window] {
+				total += r.counts["stock"]
+			}
+			seen[r.window] = true
+		})
+		store := f.followStore()
+		time.Sleep(10 * time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f.reportUsage(ctx, 10*time.Second)
+		stopped := 0
+		for i, e := range f.entries {
+			if !e.usage.Stats().Holder && !e.enroller.IsRelay() {
+				stopped = i
+			}
+		}
+		setGracePeriod(f.entries[stopped], 1500*time.Millisecond)
+		go func() {
+			_ = f.entries[stopped].stop(f.servers[stopped])
+			f.ends[f.entries[stopped]]()
+		}()
+		time.Sleep(10 * time.Millisecond)
+		store.remove(entryPrefix + f.entries[stopped].id) // its lease is revoked
+		time.Sleep(500 * time.Millisecond)                // relays know it
+		for range 10 {
+			f.entries[stopped].usage.Count("stock", time.Now())
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(20 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		if want := int64(len(f.entries)*20 + 10); total != want {
+			t.Errorf("%d requests reported, %d expected", total, want)
+		}
+	})
+}
+
+// remove deletes a key.
+func (s *memoryStore) remove(key string) {
+	s.Commit(context.Background(), storer.Transaction{Deletes: []string{key}})
+}
+
+// storeCalls returns the calls of the store by all entries.
+func (f *fleet) storeCalls() (calls float64) {
+	for _, e := range f.entries {
+		w := httptest.NewRecorder()
+		e.metrics.ServeHTTP(w, nil)
+		for line := range strings.Lines(w.Body.String()) {
+			if value, ok := strings.CutPrefix(line, "samphire_store_calls_total "); ok {
+				n, _ := strconv.ParseFloat(strings.TrimSpace(value), 64)
+				calls += n
+			}
+		}
+	}
+	return calls
+}
+
+// TestUsageReported guards against counts that do not reach the holder by heartbeats, relays
+// and links, and against reports that are late or cost the store too many calls.
+func TestUsageReported(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		var mu sync.Mutex
+		reports := map[int64]usageReport{}
+		serveCloud(f.network, func(r usageReport) {
+			mu.Lock()
+			defer mu.Unlock()
+			reports[r.window] = r
+		})
+		store := f.followStore()
+		time.Sleep(10 * time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		const duration = time.Minute
+		before, start := f.storeCalls(), time.Now()
+		time.Sleep(duration)
+		idle, start := f.storeCalls()-before, start.Add(duration)
+		f.reportUsage(ctx, duration)
+		busy := f.storeCalls() - before - idle
+		mu.Lock()
+		defer mu.Unlock()
+		first := usagereporter.WindowAt(time.Duration(start.UnixNano()), 5*time.Second) + 1
+		for window := first; window < first+9; window++ {
+			r, ok := reports[window]
+			end := time.Unix((window+1)*5, 0)
+			if !ok || r.counts["stock"] != int64(len(f.entries))*10 || r.at.Sub(end) > 6*time.Second {
+				t.Errorf("window %d: received %t with %v, %s after its end", window, ok, r.counts, r.at.Sub(end))
+			}
+		}
+		writes := 0
+		for _, e := range store.events {
+			if strings.HasPrefix(e.Pair.Key, usageKey) {
+				writes++
+			}
+		}
+		t.Logf("%d transactions in %s; calls of the store by all entries: %.0f without usage reports, %.0f with them", writes, duration, idle, busy)
+		if perSecond := float64(writes) / duration.Seconds(); perSecond > 0.25 {
+			t.Errorf("%.2f transactions a second", perSecond)
+		}
+	})
+}
