usagereporter: replace a holder that does not accept counts

Heartbeats can take 6 s to show that an entry of another failure domain is lost, and the next holder waits for the lease time after that. Relays send to the holder each second while there are requests, so two messages in a row that are not accepted show it sooner. Takeovers from a holder that may be there stay limited to one a minute.

--- a/entry/usagereporter/decider.go
+++ b/entry/usagereporter/decider.go
@@ -83,6 +83,8 @@
 	// HolderGone reports whether the holder of the newest known record is lost, stops or
 	// does not reach the store.
 	HolderGone bool
+	// HolderSilent reports whether the holder does not accept the counts of this entry.
+	HolderSilent bool
 	// Turn is how long this entry waits for those that are to take over before it.
 	Turn time.Duration
 	// Members are the ids of the running entries.
@@ -111,7 +113,7 @@
 	Record   Record
 	Guard    storer.Revision
 	Takeover bool
-	// Reason tells why this entry takes over, and Stuck that the holder is there.
+	// Reason tells why this entry takes over, and Stuck that the holder may be there.
 	Reason string
 	Stuck  bool
 }
@@ -255,7 +257,7 @@
 
 // takeOver returns the takeover if there is no holder that does its work.
 func (d *Decider) takeOver(v View, c Counts) Action {
-	w, due := d.vacancy(v, c)
+	w, delay, due := d.vacancy(v, c)
 	if !due {
 		d.gone = false
 		return Wait{}
@@ -263,11 +265,7 @@
 	if !d.gone {
 		d.gone, d.goneSince = true, v.Uptime
 	}
-	delay := goneDelay + v.Turn
-	if w.Stuck {
-		delay += stuckDelay
-	}
-	if v.Uptime < d.goneSince+delay {
+	if v.Uptime < d.goneSince+delay+v.Turn {
 		return Wait{}
 	}
 	w.Takeover = true
@@ -279,29 +277,32 @@
 	return d.write(v, w)
 }
 
-// vacancy reports whether this entry is to take over, with the reason.
-func (d *Decider) vacancy(v View, c Counts) (w Write, due bool) {
+// vacancy reports whether this entry is to take over, with the reason, if that holds for some
+// time.
+func (d *Decider) vacancy(v View, c Counts) (w Write, delay time.Duration, due bool) {
 	switch {
 	case d.newest.exists() && d.newest.Holder == d.self:
-		return Write{Reason: "an earlier process of this entry was the holder, or its takeover was not confirmed"}, true
+		return Write{Reason: "an earlier process of this entry was the holder, or its takeover was not confirmed"}, goneDelay, true
 	case !v.Candidate:
-		return Write{}, false
+		return Write{}, 0, false
 	case !d.newest.exists() && len(c.Windows(math.MinInt64, math.MaxInt64)) == 0:
 		// Without workspaces there is nothing to report.
-		return Write{}, false
+		return Write{}, 0, false
 	case !d.newest.exists():
-		return Write{Reason: "there is no holder yet"}, true
+		return Write{Reason: "there is no holder yet"}, goneDelay, true
 	case v.HolderGone:
-		return Write{Reason: "the holder is gone"}, true
+		return Write{Reason: "the holder is gone"}, goneDelay, true
 	case v.Uptime < d.stuckUntil:
-		return Write{}, false
+		return Write{}, 0, false
+	case v.HolderSilent:
+		return Write{Reason: "the holder does not answer", Stuck: true}, goneDelay, true
 	case d.seen.window != 0 && d.seen.rewrites >= stuckRewrites:
-		return Write{Reason: "the holder does not reach the platform", Stuck: true}, true
+		return Write{Reason: "the holder does not reach the platform", Stuck: true}, stuckDelay, true
 	}
 	if len(c.Windows(d.newest.Reported+1, d.lastEnded(v.Uptime, overdueTime))) > 0 {
-		return Write{Reason: "the holder does not report", Stuck: true}, true
+		return Write{Reason: "the holder does not report", Stuck: true}, stuckDelay, true
 	}
-	return Write{}, false
+	return Write{}, 0, false
 }
 
 // report returns what the holder does.
--- a/entry/usagereporter/usagereporter.go
+++ b/entry/usagereporter/usagereporter.go
@@ -29,6 +29,10 @@
 	// sendTimeout bounds a call of the platform. Only its beginning must lie within the
 	// authority of the holder.
 	sendTimeout = 3 * time.Second
+	// silentRefusals is the number of messages in a row that a holder does not accept until it
+	// counts as silent. Heartbeats can take 6 s to show that an entry of another failure domain
+	// is lost.
+	silentRefusals = 2
 	// turnSpread is the time over which the candidates spread their takeovers, so that those
 	// behind the first see its record.
 	turnSpread = time.Second
@@ -113,6 +117,8 @@
 	newest Record
 	// announced is the token of the holder that was logged last.
 	announced Token
+	// refusals is the number of messages in a row that the holder has not accepted.
+	refusals int
 }
 
 // New returns a Reporter. Run and RunForwarding start it.
@@ -234,6 +240,7 @@
 	if v.Stored.supersedes(r.decider.Newest()) {
 		holder = v.Stored.Holder
 	}
+	v.HolderSilent = r.holderSilent()
 	v.HolderGone = !slices.Contains(v.Members, holder) || r.o.Members().LacksStore(now, holder)
 	return v, true
 }
@@ -246,7 +253,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if newest.Token != r.announced {
-		r.announced = newest.Token
+		r.announced, r.refusals = newest.Token, 0
 		r.o.Log.Info("Holder of usage reports changed.", "holder", newest.Holder, "token", newest.Token.String(), "reported", newest.Reported)
 	}
 	r.newest = newest
@@ -386,8 +393,20 @@
 		_, err := c.Report(ctx, &linkpb.ReportRequest{EntryId: r.o.Self, Usage: counts})
 		return err
 	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if err != nil {
+		r.refusals++
 		r.o.Log.Debug("Usage counts not sent to the holder; will retry.", "holder", holder.ID, "error", err)
+		return false
 	}
-	return err == nil
+	r.refusals = 0
+	return true
+}
+
+// holderSilent reports whether the holder has not accepted the last messages.
+func (r *Reporter) holderSilent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.refusals >= silentRefusals
 }
--- a/entry/usagereporter/usagereporter_test.go
+++ b/entry/usagereporter/usagereporter_test.go
@@ -316,6 +316,33 @@
 	}
 }
 
+// TestSilentHolder guards against a lost holder that is replaced only when heartbeats show it,
+// and against entries that take the role from each other again and again while they do not
+// reach each other.
+func TestSilentHolder(t *testing.T) {
+	is := is.New(t)
+	d := usagereporter.NewDecider("e0", limits)
+	v := usagereporter.View{
+		Uptime: time.Hour, Candidate: true, StoreReached: true, HolderSilent: true, Revision: 1, Members: []string{"e0"},
+		Stored: usagereporter.Record{Holder: "e1", Token: 5, Reported: 190},
+	}
+	var takeovers []time.Duration
+	for end := v.Uptime + 50*time.Second; v.Uptime < end; v.Uptime += 200 * time.Millisecond {
+		w, ok := d.Next(v, manyCounts{first: 150, last: 190}).(usagereporter.Write)
+		if !ok {
+			continue
+		}
+		is.True(w.Takeover)
+		takeovers = append(takeovers, v.Uptime-time.Hour)
+		d.Wrote(w, v.Uptime, v.Uptime, committed)
+		v.Stored = w.Record
+		v.Stored.Holder, v.Stored.Token = "e1", w.Record.Token+1 // the other one takes it back
+		v.Revision++
+	}
+	is.Equal(len(takeovers), 1)
+	is.True(takeovers[0] <= time.Second)
+}
+
 // TestLargeRecord guards against records that do not fit the heartbeats of relays after the
 // platform was down.
 func TestLargeRecord(t *testing.T) {
