--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -152,6 +152,7 @@
 	})
 	ended := time.Now()
 	b.observe(ctx, c, p, now, resp, outcome)
+	b.countRun(c, now, outcome)
 	if ctx.Err() == nil {
 		go b.detectCrash(c, p, quarantiner.Attempt{Begun: now, Ended: ended}, outcome)
 	}
--- a/entry/balancer/hedge.go
+++ b/entry/balancer/hedge.go
@@ -8,6 +8,7 @@
 	"samphiremux/entry/hedger"
 	"samphiremux/entry/meter"
 	"samphiremux/entry/refuser"
+	"samphiremux/entry/retrier"
 )
 
 const (
@@ -117,6 +118,8 @@
 			return nil, reason
 		}
 		sent := state.sent + 1
+		// The attempt that is running here may have run, and the other entry is not to count it too.
+		b.countRun(c, time.Now(), retrier.TimedOut{})
 		return func(ctx context.Context) attemptResult { return b.delegateHedge(ctx, c, sent, cause) }, ""
 	}
 	if ctx.Err() != nil || !b.suitsHedge(p) || !b.mayHedge(c) {
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"samphiremux/entry/refuser"
@@ -44,6 +45,8 @@
 	backend snapshotter.Backend
 	// delegated is the id of the entry that the request was passed on to.
 	delegated string
+	// counted reports that the request counts as run.
+	counted atomic.Bool
 	// trial reports that the request is the trial of one that is suspected of crashing
 	// servers.
 	trial bool
--- a/steer/commander/commander.go
+++ b/steer/commander/commander.go
@@ -44,11 +44,11 @@
 )
 
 type arguments struct {
-	Settings string `arg:"--settings" help:"settings file; the platform names the default one in the environment"`
-	Policy   string `arg:"--policy" default:"expected-completion" help:"policy by which backend servers are chosen"`
+	Settings   string   `arg:"--settings" help:"settings file; the platform names the default one in the environment"`
+	Policy     string   `arg:"--policy" default:"expected-completion" help:"policy by which backend servers are chosen"`
 	HedgeLimit *float64 `arg:"--hedge-limit" help:"hedged requests as a share of the requests of a service, from 0 to 1; without it, the built-in delay applies and the share is not limited"`
-	LogLevel string `arg:"--log-level" default:"info" help:"trace, debug, info, warn, error or off"`
-	Check    bool   `arg:"--check" help:"check the settings file and exit"`
+	LogLevel   string   `arg:"--log-level" default:"info" help:"trace, debug, info, warn, error or off"`
+	Check      bool     `arg:"--check" help:"check the settings file and exit"`
 }
 
 // Description implements arg.Described.
