overloader: crowds of callers and peers that exceed limits, against one real entry

Cause: callers that no one controls brought a process down; no test showed it. Change: a package of tests that starts one samphire-steer with 96 MB and 200 descriptors in its settings, an emulated store and one backend server, and sends it crowds of 300 connections (_fixtures/crowds.json). Bounds: the process lives, its peak memory grows by a third of its memory at most, as 60 MiB are of 184, it holds 200 descriptors at most, and it answers one ordinary request while the crowd holds its connections.

--- /dev/null
+++ b/standin/overloader/entry_test.go
@@ -0,0 +1,193 @@
+package overloader
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"samphiremux/platform/storeadapter"
+	"samphiremux/platform/translator"
+	"samphiremux/standin/platformemulator"
+)
+
+// sizeHeader states the size of the body that a caller wants.
+const sizeHeader = "Size"
+
+// entry is a real entry with an emulated store and one backend server.
+type entry struct {
+	cmd *exec.Cmd
+	// addresses holds the addresses of its listeners by their names in the settings.
+	addresses map[string]string
+	sent      atomic.Int64
+}
+
+// startEntry starts an entry and waits until it is ready.
+func startEntry(t *testing.T) *entry {
+	t.Helper()
+	store := platformemulator.NewStore()
+	host, storeURL := serveStore(t, store)
+	backend := serveBackend(t, host)
+	putConfiguration(store, backend)
+	e := &entry{addresses: map[string]string{}}
+	for name, port := range map[string]int{"front": 8548, "ready": 8542, "directory": 8546, "control": 8544, "internal": 7540} {
+		e.addresses[name] = net.JoinHostPort(host, strconv.Itoa(port))
+	}
+	file := filepath.Join(t.TempDir(), "settings.json")
+	settings, _ := json.Marshal(map[string]any{
+		"node": "edge-1", "zone": "a", "region": "r",
+		"listen": map[string]string{
+			"front": e.addresses["front"], "ready": e.addresses["ready"], "control": e.addresses["control"], "directory": e.addresses["directory"],
+		},
+		"internal-ports": []int{7540, 7555}, "seeds": []string{e.addresses["control"]},
+		"limits":   map[string]any{"memory-mb": memoryMB, "max-fds": maxDescriptors, "link-mbps": 1000.0},
+		"provider": map[string]any{"address": storeURL, "form": "kv", "writes-per-s": 400, "reads-per-s": 2000},
+	})
+	if err := os.WriteFile(file, settings, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	e.cmd = exec.Command(program, "--log-level", "warn")
+	e.cmd.Env = append(os.Environ(), translator.SettingsVariable+"="+file)
+	if err := e.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = e.cmd.Process.Kill()
+		_ = e.cmd.Wait()
+	})
+	for range 200 {
+		resp, err := http.Get("http://" + e.addresses["ready"] + translator.ReadyPath)
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return e
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatal("the entry is not ready")
+	return nil
+}
+
+// serveStore serves the store at a loopback address that no other test uses.
+func serveStore(t *testing.T, store *platformemulator.Store) (host, address string) {
+	t.Helper()
+	for range 1000 {
+		host = fmt.Sprintf("127.%d.%d.1", 64+rand.IntN(128), rand.IntN(256))
+		l, err := net.Listen("tcp", host+":8541")
+		if err != nil {
+			continue
+		}
+		server := &http.Server{Handler: storeadapter.Handler(store)}
+		go func() { _ = server.Serve(l) }()
+		t.Cleanup(func() { _ = server.Close() })
+		return host, l.Addr().String()
+	}
+	t.Fatal("no loopback address is free")
+	return "", ""
+}
+
+// serveBackend runs a backend server with as many slots as a crowd has connections.
+func serveBackend(t *testing.T, host string) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", host+":8100")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h := w.Header()
+		h.Set(translator.HeaderLoad, fmt.Sprintf("0,0,%d", crowdSize))
+		if r.URL.Path == "/health" {
+			h.Set(translator.HeaderInstance, "backend-1")
+			return
+		}
+		h.Set(translator.HeaderRequestID, r.Header.Get(translator.HeaderRequestID))
+		h.Set(translator.HeaderSignature, "signature")
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		size, _ := strconv.Atoi(r.Header.Get(sizeHeader))
+		h.Set("Content-Length", strconv.Itoa(size))
+		_, _ = io.WriteString(w, strings.Repeat("x", size))
+	})}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+// putConfiguration stores the configuration and the registration of the backend server.
+func putConfiguration(store *platformemulator.Store, backend string) {
+	configuration, _ := json.Marshal(map[string]any{
+		"version": 1,
+		"routes": []map[string]any{{
+			"name": "orders", "host": "overload.example", "prefix": "/orders/", "service": "orders", "kind": "unsafe",
+			"timeout-ms": 8000, "target-latency-ms": 1000, "max-attempts": 3,
+		}},
+		"services": []map[string]any{{"name": "orders", "health-path": "/health", "max-conns": 500}},
+		"limits":   map[string]int{"header-bytes": 16 << 10, "body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15_000},
+	})
+	store.PutUnguarded(translator.ConfigurationKey, configuration)
+	registration, _ := json.Marshal(map[string]any{
+		"address": backend, "born": 1,
+		"info":   map[string]any{"service": "orders", "version": "v1", "zone": "a", "slots": crowdSize},
+		"status": map[string]any{"state": "ready", "sequence": 1, "cold-left-ms": 0},
+	})
+	store.PutUnguarded("servers/backend-1", registration)
+}
+
+// sendOrdinary sends a small request on a connection of its own.
+func (e *entry) sendOrdinary(client *http.Client) (status int, err error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+e.addresses["front"]+"/orders/", strings.NewReader("one order"))
+	if err != nil {
+		return 0, err
+	}
+	req.Host = "overload.example"
+	req.Header.Set(translator.HeaderRequestID, fmt.Sprintf("ordinary-%d", e.sent.Add(1)))
+	req.Header.Set(translator.HeaderDeadline, "4000")
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+// peakMemory returns the peak of the resident memory in kB, and whether the process lives.
+func (e *entry) peakMemory() (kB int, alive bool) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", e.cmd.Process.Pid))
+	if err != nil {
+		return 0, false
+	}
+	for _, line := range strings.Split(string(status), "\n") {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmHWM:" {
+			kB, _ = strconv.Atoi(fields[1])
+			return kB, true
+		}
+	}
+	// A process that has ended has no memory.
+	return 0, false
+}
+
+// mostDescriptors returns the largest number of open descriptors until done is closed.
+func (e *entry) mostDescriptors(done <-chan struct{}) (most int) {
+	for {
+		open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", e.cmd.Process.Pid))
+		most = max(most, len(open))
+		select {
+		case <-done:
+			return most
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/standin/overloader/overloader_test.go
@@ -0,0 +1,179 @@
+// Package overloader runs one real entry against crowds of callers that exceed limits, and
+// checks that the process lives within the memory and the descriptors of its settings, and
+// that it answers an ordinary request while the crowd holds its connections.
+package overloader
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"samphiremux/pkg/failurefilter"
+)
+
+// The bounds and the crowds were fixed before the product had bounds of its own, and stay.
+const (
+	// crowdSize is the number of connections of a crowd, above maxDescriptors.
+	crowdSize = 300
+	// memoryMB and maxDescriptors are the limits in the settings of the entry.
+	memoryMB       = 96
+	maxDescriptors = 200
+	// maxGrowthKB is what a crowd may add to the peak memory of the process: a third of its
+	// memory, as 60 MiB are of the 184 of the smallest VM.
+	maxGrowthKB = memoryMB << 10 / 3
+	// crowdTime is the time for which a crowd sends. It keeps its connections open beyond.
+	crowdTime = 4 * time.Second
+	// ordinaryTries is the number of times that an ordinary caller sends its request, with
+	// ordinaryPause between them.
+	ordinaryTries = 10
+	ordinaryPause = 500 * time.Millisecond
+)
+
+var program string
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+// buildAndRun builds the program once for all tests.
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "overload")
+	if err != nil {
+		fmt.Println(err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	program = filepath.Join(dir, "samphire-steer")
+	if out, err := exec.Command("go", "build", "-o", program, "samphiremux/steer").CombinedOutput(); err != nil {
+		fmt.Printf("%v: %s\n", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// crowd is what each connection of a crowd sends.
+type crowd struct {
+	Name string `json:"name"`
+	// Port is the listener that it connects to: front, ready, directory, internal or
+	// control.
+	Port string `json:"port"`
+	// Start is sent once, and Repeat until Bytes bytes are sent in all. "{n}" in Repeat is
+	// replaced by a number that rises.
+	Start  string `json:"start"`
+	Repeat string `json:"repeat"`
+	Bytes  int    `json:"bytes"`
+}
+
+// pieces returns what a connection sends, in pieces of some kilobytes.
+func (c crowd) pieces() (pieces []string) {
+	var piece strings.Builder
+	piece.WriteString(c.Start)
+	sent := piece.Len()
+	for n := 0; sent < c.Bytes; n++ {
+		text := strings.ReplaceAll(c.Repeat, "{n}", fmt.Sprint(n))
+		piece.WriteString(text)
+		sent += len(text)
+		if piece.Len() >= 16<<10 {
+			pieces = append(pieces, piece.String())
+			piece.Reset()
+		}
+	}
+	return append(pieces, piece.String())
+}
+
+// send connects the crowd and sends until all is sent, refused, or crowdTime has passed. It
+// reads nothing. The connections stay open until the end of the test.
+func (c crowd) send(t *testing.T, address string) {
+	t.Helper()
+	pieces := c.pieces()
+	end := time.Now().Add(crowdTime)
+	var senders sync.WaitGroup
+	for range crowdSize {
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err != nil {
+			// An entry may leave connections unaccepted.
+			continue
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+		senders.Go(func() {
+			_ = conn.SetWriteDeadline(end)
+			for _, piece := range pieces {
+				if _, err := conn.Write([]byte(piece)); err != nil {
+					return
+				}
+			}
+		})
+	}
+	senders.Wait()
+	time.Sleep(time.Until(end))
+}
+
+// TestCrowds guards against a process that is killed, since callers or other peers make it
+// hold more memory or descriptors than its VM has, and against one that serves nobody else
+// while they do.
+func TestCrowds(t *testing.T) {
+	data, err := os.ReadFile("_fixtures/crowds.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var crowds []crowd
+	if err := json.Unmarshal(data, &crowds); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range crowds {
+		t.Run(c.Name, func(t *testing.T) {
+			e := startEntry(t)
+			if served, seen := e.serveOrdinary(); !served {
+				t.Fatalf("the entry serves nobody without a crowd: %s", seen)
+			}
+			before, _ := e.peakMemory()
+			done, most := make(chan struct{}), make(chan int, 1)
+			go func() { most <- e.mostDescriptors(done) }()
+			c.send(t, e.addresses[c.Port])
+			served, seen := e.serveOrdinary()
+			close(done)
+			descriptors := <-most
+			peak, alive := e.peakMemory()
+			t.Logf("peak memory %d kB before and %d after, %d descriptors at most; ordinary request: %s", before, peak, descriptors, seen)
+			switch {
+			case !alive:
+				failurefilter.Errorf(t, "the process ended")
+			case peak-before > maxGrowthKB:
+				failurefilter.Errorf(t, "peak memory grew from %d kB by %d, more than %d", before, peak-before, maxGrowthKB)
+			case descriptors > maxDescriptors:
+				failurefilter.Errorf(t, "%d descriptors, more than %d", descriptors, maxDescriptors)
+			case !served:
+				failurefilter.Errorf(t, "an ordinary request is not answered: %s", seen)
+			}
+		})
+	}
+}
+
+// serveOrdinary sends a small request until it is served, as an ordinary caller does. It
+// tells what the tries got.
+func (e *entry) serveOrdinary() (served bool, seen string) {
+	var tries []string
+	for n := range ordinaryTries {
+		if n > 0 {
+			time.Sleep(ordinaryPause)
+		}
+		client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+		status, err := e.sendOrdinary(client)
+		if err != nil {
+			tries = append(tries, err.Error())
+			continue
+		}
+		tries = append(tries, fmt.Sprint(status))
+		if status == http.StatusOK {
+			return true, strings.Join(tries, ", ")
+		}
+	}
+	return false, strings.Join(tries, ", ")
+}
