reserver: holds without progress are evicted; one large hold may exceed the bound

Cause: peers that stop short of the end of a message keep its memory for as long as they like, and a bound low enough for many of them refuses the largest body that a configuration allows. Change: a hold may be evicted while its peer makes no progress for a second, or less than 8 KiB a second, if another one finds no room; a lone large hold may exceed the bound up to a second one, and small holds keep their part. Nothing uses this yet.

--- a/entry/reserver/reserver.go
+++ b/entry/reserver/reserver.go
@@ -1,8 +1,13 @@
-// Package reserver bounds the bytes of request bodies that are held in memory at the same
-// time.
+// Package reserver bounds the bytes that peers make a process hold at the same time:
+// request heads and bodies, and responses that callers read slowly. It handles peers that
+// begin many messages and do not end them: when there is no room, the holds of peers that
+// make no progress are evicted.
 package reserver
 
-import "sync/atomic"
+import (
+	"sync"
+	"time"
+)
 
 const (
 	// smallBytes is the size in bytes of the largest body that may use the last part of the
@@ -11,27 +16,81 @@
 	// largeShare is the part of the memory that larger bodies may use, so that small
 	// requests are not refused because of a few large ones.
 	largeShare = 0.9
+	// stallTime is the time without progress after which a hold may be evicted. Links lose
+	// packets; a retransmission takes 0.2 to 0.4 s.
+	stallTime = time.Second
+	// slowRate is the progress in bytes per second below which a hold may be evicted, so
+	// that a peer cannot keep its hold with a byte now and then.
+	slowRate = 8 << 10
 )
 
-// Reserver bounds the bytes of all bodies together. It is safe for concurrent use. A nil
+// Reserver bounds the bytes of all holds together. It is safe for concurrent use. A nil
 // Reserver has no bound.
 type Reserver struct {
-	max, maxLarge int64
-	used          atomic.Int64
+	max, maxLarge, maxLone int64
+
+	mu sync.Mutex
+	// used is the sum of all holds, largeUsed that of those above smallBytes, and large
+	// their number.
+	used, largeUsed int64
+	large           int
+	// evictable holds the holds that have a function to evict them.
+	evictable map[*Hold]struct{}
+	evicted   int64
 }
 
 // New returns a reserver of a number of bytes.
 func New(bytes int64) *Reserver {
-	return &Reserver{max: bytes, maxLarge: int64(largeShare * float64(bytes))}
+	return &Reserver{max: bytes, maxLarge: int64(largeShare * float64(bytes)), evictable: map[*Hold]struct{}{}}
+}
+
+// WithLone lets one hold exceed the bound, up to a number of bytes together with the
+// others, while it is the only large one. So a large body that is allowed passes, but not
+// several at once.
+func (r *Reserver) WithLone(bytes int64) *Reserver {
+	r.maxLone = bytes
+	return r
+}
+
+// Used returns the bytes of all holds.
+func (r *Reserver) Used() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.used
+}
+
+// Evicted returns the number of holds that were evicted.
+func (r *Reserver) Evicted() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.evicted
 }
 
 // Hold returns a hold without bytes.
 func (r *Reserver) Hold() *Hold { return &Hold{reserver: r} }
 
-// Hold is the memory of one body. It is used by one goroutine at a time.
+// HoldUntilEvicted returns a hold without bytes that may be evicted while its peer makes no
+// progress. Evict is called without locks; it has to end what the hold is for soon.
+func (r *Reserver) HoldUntilEvicted(now time.Time, evict func()) *Hold {
+	h := &Hold{reserver: r, began: now, touched: now, evict: evict}
+	if r != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.evictable[h] = struct{}{}
+	}
+	return h
+}
+
+// Hold is the memory of one message. It is used by one goroutine at a time.
 type Hold struct {
 	reserver *Reserver
 	bytes    int64
+	evict    func()
+	// began is when the hold began, touched when its peer made progress last, and
+	// progress the bytes of it.
+	began, touched time.Time
+	progress       int64
+	evicted        bool
 }
 
 // Resize makes the hold one of n bytes. It reports false, and changes nothing, if there is no
@@ -41,17 +100,128 @@
 	if r == nil {
 		return true
 	}
-	limit := r.max
-	if n > smallBytes {
-		limit = r.maxLarge
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.resize(h, n)
+}
+
+// ResizeAt is Resize, but evicts holds without progress if there is no room.
+func (h *Hold) ResizeAt(now time.Time, n int64) bool {
+	r := h.reserver
+	if r == nil {
+		return true
+	}
+	r.mu.Lock()
+	if r.resize(h, n) {
+		r.mu.Unlock()
+		return true
+	}
+	var victims []*Hold
+	ok := false
+	for !ok {
+		victim := r.slowest(now, h)
+		if victim == nil {
+			break
+		}
+		victims = append(victims, victim)
+		r.resize(victim, 0)
+		victim.evicted = true
+		r.evicted++
+		delete(r.evictable, victim)
+		ok = r.resize(h, n)
+	}
+	r.mu.Unlock()
+	for _, victim := range victims {
+		victim.evict()
+	}
+	return ok
+}
+
+// Progress records that the peer of the hold sent or read a number of bytes.
+func (h *Hold) Progress(now time.Time, n int) {
+	if h.reserver == nil {
+		return
 	}
-	if grows := n - h.bytes; r.used.Add(grows) > limit && grows > 0 {
-		r.used.Add(-grows)
+	h.reserver.mu.Lock()
+	defer h.reserver.mu.Unlock()
+	h.touched = now
+	h.progress += int64(n)
+}
+
+// Keep ends the time for which the hold may be evicted. It reports false if it has been.
+func (h *Hold) Keep() bool {
+	if h.reserver == nil {
+		return true
+	}
+	h.reserver.mu.Lock()
+	defer h.reserver.mu.Unlock()
+	delete(h.reserver.evictable, h)
+	return !h.evicted
+}
+
+// IsEvicted reports whether the hold was evicted.
+func (h *Hold) IsEvicted() bool {
+	if h.reserver == nil {
 		return false
 	}
+	h.reserver.mu.Lock()
+	defer h.reserver.mu.Unlock()
+	return h.evicted
+}
+
+// Release gives all bytes back.
+func (h *Hold) Release() {
+	h.Resize(0)
+	h.Keep()
+}
+
+// resize changes a hold if there is room. The caller holds r.mu.
+func (r *Reserver) resize(h *Hold, n int64) bool {
+	if h.evicted {
+		return n == 0
+	}
+	used, others, othersUsed := r.used+n-h.bytes, r.large, r.largeUsed
+	if h.bytes > smallBytes {
+		others--
+		othersUsed -= h.bytes
+	}
+	var room bool
+	switch {
+	case n > smallBytes && others == 0:
+		room = used <= max(r.maxLarge, r.maxLone)
+	case n > smallBytes:
+		room = used <= r.maxLarge
+	default:
+		// A lone hold above the bound leaves the last part of the memory to small ones.
+		room = used <= r.max || used-othersUsed <= r.max-r.maxLarge
+	}
+	if n > h.bytes && !room {
+		return false
+	}
+	r.used, r.large, r.largeUsed = used, others, othersUsed
+	if n > smallBytes {
+		r.large++
+		r.largeUsed += n
+	}
 	h.bytes = n
 	return true
 }
 
-// Release gives all bytes back.
-func (h *Hold) Release() { h.Resize(0) }
+// slowest returns the hold that has made no progress for the longest time, of those that
+// may be evicted for it, or nil. The caller holds r.mu.
+func (r *Reserver) slowest(now time.Time, but *Hold) (slowest *Hold) {
+	for h := range r.evictable {
+		if h == but || h.bytes == 0 || !h.isSlow(now) {
+			continue
+		}
+		if slowest == nil || h.touched.Before(slowest.touched) {
+			slowest = h
+		}
+	}
+	return slowest
+}
+
+func (h *Hold) isSlow(now time.Time) bool {
+	age := now.Sub(h.began)
+	return now.Sub(h.touched) >= stallTime || age >= stallTime && float64(h.progress) < slowRate*age.Seconds()
+}
