expirer: bounds of connections and of request heads, enforced while heads are read

Cause: net/http reads a head up to 1 MiB, with any number of lines, before the limit of the configuration applies, and nothing bounds the connections. Change: an expirer with bounds counts the bytes and lines of each head as it is read, refuses it with 431 at twice the limit (below, the handler refuses as before), charges it to a reserver until the request ends, and closes the oldest unfinished or the longest-idle connection for a new one at the bound. Bytes behind a head are kept for the next read, so that pipelined heads are counted too. Without bounds nothing changes.

--- a/entry/expirer/expirer.go
+++ b/entry/expirer/expirer.go
@@ -1,6 +1,6 @@
 // Package expirer closes callers' connections that stay idle, or take to send
-// their request headers, for longer than the configuration in force allows, and those
-// that are idle as a process stops. It replaces the timeouts of net/http, which cannot
+// their request headers, for longer than the configuration in force allows, those
+// that are idle as a process stops, and those beyond the bounds of connections and heads. It replaces the timeouts of net/http, which cannot
 // change while a server runs, and its shutdown, which closes connections from which a
 // request is being read.
 package expirer
@@ -15,6 +15,7 @@
 	"time"
 
 	"samphiremux/entry/peeker"
+	"samphiremux/entry/reserver"
 )
 
 // longAgo is a deadline that has passed.
@@ -38,7 +39,8 @@
 
 // Expirer tracks the connections of listeners.
 type Expirer struct {
-	now func() time.Time
+	now    func() time.Time
+	bounds Bounds
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -80,6 +82,7 @@
 		e.mu.Lock()
 		delete(e.conns, tracked)
 		e.mu.Unlock()
+		tracked.end()
 	}
 }
 
@@ -135,14 +138,20 @@
 }
 
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if errors.Is(err, net.ErrClosed) {
-		l.endOnce.Do(l.owner.endAccept)
-	}
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			l.endOnce.Do(l.owner.endAccept)
+		}
+		if err != nil {
+			return nil, err
+		}
+		now := l.owner.now()
+		if l.owner.admit(now) {
+			return &conn{Conn: c, now: l.owner.now, bounds: &l.owner.bounds, awaiting: true, since: now}, nil
+		}
+		_ = c.Close()
 	}
-	return &conn{Conn: c, now: l.owner.now, awaiting: true, since: l.owner.now()}, nil
 }
 
 // endAccept records that a listener is closed. The server has told the state of each connection
@@ -156,7 +165,8 @@
 // conn is a connection that records since when it awaits a request.
 type conn struct {
 	net.Conn
-	now func() time.Time
+	now    func() time.Time
+	bounds *Bounds
 
 	mu       sync.Mutex
 	awaiting bool
@@ -168,15 +178,25 @@
 	used bool
 	// expired is set while the connection is to be closed.
 	expired bool
+	// scanner counts the head that is read, and head is the memory of the current
+	// request's. It is nil before its first byte.
+	scanner headScanner
+	head    *reserver.Hold
+	// rest holds bytes that were read behind a head.
+	rest []byte
 }
 
 // Read records the first byte of a request. It closes the connection if it has expired while
 // the server lacks a part of the headers, so that the server cannot respond with status 400.
 func (c *conn) Read(p []byte) (n int, err error) {
-	n, err = c.Conn.Read(p)
+	if n = c.takeRest(p); n == 0 {
+		n, err = c.Conn.Read(p)
+	}
 	if n > 0 {
 		c.startHeader()
-	} else if err != nil {
+		return c.boundHead(p, n)
+	}
+	if err != nil {
 		c.closeIfExpired()
 	}
 	return n, err
@@ -215,6 +235,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.awaiting, c.headerStarted, c.since, c.used = false, false, now, true
+	if c.head != nil {
+		c.head.Keep()
+	}
 	if c.expired {
 		c.expired = false
 		_ = c.SetReadDeadline(time.Time{})
@@ -226,6 +249,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.awaiting, c.headerStarted, c.since = true, false, now
+	c.releaseHead()
+}
+
+// end gives back what the connection holds.
+func (c *conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.releaseHead()
 }
 
 // expire closes the connection if it has expired. It returns what has expired, unless an
@@ -234,7 +265,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	expired := check()
-	if expired == notExpired || peeker.Peek(c.Conn) == peeker.Unread {
+	if expired == notExpired || len(c.rest) > 0 || peeker.Peek(c.Conn) == peeker.Unread {
 		// Bytes that the server has not read yet came in time.
 		return notExpired
 	}
