commander, balancer, capper: bounds of what callers and other peers can make an entry hold

Cause: the head of a request was read up to 1 MiB, bodies had no deadline and could take three quarters of the memory, responses that callers do not read were held without a bound, and nothing bounded connections, on any listener. Change: one reserver of a sixth of the memory for heads, bodies and unread responses, which gives up those without progress; a body is read until the deadline of its request; a response is written in pieces, each within the idle limit; parts of the descriptors (max-fds of the settings) for each listener and for connections that the entry opens; the link closes a peer that sends more than there is memory for without getting a response. Bodies of unknown length are read in parts, so that those that do not end leave no garbage.

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -83,7 +83,8 @@
 	// it ran a request, how many crashes this entry has seen for it, and the attempt at
 	// the last of them. Zero crashes clear the request. It may be nil.
 	NotifySuspect func(service string, fingerprint quarantiner.Fingerprint, crashes int, last quarantiner.Attempt)
-	// Bodies bounds the memory of request bodies. Nil means that it is not bounded.
+	// Bodies bounds the memory of request bodies and of responses that callers read slowly.
+	// Nil means that it is not bounded.
 	Bodies *reserver.Reserver
 	// Delegator passes requests on to other entries while this one reaches no backend
 	// server. It may be nil.
@@ -182,6 +183,7 @@
 func (b *Balancer) serve(w http.ResponseWriter, r *http.Request, h *hop) {
 	c, refusal := b.receive(w, r, h)
 	if refusal != nil {
+		boundDiscard(w, r)
 		b.refuse(w, r, h, *refusal, &trace{})
 		return
 	}
--- /dev/null
+++ b/entry/balancer/delivery.go
@@ -0,0 +1,86 @@
+package balancer
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"samphiremux/entry/reserver"
+	"samphiremux/entry/roundtripper"
+)
+
+const (
+	// deliveryPiece is the size in bytes of the pieces in which a response is written, so
+	// that a caller which reads slowly differs from one that does not read.
+	deliveryPiece = 16 << 10
+	// defaultStallTime is the time after which a caller that reads nothing of a response is
+	// given up, if the configuration has no idle timeout.
+	defaultStallTime = 15 * time.Second
+)
+
+// Values of the label "cause" of responses that callers do not read.
+const (
+	undeliveredStalled    = "stalled"
+	undeliveredMemoryFull = "memory-full"
+)
+
+// errNoRoom is returned for a response that is held for a caller that reads slowly, if there
+// is no memory left for such responses.
+var errNoRoom = errors.New("no memory is left for a response that is not read")
+
+// delivery writes a response to a caller that may read slowly or not at all.
+type delivery struct {
+	w     http.ResponseWriter
+	stall time.Duration
+	hold  *reserver.Hold
+}
+
+// Write implements io.Writer.
+func (d *delivery) Write(p []byte) (written int, err error) {
+	connection := http.NewResponseController(d.w)
+	for written < len(p) && err == nil {
+		_ = connection.SetWriteDeadline(time.Now().Add(d.stall))
+		if d.hold.IsEvicted() {
+			return written, errNoRoom
+		}
+		var n int
+		n, err = d.w.Write(p[written:min(len(p), written+deliveryPiece)])
+		written += n
+		d.hold.Progress(time.Now(), n)
+	}
+	return written, err
+}
+
+// deliver writes the body of a response. The memory of what was read already is held
+// meanwhile, and given up if the caller does not read.
+func (b *Balancer) deliver(w http.ResponseWriter, resp *roundtripper.Response) (err error) {
+	d := &delivery{w: w, stall: defaultStallTime}
+	if b.opts.IdleTimeout != nil {
+		d.stall = b.opts.IdleTimeout()
+	}
+	now := time.Now()
+	d.hold = b.opts.Bodies.HoldUntilEvicted(now, func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Now()) })
+	defer d.hold.Release()
+	defer func() {
+		switch {
+		case err == nil:
+		case errors.Is(err, errNoRoom), d.hold.IsEvicted():
+			b.metrics.undelivered.With(undeliveredMemoryFull).Inc()
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			b.metrics.undelivered.With(undeliveredStalled).Inc()
+		}
+	}()
+	// Smaller bodies fit in the buffers of the connection.
+	if len(resp.Body) > deliveryPiece && !d.hold.ResizeAt(now, int64(len(resp.Body))) {
+		return errNoRoom
+	}
+	if _, err = d.Write(resp.Body); err != nil || resp.Remainder == nil {
+		return err
+	}
+	resp.Body = nil // may be collected while the rest is streamed
+	d.hold.Resize(0)
+	_, err = io.CopyBuffer(d, resp.Remainder, make([]byte, deliveryPiece))
+	return err
+}
--- a/entry/balancer/metrics.go
+++ b/entry/balancer/metrics.go
@@ -25,6 +25,8 @@
 	// that other entries passed on to this one.
 	delegated *meter.CounterVec
 	taken     *meter.CounterVec
+	// undelivered counts responses that were not delivered to their callers in full.
+	undelivered *meter.CounterVec
 }
 
 // newMetrics registers the metrics. The counters of each refusal reason and retry
@@ -45,6 +47,10 @@
 		m.delegated.With(result)
 	}
 	m.taken = r.CounterVec("taken_total", "Requests that other entries passed on to this one, by whether it reaches servers.", "reaches")
+	m.undelivered = r.CounterVec("undelivered_responses_total", "Responses that callers did not read in full, by cause.", "cause")
+	for _, cause := range []string{undeliveredStalled, undeliveredMemoryFull} {
+		m.undelivered.With(cause)
+	}
 	for _, reason := range refuser.NotRunReasons() {
 		m.refusals.With(string(refuser.NotRun), string(reason))
 	}
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -1,11 +1,9 @@
 package balancer
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
@@ -93,8 +91,8 @@
 			return nil, refusal
 		}
 	}
-	held := b.opts.Bodies.Hold()
-	body, refusal := readBody(w, r, bodyLimit, held)
+	held := b.holdBody(w, now)
+	body, refusal := readBody(w, r, bodyLimit, held, deadline)
 	switch {
 	case refusal != nil && refusal.Reason == refuser.BodyTooLarge:
 		refusal = b.notAllowed(refuser.BodyTooLarge)
@@ -139,9 +137,10 @@
 }
 
 // readBody reads the whole body within the limit of the configuration and the memory of the
-// hold, until the context of the request ends.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, held *reserver.Hold) ([]byte, *refuser.Refusal) {
+// hold, until the deadline or the end of the context of the request.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, held *reserver.Hold, deadline time.Time) ([]byte, *refuser.Refusal) {
 	if r.ContentLength == 0 {
+		held.Keep()
 		return nil, nil
 	}
 	if limit > 0 {
@@ -150,62 +149,82 @@
 		}
 		r.Body = http.MaxBytesReader(unwrapped(w), r.Body, limit)
 	}
-	if !held.Resize(max(0, r.ContentLength)) {
+	if !held.ResizeAt(time.Now(), max(0, r.ContentLength)) {
 		return nil, notRun(refuser.MemoryFull)
 	}
-	stop := context.AfterFunc(r.Context(), func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
-	defer stop()
+	end := boundRead(r.Context(), w, deadline)
+	from := progressReader{r.Body, held}
 	var body []byte
 	var err error
 	if r.ContentLength > 0 {
 		body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(r.Body, body)
+		_, err = io.ReadFull(from, body)
 	} else {
-		body, err = readUnknownLength(r.Body, held)
+		body, err = readUnknownLength(from, held)
 	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.Is(err, errMemoryFull):
-		return nil, notRun(refuser.MemoryFull)
-	case errors.As(err, &tooLarge):
-		return nil, notRun(refuser.BodyTooLarge)
-	case errors.Is(err, os.ErrDeadlineExceeded) && r.Context().Err() != nil:
-		return nil, notRun(refuser.Stopping)
-	case err != nil:
-		// The caller has disconnected, or its framing is malformed.
-		return nil, notRun(refuser.CallerDisconnected)
+	whole := err == nil && held.Keep()
+	end(whole)
+	if !whole {
+		return nil, readFailure(r.Context(), held, deadline, err)
 	}
 	return body, nil
 }
 
-// firstBodyBytes is the size in bytes of the first buffer for a body of unknown length.
-const firstBodyBytes = 4 << 10
+// firstBodyBytes is the size in bytes of the first part of a body of unknown length, and
+// maxPartBytes that of the largest.
+const (
+	firstBodyBytes = 4 << 10
+	maxPartBytes   = 256 << 10
+)
 
 // errMemoryFull is returned if a body grows beyond the memory that is left.
 var errMemoryFull = errors.New("no memory is left for the body")
 
-// readUnknownLength reads a whole body into a buffer that grows. While it is copied to a
-// larger one, both are held.
+// readUnknownLength reads a whole body in parts, which are joined at its end. A buffer that
+// is copied as it grows would leave as much garbage as it holds for each body that does not
+// end.
 func readUnknownLength(r io.Reader, held *reserver.Hold) (body []byte, err error) {
-	for size := int64(firstBodyBytes); ; size *= 2 {
-		if !held.Resize(int64(cap(body)) + size) {
+	var parts [][]byte
+	total := int64(0)
+	for size := firstBodyBytes; ; size = min(2*size, maxPartBytes) {
+		if !held.ResizeAt(time.Now(), total+int64(size)) {
 			return nil, errMemoryFull
 		}
-		body = append(make([]byte, 0, size), body...)
-		held.Resize(size)
-		for len(body) < cap(body) {
-			n, err := r.Read(body[len(body):cap(body)])
-			body = body[:len(body)+n]
-			switch {
-			case errors.Is(err, io.EOF):
-				return body, nil
-			case err != nil:
-				return nil, err
-			}
+		part := make([]byte, 0, size)
+		for len(part) < size && err == nil {
+			var n int
+			n, err = r.Read(part[len(part):size])
+			part = part[:len(part)+n]
+		}
+		total += int64(len(part))
+		parts = append(parts, part)
+		switch {
+		case errors.Is(err, io.EOF):
+			return join(parts, total, held)
+		case err != nil:
+			// A body that is cut off ends with another error.
+			return nil, err
 		}
 	}
 }
 
+// join returns the body of parts that have a number of bytes in all. Both are held while it
+// is copied.
+func join(parts [][]byte, total int64, held *reserver.Hold) (body []byte, err error) {
+	if len(parts) == 1 {
+		return parts[0], nil
+	}
+	if !held.ResizeAt(time.Now(), 2*total) {
+		return nil, errMemoryFull
+	}
+	body = make([]byte, 0, total)
+	for _, part := range parts {
+		body = append(body, part...)
+	}
+	held.Resize(total)
+	return body, nil
+}
+
 // unwrapped returns the writer of net/http, which a reader tells to close the connection
 // behind a body that is too large.
 func unwrapped(w http.ResponseWriter) http.ResponseWriter {
--- a/entry/balancer/response.go
+++ b/entry/balancer/response.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"io"
 	"net/http"
 	"time"
 
@@ -87,18 +86,14 @@
 	}
 	if resp.Remainder == nil {
 		h.Set("Content-Length", contentLength(resp))
-		w.WriteHeader(resp.Status)
-		_, _ = w.Write(resp.Body)
-		return
+	} else {
+		defer resp.Remainder.Close()
 	}
-	defer resp.Remainder.Close()
 	w.WriteHeader(resp.Status)
-	if _, err := w.Write(resp.Body); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	resp.Body = nil // may be collected while the rest is streamed
-	if _, err := io.Copy(w, resp.Remainder); err != nil {
-		b.opts.Log.Warn("Streamed response ended early; aborting the connection to the caller.", "error", err)
+	if err := b.deliver(w, resp); err != nil {
+		if resp.Remainder != nil {
+			b.opts.Log.Warn("Streamed response ended early; aborting the connection to the caller.", "error", err)
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/entry/snapshotter/snapshotter.go
+++ b/entry/snapshotter/snapshotter.go
@@ -207,6 +207,15 @@
 	}
 }
 
+// CloseAllIdle closes all connections to backend servers that carry no request.
+func (s *Snapshotter) CloseAllIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.backends {
+		b.State.Close()
+	}
+}
+
 // rebuild publishes a new snapshot if the current one is stale. The caller holds the
 // lock.
 func (s *Snapshotter) rebuild() {
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -12,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"samphiremux/entry/balancer"
+	"samphiremux/entry/capper"
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/delegator"
 	"samphiremux/entry/drainer"
@@ -20,7 +20,6 @@
 	"samphiremux/entry/meter"
 	"samphiremux/entry/persister"
 	"samphiremux/entry/reflector"
-	"samphiremux/entry/reserver"
 	"samphiremux/entry/roller"
 	"samphiremux/entry/roundtripper"
 	"samphiremux/entry/snapshotter"
@@ -63,8 +62,8 @@
 	// read. While they grow and until they are collected they take several times as much.
 	bufferShare    = 16
 	maxBufferBytes = 64 << 20
-	// bodyShare is the part of the memory for request bodies. The collector keeps the rest
-	// of the heap within heapShare.
+	// bodyShare is the part of the memory for the largest request body, and what else
+	// callers hold. The collector keeps the rest of the heap within heapShare.
 	bodyShare = 0.75
 	heapShare = 0.85
 	// maxLocateTTL is the time for which callers may cache the list of entries, unless
@@ -85,6 +84,8 @@
 	delegator         *delegator.Delegator
 	persister         *persister.Persister
 	expirer           *expirer.Expirer
+	bounds            *bounds
+	dialer            *capper.Dialer
 	connectionsClosed *meter.CounterVec
 	// invalidChanges counts the changes of the store that could not be read.
 	invalidChanges atomic.Int64
@@ -121,26 +122,20 @@
 	return min(memory/bufferShare, maxBufferBytes)
 }
 
-// bodyBytes returns the bytes of request bodies that may be held at the same time, for the
-// memory of the process in bytes, or zero if it is not limited.
-func bodyBytes(memory int64) int64 {
-	if memory == 0 {
-		return math.MaxInt64
-	}
-	return int64(bodyShare * float64(memory))
-}
-
 // dialFunc opens a connection to an address.
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 func newEntry(s translator.Settings, policy chooser.Policy, dial dialFunc, log hclog.Logger) *entry {
 	e := &entry{
-		id: s.ID, log: log, metrics: meter.New(), expirer: expirer.New(time.Now), stopping: make(chan struct{}), drainer: drainer.New(),
+		id: s.ID, log: log, metrics: meter.New(), stopping: make(chan struct{}), drainer: drainer.New(),
 		pool: linker.NewPool(func(ctx context.Context, address string) (net.Conn, error) {
 			return dial(ctx, "tcp", address)
 		}),
 	}
 	e.settings.Store(&s)
+	e.bounds = newBounds(s.MemoryBytes, s.MaxDescriptors, e.metrics)
+	e.expirer = e.bounds.expirer(callerListener, callerShare, e.headLimits)
+	e.dialer = capper.NewDialer(dial, e.bounds.share(serverShare), func() { e.snapshots.CloseAllIdle() })
 	headers := roundtripper.Headers{
 		RequestID: translator.HeaderRequestID, Instance: translator.HeaderInstance, NotExecuted: translator.HeaderNotExecuted,
 		Signature: translator.HeaderSignature, ReadLoad: translator.Load, ReadRateLimit: translator.RateLimit, ReadColdRemaining: translator.ColdLeft,
@@ -150,7 +145,7 @@
 	e.snapshots = snapshotter.New(func(server describer.Server) *snapshotter.ServerState {
 		address := server.Address.String()
 		client := roundtripper.New(server.ID, address, func(ctx context.Context) (net.Conn, error) {
-			return dial(ctx, "tcp", address)
+			return e.dialer.DialContext(ctx, "tcp", address)
 		}, headers)
 		client.ShareBuffers(buffers)
 		state := snapshotter.NewServerState(client)
@@ -178,11 +173,13 @@
 	})
 	e.delegator = delegator.New(delegator.Options{
 		Self: s.ID, Domain: s.Domain, RequestID: translator.HeaderRequestID, Peers: e.delegationPeers,
-		Dial: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) },
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return e.dialer.DialContext(ctx, "tcp", address)
+		},
 	})
 	e.balancer = balancer.New(balancer.Options{
 		Self: s.ID, Delegator: e.delegator, Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, Outdated: e.isOutdated, EntryCount: e.enroller.LimitShares, Rank: e.enroller.Rank, FirstEntries: e.enroller.FirstMembers, Settled: e.enroller.Settled, Log: log.Named("steerer"),
-		Bodies:    reserver.New(bodyBytes(s.MemoryBytes)),
+		Bodies:    e.bounds.memory,
 		OnAttempt: e.roller.Observe, MayTake: e.drainer.MayTake,
 		IdleTimeout: func() time.Duration { return e.connectionLimits().Idle },
 		Headers: balancer.Headers{
@@ -203,6 +200,9 @@
 // at each scrape.
 func (e *entry) addGauges(store *storeadapter.Client) {
 	e.connectionsClosed = e.metrics.CounterVec("connections_closed_total", "Callers' connections closed at a limit of the configuration.", "reason")
+	e.metrics.Gauge("server_connections", "Open connections to backend servers and for requests that other entries take.", func() float64 { return float64(e.dialer.Open()) })
+	e.metrics.Gauge("server_connections_refused_total", "Connections to backend servers and other entries not opened at the bound.", func() float64 { return float64(e.dialer.Refused()) })
+	e.metrics.Gauge("caller_connections", "Open connections of callers.", func() float64 { return float64(e.expirer.Open()) })
 	e.metrics.Gauge("store_calls_total", "Calls of the platform's store.", func() float64 { return float64(store.Calls()) })
 	e.metrics.Gauge("store_revision", "Store revision up to which the entry knows the store.", func() float64 {
 		return float64(e.reflector.Revision().Number())
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -54,15 +54,19 @@
 
 // startServers serves callers, the platform and other entries.
 func (e *entry) startServers(ctx context.Context, l listeners) servers {
-	go func() { _ = linker.Serve(ctx, l.link, &link{entry: e}) }()
+	go func() { _ = linker.Serve(ctx, e.boundLink(l.link), &link{entry: e}) }()
 	callers := e.callerServer(e.balancer)
 	go func() { _ = callers.Serve(e.expirer.WrapListener(l.callers)) }()
-	go func() { _ = e.server(http.HandlerFunc(e.serveReady)).Serve(l.ready) }()
-	go func() { _ = e.server(http.HandlerFunc(e.serveLocate)).Serve(l.locate) }()
+	ready, readyConns := e.boundServer(http.HandlerFunc(e.serveReady), l.ready, readyListener, otherShare)
+	go func() { _ = ready.Serve(readyConns) }()
+	locate, locateConns := e.boundServer(http.HandlerFunc(e.serveLocate), l.locate, locateListener, locateShare)
+	go func() { _ = locate.Serve(locateConns) }()
 	delegated := e.server(http.HandlerFunc(e.serveDelegated))
 	delegated.BaseContext = callers.BaseContext
 	if l.delegated != nil {
-		go func() { _ = delegated.Serve(l.delegated) }()
+		tracker := e.bounds.expirer(delegatedListener, delegatedShare, e.delegatedHeadLimits)
+		delegated.ConnState = tracker.ConnState
+		go func() { _ = delegated.Serve(tracker.WrapListener(l.delegated)) }()
 	}
 	return servers{callers: callers, delegated: delegated, listener: l.callers}
 }
@@ -80,7 +84,8 @@
 		e.log.Warn("Cannot listen for metrics; running without them.", "error", err)
 		return
 	}
-	go func() { _ = e.server(e.metrics).Serve(l) }()
+	server, conns := e.boundServer(e.metrics, l, metricsListener, otherShare)
+	go func() { _ = server.Serve(conns) }()
 }
 
 // listeners are the listeners of an entry, one for each address of its settings.
@@ -221,6 +226,7 @@
 			closed := e.expirer.CloseExpired(e.connectionLimits())
 			e.connectionsClosed.With("header-timeout").Add(closed.Header)
 			e.connectionsClosed.With("idle-timeout").Add(closed.Idle)
+			e.logBounds(now)
 		case <-ctx.Done():
 			return
 		}
