roundtripper, sender: a response without a length is complete only if the request was written

Cause: the kernel reports a reset to one call. If the write of an upload gets it, the read sees an orderly end, so that the part of a response without a length that had arrived counted as complete. Statuses that are none counted as responses in part. Change: behind the end of such a body, buffered or streamed, the request must have been written, within 200 ms; else the response is truncated (502, or the connection of the caller is aborted). A refusal counts by its head, as before. Statuses below 100 and above 599 are no responses; nor is 101 in the own interface.

--- a/entry/roundtripper/conn.go
+++ b/entry/roundtripper/conn.go
@@ -171,6 +171,9 @@
 		if resp.StatusCode >= http.StatusOK {
 			return reply{resp}, nil
 		}
+		if resp.StatusCode < http.StatusContinue {
+			return reply{}, fmt.Errorf("response has the status %d", resp.StatusCode)
+		}
 		// Informational responses have no body.
 		_ = resp.Body.Close()
 		if resp.StatusCode == http.StatusSwitchingProtocols {
--- a/entry/roundtripper/send.go
+++ b/entry/roundtripper/send.go
@@ -171,7 +171,16 @@
 		return nil, o
 	case retrier.Answered:
 		if !whole {
-			resp.Remainder = &streamedBody{ReadCloser: rep.Body, conn: c, stop: stop}
+			resp.Remainder = &streamedBody{ReadCloser: rep.Body, conn: c, stop: stop, end: rep.end(written)}
+			return resp, o
+		}
+		if rep.endsWithConnection() {
+			err := rep.end(written)()
+			stop()
+			c.close()
+			if err != nil {
+				return nil, retrier.Truncated{Cause: err}
+			}
 			return resp, o
 		}
 	}
@@ -216,6 +225,8 @@
 // encoding that nobody requested, counts as truncated.
 func (cl *Client) outcome(resp *Response) retrier.Outcome {
 	switch {
+	case resp.Status > maxStatus:
+		return retrier.Truncated{Cause: fmt.Errorf("response has the status %d", resp.Status)}
 	case cl.isRefusal(resp.Status, resp.Header):
 		return retrier.Shed{}
 	case resp.Header.Get(cl.headers.Signature) == "":
@@ -237,6 +248,19 @@
 	io.ReadCloser
 	conn *Conn
 	stop func() bool
+	// end tells whether the end of the body is that of a whole response.
+	end func() error
+}
+
+// Read implements io.Reader.
+func (b *streamedBody) Read(p []byte) (n int, err error) {
+	n, err = b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if endErr := b.end(); endErr != nil {
+			return n, endErr
+		}
+	}
+	return n, err
 }
 
 // Close closes the connection, which is not reused after a streamed response.
--- a/entry/sender/sender.go
+++ b/entry/sender/sender.go
@@ -227,6 +227,9 @@
 	confirmOnce sync.Once
 	started     atomic.Bool // a header was written
 	written     atomic.Bool // the whole request was written
+	// wrote is closed once the whole request was written.
+	wrote       chan struct{}
+	wroteOnce   sync.Once
 	writeFailed atomic.Bool // the request could not be written whole
 }
 
@@ -254,6 +257,9 @@
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			a.writeFailed.Store(info.Err != nil)
 			a.written.Store(info.Err == nil)
+			if info.Err == nil {
+				a.wroteOnce.Do(func() { close(a.wrote) })
+			}
 		},
 		GotFirstResponseByte: a.confirm,
 	}
@@ -323,7 +329,7 @@
 func (s *Sender) sendOnce(ctx context.Context, r Request) (resp *Response, o retrier.Outcome, discarded bool) {
 	// Without an id, a copy of an earlier refusal on the connection looks like a refusal
 	// of this request.
-	a := &attempt{confirmed: make(chan struct{}), mayDiscard: !r.Idempotent && !r.EchoRequired}
+	a := &attempt{confirmed: make(chan struct{}), wrote: make(chan struct{}), mayDiscard: !r.Idempotent && !r.EchoRequired}
 	sendCtx, cancel := context.WithCancelCause(httptrace.WithClientTrace(ctx, a.trace()))
 	a.cancel = cancel
 	req, expectsContinue := r.httpRequest(sendCtx, a)
@@ -468,12 +474,20 @@
 		cancel(nil)
 		return nil, retrier.Mismatched{Got: got}
 	}
+	if httpResp.StatusCode < http.StatusOK || httpResp.StatusCode > maxStatus {
+		a.closeConn()
+		cancel(nil)
+		return nil, retrier.Truncated{Cause: fmt.Errorf("response has the status %d", httpResp.StatusCode)}
+	}
 	isRefusal := slices.Contains(r.SheddingStatuses, httpResp.StatusCode) && httpResp.Header.Get(refuser.RefusalHeader) == ""
 	if a.classify(isRefusal) && a.mayDiscard {
 		a.closeConn()
 		cancel(nil)
 		return nil, retrier.Mismatched{}
 	}
+	if !isRefusal {
+		httpResp.Body = a.checkEnd(httpResp)
+	}
 	body, err := io.ReadAll(io.LimitReader(httpResp.Body, MaxBufferedBytes+1))
 	if err != nil {
 		a.closeConn()
