--- a/entry/balancer/metrics.go
+++ b/entry/balancer/metrics.go
@@ -34,6 +34,8 @@
 	waits          *meter.HistogramVec
 	// workspaces counts callers' requests by workspace.
 	workspaces *meter.CounterVec
+	// undelivered counts responses that were not delivered to their callers in full.
+	undelivered *meter.CounterVec
 }
 
 // newMetrics registers the metrics. The counters of each refusal reason and retry
@@ -59,6 +61,10 @@
 	m.refusalsByRank = r.CounterVec("shortage_refusals_total", "Requests that were refused for lack of capacity, by service, rank (0 is the highest) and reason.", "service", "rank", "reason")
 	m.waits = r.HistogramVec("wait_seconds", "Time that requests waited for capacity, by service, rank (0 is the highest) and result.", "service", "rank", "result")
 	m.workspaces = r.CounterVec("workspace_requests_total", "Callers' requests with a valid API key, by workspace.", "workspace")
+	m.undelivered = r.CounterVec("undelivered_responses_total", "Responses that callers did not read in full, by cause.", "cause")
+	for _, cause := range []string{undeliveredStalled, undeliveredMemoryFull} {
+		m.undelivered.With(cause)
+	}
 	for _, reason := range refuser.NotRunReasons() {
 		m.refusals.With(string(refuser.NotRun), string(reason))
 	}
