--- a/entry/subsetter/rate.go
+++ b/entry/subsetter/rate.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// rateDecay is the time constant of the decay of earlier requests in a rate. It is several
-// times the mean time between requests of the slowest service that has a subset for long.
+// rateDecay is the time constant of the decay of earlier requests in a rate. At one request a
+// second, below which the size falls, ten requests count, so that it does not vary by chance.
 const rateDecay = 10 * time.Second
 
 // Rate is the exponentially averaged rate of an entry's requests to one service. The zero
--- a/entry/subsetter/subsetter.go
+++ b/entry/subsetter/subsetter.go
@@ -21,13 +21,13 @@
 	// MaxWhole is the number of servers up to which a service has no subset: each entry
 	// uses all of them.
 	MaxWhole = 24
-	// minSize bounds the risk that no server of the subset is good enough. A server is slow
-	// or full at up to 0.58 of the moments; then all of 8 are at 0.013 of them, and all of
-	// maxEvenSize at 0.0015.
+	// minSize bounds the risk that no server of the subset is good enough. If a server is slow
+	// at 0.3 of the moments and full at 0.4 of the others, so not good enough at 0.58, all of
+	// 8 are at 0.013 of them, and all of maxEvenSize at 0.0015. The shares are assumed.
 	minSize     = 8
 	maxEvenSize = 12
 	// evenUsers is the mean number of entries that use a server from which the numbers are
-	// even enough: with 9 the busiest server has at most 1.5 times the mean.
+	// even enough: with 9 the busiest server has at most 1.2 times the mean (TestEvenAndStable).
 	evenUsers = 9.0
 	// sizePerRate is the size for each request a second, so that connections are used again
 	// before they expire. Each request probes 3 servers, connections may be idle for 8 s, and
