usagereporter: a new holder that is stuck is replaced; more failure cases

Entries took any takeover with pending reports for one that shows that the platform is down, and replaced no holder for a minute after it. So an entry that restarted as the holder and was cut off from the others kept the role, without a report, for that minute. The record now tells whether its holder took over from one that may be there, and only that limits the next one.

New tests: a call in transit, a rejected report, a report that no copy of the store knows after a restore, a holder that restarts cut off, and stale copies after a suspension.

--- a/entry/usagereporter/decider.go
+++ b/entry/usagereporter/decider.go
@@ -38,9 +38,8 @@
 	// an outage of the store.
 	goneDelay  = 500 * time.Millisecond
 	stuckDelay = 2 * time.Second
-	// minStuckInterval is the time after a takeover with reports to repeat in which no entry
-	// takes over from a stuck holder. While the platform is down for all, takeovers achieve
-	// nothing.
+	// minStuckInterval is the time after a takeover from a holder that may be there in which no
+	// entry makes another one. While the platform is down for all, they achieve nothing.
 	minStuckInterval = time.Minute
 	// maxPending and maxPendingBytes bound the reports in one record. Values that do not fit
 	// a heartbeat of a relay (8 KB) would be read from the store by each entry.
@@ -248,11 +247,10 @@
 	if d.token != 0 && d.newest.Token > d.token {
 		d.token = 0
 	}
-	seen := d.seen.with(v.Stored, v.Revision)
-	if seen.token != d.seen.token && seen.window != 0 && seen.window == d.seen.window {
+	if v.Stored.Forced && v.Stored.Token != d.seen.token {
 		d.stuckUntil = v.Uptime + minStuckInterval
 	}
-	d.seen = seen
+	d.seen = d.seen.with(v.Stored, v.Revision)
 }
 
 // takeOver returns the takeover if there is no holder that does its work.
@@ -269,7 +267,7 @@
 		return Wait{}
 	}
 	w.Takeover = true
-	w.Record = d.newest.withHolder(d.self, d.newest.Token.next(v.Era))
+	w.Record = d.newest.withHolder(d.self, d.newest.Token.next(v.Era)).withForced(w.Stuck)
 	if v.Era > d.newest.Token.era() {
 		// Others may have reported windows after what the backup and this entry know.
 		w.Record = w.Record.withReported(d.open - 1)
@@ -393,9 +391,6 @@
 		if w.Takeover {
 			d.token, d.sendFrom = w.Record.Token, received+d.limits.LeaseTime
 		}
-		if w.Stuck {
-			d.stuckUntil = received + minStuckInterval
-		}
 		if w.Takeover || w.Record.Reported != d.newest.Reported {
 			d.settled, d.sent, d.rewrites = map[int64]bool{}, map[int64]bool{}, 0
 		}
--- a/entry/usagereporter/record.go
+++ b/entry/usagereporter/record.go
@@ -41,6 +41,8 @@
 type Record struct {
 	Holder string `json:"holder"`
 	Token  Token  `json:"token"`
+	// Forced reports that the holder took over from one that may be there.
+	Forced bool `json:"forced,omitempty"`
 	// Reported is the last window that gets no new report: it has been reported, it is
 	// among Pending, or it was left out.
 	Reported int64 `json:"reported"`
@@ -59,7 +61,13 @@
 
 // withHolder returns the record with a holder, who repeats the pending reports.
 func (r Record) withHolder(holder string, token Token) Record {
-	r.Holder, r.Token = holder, token
+	r.Holder, r.Token, r.Forced = holder, token, false
+	return r
+}
+
+// withForced returns the record of a holder that takes over from one that may be there.
+func (r Record) withForced(forced bool) Record {
+	r.Forced = forced
 	return r
 }
 
--- a/entry/usagereporter/usagereporter_test.go
+++ b/entry/usagereporter/usagereporter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -110,9 +111,7 @@
 			freeze := func(n *node, done bool) error {
 				if n == frozen && done != inCall {
 					frozen = nil
-					n.dead = true
-					time.Sleep(12 * time.Second)
-					n.dead = false
+					n.freeze(12 * time.Second)
 				}
 				return nil
 			}
@@ -128,6 +127,44 @@
 	}
 }
 
+// TestCallInTransit guards against a new holder that sends while a call of the former one is
+// still on its way.
+func TestCallInTransit(t *testing.T) {
+	run(t, 3, func(w *world) {
+		w.serve(18 * time.Second)
+		former := w.holder()
+		former.transit = 2500 * time.Millisecond
+		w.onCall = func(n *node, received bool) error {
+			if n == former && !received {
+				former.dead = true // as the others see it
+			}
+			return nil
+		}
+		w.serve(30 * time.Second)
+		w.reported(0, 35*time.Second, lateTime)
+	})
+}
+
+// TestReportRejected guards against a rejected report that is sent again for ever, and against
+// another report of its window.
+func TestReportRejected(t *testing.T) {
+	run(t, 3, func(w *world) {
+		is := is.New(w.t)
+		w.serve(18 * time.Second)
+		before := len(w.calls)
+		w.onCall = func(_ *node, received bool) error {
+			if received && len(w.calls) == before+1 {
+				return errRejected
+			}
+			return nil
+		}
+		w.serve(30 * time.Second)
+		w.reported(0, 35*time.Second, lateTime)
+		is.Equal(len(w.calls), len(w.accepted)) // the rejected one was sent once
+		is.Equal(w.holder().Stats().Omitted, int64(1))
+	})
+}
+
 // TestHolderLosesStore guards against windows without a report while the store refuses the
 // holder only, and against a holder that goes on without the store.
 func TestHolderLosesStore(t *testing.T) {
@@ -170,16 +207,23 @@
 // TestHolderLosesRelays guards against sums that lack most entries, since the holder is cut
 // off from them.
 func TestHolderLosesRelays(t *testing.T) {
-	run(t, 5, func(w *world) {
-		is := is.New(w.t)
-		w.serve(20 * time.Second)
-		w.holder().cut = true
-		w.serve(40 * time.Second)
-		is.True(!w.holder().cut)
-		for at := 20 * time.Second; at < 45*time.Second; at += limits.Window {
-			is.True(w.accepted[w.window(at)].Counts["stock"] >= 38) // of 50, 10 by the entry that is cut off
-		}
-	})
+	for _, restarted := range []bool{false, true} {
+		run(t, 5, func(w *world) {
+			is := is.New(w.t)
+			w.serve(20 * time.Second)
+			holder := w.holder()
+			holder.cut = true
+			if restarted { // and has never heard of the others
+				holder.cancel()
+				w.begin(slices.Index(w.nodes, holder))
+			}
+			w.serve(40 * time.Second)
+			is.True(!w.holder().cut)
+			for at := 20 * time.Second; at < 45*time.Second; at += limits.Window {
+				is.True(w.accepted[w.window(at)].Counts["stock"] >= 38) // of 50, 10 by the entry that is cut off
+			}
+		})
+	}
 }
 
 // TestStoreDown guards against lost windows, and against calls of a store that is down, in an
@@ -281,6 +325,28 @@
 	}
 }
 
+// TestReportUnknownAfterRestore guards against another report of a window that was reported
+// by a holder that is lost, with a record that is in no copy of the store.
+func TestReportUnknownAfterRestore(t *testing.T) {
+	run(t, 3, func(w *world) {
+		w.serve(18 * time.Second)
+		victim, backup := w.holder(), w.value
+		w.onCall = func(n *node, received bool) error {
+			if !received || n != victim || n.dead {
+				return nil
+			}
+			w.kill(n)
+			w.restore(backup)
+			for _, other := range w.nodes {
+				other.Count("stock", time.Now().Add(-4*time.Second)) // as late as the report
+			}
+			return errLost
+		}
+		w.serve(40 * time.Second)
+		w.reported(30*time.Second, 45*time.Second, lateTime)
+	})
+}
+
 // TestPlatformDown guards against a store that is called more than 0.3 times a second while
 // the platform is down, and against windows that are lost.
 func TestPlatformDown(t *testing.T) {
--- a/entry/usagereporter/world_test.go
+++ b/entry/usagereporter/world_test.go
@@ -20,7 +20,7 @@
 
 var limits = usagereporter.Limits{Window: 5 * time.Second, LeaseTime: 3 * time.Second, CallInterval: 250 * time.Millisecond}
 
-var errLost = errors.New("response lost")
+var errLost, errRejected = errors.New("response lost"), errors.New("rejected")
 
 // world holds the entries, the store and the platform of a test. Entries exchange their
 // counts directly.
@@ -62,6 +62,10 @@
 	// The fields below are set by tests.
 	dead, lacksStore, cut bool
 	clockOffset           time.Duration
+	// transit is the time that calls of the platform take to arrive.
+	transit time.Duration
+	// copied is the copy of the store of an entry that learns no changes.
+	copied *storer.KeyValue
 }
 
 // run runs a test with entries in virtual time, and checks the calls of the platform.
@@ -197,6 +201,7 @@
 	if !mayBegin() {
 		return usagereporter.Unsettled, errors.New("not begun")
 	}
+	time.Sleep(n.transit)
 	n.w.mu.Lock()
 	c := call{s.Report, time.Now(), n.id, s.Token}
 	n.w.calls = append(n.w.calls, c)
@@ -204,7 +209,9 @@
 		n.w.accepted[c.Window] = c
 	}
 	n.w.mu.Unlock()
-	if err := n.w.onCall(n, true); err != nil {
+	if err := n.w.onCall(n, true); errors.Is(err, errRejected) {
+		return usagereporter.Rejected, err
+	} else if err != nil {
 		return usagereporter.Unsettled, err
 	}
 	return usagereporter.Accepted, nil
@@ -255,12 +262,24 @@
 func (n *node) Get(string) ([]byte, storer.Revision) {
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
-	if n.w.value == nil {
+	switch {
+	case n.copied != nil:
+		return n.copied.Value, n.copied.ModRevision
+	case n.w.value == nil:
 		return nil, 0
 	}
 	return n.w.value, n.w.revision
 }
 
+// freeze suspends an entry, which learns what the store holds some time after that.
+func (n *node) freeze(d time.Duration) {
+	value, revision := n.Get("usage")
+	n.dead, n.copied = true, &storer.KeyValue{Value: value, ModRevision: revision}
+	time.Sleep(d)
+	n.dead = false
+	time.AfterFunc(2*time.Second, func() { n.copied = nil })
+}
+
 func (n *node) Revision() storer.Revision {
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
