scheduler: the time limit of a route bounds the usual limit of its callers

After operators shortened a route's time limit, requests counted as late retries: the usual limit follows shorter ones by 0.75 in 100 of the difference a request, so for about a hundred requests of the route at each entry. Late requests neither wait nor queue, and come after lower ranks. TestShortenedTimeLimit got 503 in place of 200 before.

--- a/entry/balancer/shortage.go
+++ b/entry/balancer/shortage.go
@@ -106,7 +106,7 @@
 	c.turn = &turn{scheduler: sched, rank: rank, short: sched.Short(now)}
 	c.turn.ticket = sched.Offer(now, scheduler.Request{
 		Rank: rank, Ranks: len(ranks), Workspace: c.workspace.Name, Route: c.route.Name, Target: c.route.TargetLatency,
-		Limit: c.deadline.Sub(c.arrived), Arrived: c.arrived, Deadline: c.deadline,
+		RouteLimit: c.route.TimeLimit, Limit: c.deadline.Sub(c.arrived), Arrived: c.arrived, Deadline: c.deadline,
 		Work: time.Duration((1 + loadWeight) * float64(est.latency)), Slots: slots,
 	})
 	return func() { b.endTurn(c) }
--- a/entry/balancer/shortage_test.go
+++ b/entry/balancer/shortage_test.go
@@ -134,3 +134,27 @@
 		})
 	}
 }
+
+// TestShortenedTimeLimit guards against requests that count as late retries after operators have
+// shortened the time limit of their route.
+func TestShortenedTimeLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newShortFixture(t, 0, 1)
+		defer f.close()
+		table := func(version int64, limit time.Duration) *describer.RouteTable {
+			route := describer.Route{
+				Name: "book", Host: "h", Prefix: "/book/", TimeLimit: limit, TargetLatency: 400 * time.Millisecond,
+				MaxAttempts: 2, Services: []describer.WeightedService{{Service: "stock", Share: 1}},
+			}
+			other := route
+			other.Name, other.Prefix, other.Importance = "look", "/look/", 1
+			return describer.NewRouteTable(version, []describer.Route{route, other}, []describer.Service{{Name: "stock", HealthPath: "/health"}}, describer.Limits{})
+		}
+		f.setTable(table(3, 5*time.Second))
+		is.Equal(f.sendWith(http.MethodPost, "/book/1", "r1", http.Header{"Left": nil}).Code, http.StatusOK)
+		f.setTable(table(4, 500*time.Millisecond))
+		f.setBusy(4)
+		is.Equal(f.sendWith(http.MethodPost, "/book/1", "r2", http.Header{"Left": nil}).Code, http.StatusOK) // queues at a full server
+	})
+}
--- a/entry/scheduler/estimate.go
+++ b/entry/scheduler/estimate.go
@@ -33,8 +33,13 @@
 // retry, so a request that states less has been under way for the difference.
 type usualLimit struct{ limit time.Duration }
 
-// age returns how long a request with a time limit has been under way before it arrived.
-func (u *usualLimit) age(limit time.Duration) time.Duration {
+// age returns how long a request with a time limit has been under way before it arrived. The
+// limit of its route bounds the usual one: it follows shorter ones so slowly that requests
+// would count as retries for a hundred requests after operators shortened it.
+func (u *usualLimit) age(limit, route time.Duration) time.Duration {
+	if route > 0 {
+		u.limit = min(u.limit, route)
+	}
 	d := limit - u.limit
 	switch {
 	case u.limit == 0:
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -51,6 +51,9 @@
 	Route     string
 	// Target is the latency objective of the route. Zero means that there is none.
 	Target time.Duration
+	// RouteLimit is the time limit of the route, which callers can only shorten. Zero means
+	// that it is not known.
+	RouteLimit time.Duration
 	// Limit is the time limit of the request when it arrived.
 	Limit    time.Duration
 	Arrived  time.Time
@@ -178,7 +181,7 @@
 // Offer adds a request. Done must be called when it has ended.
 func (s *Scheduler) Offer(now time.Time, r Request) *Ticket {
 	t := &Ticket{Wake: make(chan struct{}, 1), request: r, objective: r.Deadline}
-	age := s.usualLimitOf(r.Route).age(r.Limit)
+	age := s.usualLimitOf(r.Route).age(r.Limit, r.RouteLimit)
 	if r.Target > 0 {
 		t.objective = r.Arrived.Add(r.Target - age)
 	}
--- a/entry/scheduler/scheduler_test.go
+++ b/entry/scheduler/scheduler_test.go
@@ -101,3 +101,18 @@
 	<-last.Wake
 	is.Equal(reasonOf(s.Defer(now, last)), refuser.QueueFull)
 }
+
+// TestShortenedLimit guards against requests that count as late retries after operators have
+// shortened the time limit of their route.
+func TestShortenedLimit(t *testing.T) {
+	is := is.New(t)
+	s, now := scheduler.New(none), time.Now()
+	offerWithin := func(limit, stated time.Duration) *scheduler.Ticket {
+		return s.Offer(now, scheduler.Request{
+			Ranks: 2, Route: "r", Target: target, RouteLimit: limit, Limit: stated, Arrived: now, Deadline: now.Add(stated), Work: work, Slots: slots,
+		})
+	}
+	is.True(!offerWithin(4*timeLimit, 4*timeLimit).Late())
+	is.True(!offerWithin(timeLimit, timeLimit).Late())
+	is.True(offerWithin(timeLimit, timeLimit/2).Late()) // a retry is still recognized
+}
