scheduler: requests behind those that wait for faster servers get a last try

A request behind another one that waits for a faster server was refused as deadline-too-near without looking for a server, although there were free slots; without ranks it is served late. While the service is not short of capacity, it now has one try before it is refused, as the waiting one has. A request that had to leave a full queue while it looked for a server, and found one, was refused as queue-full when it was retried. TestLastTry and TestEvictedWhileTrying failed before.

--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -95,6 +95,10 @@
 	// shed reports that a server had room for the highest rank only.
 	shed    bool
 	evicted bool
+	// lastTry reports that the request was tried as late. MayPass reports that it may be,
+	// although others wait before it.
+	lastTry bool
+	mayPass bool
 	// waitsSince is zero while the request does not wait.
 	waitsSince time.Time
 	miss       miss
@@ -215,12 +219,13 @@
 }
 
 // MayTry reports whether the request may look for capacity now. It must not while a waiting
-// request comes before it.
+// request comes before it, except for the last try that Defer allows.
 func (s *Scheduler) MayTry(t *Ticket) bool {
-	if t.evicted || s.ahead(t) > 0 {
+	if t.evicted || (s.ahead(t) > 0 && !t.mayPass) {
 		return false
 	}
-	t.miss = miss{}
+	t.miss, t.mayPass = miss{}, false
+	t.lastTry = t.lastTry || t.late
 	return true
 }
 
@@ -264,6 +269,7 @@
 func (s *Scheduler) Found(now time.Time, t *Ticket) {
 	s.hitsOf(t).add(now, 1)
 	s.leave(t)
+	t.evicted, t.lastTry = false, false
 	if t.served {
 		return
 	}
@@ -309,8 +315,10 @@
 	switch {
 	case t.evicted:
 		return s.refuse(now, t, refuser.QueueFull, wait)
-	case !t.late && left < pause/2 && t.miss.slow:
-		t.late = true
+	case !t.lastTry && (t.late || left < pause/2) && (t.miss.slow || !s.Short(now)):
+		// Others may wait for faster servers while there are free slots.
+		s.leave(t)
+		t.late, t.mayPass = true, true
 		return Wait{Until: now, Position: ahead}
 	case t.late || left < pause/2:
 		// Refusing others by an estimate of their wait would reward callers that retry at
--- a/entry/scheduler/scheduler_test.go
+++ b/entry/scheduler/scheduler_test.go
@@ -116,3 +116,80 @@
 	is.True(!offerWithin(timeLimit, timeLimit).Late())
 	is.True(offerWithin(timeLimit, timeLimit/2).Late()) // a retry is still recognized
 }
+
+// TestLastTry guards against requests that are refused without a try behind others that wait
+// for faster servers, although servers have free slots.
+func TestLastTry(t *testing.T) {
+	idle := scheduler.Server{Slots: slots, Full: slots, Work: work, Expected: 2 * target}
+	for _, c := range []struct {
+		name string
+		left time.Duration
+		// full reports that the first request found a full server.
+		full, tries bool
+	}{
+		{"servers are slow", timeLimit, false, true},
+		{"servers are slow, late on arrival", timeLimit - 400*time.Millisecond, false, true},
+		{"servers are full", timeLimit, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s, now := scheduler.New(none), time.Now()
+			urgent := func(now time.Time) {
+				ticket := offer(s, now, 0, 2, timeLimit)
+				s.MayTry(ticket)
+				found := idle
+				if c.full {
+					found.Busy = found.Full
+				}
+				is.True(!s.Room(now, ticket, found))
+				_, waits := s.Missed(now, ticket).(scheduler.Wait)
+				is.True(waits)
+			}
+			urgent(now)
+			other := offer(s, now, 1, 2, c.left)
+			is.True(!s.MayTry(other))
+			verdict := s.Defer(now, other)
+			if !other.Late() {
+				_, waits := verdict.(scheduler.Wait)
+				is.True(waits)
+				now = now.Add(target - work)
+				urgent(now)
+				is.True(!s.MayTry(other))
+				verdict = s.Defer(now, other)
+			}
+			_, waits := verdict.(scheduler.Wait)
+			is.Equal(waits, c.tries)
+			if !c.tries {
+				return
+			}
+			is.True(s.MayTry(other))
+			is.True(s.Room(now, other, idle))
+			_, refused := s.Missed(now, other).(scheduler.Refuse)
+			is.True(refused) // there is one last try
+		})
+	}
+}
+
+// TestEvictedWhileTrying guards against a request that is refused as queue-full when it is
+// retried, because it had to leave the queue before it was sent.
+func TestEvictedWhileTrying(t *testing.T) {
+	is := is.New(t)
+	s, now := scheduler.New(none), time.Now()
+	last := offer(s, now, 98, 99, timeLimit)
+	is.True(s.MayTry(last))
+	s.Missed(now, last)
+	is.True(s.MayTry(last))
+	var others []*scheduler.Ticket
+	for range 64 {
+		others = append(others, offer(s, now, 1, 99, timeLimit))
+		s.Missed(now, others[len(others)-1])
+	}
+	<-last.Wake // it had to leave the queue
+	s.Found(now, last)
+	for _, o := range others {
+		s.Done(o)
+	}
+	is.True(s.MayTry(last))
+	_, waits := s.Missed(now, last).(scheduler.Wait)
+	is.True(waits)
+}
