translator, auditor: names of workspaces that are equal but for spaces are refused

A header does not hold the spaces around a value, so servers got the same name for both workspaces. The configuration is invalid now, as with equal names.

--- a/pkg/auditor/auditor.go
+++ b/pkg/auditor/auditor.go
@@ -102,11 +102,12 @@
 	names := map[string]Place{}
 	keys := map[[sha256.Size]byte]Place{}
 	for _, w := range workspaces {
-		name := w.Name.V
+		// Servers get names in a header, without the spaces around them.
+		name := strings.TrimSpace(w.Name.V)
 		switch first, repeated := names[name]; {
-		case strings.TrimSpace(name) == "":
+		case name == "":
 			a.add(w.Name.At, Invalid, "%s has no name", w.At.Path)
-		case strings.ContainsFunc(name, isControl):
+		case strings.ContainsFunc(w.Name.V, isControl):
 			a.add(w.Name.At, Invalid, "%s has control characters, which a header cannot hold", w.Name.At.Path)
 		case repeated:
 			a.add(w.Name.At, Invalid, "%s has the name of %s", w.At.Path, first.Path)
