--- a/pkg/auditor/route.go
+++ b/pkg/auditor/route.go
@@ -16,9 +16,12 @@
 	case strings.ContainsAny(prefix, "?# ") || strings.ContainsFunc(prefix, isControl):
 		a.add(r.Prefix.At, NoEffect, "%s never matches: a path contains no question mark, number sign, space or control character", r.Prefix.At.Path)
 	}
-	if r.TimeLimit.Present && r.TimeLimit.V <= 0 {
+	switch {
+	case !r.TimeLimit.Present:
+		a.add(r.TimeLimit.At, Contradiction, "%s is not set, so requests on the route are given up at once", r.TimeLimit.At.Path)
+	case r.TimeLimit.V <= 0:
 		a.add(r.TimeLimit.At, Invalid, "%s must be above 0", r.TimeLimit.At.Path)
-	} else if r.TimeLimit.Present && r.TargetLatency.V > r.TimeLimit.V {
+	case r.TargetLatency.V > r.TimeLimit.V:
 		a.add(r.TargetLatency.At, Invalid, "%s, %v, is above %s, %v: a response within the objective could come too late",
 			r.TargetLatency.At.Path, r.TargetLatency.V, r.TimeLimit.At.Path, r.TimeLimit.V)
 	}
