commander: check shows a base that is wrong in two ways with both findings

A finding of the comparison with the version in force was dropped if another check had one at the same place. The new case of TestCheck failed before.

--- a/ctl/commander/check.go
+++ b/ctl/commander/check.go
@@ -147,12 +147,12 @@
 	if err != nil {
 		return err
 	}
-	findings := checked.findings
+	var findings []auditor.Finding
 	switch {
 	case !checked.readable:
 	case checked.format == formatPlatform:
 		budget := auditor.RetryBudget{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack}
-		findings = auditor.Merge(findings, auditor.Audit(checked.file, checked.draft, budget))
+		findings = auditor.Audit(checked.file, checked.draft, budget)
 	default:
 		findings = auditor.AuditDocument(checked.file, checked.doc, parser.Positions(checked.data))
 	}
@@ -169,10 +169,11 @@
 			return ErrFormatMismatch{File: checked.file, Against: inForce.file}
 		}
 		if checked.readable {
-			findings = auditor.Merge(findings, auditor.AuditSuccession(checked.file, checked.draft, inForce.draft))
+			findings = append(findings, auditor.AuditSuccession(checked.file, checked.draft, inForce.draft)...)
 			result.Differences = compare(inForce, checked)
 		}
 	}
+	findings = auditor.Merge(checked.findings, findings)
 	result.Findings, result.Valid = findings, len(findings) == 0
 	s.printCheck(checked.format, result)
 	if !result.Valid {
