scheduler: requests wait for faster servers only while slow ones can still respond

A request for which all servers are slow, but not full, waited until its objective less the expected work, and took a slow server then. With 7 times the usual time, an objective of 400 ms and a limit of 500 ms, the response came after the deadline: 504, also for requests that must not run twice. With one rank it was served. TestWaitsForFasterServers failed before, for two ranks.

--- a/entry/balancer/shortage_test.go
+++ b/entry/balancer/shortage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -158,3 +159,31 @@
 		is.Equal(f.sendWith(http.MethodPost, "/book/1", "r2", http.Header{"Left": nil}).Code, http.StatusOK) // queues at a full server
 	})
 }
+
+// TestWaitsForFasterServers guards against a request that waits for a faster server until the
+// slow ones cannot respond before its deadline.
+func TestWaitsForFasterServers(t *testing.T) {
+	for _, ranksBelow := range []int{0, 1} {
+		t.Run(fmt.Sprint(ranksBelow), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newShortFixture(t, 0, ranksBelow)
+				defer f.close()
+				setWork := func(work time.Duration, slowness int) {
+					time.Sleep(time.Second) // until the servers are idle
+					for _, b := range f.backends {
+						b.work, b.slowness = work, slowness
+					}
+				}
+				setWork(60*time.Millisecond, 100)
+				for n := range 5 {
+					is.Equal(f.send(http.MethodPost, "/look/1", fmt.Sprint("r", n)).Code, http.StatusOK)
+				}
+				setWork(420*time.Millisecond, 700)
+				w := f.sendWith(http.MethodPost, "/look/1", "slow", http.Header{"Left": nil})
+				setWork(0, 100)
+				is.Equal(w.Code, http.StatusOK)
+			})
+		})
+	}
+}
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -233,7 +233,7 @@
 func (s *Scheduler) Room(now time.Time, t *Ticket, srv Server) bool {
 	limit := s.limit(now, t, srv)
 	if float64(srv.Busy) < limit {
-		if t.request.Target == 0 || t.late || t.served || !now.Add(srv.Expected).After(t.objective) {
+		if t.request.Target == 0 || t.late || t.served || !now.Add(srv.Expected).After(t.objective) || !t.mayWaitBeside(now, srv) {
 			return true
 		}
 		// A request that can wait looks for a server that is not slow before it is late.
@@ -250,6 +250,14 @@
 	return false
 }
 
+// mayWaitBeside reports whether a request can look for a faster server than one that has room,
+// and still be served there before its deadline. The expected time is a mean, so the expected
+// work is left as a margin.
+func (t *Ticket) mayWaitBeside(now time.Time, srv Server) bool {
+	left := t.request.Deadline.Sub(now)
+	return srv.Expected > left || srv.Expected+t.request.Work+2*t.pause() <= left
+}
+
 // limit returns how many requests may run or wait at a server before one more.
 func (s *Scheduler) limit(now time.Time, t *Ticket, srv Server) float64 {
 	full, slots := float64(srv.Full), float64(srv.Slots)
