--- a/entry/balancer/shortage_test.go
+++ b/entry/balancer/shortage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -134,3 +135,55 @@
 		})
 	}
 }
+
+// TestShortenedTimeLimit guards against requests that count as late retries after operators have
+// shortened the time limit of their route.
+func TestShortenedTimeLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newShortFixture(t, 0, 1)
+		defer f.close()
+		table := func(version int64, limit time.Duration) *describer.RouteTable {
+			route := describer.Route{
+				Name: "book", Host: "h", Prefix: "/book/", TimeLimit: limit, TargetLatency: 400 * time.Millisecond,
+				MaxAttempts: 2, Services: []describer.WeightedService{{Service: "stock", Share: 1}},
+			}
+			other := route
+			other.Name, other.Prefix, other.Importance = "look", "/look/", 1
+			return describer.NewRouteTable(version, []describer.Route{route, other}, []describer.Service{{Name: "stock", HealthPath: "/health"}}, describer.Limits{})
+		}
+		f.setTable(table(3, 5*time.Second))
+		is.Equal(f.sendWith(http.MethodPost, "/book/1", "r1", http.Header{"Left": nil}).Code, http.StatusOK)
+		f.setTable(table(4, 500*time.Millisecond))
+		f.setBusy(4)
+		is.Equal(f.sendWith(http.MethodPost, "/book/1", "r2", http.Header{"Left": nil}).Code, http.StatusOK) // queues at a full server
+	})
+}
+
+// TestWaitsForFasterServers guards against a request that waits for a faster server until the
+// slow ones cannot respond before its deadline.
+func TestWaitsForFasterServers(t *testing.T) {
+	for _, ranksBelow := range []int{0, 1} {
+		t.Run(fmt.Sprint(ranksBelow), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newShortFixture(t, 0, ranksBelow)
+				defer f.close()
+				setWork := func(work time.Duration, slowness int) {
+					time.Sleep(time.Second) // until the servers are idle
+					for _, b := range f.backends {
+						b.work, b.slowness = work, slowness
+					}
+				}
+				setWork(60*time.Millisecond, 100)
+				for n := range 5 {
+					is.Equal(f.send(http.MethodPost, "/look/1", fmt.Sprint("r", n)).Code, http.StatusOK)
+				}
+				setWork(420*time.Millisecond, 700)
+				w := f.sendWith(http.MethodPost, "/look/1", "slow", http.Header{"Left": nil})
+				setWork(0, 100)
+				is.Equal(w.Code, http.StatusOK)
+			})
+		})
+	}
+}
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -55,6 +55,9 @@
 	Route     string
 	// Target is the latency objective of the route. Zero means that there is none.
 	Target time.Duration
+	// RouteLimit is the time limit of the route, which callers can only shorten. Zero means
+	// that it is not known.
+	RouteLimit time.Duration
 	// Limit is the time limit of the request when it arrived.
 	Limit    time.Duration
 	Arrived  time.Time
@@ -96,6 +99,10 @@
 	// shed reports that a server had room for the highest rank only.
 	shed    bool
 	evicted bool
+	// lastTry reports that the request was tried as late. MayPass reports that it may be,
+	// although others wait before it.
+	lastTry bool
+	mayPass bool
 	// waitsSince is zero while the request does not wait.
 	waitsSince time.Time
 	miss       miss
@@ -182,7 +189,7 @@
 // Offer adds a request. Done must be called when it has ended.
 func (s *Scheduler) Offer(now time.Time, r Request) *Ticket {
 	t := &Ticket{Wake: make(chan struct{}, 1), request: r, objective: r.Deadline}
-	age := s.usualLimitOf(r.Route).age(r.Limit)
+	age := s.usualLimitOf(r.Route).age(r.Limit, r.RouteLimit)
 	if r.Target > 0 {
 		t.objective = r.Arrived.Add(r.Target - age)
 		// The expected time rises with the queues at the servers. A request that has just
@@ -219,12 +226,13 @@
 }
 
 // MayTry reports whether the request may look for capacity now. It must not while a waiting
-// request comes before it.
+// request comes before it, except for the last try that Defer allows.
 func (s *Scheduler) MayTry(t *Ticket) bool {
-	if t.evicted || s.ahead(t) > 0 {
+	if t.evicted || (s.ahead(t) > 0 && !t.mayPass) {
 		return false
 	}
-	t.miss = miss{}
+	t.miss, t.mayPass = miss{}, false
+	t.lastTry = t.lastTry || t.late
 	return true
 }
 
@@ -232,7 +240,7 @@
 func (s *Scheduler) Room(now time.Time, t *Ticket, srv Server) bool {
 	limit := s.limit(now, t, srv)
 	if float64(srv.Busy) < limit {
-		if t.request.Target == 0 || t.late || t.served || !now.Add(srv.Expected).After(t.objective) {
+		if t.request.Target == 0 || t.late || t.served || !now.Add(srv.Expected).After(t.objective) || !t.mayWaitBeside(now, srv) {
 			return true
 		}
 		// A request that can wait looks for a server that is not slow before it is late.
@@ -249,6 +257,14 @@
 	return false
 }
 
+// mayWaitBeside reports whether a request can look for a faster server than one that has room,
+// and still be served there before its deadline. The expected time is a mean, so the expected
+// work is left as a margin.
+func (t *Ticket) mayWaitBeside(now time.Time, srv Server) bool {
+	left := t.request.Deadline.Sub(now)
+	return srv.Expected > left || srv.Expected+t.request.Work+2*t.pause() <= left
+}
+
 // limit returns how many requests may run or wait at a server before one more.
 func (s *Scheduler) limit(now time.Time, t *Ticket, srv Server) float64 {
 	full, slots := float64(srv.Full), float64(srv.Slots)
@@ -271,6 +287,7 @@
 func (s *Scheduler) Found(now time.Time, t *Ticket) {
 	s.hitsOf(t).add(now, 1)
 	s.Leave(t)
+	t.evicted, t.lastTry = false, false
 	if t.served {
 		return
 	}
@@ -316,8 +333,10 @@
 	switch {
 	case t.evicted:
 		return s.refuse(now, t, refuser.QueueFull, wait)
-	case !t.late && left < pause/2 && t.miss.slow:
-		t.late = true
+	case !t.lastTry && (t.late || left < pause/2) && (t.miss.slow || !s.Short(now)):
+		// Others may wait for faster servers while there are free slots.
+		s.Leave(t)
+		t.late, t.mayPass = true, true
 		return Wait{Until: now, Position: ahead}
 	case t.late || left < pause/2:
 		// Refusing others by an estimate of their wait would reward callers that retry at
