scheduler, balancer: services whose requests have almost all one rank are not scheduled

Change: a service without workspaces is scheduled only while 15 in 100 of the requests at the entry are of other ranks than the most frequent one.

--- a/entry/balancer/shortage.go
+++ b/entry/balancer/shortage.go
@@ -30,6 +30,8 @@
 type shortage struct {
 	mu         sync.Mutex
 	schedulers map[string]*scheduler.Scheduler
+	// mixes holds the mix of ranks of each service without workspaces.
+	mixes map[string]*scheduler.Mix
 	// ranks holds the ranks of each service in the table.
 	table *describer.RouteTable
 	ranks map[string][]describer.Rank
@@ -65,6 +67,21 @@
 	return ranks, len(ranks) > 1 || t.HasWorkspaces()
 }
 
+// differ counts a request of a rank, and reports whether the requests of the service differ
+// in rank.
+func (s *shortage) differ(now time.Time, service string, rank, ranks int) bool {
+	m, ok := s.mixes[service]
+	if !ok {
+		if s.mixes == nil {
+			s.mixes = map[string]*scheduler.Mix{}
+		}
+		m = &scheduler.Mix{}
+		s.mixes[service] = m
+	}
+	m.Observe(now, rank, ranks)
+	return m.Differs()
+}
+
 // waiting returns the number of waiting requests of all services.
 func (s *shortage) waiting() (n int) {
 	s.mu.Lock()
@@ -89,6 +106,11 @@
 	if !enabled {
 		return func() {}
 	}
+	now := time.Now()
+	rank, _ := slices.BinarySearchFunc(ranks, c.view.Table.Rank(c.route, c.workspace), describer.Rank.Compare)
+	if !c.view.Table.HasWorkspaces() && !s.differ(now, c.service, rank, len(ranks)) {
+		return func() {}
+	}
 	sched, ok := s.schedulers[c.service]
 	if !ok {
 		sched = scheduler.New(b.drawUniform)
@@ -97,12 +119,10 @@
 		}
 		s.schedulers[c.service] = sched
 	}
-	rank, _ := slices.BinarySearchFunc(ranks, c.view.Table.Rank(c.route, c.workspace), describer.Rank.Compare)
 	slots := 1
 	if servers := c.view.Services[c.service]; len(servers) > 0 {
 		slots = servers[0].Slots
 	}
-	now := time.Now()
 	c.turn = &turn{scheduler: sched, rank: rank, short: sched.Short(now)}
 	c.turn.ticket = sched.Offer(now, scheduler.Request{
 		Rank: rank, Ranks: len(ranks), Workspace: c.workspace.Name, Route: c.route.Name, Target: c.route.TargetLatency,
