--- a/entry/balancer/bounded_body_test.go
+++ b/entry/balancer/bounded_body_test.go
@@ -1,12 +1,15 @@
 package balancer_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -18,6 +21,7 @@
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/meter"
 	"samphiremux/entry/reserver"
+	"samphiremux/entry/roundtripper"
 	"samphiremux/entry/snapshotter"
 	"samphiremux/pkg/describer"
 )
@@ -46,7 +50,7 @@
 			t.Parallel()
 			is := is.New(t)
 			memory, metrics := reserver.New(200<<10), meter.New()
-			address := serveBounded(t, memory, metrics)
+			address := serveBounded(t, memory, metrics, nil)
 			send := func(text string) net.Conn {
 				conn, err := net.Dial("tcp", address)
 				is.NoErr(err)
@@ -82,11 +86,58 @@
 	}
 }
 
-// serveBounded serves callers on a loopback address with a bound of memory and without
-// backend servers. It returns the address.
-func serveBounded(t *testing.T, memory *reserver.Reserver, metrics *meter.Registry) string {
+// TestUnreadResponse guards against a caller that keeps a connection, and what is held for
+// it, since it reads nothing of its response.
+func TestUnreadResponse(t *testing.T) {
+	is := is.New(t)
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Instance", "i-1")
+		w.Header().Set("Load", "0,100")
+		if r.URL.Path == "/health" {
+			return
+		}
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Signature", "s")
+		// More than the buffers of both connections take.
+		w.Header().Set("Content-Length", strconv.Itoa(64<<20))
+		for range 64 {
+			if _, err := w.Write(make([]byte, 1<<20)); err != nil {
+				return
+			}
+		}
+	}))
+	defer backend.Close()
+	memory, metrics := reserver.New(1<<20), meter.New()
+	address := serveBounded(t, memory, metrics, backend.Listener.Addr())
+	// A probe may fail on a busy machine.
+	for range 10 {
+		conn, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		defer conn.Close()
+		_, err = io.WriteString(conn, "GET /book/ HTTP/1.1\r\nHost: h\r\nId: r1\r\nLeft: 9s\r\n\r\n")
+		is.NoErr(err)
+		for range 100 {
+			w := httptest.NewRecorder()
+			metrics.ServeHTTP(w, nil)
+			if !strings.Contains(w.Body.String(), "samphire_undelivered_responses_total{cause=\"stalled\"} 0\n") && memory.Used() == 0 {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	t.Errorf("responses are still being written; %d bytes are held", memory.Used())
+}
+
+// serveBounded serves callers on a loopback address with a bound of memory, and a backend
+// server at an address or none. It returns the address.
+func serveBounded(t *testing.T, memory *reserver.Reserver, metrics *meter.Registry, backend net.Addr) string {
 	t.Helper()
-	snapshots := snapshotter.New(func(describer.Server) *snapshotter.ServerState { return nil })
+	snapshots := snapshotter.New(func(s describer.Server) *snapshotter.ServerState {
+		return snapshotter.NewServerState(roundtripper.New(s.ID, "h", func(ctx context.Context) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", s.Address.String())
+		}, headers))
+	})
 	route := describer.Route{
 		Name: "book", Host: "h", Prefix: "/book/", TimeLimit: 10 * time.Second, TargetLatency: time.Second, MaxAttempts: 1,
 		Services: []describer.WeightedService{{Service: "stock", Share: 1}},
@@ -94,12 +145,16 @@
 	if err := snapshots.SetTable(describer.NewRouteTable(1, []describer.Route{route}, []describer.Service{{Name: "stock", HealthPath: "/health"}}, describer.Limits{})); err != nil {
 		t.Fatal(err)
 	}
+	if backend != nil {
+		snapshots.PutServer(describer.Server{ID: "i-1", Service: "stock", Domain: "a", Version: "v1", Slots: 2, Address: netip.MustParseAddrPort(backend.String())})
+	}
 	b := balancer.New(balancer.Options{
 		Self: "e0", Domain: "a", Policy: chooser.ExpectedCompletion{}, Snapshot: snapshots.Snapshot, Bodies: memory, Metrics: metrics,
 		EntryCount: func() int { return 1 }, Rank: func(string) (int, int) { return 0, 1 },
-		RetryLimits: func() balancer.Limits { return balancer.Limits{} }, Log: hclog.NewNullLogger(),
+		IdleTimeout: func() time.Duration { return 300 * time.Millisecond },
+		RetryLimits: func() balancer.Limits { return balancer.Limits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second} }, Log: hclog.NewNullLogger(),
 		Headers: balancer.Headers{
-			RequestID: "Id", Instance: "Expect", SetDeadline: func(http.Header, time.Duration) {}, SetRetryAfter: func(http.Header, time.Duration) {},
+			RequestID: "Id", Instance: "Expect-Instance", SetDeadline: func(http.Header, time.Duration) {}, SetRetryAfter: func(http.Header, time.Duration) {},
 			ReadDeadline: func(h http.Header) (time.Duration, bool) {
 				d, err := time.ParseDuration(h.Get("Left"))
 				return d, err == nil
--- a/entry/expirer/head_scanner.go
+++ b/entry/expirer/head_scanner.go
@@ -15,6 +15,8 @@
 	// in buffers and in the parsed headers.
 	byteCost = 3
 	lineCost = 160
+	// requestCost is what a request takes beyond that, in buffers and stacks.
+	requestCost = 16 << 10
 )
 
 // HeadLimits bounds the head of a request, the request line included.
@@ -62,5 +64,7 @@
 
 func (s *headScanner) exceeds(l HeadLimits) bool { return s.bytes > l.Bytes || s.lines > l.Lines }
 
-// cost returns the memory that the head takes, in bytes.
-func (s *headScanner) cost() int64 { return int64(s.bytes)*byteCost + int64(s.lines)*lineCost }
+// cost returns the memory that the request takes without its body, in bytes.
+func (s *headScanner) cost() int64 {
+	return requestCost + int64(s.bytes)*byteCost + int64(s.lines)*lineCost
+}
--- a/entry/roundtripper/conn.go
+++ b/entry/roundtripper/conn.go
@@ -235,8 +235,9 @@
 		return nil, true, nil
 	}
 	size := int64(firstBufferBytes)
-	if rep.ContentLength >= 0 && rep.ContentLength <= limit {
-		size = rep.ContentLength
+	if rep.ContentLength >= 0 {
+		// Buffers that grow would leave as much garbage as the last one holds.
+		size = min(rep.ContentLength, limit+1)
 	}
 	for {
 		size = min(size, limit+1)
--- a/steer/commander/bounds.go
+++ b/steer/commander/bounds.go
@@ -31,8 +31,8 @@
 	otherShare     = 0.01
 	// holdShare is the part of the memory for request heads and bodies, and for responses
 	// that callers read slowly. The heap takes up to 1.4 times as much, since that is when
-	// the collector runs. Of the smallest VM it is 30 MiB; its link brings 10 MB in 8 s.
-	holdShare = 1.0 / 6
+	// the collector runs. Of the smallest VM it is 18 MiB; its link brings 10 MB in 8 s.
+	holdShare = 0.1
 	// linkMemoryShare is the part of the memory for messages of other entries, and
 	// minLinkBytes is enough for the largest one.
 	linkMemoryShare = 1.0 / 16
