--- a/entry/balancer/shortage.go
+++ b/entry/balancer/shortage.go
@@ -232,8 +232,11 @@
 
 // cause returns why the request waits, as log lines have it.
 func (t *turn) cause() string {
-	if t.tries == 0 {
+	switch {
+	case t.tries == 0:
 		return "behind-others"
+	case !t.ticket.FoundFull():
+		return "servers-slow"
 	}
 	return "servers-full"
 }
--- a/entry/balancer/shortage_test.go
+++ b/entry/balancer/shortage_test.go
@@ -1,6 +1,7 @@
 package balancer_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -10,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
 	"samphiremux/entry/chooser"
@@ -19,12 +21,17 @@
 // newShortFixture returns a fixture of servers that each run or hold a number of requests. The
 // route "look" ranks below "book" by a number.
 func newShortFixture(t *testing.T, busy, ranksBelow int) *fixture {
+	return newLoggingShortFixture(t, hclog.NewNullLogger(), busy, ranksBelow)
+}
+
+// newLoggingShortFixture returns a fixture as newShortFixture does, with a log.
+func newLoggingShortFixture(t *testing.T, log hclog.Logger, busy, ranksBelow int) *fixture {
 	all := servers(3, respondOK)
 	for _, b := range all {
 		b.running = busy
 	}
 	// With the draws of this entry, the first request is not promoted by its guaranteed share.
-	f := newEntryFixture(t, 1, chooser.ExpectedCompletion{}, all...)
+	f := newFixtureOf(t, 1, log, chooser.ExpectedCompletion{}, all...)
 	route := func(name string, importance int) describer.Route {
 		return describer.Route{
 			Name: name, Host: "h", Prefix: "/" + name + "/", Importance: importance, TimeLimit: 500 * time.Millisecond,
@@ -187,3 +194,28 @@
 		})
 	}
 }
+
+// TestWaitingReason guards against log lines that name full servers for a request that waits
+// because servers are slow.
+func TestWaitingReason(t *testing.T) {
+	for _, c := range []struct {
+		reason         string
+		busy, slowness int
+	}{{"servers-full", 4, 100}, {"servers-slow", 0, 900}} {
+		t.Run(c.reason, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var log bytes.Buffer
+				f := newLoggingShortFixture(t, hclog.New(&hclog.LoggerOptions{Output: &log}), c.busy, 1)
+				defer f.close()
+				for _, b := range f.backends {
+					b.slowness = c.slowness
+					b.respond = respondShed
+				}
+				is.Equal(f.send(http.MethodPost, "/look/1", "r1").Code, http.StatusServiceUnavailable)
+				is.Equal(strings.Count(log.String(), "event=waiting "), 1)
+				is.True(strings.Contains(log.String(), "reason="+c.reason))
+			})
+		})
+	}
+}
--- a/entry/balancer/trace.go
+++ b/entry/balancer/trace.go
@@ -25,7 +25,7 @@
 	// pause.
 	LeftOut Decision = "left-out"
 	// Waiting means that the request waits, since no server that was probed has room for
-	// it. It carries the number of requests before it.
+	// it or is fast enough. It carries the number of requests before it.
 	Waiting Decision = "waiting"
 	// Chosen means that a server was picked for an attempt. It carries the
 	// state that the server reported.
--- a/entry/scheduler/scheduler.go
+++ b/entry/scheduler/scheduler.go
@@ -127,6 +127,9 @@
 // slow for it to be in time.
 func (t *Ticket) MetFull() bool { return t.miss.full || t.miss.slow }
 
+// FoundFull reports whether the last try found a server without room for the request.
+func (t *Ticket) FoundFull() bool { return t.miss.full }
+
 // latestStart returns the time at which the request must be sent to be in time.
 func (t *Ticket) latestStart() time.Time { return t.objective.Add(-t.request.Work) }
 
