commander: check does not compare a file with values that cannot be read

A timeout that was written as a string was shown as a difference, "timeout is now not set", beside the finding. diff refuses such files already. The new case of TestCheck failed before.

--- a/ctl/commander/check.go
+++ b/ctl/commander/check.go
@@ -156,7 +156,8 @@
 	default:
 		findings = auditor.AuditDocument(checked.file, checked.doc, parser.Positions(checked.data))
 	}
-	result := checkResult{compared: s.Check.Against != "" && checked.readable}
+	// Values that could not be read would look as if they were not set.
+	result := checkResult{compared: s.Check.Against != "" && checked.readable && len(checked.findings) == 0}
 	if s.Check.Against != "" {
 		inForce, err := load(s.Check.Against, s.Check.Format, time.Time{})
 		if err != nil {
@@ -170,6 +171,8 @@
 		}
 		if checked.readable {
 			findings = append(findings, auditor.AuditSuccession(checked.file, checked.draft, inForce.draft)...)
+		}
+		if result.compared {
 			result.Differences = compare(inForce, checked)
 		}
 	}
