reserver: others keep their room beside one large hold

While one body exceeded the bound, as an upload of 64 MiB does for up to a minute on the smallest VM, every other hold over 64 KiB was refused: uploads got 503, and responses over 64 KiB were broken off. A body above the bound was refused as long as any other hold over 64 KiB existed. The hold that exceeds the bound is now left out of the bound of the others. Both together keep to the same number of bytes as before.

--- a/entry/reserver/reserver.go
+++ b/entry/reserver/reserver.go
@@ -30,10 +30,10 @@
 	max, maxLarge, maxLone int64
 
 	mu sync.Mutex
-	// used is the sum of all holds, largeUsed that of those above smallBytes, and large
-	// their number.
+	// used is the sum of all holds, and largeUsed that of those above smallBytes.
 	used, largeUsed int64
-	large           int
+	// lone is the hold that exceeds the bound, or nil.
+	lone *Hold
 	// evictable holds the holds that have a function to evict them.
 	evictable map[*Hold]struct{}
 	evicted   int64
@@ -45,8 +45,8 @@
 }
 
 // WithLone lets one hold exceed the bound, up to a number of bytes together with the
-// others, while it is the only large one. So a large body that is allowed passes, but not
-// several at once.
+// others, which keep to the bound without it. So a large body that is allowed passes, but not
+// several at once, and other requests are not refused meanwhile.
 func (r *Reserver) WithLone(bytes int64) *Reserver {
 	r.maxLone = bytes
 	return r
@@ -180,29 +180,38 @@
 	if h.evicted {
 		return n == 0
 	}
-	used, others, othersUsed := r.used+n-h.bytes, r.large, r.largeUsed
+	used, othersUsed := r.used+n-h.bytes, r.largeUsed
 	if h.bytes > smallBytes {
-		others--
 		othersUsed -= h.bytes
 	}
+	beside := used
+	if r.lone != nil && r.lone != h {
+		beside -= r.lone.bytes
+	}
+	isLone := n > smallBytes && beside > r.maxLarge && beside == used && used-n <= r.maxLarge
 	var room bool
 	switch {
-	case n > smallBytes && others == 0:
-		room = used <= max(r.maxLarge, r.maxLone)
+	case isLone:
+		room = used <= r.maxLone
 	case n > smallBytes:
-		room = used <= r.maxLarge
+		room = beside <= r.maxLarge && used <= max(r.maxLarge, r.maxLone)
 	default:
-		// A lone hold above the bound leaves the last part of the memory to small ones.
-		room = used <= r.max || used-othersUsed <= r.max-r.maxLarge
+		// Holds above the bound leave the last part of the memory to small ones.
+		room = (beside <= r.max && used <= max(r.max, r.maxLone)) || used-othersUsed <= r.max-r.maxLarge
 	}
 	if n > h.bytes && !room {
 		return false
 	}
-	r.used, r.large, r.largeUsed = used, others, othersUsed
+	r.used, r.largeUsed = used, othersUsed
 	if n > smallBytes {
-		r.large++
 		r.largeUsed += n
 	}
+	switch {
+	case isLone:
+		r.lone = h
+	case r.lone == h:
+		r.lone = nil
+	}
 	h.bytes = n
 	return true
 }
