usagereporter: calls of the platform end within the lease time

A call could begin 1 s after the holder's transaction and end 3 s later. Another entry that took over just after the transaction sends 3 s after it, so that the platform could receive a lower token after a higher one. A call now ends by the lease time after the transaction.

--- a/entry/usagereporter/decider.go
+++ b/entry/usagereporter/decider.go
@@ -24,6 +24,9 @@
 	// authorityTime is the time for which the holder may send reports, from when it sent the
 	// transaction that wrote them. It is far below the time for which a new holder waits.
 	authorityTime = time.Second
+	// minCallTime is the least time from the transaction to the end of the calls that follow
+	// it, if the lease time is shorter. Otherwise no call could end.
+	minCallTime = 2 * time.Second
 	// sendMargin is what must be left of it when a call begins, for opening the connection.
 	sendMargin = 200 * time.Millisecond
 	// overdueTime is the time after the end of a window after which the holder counts as
@@ -118,12 +121,13 @@
 }
 
 // Send sends a report to the platform, if it can begin before Until by the clock of
-// View.Uptime.
+// View.Uptime. The call ends by EndBy: another holder may take over just after the
+// transaction, and send once the lease time is over.
 type Send struct {
-	Report Report
-	Token  Token
-	Until  time.Duration
-	Repeat bool
+	Report       Report
+	Token        Token
+	Until, EndBy time.Duration
+	Repeat       bool
 }
 
 func (Wait) action()  {}
@@ -318,7 +322,7 @@
 		case v.Uptime < d.nextSend:
 			return Wait{}
 		}
-		return Send{Report: r, Token: d.token, Until: d.sendUntil, Repeat: d.sent[r.Window]}
+		return Send{Report: r, Token: d.token, Until: d.sendUntil, EndBy: d.sendUntil - authorityTime + max(d.limits.LeaseTime, minCallTime), Repeat: d.sent[r.Window]}
 	}
 	if reports := d.due(v, c); len(reports) > 0 {
 		return d.write(v, Write{Record: d.newest.withPending(reports)})
--- a/entry/usagereporter/usagereporter.go
+++ b/entry/usagereporter/usagereporter.go
@@ -26,8 +26,8 @@
 	// writeTimeout bounds a transaction. A response that comes later gives no authority to
 	// send, but tells that the record was written.
 	writeTimeout = 2 * time.Second
-	// sendTimeout bounds a call of the platform. Only its beginning must lie within the
-	// authority of the holder.
+	// sendTimeout bounds a call of the platform. Its beginning must lie within the authority of
+	// the holder, and its end within the lease time.
 	sendTimeout = 3 * time.Second
 	// silentRefusals is the number of messages in a row that a holder does not accept until it
 	// counts as silent. Heartbeats can take 6 s to show that an entry of another failure domain
@@ -312,7 +312,7 @@
 
 // send sends a report. It reports whether it was accepted.
 func (r *Reporter) send(ctx context.Context, s Send) bool {
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	ctx, cancel := context.WithTimeout(ctx, min(sendTimeout, s.EndBy-r.o.Uptime()))
 	defer cancel()
 	result, err := r.o.Send(ctx, s, func() bool { return r.o.Uptime() < s.Until })
 	r.decider.Sent(s, r.o.Uptime(), result)
--- a/entry/usagereporter/world_test.go
+++ b/entry/usagereporter/world_test.go
@@ -64,6 +64,8 @@
 	clockOffset           time.Duration
 	// transit is the time that calls of the platform take to arrive.
 	transit time.Duration
+	// wroteAt is when the last transaction was sent.
+	wroteAt time.Time
 	// copied is the copy of the store of an entry that learns no changes.
 	copied *storer.KeyValue
 }
@@ -194,7 +196,11 @@
 }
 
 // send is the call of the platform.
-func (n *node) send(_ context.Context, s usagereporter.Send, mayBegin func() bool) (usagereporter.SendResult, error) {
+func (n *node) send(ctx context.Context, s usagereporter.Send, mayBegin func() bool) (usagereporter.SendResult, error) {
+	// Another holder may have taken over just after the transaction.
+	if end, ok := ctx.Deadline(); !ok || end.Sub(n.wroteAt) > limits.LeaseTime {
+		n.w.t.Errorf("call of %s may end %s after its transaction, when another holder may send", n.id, end.Sub(n.wroteAt))
+	}
 	if err := n.w.onCall(n, false); err != nil {
 		return usagereporter.Unsettled, err
 	}
@@ -228,6 +234,7 @@
 	n := s.node
 	n.w.mu.Lock()
 	n.w.commits++
+	n.wroteAt = time.Now()
 	n.w.mu.Unlock()
 	if err := n.w.onCommit(n, false); err != nil {
 		return storer.NotCommitted{Cause: err}
