balancer: the entry's own bound of connections does not count against servers

A probe that could not open a connection since the entry had as many open as it may ejected the server, and after a few of them the entry counted as cut off from all servers. Such a probe now counts as a failed one with a cause of its own, own-bound, and changes nothing else.

--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -65,6 +65,8 @@
 	crashed   bool
 	// silent makes new connections hang.
 	silent bool
+	// dialError is the error of new connections. Nil means that they are opened.
+	dialError error
 }
 
 func (b *backend) isCrashed() bool {
@@ -222,6 +224,9 @@
 			if !ok || b.isCrashed() {
 				return nil, syscall.ECONNREFUSED
 			}
+			if b.dialError != nil {
+				return nil, b.dialError
+			}
 			if b.silent {
 				<-ctx.Done()
 				return nil, ctx.Err()
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -237,13 +237,14 @@
 // observeProbe updates the state of a server after a probe that was sent at a time.
 func (b *Balancer) observeProbe(ctx context.Context, cand candidate, sent time.Time, h roundtripper.Health, err error) {
 	now := time.Now()
-	result := "ok"
+	result, failure := "ok", probeFailure("")
 	if err != nil {
-		result = "error"
-		b.metrics.failedProbes.With(string(failureOf(ctx, err))).Inc()
+		result, failure = "error", failureOf(ctx, err)
+		b.metrics.failedProbes.With(string(failure)).Inc()
 	}
 	b.metrics.probes.With(result).Inc()
 	switch {
+	case failure == probeAtBound:
 	case err == nil:
 		cand.State.ObserveProbe(now, sent, h)
 		b.observeRateLimit(now, cand.Backend, h.RateLimit)
--- a/entry/balancer/probe_failure.go
+++ b/entry/balancer/probe_failure.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"syscall"
+
+	"samphiremux/entry/capper"
 )
 
 // probeFailure tells how a probe failed. It is a label value of a metric.
@@ -22,6 +24,9 @@
 	probeUnhealthy probeFailure = "unhealthy"
 	// probeMisdirected means that another server responded.
 	probeMisdirected probeFailure = "wrong-instance"
+	// probeAtBound means that this entry has opened as many connections as it may, which says
+	// nothing about the server.
+	probeAtBound probeFailure = "own-bound"
 	// probeFailed means that the probe failed in another way, such as with a malformed
 	// response.
 	probeFailed probeFailure = "other"
@@ -29,7 +34,7 @@
 
 // probeFailures returns all ways in which a probe fails.
 func probeFailures() []probeFailure {
-	return []probeFailure{probeRefused, probeReset, probeUnanswered, probeUnhealthy, probeMisdirected, probeFailed}
+	return []probeFailure{probeRefused, probeReset, probeUnanswered, probeUnhealthy, probeMisdirected, probeAtBound, probeFailed}
 }
 
 // failureOf returns how a probe failed that ended with err. Ctx is the context of the
@@ -37,6 +42,8 @@
 func failureOf(ctx context.Context, err error) probeFailure {
 	var timeout net.Error
 	switch {
+	case errors.Is(err, capper.ErrTooManyConnections):
+		return probeAtBound
 	case isUnhealthy(err):
 		return probeUnhealthy
 	case isWrongInstance(err):
