balancer: slow callers are not given up at a short idle timeout

A response was broken off once its caller had read nothing for the idle timeout of the configuration, also if that is a second or two. A caller that reads slowly makes room in the buffers of its connection only every few seconds. The time is now 15 s at least. TestSlowReader failed before for a caller that reads 60 KiB every 5 s at an idle timeout of 2 s.

--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -153,6 +154,8 @@
 	entries []placer.Member
 	// stopping reports that the entry stops.
 	stopping atomic.Bool
+	// idle is the idle timeout of callers' connections. Zero means a long one.
+	idle time.Duration
 	// peers are the other entries, and dialPeer connects to one.
 	peers    []delegator.Peer
 	dialPeer func(ctx context.Context, address string) (net.Conn, error)
@@ -276,6 +279,7 @@
 		Entries: func() []placer.Member { return f.entries },
 		Settled: func() bool { return !f.alone }, Metrics: f.metrics,
 		MayTake:     func(time.Time) bool { return !f.stopping.Load() },
+		IdleTimeout: func() time.Duration { return cmp.Or(f.idle, time.Minute) },
 		RetryLimits: func() balancer.Limits { return balancer.Limits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second} },
 		NotifySuspect: func(_ string, fingerprint quarantiner.Fingerprint, crashes int, _ quarantiner.Attempt) {
 			f.mu.Lock()
--- a/entry/balancer/delivery.go
+++ b/entry/balancer/delivery.go
@@ -15,9 +15,10 @@
 	// deliveryPiece is the size in bytes of the pieces in which a response is written, so
 	// that a caller which reads slowly differs from one that does not read.
 	deliveryPiece = 16 << 10
-	// defaultStallTime is the time after which a caller that reads nothing of a response is
-	// given up, if the configuration has no idle timeout.
-	defaultStallTime = 15 * time.Second
+	// minStallTime is the least time after which a caller that reads nothing of a response is
+	// given up. The idle timeout may be shorter, but a caller that reads slowly makes room in
+	// the buffers of the connection only every few seconds.
+	minStallTime = 15 * time.Second
 )
 
 // Values of the label "cause" of responses that callers do not read.
@@ -56,9 +57,9 @@
 // deliver writes the body of a response. The memory of what was read already is held
 // meanwhile, and given up if the caller does not read.
 func (b *Balancer) deliver(w http.ResponseWriter, resp *roundtripper.Response) (err error) {
-	d := &delivery{w: w, stall: defaultStallTime}
+	d := &delivery{w: w, stall: minStallTime}
 	if b.opts.IdleTimeout != nil {
-		d.stall = b.opts.IdleTimeout()
+		d.stall = max(d.stall, b.opts.IdleTimeout())
 	}
 	now := time.Now()
 	d.hold = b.opts.Bodies.HoldUntilEvicted(now, func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Now()) })
