--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -65,6 +66,8 @@
 	crashed   bool
 	// silent makes new connections hang.
 	silent bool
+	// dialError is the error of new connections. Nil means that they are opened.
+	dialError error
 }
 
 func (b *backend) isCrashed() bool {
@@ -151,6 +154,8 @@
 	entries []placer.Member
 	// stopping reports that the entry stops.
 	stopping atomic.Bool
+	// idle is the idle timeout of callers' connections. Zero means a long one.
+	idle time.Duration
 	// peers are the other entries, and dialPeer connects to one.
 	peers    []delegator.Peer
 	dialPeer func(ctx context.Context, address string) (net.Conn, error)
@@ -222,6 +227,9 @@
 			if !ok || b.isCrashed() {
 				return nil, syscall.ECONNREFUSED
 			}
+			if b.dialError != nil {
+				return nil, b.dialError
+			}
 			if b.silent {
 				<-ctx.Done()
 				return nil, ctx.Err()
@@ -271,6 +279,7 @@
 		Entries: func() []placer.Member { return f.entries },
 		Settled: func() bool { return !f.alone }, Metrics: f.metrics,
 		MayTake:     func(time.Time) bool { return !f.stopping.Load() },
+		IdleTimeout: func() time.Duration { return cmp.Or(f.idle, time.Minute) },
 		RetryLimits: func() balancer.Limits { return balancer.Limits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second} },
 		NotifySuspect: func(_ string, fingerprint quarantiner.Fingerprint, crashes int, _ quarantiner.Attempt) {
 			f.mu.Lock()
