--- a/entry/scheduler/mix.go
+++ b/entry/scheduler/mix.go
@@ -12,8 +12,9 @@
 	// which the ranks of a service differ. Operators and monitors send a few requests on
 	// routes of any rank, up to about one in eight.
 	minMixShare = 0.15
-	// minMixRequests is the number of requests from which the shares are known.
-	minMixRequests = 16.0
+	// minMixRequests is the number of requests of other ranks than the most frequent one from
+	// which their share is known. One may be a probe of an operator.
+	minMixRequests = 1.5
 )
 
 // Mix is the mix of ranks among the requests of one service at one entry. If almost all have
@@ -38,12 +39,13 @@
 	m.at = now
 }
 
-// Differs reports whether the requests differ in rank, or too few are known to tell.
+// Differs reports whether the requests differ in rank. Until that is known they do not: an
+// entry that starts in a shortage would leave capacity to nobody.
 func (m *Mix) Differs() bool {
 	sum, most := 0.0, 0.0
 	for _, n := range m.byRank {
 		sum += n
 		most = max(most, n)
 	}
-	return sum < minMixRequests || sum-most >= minMixShare*sum
+	return sum-most >= max(minMixRequests, minMixShare*sum)
 }
