--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -15,12 +15,14 @@
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/delegator"
 	"samphiremux/entry/estimator"
+	"samphiremux/entry/hedger"
 	"samphiremux/entry/meter"
 	"samphiremux/entry/monitor"
 	"samphiremux/entry/quarantiner"
 	"samphiremux/entry/reserver"
 	"samphiremux/entry/snapshotter"
 	"samphiremux/entry/throttler"
+	"samphiremux/pkg/placer"
 )
 
 // Headers holds the header names that callers and backend servers use, and the
@@ -32,6 +34,14 @@
 	ReadDeadline  func(http.Header) (time.Duration, bool)
 	SetDeadline   func(http.Header, time.Duration)
 	SetRetryAfter func(http.Header, time.Duration)
+	// Key names the header with the caller's API key, which ReadKey reads. Servers do not
+	// get it while the configuration has workspaces. Both are unset if there are no keys.
+	Key     string
+	ReadKey func(http.Header) (key string, ok bool)
+	// Workspace names the header that tells servers the workspace of a request.
+	Workspace string
+	// SetChallenge adds to a response how to send a key. It may be nil.
+	SetChallenge func(http.Header)
 }
 
 // Limits bounds the retries of a service over all entries together: Ratio
@@ -63,6 +73,9 @@
 	// a server, and the number of entries. Entries that know the same entries agree on
 	// the order, which differs from server to server.
 	Rank func(server string) (rank, entries int)
+	// Entries returns the entries that use the servers, this one included. If it is nil, the
+	// balancer uses all servers of a service alike, and no subset of them.
+	Entries func() []placer.Member
 	// Settled reports whether this entry and the others know one another. Only then does it
 	// send requests to cold servers and to those that state a rate limit. It may be nil if
 	// that is always so.
@@ -79,11 +92,15 @@
 	// OnAttempt is called with each attempt that was sent, once it has ended. It
 	// may be nil.
 	OnAttempt func(Attempt)
+	// OnRun is called once for each request of a workspace, when its first attempt that may
+	// have run has ended, with the time at which that began. It may be nil.
+	OnRun func(workspace string, begun time.Time)
 	// NotifySuspect notifies the other entries that a backend server crashed while
 	// it ran a request, how many crashes this entry has seen for it, and the attempt at
 	// the last of them. Zero crashes clear the request. It may be nil.
 	NotifySuspect func(service string, fingerprint quarantiner.Fingerprint, crashes int, last quarantiner.Attempt)
-	// Bodies bounds the memory of request bodies. Nil means that it is not bounded.
+	// Bodies bounds the memory of request bodies and of responses that callers read slowly.
+	// Nil means that it is not bounded.
 	Bodies *reserver.Reserver
 	// Delegator passes requests on to other entries while this one reaches no backend
 	// server. It may be nil.
@@ -125,8 +142,16 @@
 	// suspects has no element for a service until one of its servers crashes
 	// under a request.
 	suspects map[string]*quarantiner.Suspects
+	// hedger is nil if no limit of hedges is set.
+	hedger *hedger.Hedger
 	// reaches holds which servers of each service were reached lately.
 	reaches map[string]reach
+	// workspaceLabels holds the workspaces that have a counter of their own.
+	workspaceLabels map[string]bool
+	// subsets holds the subset of each service that has more than a few servers.
+	subsets map[string]*serviceSubset
+	// shortage has a lock of its own, which is taken before mu.
+	shortage shortage
 }
 
 // routeStats holds the running means of a route's responses.
@@ -143,6 +168,9 @@
 	if opts.OnAttempt == nil {
 		opts.OnAttempt = func(Attempt) {}
 	}
+	if opts.OnRun == nil {
+		opts.OnRun = func(string, time.Time) {}
+	}
 	if opts.MayTake == nil {
 		opts.MayTake = func(time.Time) bool { return true }
 	}
@@ -155,17 +183,29 @@
 	if opts.NotifySuspect == nil {
 		opts.NotifySuspect = func(string, quarantiner.Fingerprint, int, quarantiner.Attempt) {}
 	}
+	if opts.Headers.ReadKey == nil {
+		opts.Headers.ReadKey = func(http.Header) (string, bool) { return "", false }
+	}
+	if opts.Headers.SetChallenge == nil {
+		opts.Headers.SetChallenge = func(http.Header) {}
+	}
 	if opts.Metrics == nil {
 		opts.Metrics = meter.New()
 	}
-	return &Balancer{
+	b := &Balancer{
 		opts: opts, metrics: newMetrics(opts.Metrics), rng: rng, chooser: chooser.New(opts.Policy, rng),
 		badLines: lineBucket{perSecond: badLinesPerSecond}, goodLines: lineBucket{perSecond: goodLinesPerSecond},
 		budgets: map[string]*throttler.RetryBudget{}, routes: map[string]*routeStats{}, draws: map[string]float64{}, suspects: map[string]*quarantiner.Suspects{},
-		reaches: map[string]reach{},
+		reaches: map[string]reach{}, workspaceLabels: map[string]bool{}, subsets: map[string]*serviceSubset{},
 	}
+	opts.Metrics.Gauge("waiting_requests", "Requests that wait for capacity of backend servers.", func() float64 { return float64(b.shortage.waiting()) })
+	return b
 }
 
+// UseHedger makes h decide when idempotent requests are hedged. Without one, they are hedged
+// after a fixed multiple of the expected latency. It must be called before the first request.
+func (b *Balancer) UseHedger(h *hedger.Hedger) { b.hedger = h }
+
 // deadlineSlack is added to the deadline of the request's context, so that a
 // response that the server sends at the deadline still reaches the caller.
 const deadlineSlack = 20 * time.Millisecond
@@ -182,10 +222,12 @@
 func (b *Balancer) serve(w http.ResponseWriter, r *http.Request, h *hop) {
 	c, refusal := b.receive(w, r, h)
 	if refusal != nil {
+		boundDiscard(w, r)
 		b.refuse(w, r, h, *refusal, &trace{})
 		return
 	}
 	c.traceReceived()
+	b.countWorkspace(c)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline.Add(deadlineSlack))
 	defer cancel()
 	defer c.held.Release()
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -30,6 +32,7 @@
 	"samphiremux/entry/roundtripper"
 	"samphiremux/entry/snapshotter"
 	"samphiremux/pkg/describer"
+	"samphiremux/pkg/placer"
 )
 
 // backend is a scripted backend server.
@@ -63,6 +66,8 @@
 	crashed   bool
 	// silent makes new connections hang.
 	silent bool
+	// dialError is the error of new connections. Nil means that they are opened.
+	dialError error
 }
 
 func (b *backend) isCrashed() bool {
@@ -145,6 +150,12 @@
 	outdated bool
 	// alone reports that the entry knows no others, since it is not registered yet.
 	alone bool
+	// entries are the other entries that use the servers. Without them there are no subsets.
+	entries []placer.Member
+	// stopping reports that the entry stops.
+	stopping atomic.Bool
+	// idle is the idle timeout of callers' connections. Zero means a long one.
+	idle time.Duration
 	// peers are the other entries, and dialPeer connects to one.
 	peers    []delegator.Peer
 	dialPeer func(ctx context.Context, address string) (net.Conn, error)
@@ -216,6 +227,9 @@
 			if !ok || b.isCrashed() {
 				return nil, syscall.ECONNREFUSED
 			}
+			if b.dialError != nil {
+				return nil, b.dialError
+			}
 			if b.silent {
 				<-ctx.Done()
 				return nil, ctx.Err()
@@ -262,7 +276,10 @@
 			}
 			return rankOf(entry, server), fixtureEntries
 		},
+		Entries: func() []placer.Member { return f.entries },
 		Settled: func() bool { return !f.alone }, Metrics: f.metrics,
+		MayTake:     func(time.Time) bool { return !f.stopping.Load() },
+		IdleTimeout: func() time.Duration { return cmp.Or(f.idle, time.Minute) },
 		RetryLimits: func() balancer.Limits { return balancer.Limits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second} },
 		NotifySuspect: func(_ string, fingerprint quarantiner.Fingerprint, crashes int, _ quarantiner.Attempt) {
 			f.mu.Lock()
@@ -277,6 +294,9 @@
 			},
 			SetDeadline:   func(h http.Header, d time.Duration) { h.Set("Left", d.String()) },
 			SetRetryAfter: func(h http.Header, d time.Duration) { h.Set("Retry-After", d.String()) },
+			Key:           "Key", Workspace: "Workspace",
+			ReadKey:      func(h http.Header) (string, bool) { return h.Get("Key"), len(h.Values("Key")) == 1 },
+			SetChallenge: func(h http.Header) { h.Set("Challenge", "key") },
 		},
 	}, rand.New(rand.NewPCG(1, 1+entry)))
 	return f
--- a/entry/balancer/metrics.go
+++ b/entry/balancer/metrics.go
@@ -20,11 +20,22 @@
 	dropped      *meter.CounterVec
 	// coldAttempts counts the attempts at cold servers.
 	coldAttempts *meter.CounterVec
+	// beyondSubset counts the attempts at servers outside the subset of their service.
+	beyondSubset *meter.CounterVec
 	latency      *meter.HistogramVec
 	// delegated counts requests that were passed on to other entries, and taken those
 	// that other entries passed on to this one.
 	delegated *meter.CounterVec
 	taken     *meter.CounterVec
+	hedges    hedgeMetrics
+	// refusalsByRank counts the refusals for lack of capacity, and waits holds the time that
+	// requests waited for it.
+	refusalsByRank *meter.CounterVec
+	waits          *meter.HistogramVec
+	// workspaces counts callers' requests by workspace.
+	workspaces *meter.CounterVec
+	// undelivered counts responses that were not delivered to their callers in full.
+	undelivered *meter.CounterVec
 }
 
 // newMetrics registers the metrics. The counters of each refusal reason and retry
@@ -37,6 +48,7 @@
 		probes:       r.CounterVec("probes_total", "Probes of backend servers, by result.", "result"),
 		failedProbes: r.CounterVec("failed_probes_total", "Probes of backend servers that failed, by cause.", "cause"),
 		coldAttempts: r.CounterVec("cold_attempts_total", "Attempts at cold servers, by service.", "service"),
+		beyondSubset: r.CounterVec("beyond_subset_total", "Attempts at servers outside the subset of their service, by service.", "service"),
 		dropped:      r.CounterVec("dropped_lines_total", "Log lines of requests that were dropped by their rate.", "of"),
 		latency:      r.HistogramVec("request_seconds", "Time from arrival to answer, by service, route and status class.", "service", "route", "class"),
 	}
@@ -45,6 +57,14 @@
 		m.delegated.With(result)
 	}
 	m.taken = r.CounterVec("taken_total", "Requests that other entries passed on to this one, by whether it reaches servers.", "reaches")
+	m.hedges = newHedgeMetrics(r)
+	m.refusalsByRank = r.CounterVec("shortage_refusals_total", "Requests that were refused for lack of capacity, by service, rank (0 is the highest) and reason.", "service", "rank", "reason")
+	m.waits = r.HistogramVec("wait_seconds", "Time that requests waited for capacity, by service, rank (0 is the highest) and result.", "service", "rank", "result")
+	m.workspaces = r.CounterVec("workspace_requests_total", "Callers' requests with a valid API key, by workspace.", "workspace")
+	m.undelivered = r.CounterVec("undelivered_responses_total", "Responses that callers did not read in full, by cause.", "cause")
+	for _, cause := range []string{undeliveredStalled, undeliveredMemoryFull} {
+		m.undelivered.With(cause)
+	}
 	for _, reason := range refuser.NotRunReasons() {
 		m.refusals.With(string(refuser.NotRun), string(reason))
 	}
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -31,7 +31,7 @@
 	probes := b.newProbes(view, c.service)
 	defer probes.end()
 	for ctx.Err() == nil {
-		batch := candidates[probed:min(len(candidates), maxProbes, probed+round)]
+		batch := candidates[probed:min(len(candidates), c.maxProbes(), probed+round)]
 		if len(batch) == 0 && (answers > 0 || !probes.mayAnswer(time.Now())) {
 			break
 		}
@@ -144,10 +144,13 @@
 		if !b.hasColdToken(c.view, r.candidate) {
 			return nil, 0, refuser.ColdServers
 		}
-		cost *= coldSlowness
 	}
-	p = &picked{Backend: r.Backend, conn: r.conn, slowness: slowness, busy: busy, rateLimit: h.RateLimit}
+	cost *= b.costFactor(c.view, r.candidate, h.ColdRemaining > 0)
+	p = &picked{Backend: r.Backend, conn: r.conn, slowness: slowness, busy: busy, rateLimit: h.RateLimit, beyond: r.isBeyond()}
 	p.expected = time.Duration(float64(est.latency) * p.slowdown())
+	if !b.hasRoom(c, est, p) {
+		return nil, 0, refuser.DeadlineTooNear
+	}
 	return p, cost, ""
 }
 
@@ -234,13 +237,14 @@
 // observeProbe updates the state of a server after a probe that was sent at a time.
 func (b *Balancer) observeProbe(ctx context.Context, cand candidate, sent time.Time, h roundtripper.Health, err error) {
 	now := time.Now()
-	result := "ok"
+	result, failure := "ok", probeFailure("")
 	if err != nil {
-		result = "error"
-		b.metrics.failedProbes.With(string(failureOf(ctx, err))).Inc()
+		result, failure = "error", failureOf(ctx, err)
+		b.metrics.failedProbes.With(string(failure)).Inc()
 	}
 	b.metrics.probes.With(result).Inc()
 	switch {
+	case failure == probeAtBound:
 	case err == nil:
 		cand.State.ObserveProbe(now, sent, h)
 		b.observeRateLimit(now, cand.Backend, h.RateLimit)
--- a/entry/balancer/response.go
+++ b/entry/balancer/response.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"io"
 	"net/http"
 	"time"
 
@@ -56,6 +55,9 @@
 	if status == http.StatusServiceUnavailable {
 		b.opts.Headers.SetRetryAfter(w.Header(), retryAfter(time.Now(), refusal))
 	}
+	if status == http.StatusUnauthorized {
+		b.opts.Headers.SetChallenge(w.Header())
+	}
 	if h != nil {
 		w.Header().Set(delegator.OutcomeHeader, refusal.Header())
 		if !refusal.RetryAt.IsZero() {
@@ -66,12 +68,12 @@
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 	inputs := []any{"kind", string(refusal.Kind), "reason", string(refusal.Reason), "status", status}
-	noRoute := refusal.Reason == refuser.NoSuchRoute || refusal.Reason == refuser.Outdated
-	if table := b.opts.Snapshot().Table; noRoute && table != nil {
+	unknown := refusal.Reason == refuser.NoSuchRoute || refusal.Reason == refuser.Outdated || refusal.Reason == refuser.UnknownKey
+	if table := b.opts.Snapshot().Table; unknown && table != nil {
 		inputs = append(inputs, "host", r.Host, "configuration", table.Version)
 	}
 	t.add(Refused, inputs...)
-	b.flush(r.Header.Get(b.opts.Headers.RequestID), t, noRoute)
+	b.flush(r.Header.Get(b.opts.Headers.RequestID), t, unknown)
 }
 
 // writeResponse writes a server's response to the caller. If a streamed
@@ -87,18 +89,14 @@
 	}
 	if resp.Remainder == nil {
 		h.Set("Content-Length", contentLength(resp))
-		w.WriteHeader(resp.Status)
-		_, _ = w.Write(resp.Body)
-		return
+	} else {
+		defer resp.Remainder.Close()
 	}
-	defer resp.Remainder.Close()
 	w.WriteHeader(resp.Status)
-	if _, err := w.Write(resp.Body); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	resp.Body = nil // may be collected while the rest is streamed
-	if _, err := io.Copy(w, resp.Remainder); err != nil {
-		b.opts.Log.Warn("Streamed response ended early; aborting the connection to the caller.", "error", err)
+	if err := b.deliver(w, resp); err != nil {
+		if resp.Remainder != nil {
+			b.opts.Log.Warn("Streamed response ended early; aborting the connection to the caller.", "error", err)
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/entry/balancer/run.go
+++ b/entry/balancer/run.go
@@ -15,8 +15,12 @@
 	if c.hop != nil {
 		state.sent = c.hop.attempts
 	}
+	defer b.takeTurn(c)()
 	deposited := false
 	for {
+		if refusal := b.reauthorize(c, &state); refusal != nil {
+			return nil, refusal
+		}
 		switch b.admissionOf(c) {
 		case ordinaryRequest:
 		case trialRequest:
@@ -27,9 +31,10 @@
 		default:
 			return nil, state.refusal(refuser.Suspect)
 		}
-		p, reason := b.pick(ctx, c)
+		p, reason := b.pickInTurn(ctx, c)
 		if p == nil {
 			b.observePick(c, reason)
+			b.observeShortage(c.service, reason)
 			if !b.mayDelegate(c, reason) {
 				return nil, state.refusal(reason)
 			}
@@ -43,15 +48,21 @@
 			p.release()
 			return nil, state.refusal(refuser.DeadlinePassed)
 		}
+		if refusal := b.reauthorize(c, &state); refusal != nil {
+			p.release()
+			return nil, refusal
+		}
 		if !deposited {
 			// The entry that a request is passed on to counts it there.
 			b.deposit(c.service)
+			b.observeHedgeable(c.service)
 			deposited = true
 		}
 		b.observeChosen(c, Chosen, p)
 		c.useStableVersion()
 		c.tellAttempts(state.sent + 1)
 		result := b.attempt(ctx, c, p, &state)
+		b.capacityFreed(c.service)
 		c.backend = result.backend
 		switch {
 		case result.isFinal(c.route.Idempotent):
@@ -64,9 +75,12 @@
 			return b.finish(result, &state, refuser.Suspect)
 		case state.sent >= c.route.MaxAttempts:
 			return b.finish(result, &state, refuser.BackendShedding)
-		case reachedServer(result.outcome) && !b.tryWithdraw(c.service):
+		case reachedServer(result.outcome) && !b.tryWithdraw(c):
 			return b.finish(result, &state, refuser.RetryBudgetSpent)
 		}
+		if _, shed := result.outcome.(retrier.Shed); shed {
+			b.observeShortage(c.service, refuser.BackendShedding)
+		}
 		b.metrics.retries.With(causeOf(result)).Inc()
 		result.discard()
 	}
--- a/entry/balancer/trace.go
+++ b/entry/balancer/trace.go
@@ -24,11 +24,16 @@
 	// LeftOut means that servers got no attempt, since they are leaving or asked for a
 	// pause.
 	LeftOut Decision = "left-out"
+	// Waiting means that the request waits, since no server that was probed has room for
+	// it or is fast enough. It carries the number of requests before it.
+	Waiting Decision = "waiting"
 	// Chosen means that a server was picked for an attempt. It carries the
 	// state that the server reported.
 	Chosen Decision = "chosen"
 	// Hedged means that a second server was picked to hedge the first.
 	Hedged Decision = "hedged"
+	// HedgeSkipped means that a hedge was due and was not sent. It carries the reason.
+	HedgeSkipped Decision = "hedge-skipped"
 	// Delegated means that the request was passed on to another entry. It carries what
 	// became of it there.
 	Delegated Decision = "delegated"
@@ -42,7 +47,7 @@
 
 // Decisions returns every decision.
 func Decisions() []Decision {
-	return []Decision{Received, LeftOut, Chosen, Hedged, Delegated, Ended, Answered, Refused}
+	return []Decision{Received, LeftOut, Waiting, Chosen, Hedged, HedgeSkipped, Delegated, Ended, Answered, Refused}
 }
 
 const (
@@ -165,8 +170,14 @@
 	if c.hop != nil {
 		from = c.hop.from
 	}
-	c.trace.add(Received, "from", from, "route", c.route.Name, "service", c.service, "version", c.version,
-		"configuration", c.view.Table.Version, "deadline-ms", c.deadline.Sub(c.arrived).Milliseconds())
+	inputs := []any{
+		"from", from, "route", c.route.Name, "service", c.service, "version", c.version,
+		"configuration", c.view.Table.Version, "deadline-ms", c.deadline.Sub(c.arrived).Milliseconds(),
+	}
+	if c.guarded {
+		inputs = append(inputs, "workspace", c.workspace.Name)
+	}
+	c.trace.add(Received, inputs...)
 }
 
 // leftOut holds the ids of the servers that an attempt left out, the first maxLeftOut of
@@ -197,6 +208,9 @@
 		"server", p.ID, "version", p.Version, "domain", p.Domain, "slowness", p.slowness,
 		"busy", p.busy, "slots", p.Slots, "expected-ms", p.expected.Milliseconds(), "asked", p.probed, "rate-limit", p.rateLimit.PerSecond,
 	}
+	if p.beyond {
+		inputs = append(inputs, "beyond-subset", true)
+	}
 	if p.cold != nil {
 		c.trace.metCold = true
 		inputs = append(inputs, "cold-rank", p.cold.rank, "cold-holders", p.cold.holders, "entries", p.cold.entries)
--- a/entry/roundtripper/conn.go
+++ b/entry/roundtripper/conn.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -55,11 +56,14 @@
 	fresh     bool
 	// refusedID is the id of the last request that the server refused on the connection.
 	refusedID string
+	// openings counts the connection until ended is set.
+	openings *openings
+	ended    atomic.Bool
 }
 
-func newConn(c net.Conn) *Conn {
+func newConn(c net.Conn, o *openings) *Conn {
 	head := &headLimiter{source: c}
-	return &Conn{net: c, head: head, reader: bufio.NewReaderSize(head, readBufferSize), writer: bufio.NewWriterSize(c, writeBufferSize), fresh: true}
+	return &Conn{net: c, head: head, reader: bufio.NewReaderSize(head, readBufferSize), writer: bufio.NewWriterSize(c, writeBufferSize), fresh: true, openings: o}
 }
 
 // errHeadTooLarge is returned by reads beyond the bound of a head.
@@ -91,7 +95,7 @@
 	return n, err
 }
 
-func (c *Conn) close() { _ = c.net.Close() }
+func (c *Conn) close() { _ = c.end(OpenedClosed) }
 
 // clean reports whether an idle connection is open and has no unread bytes. Bytes
 // that arrive before the next request is sent cannot be its response.
@@ -171,6 +175,9 @@
 		if resp.StatusCode >= http.StatusOK {
 			return reply{resp}, nil
 		}
+		if resp.StatusCode < http.StatusContinue {
+			return reply{}, fmt.Errorf("response has the status %d", resp.StatusCode)
+		}
 		// Informational responses have no body.
 		_ = resp.Body.Close()
 		if resp.StatusCode == http.StatusSwitchingProtocols {
@@ -232,8 +239,9 @@
 		return nil, true, nil
 	}
 	size := int64(firstBufferBytes)
-	if rep.ContentLength >= 0 && rep.ContentLength <= limit {
-		size = rep.ContentLength
+	if rep.ContentLength >= 0 {
+		// Buffers that grow would leave as much garbage as the last one holds.
+		size = min(rep.ContentLength, limit+1)
 	}
 	for {
 		size = min(size, limit+1)
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -15,14 +15,18 @@
 	"samphiremux/entry/delegator"
 	"samphiremux/entry/drainer"
 	"samphiremux/entry/expirer"
+	"samphiremux/entry/hedger"
 	"samphiremux/pkg/linker"
 	"samphiremux/platform/translator"
 )
 
 // serve runs an entry until ctx ends, and then until its last requests are answered or
-// the grace period is over.
-func serve(ctx context.Context, file string, s translator.Settings, policy chooser.Policy, log hclog.Logger) error {
+// the grace period is over. Without a hedge limit, hedges are not limited.
+func serve(ctx context.Context, file string, s translator.Settings, policy chooser.Policy, hedgeLimit *float64, log hclog.Logger) error {
 	e := newEntry(s, policy, dialer().DialContext, log)
+	if hedgeLimit != nil {
+		e.balancer.UseHedger(hedger.New(*hedgeLimit))
+	}
 	l, err := listen(s)
 	if err != nil {
 		return err
@@ -37,6 +41,8 @@
 	go e.roller.Run(work)
 	go e.balancer.RunReachChecks(work)
 	go e.persister.Run(work)
+	go e.usage.Run(work)
+	go e.usage.RunForwarding(work)
 	go e.watchSettings(work, file)
 	running := e.startServers(work, l)
 	e.serveMetrics(s.CallerAddress)
@@ -54,15 +60,19 @@
 
 // startServers serves callers, the platform and other entries.
 func (e *entry) startServers(ctx context.Context, l listeners) servers {
-	go func() { _ = linker.Serve(ctx, l.link, &link{entry: e}) }()
+	go func() { _ = linker.Serve(ctx, e.boundLink(l.link), &link{entry: e}) }()
 	callers := e.callerServer(e.balancer)
 	go func() { _ = callers.Serve(e.expirer.WrapListener(l.callers)) }()
-	go func() { _ = e.server(http.HandlerFunc(e.serveReady)).Serve(l.ready) }()
-	go func() { _ = e.server(http.HandlerFunc(e.serveLocate)).Serve(l.locate) }()
+	ready, readyConns := e.boundServer(http.HandlerFunc(e.serveReady), l.ready, readyListener, otherShare)
+	go func() { _ = ready.Serve(readyConns) }()
+	locate, locateConns := e.boundServer(http.HandlerFunc(e.serveLocate), l.locate, locateListener, locateShare)
+	go func() { _ = locate.Serve(locateConns) }()
 	delegated := e.server(http.HandlerFunc(e.serveDelegated))
 	delegated.BaseContext = callers.BaseContext
 	if l.delegated != nil {
-		go func() { _ = delegated.Serve(l.delegated) }()
+		tracker := e.bounds.expirer(delegatedListener, delegatedShare, e.delegatedHeadLimits)
+		delegated.ConnState = tracker.ConnState
+		go func() { _ = delegated.Serve(tracker.WrapListener(l.delegated)) }()
 	}
 	return servers{callers: callers, delegated: delegated, listener: l.callers}
 }
@@ -80,7 +90,8 @@
 		e.log.Warn("Cannot listen for metrics; running without them.", "error", err)
 		return
 	}
-	go func() { _ = e.server(e.metrics).Serve(l) }()
+	server, conns := e.boundServer(e.metrics, l, metricsListener, otherShare)
+	go func() { _ = server.Serve(conns) }()
 }
 
 // listeners are the listeners of an entry, one for each address of its settings.
@@ -151,6 +162,7 @@
 	if err := errors.Join(s.callers.Shutdown(grace), s.delegated.Shutdown(grace)); err != nil {
 		e.log.Warn("Grace period ended with open connections.", "connections", e.expirer.Open(), "error", err)
 	}
+	e.usage.Flush(grace)
 	select {
 	case <-deregistered:
 	case <-grace.Done():
@@ -221,6 +233,7 @@
 			closed := e.expirer.CloseExpired(e.connectionLimits())
 			e.connectionsClosed.With("header-timeout").Add(closed.Header)
 			e.connectionsClosed.With("idle-timeout").Add(closed.Idle)
+			e.logBounds(now)
 		case <-ctx.Done():
 			return
 		}
