--- a/ctl/commander/check.go
+++ b/ctl/commander/check.go
@@ -32,14 +32,14 @@
 
 type checkCommand struct {
 	File     string `arg:"positional,required" help:"document, or configuration of the platform"`
-	Against  string `arg:"--against" help:"file with the version in force"`
+	Against  string `arg:"--against" help:"file with the current version"`
 	Format   string `arg:"--format" default:"auto" help:"format of the files: auto, document or platform"`
 	Settings string `arg:"--settings" help:"settings file of an entry, for the retry budget; the deployments' default if not given"`
 }
 
 type diffCommand struct {
-	File    string `arg:"positional,required" help:"document to compare with the one in force"`
-	Against string `arg:"--against" help:"file to compare with, in place of the document in force"`
+	File    string `arg:"positional,required" help:"document to compare with the current one"`
+	Against string `arg:"--against" help:"file to compare with, in place of the current document"`
 	Format  string `arg:"--format" default:"auto" help:"format of the files, with --against: auto, document or platform"`
 }
 
@@ -128,7 +128,7 @@
 	return formatDocument
 }
 
-// check prints the findings for a file, and the differences from the version in force.
+// check prints the findings for a file, and the differences from the current version.
 func (s *session) check() (err error) {
 	defer func() {
 		if err != nil && !errors.Is(err, errFindings) {
@@ -190,7 +190,7 @@
 	Valid       bool              `json:"valid"`
 	Findings    []auditor.Finding `json:"findings"`
 	Differences []differ.Change   `json:"differences,omitempty"`
-	// compared reports that the file was compared with the version in force.
+	// compared reports that the file was compared with the current version.
 	compared bool
 }
 
--- a/ctl/commander/commander.go
+++ b/ctl/commander/commander.go
@@ -78,7 +78,7 @@
 
 type arguments struct {
 	Check      *checkCommand       `arg:"subcommand:check" help:"check a document or a configuration of the platform"`
-	Diff       *diffCommand        `arg:"subcommand:diff" help:"compare a document with the one in force, or two files"`
+	Diff       *diffCommand        `arg:"subcommand:diff" help:"compare a document with the current one, or two files"`
 	Apply      *applyCommand       `arg:"subcommand:apply" help:"apply a document"`
 	Promote    *promoteCommand     `arg:"subcommand:promote" help:"apply the document of another environment"`
 	History    *environmentCommand `arg:"subcommand:history" help:"list the applied documents"`
--- a/entry/balancer/authorize.go
+++ b/entry/balancer/authorize.go
@@ -49,7 +49,7 @@
 	return nil
 }
 
-// reauthorize looks the API key of a call up again in the configuration in force, before an
+// reauthorize looks the API key of a call up again in the current configuration, before an
 // attempt. The key may have been revoked while the request waited or was tried.
 func (b *Balancer) reauthorize(c *call, state *attempts) *refuser.Refusal {
 	refusal := b.authorize(&c.identity, b.opts.Snapshot().Table, c.route)
--- a/entry/expirer/bounds.go
+++ b/entry/expirer/bounds.go
@@ -30,7 +30,7 @@
 type Bounds struct {
 	// Connections bounds the open connections. Zero means that they are not bounded.
 	Connections int
-	// Head returns the limits of request heads in force. Nil means that there are none.
+	// Head returns the current limits of request heads. Nil means that there are none.
 	Head func() HeadLimits
 	// Memory holds the heads of requests until they end. It may be nil.
 	Memory *reserver.Reserver
--- a/entry/expirer/expirer.go
+++ b/entry/expirer/expirer.go
@@ -1,5 +1,5 @@
 // Package expirer closes callers' connections that stay idle, or take to send
-// their request headers, for longer than the configuration in force allows, those
+// their request headers, for longer than the current configuration allows, those
 // that are idle as a process stops, and those beyond the bounds of connections and heads. It replaces the timeouts of net/http, which cannot
 // change while a server runs, and its shutdown, which closes connections from which a
 // request is being read.
--- a/entry/hedger/hedger.go
+++ b/entry/hedger/hedger.go
@@ -188,7 +188,7 @@
 	AttemptsUsed Reason = "attempts"
 	// BudgetSpent means that the retry budget of the service is spent.
 	BudgetSpent Reason = "retry-budget"
-	// KeyRevoked means that the configuration in force no longer allows the request as it
+	// KeyRevoked means that the current configuration no longer allows the request as it
 	// was first sent.
 	KeyRevoked Reason = "key-revoked"
 )
--- a/entry/scheduler/shared_test.go
+++ b/entry/scheduler/shared_test.go
@@ -41,8 +41,8 @@
 	Rank      int
 	Workspace string
 	Share     float64
-	// Hammers reports that they retry without pause.
-	Hammers bool
+	// Repeats reports that they retry without pause.
+	Repeats bool
 	// InTime is the least share of requests in percent that must be served in time.
 	InTime float64 `json:"in-time"`
 
@@ -52,8 +52,8 @@
 func (c *caller) percent(n int) float64 { return 100 * float64(n) / float64(max(1, c.sent)) }
 func (c *caller) served() float64       { return c.percent(c.inTime + c.late) }
 
-// world is the entries, servers and callers of one run. Its lock guards all their state.
-type world struct {
+// fixture is the entries, servers and callers of one run. Its lock guards all their state.
+type fixture struct {
 	played
 	before bool
 	ranks  int
@@ -74,18 +74,18 @@
 	slots chan struct{}
 }
 
-func locked[T any](w *world, f func() T) T {
+func locked[T any](w *fixture, f func() T) T {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return f()
 }
 
-func (w *world) add(n *int, d int) { locked(w, func() int { *n += d; return *n }) }
+func (w *fixture) add(n *int, d int) { locked(w, func() int { *n += d; return *n }) }
 
-func (w *world) draw() float64 { return locked(w, w.rng.Float64) }
+func (w *fixture) draw() float64 { return locked(w, w.rng.Float64) }
 
 // run runs a request at a server, unless the queue there is full.
-func (w *world) run(s *server) (ok bool) {
+func (w *fixture) run(s *server) (ok bool) {
 	time.Sleep(time.Millisecond)
 	if !locked(w, func() bool { return s.busy < slots+serverQueue }) {
 		return false
@@ -99,7 +99,7 @@
 }
 
 // slowness is how many times longer a server takes than usual at the moment.
-func (w *world) slowness(s *server) float64 {
+func (w *fixture) slowness(s *server) float64 {
 	if phase := time.Since(w.begun) / (500 * time.Millisecond); w.Slow && (int(phase)+s.index)%4 == 0 {
 		return 7
 	}
@@ -115,7 +115,7 @@
 	return time.Duration(slowness * factor * float64(work))
 }
 
-func (w *world) fullAt(left time.Duration, slowness float64) (n int) {
+func (w *fixture) fullAt(left time.Duration, slowness float64) (n int) {
 	for n = slots; n < slots+serverQueue && expected(n, slowness) <= min(left, w.target*3/4); {
 		n++
 	}
@@ -123,7 +123,7 @@
 }
 
 // pick probes servers in rounds. A ticket of nil stands for the entry without a scheduler.
-func (w *world) pick(e int, t *scheduler.Ticket, limit time.Time, probes int) (best *server) {
+func (w *fixture) pick(e int, t *scheduler.Ticket, limit time.Time, probes int) (best *server) {
 	bestCost, good := time.Duration(0), false
 	for n := 0; n < probes && !good; n += 4 {
 		time.Sleep(time.Duration((1 + 5*w.draw()) * float64(time.Millisecond)))
@@ -152,7 +152,7 @@
 }
 
 // serve serves a request as the balancer does.
-func (w *world) serve(c *caller, deadline time.Time) (retryAfter time.Duration, ok bool) {
+func (w *fixture) serve(c *caller, deadline time.Time) (retryAfter time.Duration, ok bool) {
 	now, e := time.Now(), locked(w, func() int { return w.rng.IntN(len(w.entries)) })
 	sched := w.entries[e]
 	if w.before {
@@ -197,7 +197,7 @@
 }
 
 // call sends a request until it is served, up to three times again.
-func (w *world) call(c *caller) {
+func (w *fixture) call(c *caller) {
 	w.add(&c.sent, 1)
 	begun := time.Now()
 	deadline := begun.Add(timeLimit)
@@ -214,16 +214,16 @@
 			w.add(&c.refusedTwice, 1)
 		}
 		w.add(&c.refusals, 1)
-		if !c.Hammers {
+		if !c.Repeats {
 			time.Sleep(min(after, time.Until(deadline)/3))
 		}
 	}
 }
 
 // play sends requests for 10 s, or longer with few entries, and returns what the callers got.
-func play(t *testing.T, p played, entries int, before bool) (w *world) {
+func play(t *testing.T, p played, entries int, before bool) (w *fixture) {
 	p.Callers = append([]caller(nil), p.Callers...)
-	w = &world{played: p, target: p.Objective * time.Millisecond, before: before, rng: rand.New(rand.NewPCG(1, 1))}
+	w = &fixture{played: p, target: p.Objective * time.Millisecond, before: before, rng: rand.New(rand.NewPCG(1, 1))}
 	for _, c := range p.Callers {
 		w.ranks = max(w.ranks, c.Rank+1)
 	}
@@ -273,7 +273,7 @@
 	}
 }
 
-func checkShares(t *testing.T, before, w *world) {
+func checkShares(t *testing.T, before, w *fixture) {
 	sent, served := 0, 0
 	for i, c := range w.Callers {
 		sent, served = sent+c.sent, served+c.inTime+c.late
@@ -291,8 +291,8 @@
 			t.Errorf("rank %d %s starves: %.1f %% served, %.1f of all", c.Rank, c.Workspace, c.served(), overall)
 		}
 		for _, o := range w.Callers {
-			if (o.Rank > c.Rank || (o.Rank == c.Rank && o.Hammers && !c.Hammers)) && o.served() > c.served()+5 {
-				t.Errorf("rank %d (hammers %v) is served better than rank %d: %.1f and %.1f %%", o.Rank, o.Hammers, c.Rank, o.served(), c.served())
+			if (o.Rank > c.Rank || (o.Rank == c.Rank && o.Repeats && !c.Repeats)) && o.served() > c.served()+5 {
+				t.Errorf("rank %d (repeats %v) is served better than rank %d: %.1f and %.1f %%", o.Rank, o.Repeats, c.Rank, o.served(), c.served())
 			}
 		}
 	}
--- a/entry/usagereporter/world_test.go
+++ b/entry/usagereporter/fixture_test.go
@@ -22,9 +22,9 @@
 
 var errLost, errRejected = errors.New("response lost"), errors.New("rejected")
 
-// world holds the entries, the store and the platform of a test. Entries exchange their
+// fixture holds the entries, the store and the platform of a test. Entries exchange their
 // counts directly.
-type world struct {
+type fixture struct {
 	t     *testing.T
 	start time.Time
 	nodes []*node
@@ -56,7 +56,7 @@
 // node is one entry: what it knows of the others, of the store and of the time.
 type node struct {
 	*usagereporter.Reporter
-	w      *world
+	w      *fixture
 	id     string
 	cancel context.CancelFunc
 	// The fields below are set by tests.
@@ -71,10 +71,10 @@
 }
 
 // run runs a test with entries in virtual time, and checks the calls of the platform.
-func run(t *testing.T, entries int, test func(w *world)) {
+func run(t *testing.T, entries int, test func(w *fixture)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{
+		w := &fixture{
 			t: t, start: time.Now(), accepted: map[int64]call{}, revision: 1,
 			onCommit: func(*node, bool) error { return nil }, onCall: func(*node, bool) error { return nil },
 		}
@@ -97,7 +97,7 @@
 }
 
 // begin starts a process of an entry.
-func (w *world) begin(i int) {
+func (w *fixture) begin(i int) {
 	n := w.nodes[i]
 	ctx, cancel := context.WithCancel(w.t.Context())
 	n.cancel = cancel
@@ -112,7 +112,7 @@
 }
 
 // kill ends the process of an entry.
-func (w *world) kill(n *node) {
+func (w *fixture) kill(n *node) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n.dead = true
@@ -120,7 +120,7 @@
 }
 
 // exchange lets entries ask each other for their counts.
-func (w *world) exchange(ctx context.Context) {
+func (w *fixture) exchange(ctx context.Context) {
 	for ctx.Err() == nil {
 		for _, a := range w.nodes {
 			for _, b := range w.nodes {
@@ -134,7 +134,7 @@
 }
 
 // serve lets each entry that runs count requests for a time.
-func (w *world) serve(d time.Duration) {
+func (w *fixture) serve(d time.Duration) {
 	for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(500 * time.Millisecond) {
 		for _, n := range w.nodes {
 			if !n.dead {
@@ -146,7 +146,7 @@
 }
 
 // holder returns the entry that holds usage reporting, and fails the test if none does.
-func (w *world) holder() *node {
+func (w *fixture) holder() *node {
 	for _, n := range w.nodes {
 		if !n.dead && n.Stats().Holder {
 			return n
@@ -157,13 +157,13 @@
 }
 
 // window returns the number of the window that begins after a time since the start.
-func (w *world) window(after time.Duration) int64 {
+func (w *fixture) window(after time.Duration) int64 {
 	return usagereporter.WindowAt(time.Duration(w.start.Add(after).UnixNano()), limits.Window)
 }
 
 // reported fails the test unless each window in a range of times was accepted, not later
 // than a time after its end.
-func (w *world) reported(from, to, late time.Duration) {
+func (w *fixture) reported(from, to, late time.Duration) {
 	w.t.Helper()
 	for at := from; at < to; at += limits.Window {
 		c, ok := w.accepted[w.window(at)]
@@ -174,7 +174,7 @@
 }
 
 // check checks what the platform must never see.
-func (w *world) check() {
+func (w *fixture) check() {
 	w.t.Helper()
 	for i, c := range w.calls {
 		if i > 0 && c.token < w.calls[i-1].token {
@@ -259,7 +259,7 @@
 }
 
 // restore restores the store from a copy.
-func (w *world) restore(value []byte) {
+func (w *fixture) restore(value []byte) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.era++
--- a/entry/usagereporter/usagereporter.go
+++ b/entry/usagereporter/usagereporter.go
@@ -75,7 +75,7 @@
 	// Members returns what this entry knows of the others.
 	Members func() Members
 	Pool    *linker.Pool
-	// Limits returns the limits in force. Enabled is false if no usage is reported.
+	// Limits returns the current limits. Enabled is false if no usage is reported.
 	Limits func() (l Limits, enabled bool)
 	// Uptime returns the reading of a clock that includes suspended time, and TimeOfDay the
 	// time since the start of 1970.
--- a/entry/usagereporter/usagereporter_test.go
+++ b/entry/usagereporter/usagereporter_test.go
@@ -17,7 +17,7 @@
 // TestWindowsReported guards against windows without a report, late ones, and counts that
 // lack what some entries served.
 func TestWindowsReported(t *testing.T) {
-	run(t, 4, func(w *world) {
+	run(t, 4, func(w *fixture) {
 		is := is.New(w.t)
 		w.serve(time.Minute)
 		w.reported(0, 50*time.Second, 5*time.Second)
@@ -43,7 +43,7 @@
 		{"between the call and its response", false, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			run(t, 4, func(w *world) {
+			run(t, 4, func(w *fixture) {
 				w.serve(18 * time.Second)
 				victim := w.holder()
 				kill := func(n *node, done bool) error {
@@ -79,7 +79,7 @@
 		{"the platform does not answer", false, 3 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			run(t, 3, func(w *world) {
+			run(t, 3, func(w *fixture) {
 				is := is.New(w.t)
 				tries := 0
 				w.onCall = func(_ *node, received bool) error {
@@ -104,7 +104,7 @@
 // call, and then sends with the token of the past beside the next holder.
 func TestFrozenHolder(t *testing.T) {
 	for _, inCall := range []bool{false, true} {
-		run(t, 3, func(w *world) {
+		run(t, 3, func(w *fixture) {
 			is := is.New(w.t)
 			w.serve(18 * time.Second)
 			frozen := w.holder()
@@ -130,7 +130,7 @@
 // TestCallInTransit guards against a new holder that sends while a call of the former one is
 // still on its way.
 func TestCallInTransit(t *testing.T) {
-	run(t, 3, func(w *world) {
+	run(t, 3, func(w *fixture) {
 		w.serve(18 * time.Second)
 		former := w.holder()
 		former.transit = 2500 * time.Millisecond
@@ -148,7 +148,7 @@
 // TestReportRejected guards against a rejected report that is sent again for ever, and against
 // another report of its window.
 func TestReportRejected(t *testing.T) {
-	run(t, 3, func(w *world) {
+	run(t, 3, func(w *fixture) {
 		is := is.New(w.t)
 		w.serve(18 * time.Second)
 		before := len(w.calls)
@@ -168,7 +168,7 @@
 // TestHolderLosesStore guards against windows without a report while the store refuses the
 // holder only, and against a holder that goes on without the store.
 func TestHolderLosesStore(t *testing.T) {
-	run(t, 3, func(w *world) {
+	run(t, 3, func(w *fixture) {
 		is := is.New(w.t)
 		w.serve(18 * time.Second)
 		before := w.holder()
@@ -188,7 +188,7 @@
 // TestHolderLosesPlatform guards against windows that are reported too late since the holder
 // reaches the store but not the platform.
 func TestHolderLosesPlatform(t *testing.T) {
-	run(t, 3, func(w *world) {
+	run(t, 3, func(w *fixture) {
 		is := is.New(w.t)
 		w.serve(18 * time.Second)
 		before := w.holder()
@@ -208,7 +208,7 @@
 // off from them.
 func TestHolderLosesRelays(t *testing.T) {
 	for _, restarted := range []bool{false, true} {
-		run(t, 5, func(w *world) {
+		run(t, 5, func(w *fixture) {
 			is := is.New(w.t)
 			w.serve(20 * time.Second)
 			holder := w.holder()
@@ -229,7 +229,7 @@
 // TestStoreDown guards against lost windows, and against calls of a store that is down, in an
 // outage of 5 s.
 func TestStoreDown(t *testing.T) {
-	run(t, 3, func(w *world) {
+	run(t, 3, func(w *fixture) {
 		is := is.New(w.t)
 		w.serve(16 * time.Second)
 		w.onCommit = func(*node, bool) error { return errors.New("down") }
@@ -245,7 +245,7 @@
 // TestResponseOfStoreLost guards against reports that differ when the response to a
 // transaction is lost, whether it took effect or not.
 func TestResponseOfStoreLost(t *testing.T) {
-	run(t, 3, func(w *world) {
+	run(t, 3, func(w *fixture) {
 		n := 0
 		w.onCommit = func(_ *node, committed bool) error {
 			if n++; committed && n%4 < 2 {
@@ -261,7 +261,7 @@
 // TestAllRestart guards against windows reported twice with different counts when no process
 // remembers the last reports.
 func TestAllRestart(t *testing.T) {
-	run(t, 3, func(w *world) {
+	run(t, 3, func(w *fixture) {
 		w.serve(18 * time.Second)
 		w.onCall = func(_ *node, received bool) error {
 			if received {
@@ -294,7 +294,7 @@
 		{"all restart without the key", false, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			run(t, 3, func(w *world) {
+			run(t, 3, func(w *fixture) {
 				is := is.New(w.t)
 				backup := w.value
 				w.serve(13 * time.Second)
@@ -328,7 +328,7 @@
 // TestReportUnknownAfterRestore guards against another report of a window that was reported
 // by a holder that is lost, with a record that is in no copy of the store.
 func TestReportUnknownAfterRestore(t *testing.T) {
-	run(t, 3, func(w *world) {
+	run(t, 3, func(w *fixture) {
 		w.serve(18 * time.Second)
 		victim, backup := w.holder(), w.value
 		w.onCall = func(n *node, received bool) error {
@@ -350,7 +350,7 @@
 // TestPlatformDown guards against a store that is called more than 0.3 times a second while
 // the platform is down, and against windows that are lost.
 func TestPlatformDown(t *testing.T) {
-	run(t, 5, func(w *world) {
+	run(t, 5, func(w *fixture) {
 		is := is.New(w.t)
 		w.serve(18 * time.Second)
 		w.onCall = func(*node, bool) error { return errors.New("down") }
@@ -368,7 +368,7 @@
 // that no longer reports, when its clock or that of another entry jumps.
 func TestClockJumps(t *testing.T) {
 	for _, offset := range []time.Duration{-time.Hour, -7 * time.Second, 7 * time.Second, time.Hour} {
-		run(t, 5, func(w *world) {
+		run(t, 5, func(w *fixture) {
 			w.serve(18 * time.Second)
 			w.holder().clockOffset = offset
 			w.serve(50 * time.Second)
--- a/pkg/auditor/auditor.go
+++ b/pkg/auditor/auditor.go
@@ -39,17 +39,17 @@
 	return a.findings
 }
 
-// AuditSuccession checks the versions of a configuration against those of the one in force.
+// AuditSuccession checks the versions of a configuration against those of the current one.
 func AuditSuccession(file string, d, inForce Draft) []Finding {
 	a := &audit{file: file}
 	if !inForce.Version.Present {
 		return nil
 	}
 	if d.Version.Present && d.Version.V <= inForce.Version.V {
-		a.add(d.Version.At, Invalid, "%s is %d but must be above the version in force, %d", d.Version.At.Path, d.Version.V, inForce.Version.V)
+		a.add(d.Version.At, Invalid, "%s is %d but must be above the current version, %d", d.Version.At.Path, d.Version.V, inForce.Version.V)
 	}
 	if d.Base.Present && d.Base.V != inForce.Version.V {
-		a.add(d.Base.At, Invalid, "%s is %d but version %d is in force", d.Base.At.Path, d.Base.V, inForce.Version.V)
+		a.add(d.Base.At, Invalid, "%s is %d but the current version is %d", d.Base.At.Path, d.Base.V, inForce.Version.V)
 	}
 	return a.findings
 }
--- a/standin/soaker/keys_test.go
+++ b/standin/soaker/keys_test.go
@@ -19,14 +19,14 @@
 	// workspaceHeader tells a server the workspace of the caller's key.
 	workspaceHeader = "Expected-Workspace"
 	// keyTime is the time from the acceptance of a configuration by the store until its keys
-	// are in force at every entry.
+	// have taken effect at every entry.
 	keyTime = 2500 * time.Millisecond
 	// regainTime is the time from the end of an outage of the store until entries know what
 	// was written during it.
 	regainTime = 3 * time.Second
 )
 
-// keyLife is when a key was in force. The times are zero if it has not come to that.
+// keyLife is when a key was valid. The times are zero if it has not come to that.
 type keyLife struct {
 	workspace string
 	// added and revoked are when the store had accepted the change, and retired is when the
@@ -125,7 +125,7 @@
 	}
 }
 
-// inForce returns when a change that the store accepted is in force at every entry.
+// inForce returns when a change that the store accepted has taken effect at every entry.
 func (k *keyring) inForce(accepted time.Time) time.Time {
 	deadline := accepted.Add(keyTime)
 	for _, o := range k.outages {
--- a/steer/commander/bounds.go
+++ b/steer/commander/bounds.go
@@ -146,7 +146,7 @@
 	return s, tracker.WrapListener(l)
 }
 
-// headLimits returns the limits of the heads of callers' requests in force.
+// headLimits returns the current limits of the heads of callers' requests.
 func (e *entry) headLimits() expirer.HeadLimits { return expirer.NewHeadLimits(e.headerBytes()) }
 
 // delegatedHeadLimits returns the limits of the heads of requests that other entries pass
--- a/steer/commander/usage.go
+++ b/steer/commander/usage.go
@@ -13,7 +13,7 @@
 // usageKey is the key of the record of usage reports.
 const usageKey = translator.ProjectKeyPrefix + "usage"
 
-// usageLimits returns the limits of usage reports in force, and whether there are any.
+// usageLimits returns the current limits of usage reports, and whether there are any.
 func (e *entry) usageLimits() (l usagereporter.Limits, enabled bool) {
 	s := e.settings.Load()
 	l = usagereporter.Limits{Window: s.Bounds.UsageWindow, LeaseTime: s.Bounds.LeaseTime, CallInterval: s.CloudAPI.CallInterval}
