--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -150,6 +150,8 @@
 	workspaceLabels map[string]bool
 	// subsets holds the subset of each service that has more than a few servers.
 	subsets map[string]*serviceSubset
+	// queueing is as in EnableQueueing.
+	queueing bool
 	// shortage has a lock of its own, which is taken before mu.
 	shortage shortage
 }
--- a/entry/balancer/shortage.go
+++ b/entry/balancer/shortage.go
@@ -43,6 +43,9 @@
 	ticket    *scheduler.Ticket
 	// rank is the position of the request's rank in its service, 0 the highest.
 	rank int
+	// queues reports that the request leaves room for more urgent ones and waits for capacity.
+	// Otherwise its standing counts in the retry budget only.
+	queues bool
 	// short reports that the service was short of capacity when the request came.
 	short bool
 	// tries is the number of times that the request looked for capacity since it was last
@@ -82,6 +85,14 @@
 	return m.Differs()
 }
 
+// EnableQueueing makes requests of lower ranks leave room at full servers for more urgent ones,
+// and requests wait for capacity while they can be in time. It must be called before the
+// first request.
+func (b *Balancer) EnableQueueing() { b.queueing = true }
+
+// queues reports whether the request leaves room for more urgent ones and waits for capacity.
+func (c *call) queues() bool { return c.turn != nil && c.turn.queues }
+
 // waiting returns the number of waiting requests of all services.
 func (s *shortage) waiting() (n int) {
 	s.mu.Lock()
@@ -123,7 +134,7 @@
 	if servers := c.view.Services[c.service]; len(servers) > 0 {
 		slots = servers[0].Slots
 	}
-	c.turn = &turn{scheduler: sched, rank: rank, short: sched.Short(now)}
+	c.turn = &turn{scheduler: sched, rank: rank, queues: b.queueing, short: sched.Short(now)}
 	c.turn.ticket = sched.Offer(now, scheduler.Request{
 		Rank: rank, Ranks: len(ranks), Workspace: c.workspace.Name, Route: c.route.Name, Target: c.route.TargetLatency,
 		RouteLimit: c.route.TimeLimit, Limit: c.deadline.Sub(c.arrived), Arrived: c.arrived, Deadline: c.deadline,
@@ -158,7 +169,7 @@
 // pickInTurn is pick for a request that has a place in the schedule: if no server has room
 // for it, it waits for as long as it can be in time.
 func (b *Balancer) pickInTurn(ctx context.Context, c *call) (p *picked, reason refuser.Reason) {
-	if c.turn == nil {
+	if !c.queues() {
 		return b.pick(ctx, c)
 	}
 	c.turn.waited = 0
@@ -282,7 +293,7 @@
 // hasRoom reports whether a server that was probed has room for the request by its rank, and
 // is fast enough for a request that can still wait.
 func (b *Balancer) hasRoom(c *call, est routeEstimate, p *picked) bool {
-	if c.turn == nil {
+	if !c.queues() {
 		return true
 	}
 	now := time.Now()
@@ -305,7 +316,7 @@
 // maxProbes returns the number of servers that are probed for the next attempt at most.
 func (c *call) maxProbes() int {
 	switch {
-	case c.turn == nil:
+	case !c.queues():
 		return maxProbes
 	case c.turn.tries > 0:
 		return retryProbes
--- a/entry/balancer/shortage_test.go
+++ b/entry/balancer/shortage_test.go
@@ -42,6 +42,7 @@
 		[]describer.Service{{Name: "stock", HealthPath: "/health"}}, describer.Limits{})); err != nil {
 		t.Fatal(err)
 	}
+	f.balancer.EnableQueueing()
 	if ranksBelow > 0 {
 		for range 4 {
 			f.balancer.ObserveRanks("stock", 2)
--- a/steer/commander/commander.go
+++ b/steer/commander/commander.go
@@ -47,6 +47,7 @@
 	Settings   string   `arg:"--settings" help:"settings file; the platform names the default one in the environment"`
 	Policy     string   `arg:"--policy" default:"expected-completion" help:"policy by which backend servers are chosen"`
 	HedgeLimit *float64 `arg:"--hedge-limit" help:"hedged requests as a share of the requests of a service, from 0 to 1; without it, the built-in delay applies and the share is not limited"`
+	Queue      bool     `arg:"--queue" help:"requests of lower ranks leave room at full servers for more urgent ones, and requests wait for capacity while they can be in time"`
 	LogLevel   string   `arg:"--log-level" default:"info" help:"trace, debug, info, warn, error or off"`
 	Check      bool     `arg:"--check" help:"check the settings file and exit"`
 }
@@ -104,7 +105,7 @@
 	// logger.
 	stdlog.SetOutput(log.Named("http").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}))
 	signal.Ignore(syscall.SIGPIPE)
-	if err := serve(ctx, a.Settings, s, policy, a.HedgeLimit, log); err != nil {
+	if err := serve(ctx, a.Settings, s, policy, features{hedgeLimit: a.HedgeLimit, queueing: a.Queue}, log); err != nil {
 		log.Error("Entry failed; exiting.", "error", err)
 		return exitFailed
 	}
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -20,12 +20,23 @@
 	"samphiremux/platform/translator"
 )
 
+// features are the parts of the request path that the command line enables.
+type features struct {
+	// hedgeLimit is the share of hedged requests, or nil if it is not limited.
+	hedgeLimit *float64
+	// queueing is as in balancer.EnableQueueing.
+	queueing bool
+}
+
 // serve runs an entry until ctx ends, and then until its last requests are answered or
-// the grace period is over. Without a hedge limit, hedges are not limited.
-func serve(ctx context.Context, file string, s translator.Settings, policy chooser.Policy, hedgeLimit *float64, log hclog.Logger) error {
+// the grace period is over.
+func serve(ctx context.Context, file string, s translator.Settings, policy chooser.Policy, f features, log hclog.Logger) error {
 	e := newEntry(s, policy, dialer().DialContext, log)
-	if hedgeLimit != nil {
-		e.balancer.UseHedger(hedger.New(*hedgeLimit))
+	if f.hedgeLimit != nil {
+		e.balancer.UseHedger(hedger.New(*f.hedgeLimit))
+	}
+	if f.queueing {
+		e.balancer.EnableQueueing()
 	}
 	l, err := listen(s)
 	if err != nil {
