--- a/entry/usagereporter/fixture_test.go
+++ b/entry/usagereporter/fixture_test.go
@@ -78,8 +78,11 @@
 			t: t, start: time.Now(), accepted: map[int64]call{}, revision: 1,
 			onCommit: func(*node, bool) error { return nil }, onCall: func(*node, bool) error { return nil },
 		}
+		// Entries that run read the list, so it is complete before the first one begins.
 		for i := range entries {
 			w.nodes = append(w.nodes, &node{w: w, id: fmt.Sprintf("e%d", i)})
+		}
+		for i := range entries {
 			w.begin(i)
 		}
 		ctx, cancel := context.WithCancel(t.Context())
