tracker, enroller: reports of unreachable entries outlast the relay that made them

Cause: an entry learns from its relay which entries are lost, and such a report lapsed 2.5 s after the last one. When the relay was lost as well, the next one first had to find the loss by itself: 0.7 s until it is the relay, 2.5 s without an answer. Meanwhile callers were referred to the lost entry again. Change: a report applies for 5 s if its reporter falls silent, and as before for 2.5 s if the reporter lives and no longer states it. An entry to which a member was reported confirms this after 0.6 s without an answer instead of 2.5 s.

--- a/entry/enroller/heartbeat.go
+++ b/entry/enroller/heartbeat.go
@@ -223,8 +223,8 @@
 	defer e.mu.Unlock()
 	e.recordRelayState(now, r)
 	e.members.RecordHeartbeat(now, r.GetEntryId(), r.GetStoreReached(), r.GetStopping(), 0)
+	e.members.RecordUnreachableReports(now, r.GetEntryId(), r.GetUnreachable())
 	for _, id := range r.GetUnreachable() {
-		e.members.RecordUnreachableReport(now, id)
 		e.recordRemote(now, r.GetEntryId(), id)
 	}
 	resp := &linkpb.BeatResponse{
--- a/entry/enroller/loss_test.go
+++ b/entry/enroller/loss_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -12,15 +13,16 @@
 	"samphiremux/pkg/failurefilter"
 )
 
+// referralBound is the time in which the users expect that a lost entry is no longer named, and
+// referralEnd the end of the check.
+const (
+	referralBound = 6 * time.Second
+	referralEnd   = 21 * time.Second
+)
+
 // TestLostEntriesNamed guards against entries that refer callers to others which are lost,
 // when most entries or a whole failure domain are lost at once.
 func TestLostEntriesNamed(t *testing.T) {
-	// referralBound is the time in which the users expect that a lost entry is no longer
-	// named, and referralEnd the end of the check.
-	const (
-		referralBound = 6 * time.Second
-		referralEnd   = 21 * time.Second
-	)
 	small := slices.Concat(domains("a", 6), domains("b", 6), domains("c", 6))
 	large := slices.Concat(domains("a", 30), domains("b", 30), domains("c", 30), domains("d", 30))
 	isIn := func(domains string) func(int, tracker.Member) bool {
@@ -74,3 +76,66 @@
 		}
 	}
 }
+
+// TestLostRelayNamed guards against entries that refer callers to a relay which is lost, when
+// others that know of the loss are lost some seconds later.
+func TestLostRelayNamed(t *testing.T) {
+	ids := slices.Concat(domains("a", 30), domains("b", 30), domains("c", 30), domains("d", 30))
+	for _, c := range []struct {
+		seed uint64
+		// gap is the time between the two losses.
+		gap time.Duration
+	}{
+		{0, 2 * time.Second},
+		{0, 5 * time.Second},
+		{1, 4 * time.Second},
+		{5, 5 * time.Second},
+		{9, 4 * time.Second},
+		{10, 5 * time.Second},
+		{19, 4 * time.Second},
+		{19, 5 * time.Second},
+	} {
+		t.Run(fmt.Sprint("seed ", c.seed, ", gap ", c.gap), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := rand.New(rand.NewPCG(c.seed, 0))
+				f := newFleet(ids...)
+				defer f.close()
+				time.Sleep(5 * time.Second)
+				f.lossesHang.Store(c.seed%2 == 0)
+				lost := map[int]bool{}
+				lose := func(i int) {
+					lost[i] = true
+					f.caches[i].set(5, false)
+					f.cancels[i]()
+				}
+				start, relay := time.Now(), -1
+				for i, e := range f.entries {
+					if ids[i] == "b" && e.IsRelay() {
+						relay = i
+					}
+				}
+				lose(relay)
+				time.Sleep(c.gap)
+				for i := range f.entries {
+					if !lost[i] && r.Float64() < 0.3 {
+						lose(i)
+					}
+				}
+				time.Sleep(referralBound - c.gap)
+				for ; time.Since(start) < referralEnd; time.Sleep(200 * time.Millisecond) {
+					for i, e := range f.entries {
+						if lost[i] {
+							continue
+						}
+						for _, m := range e.UsableMembers(time.Now()) {
+							if m.ID == memberID(relay) {
+								t.Errorf("entry %d in %s names the lost entry %s after %v", i, ids[i], m.ID, time.Since(start))
+								return
+							}
+						}
+					}
+				}
+			})
+		})
+	}
+}
--- a/entry/linkhandler/linkhandler.go
+++ b/entry/linkhandler/linkhandler.go
@@ -36,9 +36,7 @@
 func (h *Handler) Beat(_ context.Context, r *linkpb.BeatRequest) (*linkpb.BeatResponse, error) {
 	h.node.WithTracker(func(now time.Time, t *tracker.Tracker) bool {
 		t.RecordHeartbeat(now, r.GetEntryId(), r.GetStoreReached(), r.GetStopping(), r.GetDocumentRevision())
-		for _, id := range r.GetUnreachable() {
-			t.RecordUnreachableReport(now, id)
-		}
+		t.RecordUnreachableReports(now, r.GetEntryId(), r.GetUnreachable())
 		return false
 	})
 	h.node.ObservePeerRevision(publisher.Revision(r.GetDocumentRevision()))
--- a/entry/tracker/tracker.go
+++ b/entry/tracker/tracker.go
@@ -25,6 +25,14 @@
 	// heartbeatTimeout is the age of the last heartbeat from which a peer
 	// counts as unreachable.
 	heartbeatTimeout = 2500 * time.Millisecond
+	// reportRetention is the time for which a report that a member is unreachable applies
+	// after the reporting entry was last heard. If that one is lost too, another one has to
+	// take over its heartbeats first: in two failure domains one after the other, that takes
+	// up to 4 s.
+	reportRetention = 2 * heartbeatTimeout
+	// corroborationTimeout is the time without an answer after which an entry reports a
+	// member as unreachable itself that another entry has reported so.
+	corroborationTimeout = 600 * time.Millisecond
 	// lateHeartbeat is the time for which a heartbeat or an answer may be under way. Their
 	// calls end before the next heartbeat.
 	lateHeartbeat = HeartbeatInterval
@@ -77,6 +85,22 @@
 	expiredAt time.Time
 }
 
+// unreachableReport is a report that a member is unreachable.
+type unreachableReport struct {
+	reporter string
+	at       time.Time
+	// retracted is true if the reporter no longer states it.
+	retracted bool
+}
+
+// applies reports whether the report still counts.
+func (r unreachableReport) applies(now time.Time) bool {
+	if r.retracted {
+		return now.Sub(r.at) < heartbeatTimeout
+	}
+	return now.Sub(r.at) < reportRetention
+}
+
 // view is a member list and the time from which it was valid.
 type view struct {
 	from    time.Time
@@ -98,9 +122,8 @@
 	// lastContact is the latest sending time of a request that the store or a
 	// peer answered.
 	lastContact time.Time
-	// reportedUnreachableUntil is the time until which a report that a member is
-	// unreachable applies, by member id.
-	reportedUnreachableUntil map[string]time.Time
+	// unreachableReports holds the latest report that a member is unreachable, by member id.
+	unreachableReports map[string]unreachableReport
 	// listReceived is true once registrations have been read.
 	listReceived  bool
 	leaseObtained bool
@@ -118,7 +141,7 @@
 func NewWithoutHistory(now time.Time, self Member) *Tracker {
 	return &Tracker{
 		self: self, started: now, registered: map[string]Member{}, peers: map[string]*peer{},
-		reportedUnreachableUntil: map[string]time.Time{},
+		unreachableReports: map[string]unreachableReport{},
 	}
 }
 
@@ -263,7 +286,7 @@
 	}
 	p.stopping = stopping || now.Before(p.stoppingUntil)
 	p.revision = max(p.revision, revision)
-	delete(t.reportedUnreachableUntil, id)
+	delete(t.unreachableReports, id)
 }
 
 // RecordHeartbeatAnswered records that a peer answered a heartbeat that was
@@ -286,12 +309,20 @@
 	p.lastSent = now
 }
 
-// RecordUnreachableReport records a report that a member is unreachable. It
-// has no effect if this entry had a heartbeat from the member within
+// RecordUnreachableReports records which members an entry reports as unreachable now. A
+// report has no effect if this entry had a heartbeat from the member within
 // HeartbeatInterval.
-func (t *Tracker) RecordUnreachableReport(now time.Time, id string) {
-	if p := t.peer(id); now.Sub(p.lastHeartbeat) >= HeartbeatInterval {
-		t.reportedUnreachableUntil[id] = now.Add(heartbeatTimeout)
+func (t *Tracker) RecordUnreachableReports(now time.Time, reporter string, ids []string) {
+	for id, r := range t.unreachableReports {
+		if r.reporter == reporter && !slices.Contains(ids, id) {
+			r.retracted = true
+			t.unreachableReports[id] = r
+		}
+	}
+	for _, id := range ids {
+		if p := t.peer(id); now.Sub(p.lastHeartbeat) >= HeartbeatInterval {
+			t.unreachableReports[id] = unreachableReport{reporter: reporter, at: now}
+		}
 	}
 }
 
@@ -306,12 +337,17 @@
 	return ids
 }
 
-// unresponsive reports whether a peer has been sent heartbeats for at least heartbeatTimeout
-// and has sent none within that time. This lapses once it is sent no more, since nothing
-// would show that it responds again.
+// unresponsive reports whether a peer has been sent heartbeats for at least heartbeatTimeout,
+// or for corroborationTimeout while a report of another entry applies, and has sent none
+// within heartbeatTimeout. This lapses once it is sent no more, since nothing would show that
+// it responds again.
 func (t *Tracker) unresponsive(now time.Time, id string) bool {
 	p := t.peer(id)
-	return now.Sub(p.lastSent) < heartbeatTimeout && now.Sub(p.unansweredSince) >= heartbeatTimeout && now.Sub(p.lastHeartbeat) >= heartbeatTimeout
+	timeout := heartbeatTimeout
+	if t.unreachableReports[id].applies(now) {
+		timeout = corroborationTimeout
+	}
+	return now.Sub(p.lastSent) < heartbeatTimeout && now.Sub(p.unansweredSince) >= timeout && now.Sub(p.lastHeartbeat) >= heartbeatTimeout
 }
 
 // Unanswered reports whether a member that is sent heartbeats has answered none of them for
@@ -333,7 +369,7 @@
 	if t.peer(id).stopping || t.unresponsive(now, id) {
 		return false
 	}
-	return !now.Before(t.reportedUnreachableUntil[id])
+	return !t.unreachableReports[id].applies(now)
 }
 
 // PeerReachesStore reports whether a member last stated that it reaches the
