--- /dev/null
+++ b/entry/linkgauger/linkgauger.go
@@ -0,0 +1,181 @@
+// Package linkgauger tells how busy the own link of an entry is, from the bytes that its
+// connections send and receive, and extends timeouts of its peers by the time for which the
+// link is saturated. It handles responses and bodies that fill a slow link for some hundred
+// milliseconds: a peer that does not answer meanwhile may be healthy, since the answer or
+// the question waits behind them.
+package linkgauger
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// minQueue is the time that the queued bytes need from which the link counts as
+	// saturated. It is half of the shortest timeout of probes (10 ms).
+	minQueue = 5 * time.Millisecond
+	// receivedShare is the share of the link's rate from which receiving counts as
+	// saturating it. The other end of the link holds the queue, which is not seen here. A
+	// link may also be slower than stated.
+	receivedShare = 0.5
+	// maxReceived bounds the received bytes that count, by the time that they need. It is the
+	// longest time for which the link counts as saturated after the last byte was received.
+	maxReceived = 40 * time.Millisecond
+	// MaxExtension bounds the time by which a timeout is extended. A peer that is dead is to
+	// be found within a second after the link is free.
+	MaxExtension = time.Second
+)
+
+// Gauger gauges one link. A nil Gauger, or one without a rate, counts as never saturated. It
+// is safe for concurrent use.
+type Gauger struct {
+	mu sync.Mutex
+	// rate is in bytes per second, or zero if it is not known.
+	rate float64
+	// sentAt is when all bytes that were handed to the kernel will have been sent.
+	sentAt time.Time
+	// received is the time that recently received bytes have needed, less receivedShare of
+	// the time that has passed until receivedAt.
+	received   time.Duration
+	receivedAt time.Time
+	// saturated is the total time for which the link is saturated until saturatedUntil, which
+	// may be in the future.
+	saturated      time.Duration
+	saturatedUntil time.Time
+}
+
+// New returns the gauger of a link with a rate in bytes per second. Zero means that the rate
+// is not known.
+func New(rate float64) *Gauger { return &Gauger{rate: rate} }
+
+// SetRate sets the rate for bytes that follow.
+func (g *Gauger) SetRate(rate float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rate = rate
+}
+
+// transferTime returns the time that n bytes need. The caller holds the lock.
+func (g *Gauger) transferTime(n int) time.Duration {
+	return time.Duration(float64(n) / g.rate * float64(time.Second))
+}
+
+// Sent counts bytes that are handed to the kernel.
+func (g *Gauger) Sent(now time.Time, n int) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.rate <= 0 {
+		return
+	}
+	if g.sentAt.Before(now) {
+		g.sentAt = now
+	}
+	g.sentAt = g.sentAt.Add(g.transferTime(n))
+	if g.sentAt.Sub(now) >= minQueue {
+		g.saturate(now, g.sentAt)
+	}
+}
+
+// Received counts bytes that have arrived.
+func (g *Gauger) Received(now time.Time, n int) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.rate <= 0 {
+		return
+	}
+	needed := g.transferTime(n)
+	passed := time.Duration(receivedShare * float64(now.Sub(g.receivedAt)))
+	g.received = min(maxReceived, max(0, g.received-passed)+needed)
+	g.receivedAt = now
+	if g.received >= minQueue {
+		// The bytes were on the link before they arrived, and as many may follow.
+		g.saturate(now.Add(-min(needed, maxReceived)), now.Add(g.received))
+	}
+}
+
+// saturate counts the link as saturated from a time that has come to another one. The caller
+// holds the lock.
+func (g *Gauger) saturate(from, to time.Time) {
+	if from.Before(g.saturatedUntil) {
+		from = g.saturatedUntil
+	}
+	if to.After(from) {
+		g.saturated += to.Sub(from)
+		g.saturatedUntil = to
+	}
+}
+
+// Delay returns the time for which the link remains saturated, as far as that is known.
+func (g *Gauger) Delay(now time.Time) time.Duration {
+	if g == nil {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(0, g.saturatedUntil.Sub(now))
+}
+
+// SaturatedTime returns the total time for which the link has been saturated.
+func (g *Gauger) SaturatedTime(now time.Time) time.Duration {
+	if g == nil {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.saturated - max(0, g.saturatedUntil.Sub(now))
+}
+
+// Timeout is a timeout that runs only while the link is not saturated. It is immutable.
+type Timeout struct {
+	gauger   *Gauger
+	begun    time.Time
+	duration time.Duration
+	// limit is the time until which it may be extended.
+	limit time.Time
+	// saturated is the saturated time of the link at the begin.
+	saturated time.Duration
+}
+
+// Start returns a timeout that begins now.
+func (g *Gauger) Start(now time.Time, d time.Duration) Timeout {
+	return Timeout{gauger: g, begun: now, duration: d, limit: now.Add(d + MaxExtension), saturated: g.SaturatedTime(now)}
+}
+
+// WithLimit returns a copy that is not extended beyond a time.
+func (t Timeout) WithLimit(limit time.Time) Timeout {
+	if limit.Before(t.limit) {
+		t.limit = limit
+	}
+	return t
+}
+
+// SaturatedTime returns for how long the link has been saturated since the begin.
+func (t Timeout) SaturatedTime(now time.Time) time.Duration {
+	return min(now.Sub(t.begun), max(0, t.gauger.SaturatedTime(now)-t.saturated))
+}
+
+// Remaining returns the time until the timeout passes, as far as it is known. Zero means that
+// it has passed.
+func (t Timeout) Remaining(now time.Time) time.Duration {
+	end := t.begun.Add(t.duration + t.SaturatedTime(now) + t.gauger.Delay(now))
+	if plain := t.begun.Add(t.duration); end.After(plain) && end.After(t.limit) {
+		end = plain
+		if t.limit.After(plain) {
+			end = t.limit
+		}
+	}
+	return max(0, end.Sub(now))
+}
+
+// IsInconclusive reports whether a peer that has not answered until now may be healthy: the
+// link was saturated, and free for less than the timeout.
+func (t Timeout) IsInconclusive(now time.Time) bool {
+	saturated := t.SaturatedTime(now)
+	return saturated > 0 && now.Sub(t.begun)-saturated < t.duration
+}
