balancer, delegator: a saturated own link is no sign of dead servers

Change: timeouts of probes and of their rounds stand still while the link is saturated, rounds until the deadline of the request. A probe that had no free link for its timeout counts as own-link and says nothing about the server. A request for which no server answered for this reason is passed on to another entry, or refused as own-link-saturated. Hedges wait meanwhile, and attempts that reach their deadline are no failure of the server. Other entries are told servers-unreachable, which earlier versions know.

--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -91,6 +91,11 @@
 	for {
 		select {
 		case <-timer.C:
+			if wait := b.opts.Link.Delay(time.Now()); wait > 0 {
+				// The response may wait for the own link, and so would that to a hedge.
+				timer.Reset(wait)
+				continue
+			}
 			send := b.hedge(ctx, c, state)
 			if send == nil {
 				if looks < b.maxHedgeLooks() {
@@ -145,13 +150,14 @@
 	b.opts.Headers.SetDeadline(header, c.deadline.Sub(now))
 	header.Set(b.opts.Headers.Instance, p.ID)
 	b.setWorkspace(header, c.identity)
+	link := b.opts.Link.Start(now, 0)
 	p.State.Begin()
 	defer p.State.End()
 	resp, outcome := p.State.Send(ctx, p.conn, roundtripper.Request{
 		Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id,
 	})
 	ended := time.Now()
-	b.observe(ctx, c, p, now, resp, outcome)
+	b.observe(ctx, c, p, now, link.SaturatedTime(ended), resp, outcome)
 	b.countRun(c, now, outcome)
 	if ctx.Err() == nil {
 		go b.detectCrash(c, p, quarantiner.Attempt{Begun: now, Ended: ended}, outcome)
@@ -159,9 +165,12 @@
 	return attemptResult{server: p.ID, backend: p.Backend, response: resp, outcome: outcome}
 }
 
-// observe updates the state of the server and of the route after an attempt.
-func (b *Balancer) observe(ctx context.Context, c *call, p *picked, sent time.Time, resp *roundtripper.Response, outcome retrier.Outcome) {
+// observe updates the state of the server and of the route after an attempt that was sent at
+// a time. The own link was saturated for a part of the time since, which says nothing about
+// the server.
+func (b *Balancer) observe(ctx context.Context, c *call, p *picked, sent time.Time, saturated time.Duration, resp *roundtripper.Response, outcome retrier.Outcome) {
 	now := time.Now()
+	mostlySaturated := 2*saturated > now.Sub(sent)
 	if resp != nil && resp.HasLoad {
 		p.State.ObserveLoad(now, resp.Load)
 	}
@@ -177,9 +186,9 @@
 		// Only an exceeded deadline is a failure of the server. A cancelled
 		// attempt, as when the caller disconnected, counts only if it ran for
 		// long.
-		failed = ctx.Err() == context.DeadlineExceeded
+		failed = ctx.Err() == context.DeadlineExceeded && !mostlySaturated
 		if ctx.Err() == context.Canceled {
-			b.observeCanceled(c, p, now.Sub(sent))
+			b.observeCanceled(c, p, now.Sub(sent)-saturated)
 			return
 		}
 	case retrier.Shed:
@@ -188,6 +197,9 @@
 		}
 		failed = true
 	case retrier.NotSent:
+		if mostlySaturated && ctx.Err() != nil {
+			return
+		}
 		p.State.Eject(now)
 		b.observeUnreached(p.ID)
 		return
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -16,6 +16,7 @@
 	"samphiremux/entry/delegator"
 	"samphiremux/entry/estimator"
 	"samphiremux/entry/hedger"
+	"samphiremux/entry/linkgauger"
 	"samphiremux/entry/meter"
 	"samphiremux/entry/monitor"
 	"samphiremux/entry/quarantiner"
@@ -105,6 +106,8 @@
 	// Delegator passes requests on to other entries while this one reaches no backend
 	// server. It may be nil.
 	Delegator *delegator.Delegator
+	// Link gauges the own link of this entry. Nil means that it is never saturated.
+	Link *linkgauger.Gauger
 	// Metrics registers the metrics of the request path. It may be nil.
 	Metrics *meter.Registry
 	Log     hclog.Logger
--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -96,7 +96,7 @@
 		return false
 	}
 	switch reason {
-	case refuser.UnreachableServers, refuser.BackendUnreachable:
+	case refuser.UnreachableServers, refuser.BackendUnreachable, refuser.OwnLinkSaturated:
 		return true
 	case refuser.DeadlineTooNear, refuser.ColdServers, refuser.RateLimitedServers:
 		return c.mostlyUnreached()
@@ -169,7 +169,7 @@
 // server.
 func (b *Balancer) sendToEntry(ctx context.Context, c *call, sent int, reason refuser.Reason) delegator.Result {
 	r := b.delegatedRequest(c, sent)
-	r.ReachesNone = reason == refuser.UnreachableServers || reason == refuser.BackendUnreachable
+	r.ReachesNone = reason == refuser.UnreachableServers || reason == refuser.BackendUnreachable || reason == refuser.OwnLinkSaturated
 	result := b.opts.Delegator.Send(ctx, r)
 	if responded, ok := result.(delegator.Responded); ok {
 		b.setLeaving(c.service, responded.Leaving)
--- a/entry/balancer/pick.go
+++ b/entry/balancer/pick.go
@@ -36,6 +36,9 @@
 	// probeRoundTimeout is the wait for the first response of a round before
 	// the next round starts. Servers that are down do not answer at all.
 	probeRoundTimeout = 10 * time.Millisecond
+	// maxRoundStep bounds the time until a round that waits for the own link finds that its
+	// request has ended.
+	maxRoundStep = 20 * time.Millisecond
 	// probeGrace is the wait for further responses after the first one of a
 	// round.
 	probeGrace = 6 * time.Millisecond
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"samphiremux/entry/linkcounter"
+	"samphiremux/entry/linkgauger"
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/roundtripper"
 	"samphiremux/entry/snapshotter"
@@ -17,6 +19,8 @@
 	health roundtripper.Health
 	conn   *roundtripper.Conn
 	err    error
+	// linkTime is the part of the time that the probe took in which the own link was saturated.
+	linkTime time.Duration
 }
 
 // probeRounds probes the candidates in rounds, those of the lowest prior cost
@@ -28,7 +32,7 @@
 	reason := refuser.BackendUnreachable
 	round := firstRoundProbes
 	probed, answers := 0, 0
-	probes := b.newProbes(view, c.service)
+	probes := b.newProbes(view, c.service, c.deadline.Add(-est.latency))
 	defer probes.end()
 	for ctx.Err() == nil {
 		batch := candidates[probed:min(len(candidates), c.maxProbes(), probed+round)]
@@ -68,6 +72,9 @@
 		best = nil
 	}
 	if best == nil {
+		if reason == refuser.BackendUnreachable && probes.late.IsInconclusive(time.Now()) {
+			reason = refuser.OwnLinkSaturated
+		}
 		return nil, reason
 	}
 	if best.busy >= best.Slots && best.expected > b.maxQueueLatency(c) {
@@ -148,6 +155,11 @@
 	cost *= b.costFactor(c.view, r.candidate, h.ColdRemaining > 0)
 	p = &picked{Backend: r.Backend, conn: r.conn, slowness: slowness, busy: busy, rateLimit: h.RateLimit, beyond: r.isBeyond()}
 	p.expected = time.Duration(float64(est.latency) * p.slowdown())
+	if r.linkTime > 0 && time.Until(c.deadline) < r.linkTime/2 {
+		// The request and its response would wait for the link as the probe did, which may
+		// have opened a connection before.
+		return nil, 0, refuser.OwnLinkSaturated
+	}
 	if !b.hasRoom(c, est, p) {
 		return nil, 0, refuser.DeadlineTooNear
 	}
@@ -162,34 +174,39 @@
 	// pending is the number of probes that have not ended.
 	pending int
 	rounds  int
-	// lateUntil is the time until which a first answer counts after the last round.
-	lateUntil time.Time
+	// late is the time for which a first answer counts after the last round. No timeout is
+	// extended beyond limit.
+	late  linkgauger.Timeout
+	limit time.Time
 }
 
-func (b *Balancer) newProbes(view *snapshotter.Snapshot, service string) *probes {
+// newProbes returns the probes for an attempt that wait for the own link until a time at most.
+func (b *Balancer) newProbes(view *snapshotter.Snapshot, service string, limit time.Time) *probes {
 	return &probes{
-		balancer: b, path: view.Table.Services[service].HealthPath, results: make(chan probeResult, maxProbes),
-		lateUntil: time.Now().Add(maxRounds * probeRoundTimeout),
+		balancer: b, path: view.Table.Services[service].HealthPath, results: make(chan probeResult, maxProbes), limit: limit,
+		late: b.opts.Link.Start(time.Now(), maxRounds*probeRoundTimeout).WithLimit(limit),
 	}
 }
 
 // mayAnswer reports whether the answer to a probe may still come in time.
-func (p *probes) mayAnswer(now time.Time) bool { return p.pending > 0 && now.Before(p.lateUntil) }
+func (p *probes) mayAnswer(now time.Time) bool { return p.pending > 0 && p.late.Remaining(now) > 0 }
 
 // round probes servers concurrently. It returns when all have answered, probeGrace after
-// the first response, or after probeRoundTimeout without a response. Answers to earlier
-// rounds count as well. Without servers it waits for those until they are too late.
+// the first response, or after probeRoundTimeout without a response, which is extended while
+// the own link is saturated. Answers to earlier rounds count as well. Without servers it waits
+// for those until they are too late.
 func (p *probes) round(ctx context.Context, batch []candidate) (results []probeResult) {
 	p.rounds++
-	round, awaited, wait := p.rounds, len(batch), probeRoundTimeout
+	round, awaited := p.rounds, len(batch)
+	timeout := p.balancer.opts.Link.Start(time.Now(), probeRoundTimeout).WithLimit(p.limit)
 	if awaited == 0 {
-		awaited, wait = p.pending, time.Until(p.lateUntil)
+		awaited, timeout = p.pending, p.late
 	}
 	for _, cand := range batch {
 		go func() { p.results <- p.balancer.probe(ctx, cand, p.path, round) }()
 	}
 	p.pending += len(batch)
-	limit := time.NewTimer(wait)
+	limit := time.NewTimer(min(maxRoundStep, timeout.Remaining(time.Now())))
 	defer limit.Stop()
 	answered := false
 	for awaited > 0 {
@@ -207,6 +224,10 @@
 			continue
 		case <-limit.C:
 		}
+		if rest := timeout.Remaining(time.Now()); rest > 0 && !answered && ctx.Err() == nil {
+			limit.Reset(min(maxRoundStep, rest))
+			continue
+		}
 		break
 	}
 	return results
@@ -226,25 +247,31 @@
 // probe probes a server. It goes on when the request ends first, so that servers that do not
 // answer count.
 func (b *Balancer) probe(ctx context.Context, cand candidate, path string, round int) probeResult {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
-	defer cancel()
 	sent := time.Now()
+	timeout := b.opts.Link.Start(sent, probeTimeout)
+	ctx, cancel := linkcounter.WithTimeout(context.WithoutCancel(ctx), timeout)
+	defer cancel()
 	h, conn, err := cand.State.Probe(ctx, path)
-	b.observeProbe(ctx, cand, sent, h, err)
-	return probeResult{candidate: cand, round: round, health: h, conn: conn, err: err}
+	failure := probeFailure("")
+	if err != nil {
+		failure = failureOf(ctx, timeout, err)
+	}
+	b.observeProbe(cand, sent, h, err, failure)
+	return probeResult{candidate: cand, round: round, health: h, conn: conn, err: err, linkTime: timeout.SaturatedTime(time.Now())}
 }
 
-// observeProbe updates the state of a server after a probe that was sent at a time.
-func (b *Balancer) observeProbe(ctx context.Context, cand candidate, sent time.Time, h roundtripper.Health, err error) {
+// observeProbe updates the state of a server after a probe that was sent at a time, and
+// failed in a way unless err is nil.
+func (b *Balancer) observeProbe(cand candidate, sent time.Time, h roundtripper.Health, err error, failure probeFailure) {
 	now := time.Now()
-	result, failure := "ok", probeFailure("")
+	result := "ok"
 	if err != nil {
-		result, failure = "error", failureOf(ctx, err)
+		result = "error"
 		b.metrics.failedProbes.With(string(failure)).Inc()
 	}
 	b.metrics.probes.With(result).Inc()
 	switch {
-	case failure == probeAtBound:
+	case failure == probeAtBound, failure == probeOwnLink:
 	case err == nil:
 		cand.State.ObserveProbe(now, sent, h)
 		b.observeRateLimit(now, cand.Backend, h.RateLimit)
--- a/entry/balancer/reach.go
+++ b/entry/balancer/reach.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"samphiremux/entry/delegator"
+	"samphiremux/entry/linkgauger"
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/snapshotter"
 )
@@ -89,7 +90,7 @@
 
 // isReached reports whether a server responds to a probe within probeRoundTimeout.
 func (b *Balancer) isReached(ctx context.Context, view *snapshotter.Snapshot, srv candidate) (reached bool) {
-	probes := b.newProbes(view, srv.Service)
+	probes := b.newProbes(view, srv.Service, time.Now().Add(linkgauger.MaxExtension))
 	defer probes.end()
 	for _, r := range probes.round(ctx, []candidate{srv}) {
 		r.release()
--- a/entry/balancer/response.go
+++ b/entry/balancer/response.go
@@ -52,6 +52,10 @@
 	if refusal.Kind == refuser.OutcomeUnknown && refusal.Reason != refuser.ResponseTimeout {
 		status = http.StatusBadGateway
 	}
+	if refusal.Reason == refuser.OwnLinkSaturated {
+		now := time.Now()
+		refusal = refusal.WithRetryAt(now.Add(b.opts.Link.Delay(now) + queueRetryAfter))
+	}
 	if status == http.StatusServiceUnavailable {
 		b.opts.Headers.SetRetryAfter(w.Header(), retryAfter(time.Now(), refusal))
 	}
@@ -59,7 +63,7 @@
 		b.opts.Headers.SetChallenge(w.Header())
 	}
 	if h != nil {
-		w.Header().Set(delegator.OutcomeHeader, refusal.Header())
+		w.Header().Set(delegator.OutcomeHeader, hopRefusal(refusal).Header())
 		if !refusal.RetryAt.IsZero() {
 			w.Header().Set(delegator.RetryHeader, time.Until(refusal.RetryAt).String())
 		}
@@ -76,6 +80,15 @@
 	b.flush(r.Header.Get(b.opts.Headers.RequestID), t, unknown)
 }
 
+// hopRefusal returns a refusal as another entry is told of it. Entries of earlier versions do
+// not know that a link may be saturated, and would take the request for lost.
+func hopRefusal(r refuser.Refusal) refuser.Refusal {
+	if r.Reason == refuser.OwnLinkSaturated {
+		r.Reason = refuser.UnreachableServers
+	}
+	return r
+}
+
 // writeResponse writes a server's response to the caller. If a streamed
 // response ends early, it aborts the caller's connection, so that the caller
 // does not take a truncated response for a complete one.
--- a/entry/balancer/trial.go
+++ b/entry/balancer/trial.go
@@ -96,7 +96,7 @@
 			return true
 		}
 		switch result.Refusal.Reason {
-		case refuser.UnreachableServers, refuser.BackendUnreachable, refuser.NoDocument, refuser.Stopping:
+		case refuser.UnreachableServers, refuser.BackendUnreachable, refuser.OwnLinkSaturated, refuser.NoDocument, refuser.Stopping:
 			return false
 		}
 	}
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"samphiremux/entry/linkgauger"
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/retrier"
 	"samphiremux/entry/roundtripper"
@@ -118,6 +119,8 @@
 	// Peers returns the other entries that may be running.
 	Peers func() []Peer
 	Dial  func(ctx context.Context, address string) (net.Conn, error)
+	// Link gauges the own link of this entry. Nil means that it is never saturated.
+	Link *linkgauger.Gauger
 }
 
 // Request is a request that is passed on.
--- a/entry/delegator/probe.go
+++ b/entry/delegator/probe.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"samphiremux/entry/linkcounter"
+	"samphiremux/entry/linkgauger"
 	"samphiremux/entry/roundtripper"
 )
 
@@ -17,6 +19,7 @@
 type peerState struct {
 	Peer
 	*roundtripper.Client
+	link *linkgauger.Gauger
 
 	mu         sync.Mutex
 	avoidUntil time.Time
@@ -43,10 +46,11 @@
 	if len(candidates) == 0 {
 		return nil, nil
 	}
+	begun := d.opts.Link.Start(time.Now(), probeTimeout)
 	if p, conn := d.probe(ctx, probePath(r), candidates, r.ReachesNone); p != nil {
 		return p, conn
 	}
-	if ctx.Err() == nil && len(tried) == 0 {
+	if ctx.Err() == nil && len(tried) == 0 && !begun.IsInconclusive(time.Now()) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		d.unreachedUntil[r.search()] = time.Now().Add(unreachedTime)
@@ -79,7 +83,7 @@
 	if !ok {
 		state = &peerState{Peer: p, Client: roundtripper.New(p.ID, p.Address, func(ctx context.Context) (net.Conn, error) {
 			return d.opts.Dial(ctx, p.Address)
-		}, d.headers())}
+		}, d.headers()), link: d.opts.Link}
 		d.peers[p] = state
 	}
 	return state
@@ -191,11 +195,14 @@
 
 // probe probes one entry. It goes on when the request ends first.
 func (p *peerState) probe(ctx context.Context, path string) probed {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	timeout := p.link.Start(time.Now(), probeTimeout)
+	ctx, cancel := linkcounter.WithTimeout(context.WithoutCancel(ctx), timeout)
 	defer cancel()
 	h, conn, err := p.Probe(ctx, path)
 	if err != nil {
-		p.avoid(time.Now())
+		if ctx.Err() == nil || !timeout.IsInconclusive(time.Now()) {
+			p.avoid(time.Now())
+		}
 		return probed{peer: p}
 	}
 	reach := Reach(h.Header.Get(ReachHeader))
--- a/entry/refuser/refuser.go
+++ b/entry/refuser/refuser.go
@@ -74,6 +74,9 @@
 	// MemoryFull means that the bodies of other requests take all memory that is meant for
 	// them.
 	MemoryFull Reason = "memory-full"
+	// OwnLinkSaturated means that no backend server answered in time over the link of this
+	// entry, which was saturated.
+	OwnLinkSaturated Reason = "own-link-saturated"
 	// UnknownKey means that a request has no API key that the configuration contains, on a
 	// route that needs one.
 	UnknownKey Reason = "unknown-key"
@@ -96,7 +99,7 @@
 	return []Reason{
 		BackendUnreachable, BackendShedding, BadRequest, BodyTooLarge, CallerDisconnected, CallerOverShare, DeadlinePassed,
 		DeadlineTooNear, EntryUnreachable, HeadersTooLarge, Isolated, KeyFromFuture, MemoryFull, Misdirected, NoBackendServer, NoDocument,
-		NoSuchRoute, NoSuchService, Outdated, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, PausedServers, RateLimitedServers, Stopping, Suspect, UnknownKey, UnreachableServers,
+		NoSuchRoute, NoSuchService, Outdated, OwnLinkSaturated, QueueFull, RetryBudgetSpent, RouteShed, ColdServers, PausedServers, RateLimitedServers, Stopping, Suspect, UnknownKey, UnreachableServers,
 	}
 }
 
