commander: the link of the settings is gauged at callers and servers

Cause: the balancer needs to know the bytes of the entry's connections.

Change: connections of callers, to servers and between entries that pass requests on are counted, relative to link-mbps of the settings in force.

--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -17,6 +17,8 @@
 	"samphiremux/entry/drainer"
 	"samphiremux/entry/enroller"
 	"samphiremux/entry/expirer"
+	"samphiremux/entry/linkcounter"
+	"samphiremux/entry/linkgauger"
 	"samphiremux/entry/meter"
 	"samphiremux/entry/persister"
 	"samphiremux/entry/reflector"
@@ -75,19 +77,22 @@
 
 // entry holds the components of a running entry.
 type entry struct {
-	id                string
-	settings          atomic.Pointer[translator.Settings]
-	log               hclog.Logger
-	pool              *linker.Pool
-	snapshots         *snapshotter.Snapshotter
-	reflector         *reflector.Reflector
-	enroller          *enroller.Enroller
-	balancer          *balancer.Balancer
-	delegator         *delegator.Delegator
-	persister         *persister.Persister
-	expirer           *expirer.Expirer
-	bounds            *bounds
-	dialer            *capper.Dialer
+	id        string
+	settings  atomic.Pointer[translator.Settings]
+	log       hclog.Logger
+	pool      *linker.Pool
+	snapshots *snapshotter.Snapshotter
+	reflector *reflector.Reflector
+	enroller  *enroller.Enroller
+	balancer  *balancer.Balancer
+	delegator *delegator.Delegator
+	persister *persister.Persister
+	expirer   *expirer.Expirer
+	bounds    *bounds
+	dialer    *capper.Dialer
+	// gauger gauges the link for callers and servers.
+	gauger            *linkgauger.Gauger
+	linkLog           linkLog
 	connectionsClosed *meter.CounterVec
 	// invalidChanges counts the changes of the store that could not be read.
 	invalidChanges atomic.Int64
@@ -140,7 +145,14 @@
 	e.settings.Store(&s)
 	e.bounds = newBounds(s.MemoryBytes, s.MaxDescriptors, e.metrics)
 	e.expirer = e.bounds.expirer(callerListener, callerShare, e.headLimits)
-	e.dialer = capper.NewDialer(dial, e.bounds.share(serverShare), func() { e.snapshots.CloseAllIdle() })
+	e.gauger = linkgauger.New(s.LinkRate)
+	e.dialer = capper.NewDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return linkcounter.Wrap(c, e.gauger), nil
+	}, e.bounds.share(serverShare), func() { e.snapshots.CloseAllIdle() })
 	headers := roundtripper.Headers{
 		RequestID: translator.HeaderRequestID, Instance: translator.HeaderInstance, NotExecuted: translator.HeaderNotExecuted,
 		Signature: translator.HeaderSignature, ReadLoad: translator.Load, ReadRateLimit: translator.RateLimit, ReadColdRemaining: translator.ColdLeft,
@@ -187,14 +199,14 @@
 		EncodeStatus: translator.EncodeMoveStatus, Log: log.Named("roller"),
 	})
 	e.delegator = delegator.New(delegator.Options{
-		Self: s.ID, Domain: s.Domain, RequestID: translator.HeaderRequestID, Peers: e.delegationPeers,
+		Self: s.ID, Domain: s.Domain, RequestID: translator.HeaderRequestID, Peers: e.delegationPeers, Link: e.gauger,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return e.dialer.DialContext(ctx, "tcp", address)
 		},
 	})
 	e.balancer = balancer.New(balancer.Options{
 		Self: s.ID, Delegator: e.delegator, Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, Outdated: e.isOutdated, EntryCount: e.enroller.LimitShares, Rank: e.enroller.Rank, Entries: e.members, FirstEntries: e.enroller.FirstMembers, Settled: e.enroller.Settled, Log: log.Named("steerer"),
-		Bodies:    e.bounds.memory,
+		Bodies: e.bounds.memory, Link: e.gauger,
 		OnAttempt: e.roller.Observe, OnRun: e.usage.Count, MayTake: e.drainer.MayTake,
 		IdleTimeout: func() time.Duration { return e.connectionLimits().Idle },
 		Headers: balancer.Headers{
@@ -219,6 +231,7 @@
 	e.connectionsClosed = e.metrics.CounterVec("connections_closed_total", "Callers' connections closed at a limit of the configuration.", "reason")
 	e.metrics.Gauge("server_connections", "Open connections to backend servers and for requests that other entries take.", func() float64 { return float64(e.dialer.Open()) })
 	e.metrics.Gauge("server_connections_refused_total", "Connections to backend servers and other entries not opened at the bound.", func() float64 { return float64(e.dialer.Refused()) })
+	e.metrics.Gauge("link_saturated_seconds_total", "Time for which the own link was saturated by callers and backend servers.", func() float64 { return e.gauger.SaturatedTime(time.Now()).Seconds() })
 	e.metrics.Gauge("caller_connections", "Open connections of callers.", func() float64 { return float64(e.expirer.Open()) })
 	e.metrics.Gauge("store_calls_total", "Calls of the platform's store.", func() float64 { return float64(store.Calls()) })
 	e.metrics.Gauge("store_revision", "Store revision up to which the entry knows the store.", func() float64 {
--- a/steer/commander/reload.go
+++ b/steer/commander/reload.go
@@ -47,5 +47,6 @@
 		return
 	}
 	e.settings.Store(&s)
+	e.gauger.SetRate(s.LinkRate)
 	e.log.Info("Settings changed.", "file", file)
 }
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -16,6 +16,7 @@
 	"samphiremux/entry/drainer"
 	"samphiremux/entry/expirer"
 	"samphiremux/entry/hedger"
+	"samphiremux/entry/linkcounter"
 	"samphiremux/pkg/linker"
 	"samphiremux/platform/translator"
 )
@@ -73,7 +74,7 @@
 func (e *entry) startServers(ctx context.Context, l listeners) servers {
 	go func() { _ = linker.Serve(ctx, e.boundLink(l.link), &link{entry: e}) }()
 	callers := e.callerServer(e.balancer)
-	go func() { _ = callers.Serve(e.expirer.WrapListener(l.callers)) }()
+	go func() { _ = callers.Serve(e.expirer.WrapListener(linkcounter.WrapListener(l.callers, e.gauger))) }()
 	ready, readyConns := e.boundServer(http.HandlerFunc(e.serveReady), l.ready, readyListener, otherShare)
 	go func() { _ = ready.Serve(readyConns) }()
 	locate, locateConns := e.boundServer(http.HandlerFunc(e.serveLocate), l.locate, locateListener, locateShare)
@@ -83,7 +84,7 @@
 	if l.delegated != nil {
 		tracker := e.bounds.expirer(delegatedListener, delegatedShare, e.delegatedHeadLimits)
 		delegated.ConnState = tracker.ConnState
-		go func() { _ = delegated.Serve(tracker.WrapListener(l.delegated)) }()
+		go func() { _ = delegated.Serve(tracker.WrapListener(linkcounter.WrapListener(l.delegated, e.gauger))) }()
 	}
 	return servers{callers: callers, delegated: delegated, listener: l.callers}
 }
@@ -245,6 +246,7 @@
 			e.connectionsClosed.With("header-timeout").Add(closed.Header)
 			e.connectionsClosed.With("idle-timeout").Add(closed.Idle)
 			e.logBounds(now)
+			e.logLink(now)
 		case <-ctx.Done():
 			return
 		}
