roundtripper: a connection is used again after a streamed response

Cause: each response of more than 256 KiB, as of downloads, cost a connection: it was closed even if the response had been read to its end.

Change: it returns to the pool once the body was read to its end and the request is written, idle since the response began, since the server may have ended it before the caller read it. Not if the body is ended by the connection, if the server closes it, or if the body was read in part.

--- a/entry/roundtripper/send.go
+++ b/entry/roundtripper/send.go
@@ -171,7 +171,10 @@
 		return nil, o
 	case retrier.Answered:
 		if !whole {
-			resp.Remainder = &streamedBody{ReadCloser: rep.Body, conn: c, stop: stop, end: rep.end(written)}
+			begun := time.Now()
+			resp.Remainder = &streamedBody{ReadCloser: rep.Body, conn: c, stop: stop, end: rep.end(written), release: func() {
+				cl.releaseWritten(begun, c, rep, written, stop)
+			}}
 			return resp, o
 		}
 		if rep.endsWithConnection() {
@@ -190,16 +193,17 @@
 		c.close()
 		return resp, o
 	}
-	cl.releaseWritten(c, rep, written, stop)
+	cl.releaseWritten(time.Now(), c, rep, written, stop)
 	return resp, o
 }
 
 // releaseWritten returns a connection to the pool after a whole response, once the
-// request is written too. It does not block: after an early response a goroutine
-// waits for the rest of the request, for at most writeTimeout.
-func (cl *Client) releaseWritten(c *Conn, rep reply, written <-chan error, stop func() bool) {
+// request is written too. The server may count it as idle since a time. It does not block:
+// after an early response a goroutine waits for the rest of the request, for at most
+// writeTimeout.
+func (cl *Client) releaseWritten(idleSince time.Time, c *Conn, rep reply, written <-chan error, stop func() bool) {
 	release := func(err error) {
-		if !stop() || err != nil || !c.reusable(time.Now(), rep) {
+		if !stop() || err != nil || !c.reusable(idleSince, rep) {
 			c.close()
 			return
 		}
@@ -243,13 +247,18 @@
 	return h.Get(cl.headers.NotExecuted) != "" || status == http.StatusMisdirectedRequest
 }
 
-// streamedBody is the unread rest of a large response body.
+// streamedBody is the unread rest of a large response body. It is not safe for concurrent use.
 type streamedBody struct {
 	io.ReadCloser
 	conn *Conn
 	stop func() bool
 	// end tells whether the end of the body is that of a whole response.
 	end func() error
+	// release returns the connection to the pool. Whole reports that the body was read to its
+	// end, and ended that Close was called.
+	release func()
+	whole   bool
+	ended   bool
 }
 
 // Read implements io.Reader.
@@ -259,12 +268,21 @@
 		if endErr := b.end(); endErr != nil {
 			return n, endErr
 		}
+		b.whole = true
 	}
 	return n, err
 }
 
-// Close closes the connection, which is not reused after a streamed response.
+// Close closes the connection, or returns it to the pool if the body was read to its end.
 func (b *streamedBody) Close() error {
+	if b.ended {
+		return nil
+	}
+	b.ended = true
+	if b.whole {
+		b.release()
+		return nil
+	}
 	b.stop()
 	return b.conn.end(OpenedClosed)
 }
