balancer: probes prefer idle connections more strictly

Change: a round of probes ends before the first server to which a connection would have to be opened if it has two others, and servers outside the subset with an idle connection come before members without.

--- a/entry/balancer/pick.go
+++ b/entry/balancer/pick.go
@@ -166,9 +166,11 @@
 	state snapshotter.StateSnapshot
 	cost  float64
 	// subset is the subset of the service, or nil if it has none, and due reports that the
-	// server is probed first because it has not responded for long.
-	subset *subset
-	due    bool
+	// server is probed first because it has not responded for long. Connected reports that it
+	// is due, or has an idle connection and no recent report of being slow or full.
+	subset    *subset
+	due       bool
+	connected bool
 }
 
 // pick picks the server for the next attempt. If there is none, it returns the
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -35,7 +35,7 @@
 	probes := b.newProbes(view, c.service, c.deadline.Add(-est.latency))
 	defer probes.end()
 	for ctx.Err() == nil {
-		batch := candidates[probed:min(len(candidates), c.maxProbes(), probed+round)]
+		batch := withoutOpening(candidates[probed:min(len(candidates), c.maxProbes(), probed+round)])
 		if len(batch) == 0 && (answers > 0 || !probes.mayAnswer(time.Now())) {
 			break
 		}
--- a/entry/balancer/subset.go
+++ b/entry/balancer/subset.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,11 +42,14 @@
 	tierDue tier = iota
 	// tierIdle is for members with an idle connection.
 	tierIdle
+	// tierIdleBeyond is for servers outside the subset with an idle connection, as after
+	// requests went beyond it. A connection that is opened costs a server more than its probe.
+	tierIdleBeyond
 	// tierUnconnected is for members to which a connection would have to be opened.
 	tierUnconnected
 	// tierBad is for members that were slow or full by a recent report, or did not answer.
 	tierBad
-	// tierBeyond is for servers outside the subset. They are ordered in the same way.
+	// tierBeyond is for other servers outside the subset. They are ordered in the same way.
 	tierBeyond
 )
 
@@ -265,23 +269,30 @@
 		if cand.subset == nil {
 			return
 		}
-		cand.cost += tierCost * float64(cand.tier(now))
+		t := cand.tier(now)
+		cand.cost += tierCost * float64(t)
+		cand.connected = t == tierIdle || t == tierIdleBeyond
 		if cand.isDue(now) && (due < 0 || cand.state.HeardAt.Before(candidates[due].state.HeardAt)) {
 			due = i
 		}
 	}
 	if due >= 0 {
 		candidates[due].cost -= tierCost * float64(candidates[due].tier(now)-tierDue)
-		candidates[due].due = true
+		candidates[due].due, candidates[due].connected = true, true
 	}
 }
 
 // tier returns the tier of a candidate that is not due.
 func (cand *candidate) tier(now time.Time) tier {
-	if !cand.subset.has(cand.ID) {
-		return tierBeyond + cand.connectionTier(now)
+	t := cand.connectionTier(now)
+	switch {
+	case cand.subset.has(cand.ID):
+		return t
+	case t == tierIdle:
+		return tierIdleBeyond
+	default:
+		return tierBeyond + t
 	}
-	return cand.connectionTier(now)
 }
 
 // connectionTier returns the tier of a member, by its connections and its last report.
@@ -308,6 +319,22 @@
 	return cand.subset.prefers(cand.ID) && !cand.state.Ejected && now.Sub(cand.state.HeardAt) >= age
 }
 
+// minConnectedProbes is the number of servers with idle connections from which a round of
+// probes does not open one for a further server. With 1 fewer were opened, but p99 rose by
+// 0.4 ms in trials.
+const minConnectedProbes = 2
+
+// withoutOpening returns the candidates of a round up to the first to which a connection would
+// have to be opened, if enough are left. One of them is good enough nearly always, since members
+// that were not by a recent report come later, and the next round probes the others.
+func withoutOpening(batch []candidate) []candidate {
+	i := slices.IndexFunc(batch, func(cand candidate) bool { return !cand.connected })
+	if i < minConnectedProbes {
+		return batch
+	}
+	return batch[:i]
+}
+
 // costFactor returns the factor of the cost of a server that was probed.
 func (b *Balancer) costFactor(view *snapshotter.Snapshot, cand candidate, isCold bool) float64 {
 	switch {
--- a/entry/balancer/subset_test.go
+++ b/entry/balancer/subset_test.go
@@ -86,6 +86,30 @@
 	})
 }
 
+// TestNoConnectionBesideIdleOnes guards against a connection that is opened for the third probe
+// of a request, to a server whose connection is in use, while two servers have idle ones.
+func TestNoConnectionBesideIdleOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := servers(100, respondOK)
+		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+		defer func() { time.Sleep(time.Second); f.close() }()
+		f.entries = fleetOf(100)
+		is.Equal(f.sendPaced(80, 250*time.Millisecond), 0)
+		for _, b := range all {
+			b.work = 300 * time.Millisecond
+		}
+		before := f.opened()
+		var requests sync.WaitGroup
+		for range int(f.balancer.SubsetSizes()["stock"]) - 1 {
+			requests.Go(func() { is.Equal(f.sendPaced(1, 0), 0) })
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.Equal(f.opened(), before) // the last request found two idle connections
+		requests.Wait()
+	})
+}
+
 // TestFewServersAsBefore guards against a subset in a service with few servers.
 func TestFewServersAsBefore(t *testing.T) {
 	for n, want := range map[int]int{24: 0, 25: 1} {
