balancer: requests leave at once if the own link is saturated for longer

Cause: a request whose deadline passes before the queue of the own link is sent waited for probes until then, so that no other entry could serve it in time.

Change: it is passed on, or refused as own-link-saturated, without a probe. Tests that it is passed on, and that the delegator's probes wait for the link.

--- a/entry/balancer/pick.go
+++ b/entry/balancer/pick.go
@@ -218,6 +218,10 @@
 		return nil, refuser.ColdServers
 	}
 	est := b.estimate(c.route.Name)
+	if delay := b.opts.Link.Delay(now); delay > 0 && delay > c.deadline.Sub(now)-est.latency {
+		// Neither a probe nor the request would leave this entry in time.
+		return nil, refuser.OwnLinkSaturated
+	}
 	for i := range candidates {
 		candidates[i].cost = b.priorCost(c, est, candidates[i])
 	}
--- a/entry/balancer/slow_link_test.go
+++ b/entry/balancer/slow_link_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 
 	"samphiremux/entry/chooser"
+	"samphiremux/entry/delegator"
 	"samphiremux/entry/linkcounter"
 )
 
@@ -287,3 +288,41 @@
 		})
 	}
 }
+
+// TestRequestForwardedFromSaturatedLink guards against a request that waits, or is refused
+// without a try at another entry, while the own link is saturated for as long as its caller
+// waits, and against one that is refused as if the servers were not reached.
+func TestRequestForwardedFromSaturatedLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		peer, taken := net.Pipe()
+		defer peer.Close()
+		asked := make(chan string, 1)
+		go func() {
+			r := make([]byte, 1024)
+			n, _ := taken.Read(r)
+			asked <- string(r[:n])
+			_ = taken.Close()
+		}()
+		all := servers(4, respondOK)
+		for _, b := range all {
+			b.probeDelay = time.Second
+		}
+		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+		defer func() { time.Sleep(2 * time.Second); f.close() }()
+		f.gauger.SetRate(slowLinkRate)
+		f.gauger.Sent(time.Now(), slowLinkRate)
+		f.peers = []delegator.Peer{{ID: "e1", Domain: "a", Address: "e1"}}
+		f.dialPeer = func(context.Context, string) (net.Conn, error) { return peer, nil }
+		start := time.Now()
+		w := f.send(http.MethodPost, "/book/1", "r1")
+		is.Equal(w.Code, http.StatusServiceUnavailable)
+		is.True(time.Since(start) < 20*time.Millisecond)
+		is.Equal(f.refusals(), []string{`kind="not-run",reason="own-link-saturated"`})
+		is.True(strings.HasPrefix(<-asked, "GET "+delegator.HealthPath))
+		wait, err := time.ParseDuration(w.Header().Get("Retry-After"))
+		is.NoErr(err)
+		is.True(wait > 500*time.Millisecond) // the rest of a second of saturation
+		is.Equal(f.health("stock"), http.StatusOK)
+	})
+}
--- a/entry/delegator/delegator_test.go
+++ b/entry/delegator/delegator_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"samphiremux/entry/delegator"
+	"samphiremux/entry/linkgauger"
 	"samphiremux/entry/roundtripper"
 )
 
@@ -69,12 +70,18 @@
 
 // send passes a request on to one of some peers.
 func send(peers map[string]peer, reachesNone bool) delegator.Result {
+	return sendOverLink(peers, reachesNone, nil)
+}
+
+// sendOverLink sends a request over a link.
+func sendOverLink(peers map[string]peer, reachesNone bool, link *linkgauger.Gauger) delegator.Result {
 	conns := make(chan net.Conn, 100)
 	var all []delegator.Peer
 	for id := range peers {
 		all = append(all, delegator.Peer{ID: id, Domain: "a", Address: id})
 	}
 	d := delegator.New(delegator.Options{
+		Link: link,
 		Self: "e0", Domain: "a", RequestID: "Id", Peers: func() []delegator.Peer { return all },
 		Dial: func(_ context.Context, address string) (net.Conn, error) {
 			return peers[address].dial(address, conns), nil
@@ -108,6 +115,22 @@
 	}
 }
 
+// TestSaturatedLinkTakenForNone guards against requests that no other entry takes since the
+// answers to the probes wait for the own link.
+func TestSaturatedLinkTakenForNone(t *testing.T) {
+	for saturated, wanted := range map[time.Duration]bool{300 * time.Millisecond: true, 100 * time.Millisecond: false} {
+		t.Run(saturated.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				link := linkgauger.New(1000)
+				link.Sent(time.Now(), int(saturated.Milliseconds()))
+				_, responded := sendOverLink(map[string]peer{"e1": {takes: true, delay: 200 * time.Millisecond}}, true, link).(delegator.Responded)
+				is.Equal(responded, wanted)
+			})
+		})
+	}
+}
+
 // TestTrialByCaller guards against a caller that marks its own request as a trial, which
 // would run although another trial may be under way.
 func TestTrialByCaller(t *testing.T) {
