balancer: the tests of a saturated link share one table

Change: the cases of a large kernel buffer and of a dead server are rows of TestSaturatedLinkTakenForDeadServers, whose rows now all bound the time of nine of ten small requests. The other entry of two tests is one function; the checks of TestFullServersRefuseAtPartitionedEntry are the same.

--- a/entry/balancer/reach_test.go
+++ b/entry/balancer/reach_test.go
@@ -25,6 +25,23 @@
 	return w.Code
 }
 
+// addPeer adds another entry, which breaks the connection once it is asked something, and
+// returns what it is asked.
+func (f *fixture) addPeer(t *testing.T) <-chan string {
+	peer, taken := net.Pipe()
+	t.Cleanup(func() { _ = peer.Close() })
+	asked := make(chan string, 1)
+	go func() {
+		r := make([]byte, 1024)
+		n, _ := taken.Read(r)
+		asked <- string(r[:n])
+		_ = taken.Close()
+	}()
+	f.peers = []delegator.Peer{{ID: "e1", Domain: "a", Address: "e1"}}
+	f.dialPeer = func(context.Context, string) (net.Conn, error) { return peer, nil }
+	return asked
+}
+
 // TestEntryWithoutServersTakesRequests guards against an entry that takes requests of
 // others for a service whose servers it does not reach, since it reaches those of another.
 func TestEntryWithoutServersTakesRequests(t *testing.T) {
@@ -53,15 +70,6 @@
 func TestFullServersRefuseAtPartitionedEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		peer, taken := net.Pipe()
-		defer peer.Close()
-		asked := make(chan string, 1)
-		go func() {
-			r := make([]byte, 1024)
-			n, _ := taken.Read(r)
-			asked <- string(r[:n])
-			_ = taken.Close()
-		}()
 		all := servers(4, respondOK)
 		for _, b := range all[1:] {
 			b.silent = true
@@ -69,8 +77,7 @@
 		all[0].running = 40
 		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
 		defer func() { time.Sleep(time.Second); f.close() }()
-		f.peers = []delegator.Peer{{ID: "e1", Domain: "a", Address: "e1"}}
-		f.dialPeer = func(context.Context, string) (net.Conn, error) { return peer, nil }
+		asked := f.addPeer(t)
 		is.Equal(f.send(http.MethodPost, "/book/1", "r1").Code, http.StatusServiceUnavailable)
 		select {
 		case <-asked:
--- a/entry/balancer/slow_link_test.go
+++ b/entry/balancer/slow_link_test.go
@@ -210,80 +210,57 @@
 }
 
 // TestSaturatedLinkTakenForDeadServers guards against refusals and ejections of healthy
-// servers since large responses fill the entry's own link, so that probes time out, and
-// against requests that are sent though their responses cannot arrive in time.
+// servers since large responses fill the entry's own link, so that probes time out, against
+// requests that are sent though their responses cannot arrive in time, and against small
+// requests that wait behind large responses, all of which the kernel takes at once. A server
+// that is dead is to be found once the link is free, half a second after one download.
 func TestSaturatedLinkTakenForDeadServers(t *testing.T) {
 	for _, c := range []struct {
+		name      string
 		downloads int
+		window    int
+		dead      bool
 		// refused reports that requests are refused: 256 KB are under way at any time, which
-		// take 210 ms for each probe and response, of 400 ms until the deadline.
-		refused bool
-		// unanswered is the number of requests that may run without a response in time.
+		// take 210 ms for each probe and response, of 400 ms until the deadline. Unanswered is
+		// the number of requests that may run without a response in time.
+		refused    bool
 		unanswered int
+		// bound is for nine of ten small requests. Those that open a connection wait four
+		// times for the link, behind 64 KB of each response from its server.
+		bound time.Duration
 	}{
-		{1, false, 0},
-		{2, false, 0},
-		{4, true, 5},
-		{6, true, 5},
+		{"one", 1, slowLinkWindow, false, false, 0, 200 * time.Millisecond},
+		{"two", 2, slowLinkWindow, false, false, 0, 370 * time.Millisecond},
+		{"four", 4, slowLinkWindow, false, true, 5, time.Second},
+		{"six", 6, slowLinkWindow, false, true, 5, time.Second},
+		{"one, large buffers", 1, kernelBuffer, false, false, 0, 200 * time.Millisecond},
+		{"two, large buffers", 2, kernelBuffer, false, false, 0, 370 * time.Millisecond},
+		{"one, dead server", 1, slowLinkWindow, true, false, 0, 370 * time.Millisecond},
 	} {
-		t.Run(fmt.Sprint(c.downloads), func(t *testing.T) {
+		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				f := newFixture(t, chooser.ExpectedCompletion{}, servers(8, respondBig)...)
-				f.link = &slowLinks{window: slowLinkWindow}
+				all := servers(8, respondBig)
+				ejected := map[string]bool{}
+				if c.dead {
+					all[0].probeDelay, ejected[all[0].id] = time.Hour, true
+				}
+				f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+				f.link = &slowLinks{window: c.window}
 				f.gauger.SetRate(slowLinkRate)
-				defer func() { time.Sleep(2 * time.Second); f.close() }()
-				go f.balancer.RunReachChecks(t.Context())
+				defer func() { time.Sleep(2 * time.Hour); f.close() }()
 				result := f.playSlowLink(c.downloads)
-				statuses := result.statuses
-				t.Log(statuses)
+				n := len(result.latencies)
+				t.Log(result.statuses, result.latencies[n/2], result.latencies[n*9/10], result.latencies[n-1])
 				for _, reason := range f.refusals() {
 					is.True(strings.Contains(reason, "own-link-saturated") || strings.Contains(reason, "no-answer-in-time"))
 				}
-				is.Equal(len(result.ejected), 0)
-				is.Equal(statuses[http.StatusServiceUnavailable] > 0, c.refused)
-				is.True(statuses[http.StatusGatewayTimeout] <= c.unanswered)
-				is.Equal(statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable]+statuses[http.StatusGatewayTimeout], c.downloads+60)
-			})
-		})
-	}
-}
-
-// TestDeadServerBesideSaturatedLink guards against a dead server that is not found since the
-// link was saturated when it died.
-func TestDeadServerBesideSaturatedLink(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		all := servers(8, respondBig)
-		all[0].probeDelay = time.Hour
-		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
-		f.link = &slowLinks{window: slowLinkWindow}
-		f.gauger.SetRate(slowLinkRate)
-		defer func() { time.Sleep(2 * time.Hour); f.close() }()
-		result := f.playSlowLink(1)
-		is.Equal(result.statuses[http.StatusOK], 61)
-		is.Equal(result.ejected, map[string]bool{"i-0": true}) // the link is free after half a second
-	})
-}
-
-// TestResponseTakesWholeLink guards against small requests that wait behind a large response,
-// all of which the kernel takes at once.
-func TestResponseTakesWholeLink(t *testing.T) {
-	// The bound is for nine of ten small requests. Those that open a connection wait four times
-	// for the link, behind 64 KB of each response from its server.
-	for downloads, bound := range map[int]time.Duration{1: 200 * time.Millisecond, 2: 370 * time.Millisecond} {
-		t.Run(fmt.Sprint(downloads), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				f := newFixture(t, chooser.ExpectedCompletion{}, servers(8, respondBig)...)
-				f.link = &slowLinks{window: kernelBuffer}
-				f.gauger.SetRate(slowLinkRate)
-				defer func() { time.Sleep(2 * time.Second); f.close() }()
-				result := f.playSlowLink(downloads)
-				n := len(result.latencies)
-				t.Log(result.statuses, result.latencies[n/2], result.latencies[n*9/10], result.latencies[n-1])
-				is.Equal(result.statuses, map[int]int{http.StatusOK: 60 + downloads})
-				is.True(result.latencies[n*9/10] <= bound)
+				is.Equal(result.ejected, ejected)
+				refused, unanswered := result.statuses[http.StatusServiceUnavailable], result.statuses[http.StatusGatewayTimeout]
+				is.Equal(refused > 0, c.refused)
+				is.True(unanswered <= c.unanswered)
+				is.Equal(result.statuses[http.StatusOK]+refused+unanswered, c.downloads+60)
+				is.True(result.latencies[n*9/10] <= c.bound)
 			})
 		})
 	}
@@ -295,15 +272,6 @@
 func TestRequestForwardedFromSaturatedLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		peer, taken := net.Pipe()
-		defer peer.Close()
-		asked := make(chan string, 1)
-		go func() {
-			r := make([]byte, 1024)
-			n, _ := taken.Read(r)
-			asked <- string(r[:n])
-			_ = taken.Close()
-		}()
 		all := servers(4, respondOK)
 		for _, b := range all {
 			b.probeDelay = time.Second
@@ -312,8 +280,7 @@
 		defer func() { time.Sleep(2 * time.Second); f.close() }()
 		f.gauger.SetRate(slowLinkRate)
 		f.gauger.Sent(time.Now(), slowLinkRate)
-		f.peers = []delegator.Peer{{ID: "e1", Domain: "a", Address: "e1"}}
-		f.dialPeer = func(context.Context, string) (net.Conn, error) { return peer, nil }
+		asked := f.addPeer(t)
 		start := time.Now()
 		w := f.send(http.MethodPost, "/book/1", "r1")
 		is.Equal(w.Code, http.StatusServiceUnavailable)
