balancer: expired connections are not opened again only for being due

Cause: each request probes one member first that has not responded for 3 s, to keep its connection open. At few requests for a service that connection has expired already, so that each request opened one: 40 connections for 40 requests at 0.4 a second (TestExpiredConnectionsLeft before).

Change: a member is due if its connection is still open, or if it has become a member since its last response, as after it was drained. Of idle connections those are used first that have been idle for longest. New, cold, limited and returning servers are due as before.

Not measured on the deployments.

--- a/entry/balancer/subset.go
+++ b/entry/balancer/subset.go
@@ -25,6 +25,12 @@
 	// request. The others send it requests only if no warm one is as good, which may take
 	// longer than the 4 s within which a new server is to get some.
 	firstUsers = 5
+	// maxAgeDiscount is the largest part by which the prior cost of a member is reduced the
+	// longer it has not been heard of, up to discountedAge, so that its connection is used
+	// before it expires. It exceeds the random part of the cost. Servers close connections
+	// after 10 s, which is 8 s here.
+	maxAgeDiscount = 0.5
+	discountedAge  = 8 * time.Second
 	// tierCost is the difference of the prior costs of two tiers. It exceeds any expected
 	// latency, and all tiers together are below the cost of an ejected server.
 	tierCost = float64(time.Minute)
@@ -55,8 +61,8 @@
 
 // subset is the part of a service's servers that this entry uses first. It is immutable.
 type subset struct {
-	// members holds the ids of the servers of the subset, of all versions.
-	members map[string]bool
+	// members holds since when the servers of the subset, of all versions, are members.
+	members map[string]time.Time
 	// holders holds the ids of further servers: those that are cold or state a rate limit,
 	// if this entry holds a part of the rate.
 	holders map[string]bool
@@ -67,7 +73,10 @@
 }
 
 // has reports whether a server is probed before servers outside the subset.
-func (s *subset) has(id string) bool { return s.members[id] || s.holders[id] }
+func (s *subset) has(id string) bool {
+	_, isMember := s.members[id]
+	return isMember || s.holders[id]
+}
 
 // prefers reports whether a server is a candidate in any case: a member, or the returning one.
 func (s *subset) prefers(id string) bool { return s.has(id) || s.returning == id }
@@ -109,6 +118,7 @@
 	chosen := b.chooseSubset(now, view, servers, entries, size, &s.orders)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	chosen.keepSince(s.current)
 	s.current, s.size = chosen, size
 	return chosen
 }
@@ -119,7 +129,7 @@
 	if size >= len(servers) {
 		return nil
 	}
-	chosen := &subset{members: map[string]bool{}, holders: map[string]bool{}}
+	chosen := &subset{members: map[string]time.Time{}, holders: map[string]bool{}}
 	byVersion := map[string][]subsetter.Server{}
 	states := map[string]memberState{}
 	for _, srv := range servers {
@@ -150,7 +160,7 @@
 	var returning []string
 	for version := range byVersion {
 		fleet.Servers = byVersion[version]
-		returning = append(returning, chosen.addMembers(o.of(version, fleet), states, size)...)
+		returning = append(returning, chosen.addMembers(now, o.of(version, fleet), states, size)...)
 	}
 	if len(returning) > 0 {
 		b.mu.Lock()
@@ -160,6 +170,18 @@
 	return chosen
 }
 
+// keepSince takes over since when servers are members from the subset before. Both may be nil.
+func (s *subset) keepSince(before *subset) {
+	if s == nil || before == nil {
+		return
+	}
+	for id := range s.members {
+		if since, ok := before.members[id]; ok {
+			s.members[id] = since
+		}
+	}
+}
+
 // memberState is why a server is no member, though it may be by the order of the servers.
 type memberState int
 
@@ -171,16 +193,16 @@
 	memberReturning
 )
 
-// addMembers adds the first usable servers of an order, up to a number. It returns those that
-// would be among the first and are returning.
-func (s *subset) addMembers(order []string, states map[string]memberState, size int) (returning []string) {
+// addMembers adds the first usable servers of an order, up to a number, as members from now on.
+// It returns those that would be among the first and are returning.
+func (s *subset) addMembers(now time.Time, order []string, states map[string]memberState, size int) (returning []string) {
 	added := 0
 	for i, id := range order {
 		switch {
 		case added >= size:
 			return returning
 		case states[id] == memberUsable:
-			s.members[id] = true
+			s.members[id] = now
 			added++
 		case states[id] == memberReturning && i < size:
 			returning = append(returning, id)
@@ -270,6 +292,9 @@
 			return
 		}
 		t := cand.tier(now)
+		if t == tierIdle && !cand.state.LoadFresh {
+			cand.cost *= 1 - maxAgeDiscount*min(1, float64(now.Sub(cand.state.HeardAt))/float64(discountedAge))
+		}
 		cand.cost += tierCost * float64(t)
 		cand.connected = t == tierIdle || t == tierIdleBeyond
 		if cand.isDue(now) && (due < 0 || cand.state.HeardAt.Before(candidates[due].state.HeardAt)) {
@@ -309,14 +334,22 @@
 	}
 }
 
-// isDue reports whether a member has not responded for so long that it is probed first, as
-// after it was registered.
+// isDue reports whether a server has not responded for so long that it is probed first: since
+// it became a member, or for some time if it is new, returning, or has an open connection to be
+// kept. A connection that has expired is not opened again only for that, since an entry with
+// few requests could not keep all of them open.
 func (cand *candidate) isDue(now time.Time) bool {
-	age := memberAge
-	if cand.subset.holders[cand.ID] || !cand.state.Used {
-		age = urgentAge
+	silent := now.Sub(cand.state.HeardAt)
+	switch {
+	case cand.state.Ejected:
+		return false
+	case cand.subset.holders[cand.ID], !cand.state.Used && cand.subset.prefers(cand.ID):
+		return silent >= urgentAge
+	case cand.subset.returning == cand.ID:
+		return silent >= memberAge
 	}
-	return cand.subset.prefers(cand.ID) && !cand.state.Ejected && now.Sub(cand.state.HeardAt) >= age
+	since, isMember := cand.subset.members[cand.ID]
+	return isMember && silent >= memberAge && (cand.state.HeardAt.Before(since) || cand.State.HasIdle(now))
 }
 
 // minConnectedProbes is the number of servers with idle connections from which a round of
--- a/entry/balancer/subset_test.go
+++ b/entry/balancer/subset_test.go
@@ -110,6 +110,41 @@
 	})
 }
 
+// TestExpiredConnectionsLeft guards against an entry with few requests that opens connections
+// to members again and again, only since they expire, and against members that get no probe
+// after they were drained, since their connections have expired.
+func TestExpiredConnectionsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := servers(100, respondOK)
+		for _, b := range all {
+			b.healthHeader = "Keep-Alive: timeout=10\r\n"
+		}
+		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+		defer f.close()
+		f.entries = fleetOf(100)
+		is.Equal(f.sendPaced(20, 2500*time.Millisecond), 0)
+		before := f.opened()
+		is.Equal(f.sendPaced(40, 2500*time.Millisecond), 0)
+		t.Log(before, f.opened()-before)
+		is.True(f.opened()-before <= 8)
+		member := all[slices.IndexFunc(all, func(b *backend) bool { return b.probed > 0 })]
+		srv := describer.Server{ID: member.id, Service: "stock", Domain: "a", Version: "v1", Slots: 2, Draining: true}
+		for _, b := range f.snapshotter.Snapshot().Services["stock"] {
+			if b.ID == member.id {
+				srv.Address = b.Address
+			}
+		}
+		f.snapshotter.PutServer(srv)
+		is.Equal(f.sendPaced(5, 2500*time.Millisecond), 0)
+		probed := member.probed
+		srv.Draining = false
+		f.snapshotter.PutServer(srv)
+		is.Equal(f.sendPaced(3, 1000*time.Millisecond), 0)
+		is.True(member.probed > probed)
+	})
+}
+
 // TestFewServersAsBefore guards against a subset in a service with few servers.
 func TestFewServersAsBefore(t *testing.T) {
 	for n, want := range map[int]int{24: 0, 25: 1} {
