--- a/entry/balancer/pick.go
+++ b/entry/balancer/pick.go
@@ -36,6 +36,9 @@
 	// probeRoundTimeout is the wait for the first response of a round before
 	// the next round starts. Servers that are down do not answer at all.
 	probeRoundTimeout = 10 * time.Millisecond
+	// maxRoundStep bounds the time until a round that waits for the own link finds that its
+	// request has ended.
+	maxRoundStep = 20 * time.Millisecond
 	// probeGrace is the wait for further responses after the first one of a
 	// round.
 	probeGrace = 6 * time.Millisecond
@@ -163,9 +166,11 @@
 	state snapshotter.StateSnapshot
 	cost  float64
 	// subset is the subset of the service, or nil if it has none, and due reports that the
-	// server is probed first because it has not responded for long.
-	subset *subset
-	due    bool
+	// server is probed first because it has not responded for long. Connected reports that it
+	// is due, or has an idle connection and no recent report of being slow or full.
+	subset    *subset
+	due       bool
+	connected bool
 }
 
 // pick picks the server for the next attempt. If there is none, it returns the
@@ -213,6 +218,10 @@
 		return nil, refuser.ColdServers
 	}
 	est := b.estimate(c.route.Name)
+	if delay := b.opts.Link.Delay(now); delay > 0 && delay > c.deadline.Sub(now)-est.latency {
+		// Neither a probe nor the request would leave this entry in time.
+		return nil, refuser.OwnLinkSaturated
+	}
 	for i := range candidates {
 		candidates[i].cost = b.priorCost(c, est, candidates[i])
 	}
--- a/entry/balancer/subset.go
+++ b/entry/balancer/subset.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,12 @@
 	// request. The others send it requests only if no warm one is as good, which may take
 	// longer than the 4 s within which a new server is to get some.
 	firstUsers = 5
+	// maxAgeDiscount is the largest part by which the prior cost of a member is reduced the
+	// longer it has not been heard of, up to discountedAge, so that its connection is used
+	// before it expires. It exceeds the random part of the cost. Servers close connections
+	// after 10 s, which is 8 s here.
+	maxAgeDiscount = 0.5
+	discountedAge  = 8 * time.Second
 	// tierCost is the difference of the prior costs of two tiers. It exceeds any expected
 	// latency, and all tiers together are below the cost of an ejected server.
 	tierCost = float64(time.Minute)
@@ -45,18 +52,21 @@
 	tierDue tier = iota
 	// tierIdle is for members with an idle connection.
 	tierIdle
+	// tierIdleBeyond is for servers outside the subset with an idle connection, as after
+	// requests went beyond it. A connection that is opened costs a server more than its probe.
+	tierIdleBeyond
 	// tierUnconnected is for members to which a connection would have to be opened.
 	tierUnconnected
 	// tierBad is for members that were slow or full by a recent report, or did not answer.
 	tierBad
-	// tierBeyond is for servers outside the subset. They are ordered in the same way.
+	// tierBeyond is for other servers outside the subset. They are ordered in the same way.
 	tierBeyond
 )
 
 // subset is the part of a service's servers that this entry uses first. It is immutable.
 type subset struct {
-	// members holds the ids of the servers of the subset, of all versions.
-	members map[string]bool
+	// members holds since when the servers of the subset, of all versions, are members.
+	members map[string]time.Time
 	// holders holds the ids of further servers: those that are cold or state a rate limit,
 	// if this entry holds a part of the rate.
 	holders map[string]bool
@@ -67,7 +77,10 @@
 }
 
 // has reports whether a server is probed before servers outside the subset.
-func (s *subset) has(id string) bool { return s.members[id] || s.holders[id] }
+func (s *subset) has(id string) bool {
+	_, isMember := s.members[id]
+	return isMember || s.holders[id]
+}
 
 // prefers reports whether a server is a candidate in any case: a member, or the returning one.
 func (s *subset) prefers(id string) bool { return s.has(id) || s.returning == id }
@@ -109,6 +122,7 @@
 	chosen := b.chooseSubset(now, view, servers, entries, size, &s.orders)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	chosen.keepSince(s.current)
 	s.current, s.size = chosen, size
 	return chosen
 }
@@ -119,7 +133,7 @@
 	if size >= len(servers) {
 		return nil
 	}
-	chosen := &subset{members: map[string]bool{}, holders: map[string]bool{}}
+	chosen := &subset{members: map[string]time.Time{}, holders: map[string]bool{}}
 	byVersion := map[string][]subsetter.Server{}
 	states := map[string]memberState{}
 	for _, srv := range servers {
@@ -150,7 +164,7 @@
 	var returning []string
 	for version := range byVersion {
 		fleet.Servers = byVersion[version]
-		returning = append(returning, chosen.addMembers(o.of(now, version, fleet), states, size)...)
+		returning = append(returning, chosen.addMembers(now, o.of(now, version, fleet), states, size)...)
 	}
 	if len(returning) > 0 {
 		b.mu.Lock()
@@ -160,6 +174,18 @@
 	return chosen
 }
 
+// keepSince takes over since when servers are members from the subset before. Both may be nil.
+func (s *subset) keepSince(before *subset) {
+	if s == nil || before == nil {
+		return
+	}
+	for id := range s.members {
+		if since, ok := before.members[id]; ok {
+			s.members[id] = since
+		}
+	}
+}
+
 // memberState is why a server is no member, though it may be by the order of the servers.
 type memberState int
 
@@ -171,16 +197,16 @@
 	memberReturning
 )
 
-// addMembers adds the first usable servers of an order, up to a number. It returns those that
-// would be among the first and are returning.
-func (s *subset) addMembers(order []string, states map[string]memberState, size int) (returning []string) {
+// addMembers adds the first usable servers of an order, up to a number, as members from now on.
+// It returns those that would be among the first and are returning.
+func (s *subset) addMembers(now time.Time, order []string, states map[string]memberState, size int) (returning []string) {
 	added := 0
 	for i, id := range order {
 		switch {
 		case added >= size:
 			return returning
 		case states[id] == memberUsable:
-			s.members[id] = true
+			s.members[id] = now
 			added++
 		case states[id] == memberReturning && i < size:
 			returning = append(returning, id)
@@ -289,23 +315,33 @@
 		if cand.subset == nil {
 			return
 		}
-		cand.cost += tierCost * float64(cand.tier(now))
+		t := cand.tier(now)
+		if t == tierIdle && !cand.state.LoadFresh {
+			cand.cost *= 1 - maxAgeDiscount*min(1, float64(now.Sub(cand.state.HeardAt))/float64(discountedAge))
+		}
+		cand.cost += tierCost * float64(t)
+		cand.connected = t == tierIdle || t == tierIdleBeyond
 		if cand.isDue(now) && (due < 0 || cand.state.HeardAt.Before(candidates[due].state.HeardAt)) {
 			due = i
 		}
 	}
 	if due >= 0 {
 		candidates[due].cost -= tierCost * float64(candidates[due].tier(now)-tierDue)
-		candidates[due].due = true
+		candidates[due].due, candidates[due].connected = true, true
 	}
 }
 
 // tier returns the tier of a candidate that is not due.
 func (cand *candidate) tier(now time.Time) tier {
-	if !cand.subset.has(cand.ID) {
-		return tierBeyond + cand.connectionTier(now)
+	t := cand.connectionTier(now)
+	switch {
+	case cand.subset.has(cand.ID):
+		return t
+	case t == tierIdle:
+		return tierIdleBeyond
+	default:
+		return tierBeyond + t
 	}
-	return cand.connectionTier(now)
 }
 
 // connectionTier returns the tier of a member, by its connections and its last report.
@@ -322,14 +358,38 @@
 	}
 }
 
-// isDue reports whether a member has not responded for so long that it is probed first, as
-// after it was registered.
+// isDue reports whether a server has not responded for so long that it is probed first: since
+// it became a member, or for some time if it is new, returning, or has an open connection to be
+// kept. A connection that has expired is not opened again only for that, since an entry with
+// few requests could not keep all of them open.
 func (cand *candidate) isDue(now time.Time) bool {
-	age := memberAge
-	if cand.subset.holders[cand.ID] || !cand.state.Used {
-		age = urgentAge
+	silent := now.Sub(cand.state.HeardAt)
+	switch {
+	case cand.state.Ejected:
+		return false
+	case cand.subset.holders[cand.ID], !cand.state.Used && cand.subset.prefers(cand.ID):
+		return silent >= urgentAge
+	case cand.subset.returning == cand.ID:
+		return silent >= memberAge
+	}
+	since, isMember := cand.subset.members[cand.ID]
+	return isMember && silent >= memberAge && (cand.state.HeardAt.Before(since) || cand.State.HasIdle(now))
+}
+
+// minConnectedProbes is the number of servers with idle connections from which a round of
+// probes does not open one for a further server. With 1 fewer were opened, but p99 rose by
+// 0.4 ms in trials.
+const minConnectedProbes = 2
+
+// withoutOpening returns the candidates of a round up to the first to which a connection would
+// have to be opened, if enough are left. One of them is good enough nearly always, since members
+// that were not by a recent report come later, and the next round probes the others.
+func withoutOpening(batch []candidate) []candidate {
+	i := slices.IndexFunc(batch, func(cand candidate) bool { return !cand.connected })
+	if i < minConnectedProbes {
+		return batch
 	}
-	return cand.subset.prefers(cand.ID) && !cand.state.Ejected && now.Sub(cand.state.HeardAt) >= age
+	return batch[:i]
 }
 
 // costFactor returns the factor of the cost of a server that was probed.
