scheduler: cases in which scheduling serves callers worse than none

Bound: no rank loses more than 0.02, in time or at all, and the highest none (0.01 for noise). Slow servers of the present cases speed up while a request runs there, too.

--- a/entry/scheduler/shared_test.go
+++ b/entry/scheduler/shared_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"sync"
@@ -11,6 +12,7 @@
 	"time"
 
 	"samphiremux/entry/scheduler"
+	"samphiremux/entry/throttler"
 )
 
 const (
@@ -18,6 +20,8 @@
 	timeLimit   = 800 * time.Millisecond
 	slots       = 3
 	serverQueue = 12
+	slowTime    = 500 * time.Millisecond
+	maxAttempts = 3
 )
 
 // played is one case of _fixtures/shared.json: entries that share servers without messages.
@@ -28,9 +32,24 @@
 	Load float64
 	// Objective is the latency objective in milliseconds.
 	Objective time.Duration
-	// Silent servers report no load, and Slow ones take seven times as long for half a second of
-	// every two.
-	Silent, Slow bool
+	// Limit is the time limit of callers in milliseconds, or zero for timeLimit.
+	Limit time.Duration
+	// Swing is the part of Load by which the load rises and falls within 5 s.
+	Swing float64
+	// Spread is the standard deviation of the logarithm of the work, or zero for work of 60 to
+	// 80 ms.
+	Spread float64
+	// Refusing is the share of requests that servers refuse for 8 s of every 10, whatever they
+	// report.
+	Refusing float64
+	// Silent servers report no load. One in Slow servers works at a seventh of its speed for
+	// half a second at a time, in turn.
+	Silent bool
+	Slow   int
+	// Runs is the number of runs whose counts are added up, or zero for one.
+	Runs int
+	// NoWorse reports that no caller may be served worse than without a scheduler.
+	NoWorse bool `json:"no-worse"`
 	// Staleness is the milliseconds for which servers still count requests that have ended.
 	Staleness time.Duration
 	Callers   []caller
@@ -41,12 +60,15 @@
 	Rank      int
 	Workspace string
 	Share     float64
-	// Repeats reports that they retry without pause.
-	Repeats bool
+	// Repeats reports that they retry without pause, and BacksOff that they pause for a third of
+	// the time that is left.
+	Repeats  bool
+	BacksOff bool `json:"backs-off"`
 	// InTime is the least share of requests in percent that must be served in time.
 	InTime float64 `json:"in-time"`
 
-	sent, inTime, late, refusals, refusedTwice int
+	// lost counts responses after the deadline, for which no caller waits.
+	sent, inTime, late, lost, refusals, refusedTwice int
 }
 
 func (c *caller) percent(n int) float64 { return 100 * float64(n) / float64(max(1, c.sent)) }
@@ -58,6 +80,7 @@
 	before bool
 	ranks  int
 	target time.Duration
+	limit  time.Duration
 
 	begun time.Time
 
@@ -65,6 +88,7 @@
 	rng     *rand.Rand
 	servers []*server
 	entries []*scheduler.Scheduler
+	budgets []*throttler.RetryBudget
 	probes  int
 }
 
@@ -84,23 +108,38 @@
 
 func (w *fixture) draw() float64 { return locked(w, w.rng.Float64) }
 
-// run runs a request at a server, unless the queue there is full.
+// run runs a request at a server, unless that refuses it.
 func (w *fixture) run(s *server) (ok bool) {
 	time.Sleep(time.Millisecond)
-	if !locked(w, func() bool { return s.busy < slots+serverQueue }) {
+	refuses := time.Since(w.begun)%(10*time.Second) < 8*time.Second && w.draw() < w.Refusing
+	if !locked(w, func() bool { return s.busy < slots+serverQueue && !refuses }) {
 		return false
 	}
 	w.add(&s.busy, 1)
 	s.slots <- struct{}{}
-	time.Sleep(time.Duration(w.slowness(s) * (60 + 20*w.draw()) * float64(time.Millisecond)))
+	for left := w.work(); left > 0; {
+		slowness := w.slowness(s)
+		step := min(time.Duration(slowness*float64(left)), slowTime-time.Since(w.begun)%slowTime)
+		time.Sleep(step)
+		left -= time.Duration(math.Ceil(float64(step) / slowness))
+	}
 	<-s.slots
 	time.AfterFunc(w.Staleness*time.Millisecond, func() { w.add(&s.busy, -1) })
 	return true
 }
 
+// work returns the time that a request takes on an idle server.
+func (w *fixture) work() time.Duration {
+	if w.Spread == 0 {
+		return time.Duration((60 + 20*w.draw()) * float64(time.Millisecond))
+	}
+	normal := locked(w, w.rng.NormFloat64)
+	return time.Duration(float64(work) * math.Exp(w.Spread*normal-w.Spread*w.Spread/2))
+}
+
 // slowness is how many times longer a server takes than usual at the moment.
 func (w *fixture) slowness(s *server) float64 {
-	if phase := time.Since(w.begun) / (500 * time.Millisecond); w.Slow && (int(phase)+s.index)%4 == 0 {
+	if w.Slow > 0 && (int(time.Since(w.begun)/slowTime)+s.index)%w.Slow == 0 {
 		return 7
 	}
 	return 1
@@ -155,38 +194,58 @@
 func (w *fixture) serve(c *caller, deadline time.Time) (retryAfter time.Duration, ok bool) {
 	now, e := time.Now(), locked(w, func() int { return w.rng.IntN(len(w.entries)) })
 	sched := w.entries[e]
-	if w.before {
-		s := w.pick(e, nil, deadline, 15)
-		return 50 * time.Millisecond, s != nil && w.run(s)
-	}
 	t := locked(w, func() *scheduler.Ticket {
+		w.budgets[e].Deposit(now)
 		return sched.Offer(now, scheduler.Request{
 			Rank: c.Rank, Ranks: w.ranks, Workspace: c.Workspace, Route: "r", Target: w.target, Limit: deadline.Sub(now),
 			Arrived: now, Deadline: deadline, Work: work * 14 / 10, Slots: slots,
 		})
 	})
 	defer func() { locked(w, func() bool { sched.Done(t); return true }) }()
+	for attempts := 1; ; attempts++ {
+		s, retryAfter := w.pickInTurn(e, t, deadline)
+		if s == nil {
+			return retryAfter, false
+		}
+		ok = w.run(s)
+		locked(w, func() bool { sched.Freed(); return true })
+		if ok || attempts == maxAttempts || !locked(w, func() bool { return w.budgets[e].TryWithdraw(time.Now(), w.retryLimit(t)) }) {
+			return 50 * time.Millisecond, ok
+		}
+	}
+}
+
+func (w *fixture) retryLimit(t *scheduler.Ticket) throttler.RetryLimit {
+	return throttler.RetryLimit{
+		Ratio: 0.2, Slack: 10, Entries: len(w.entries), Class: int(math.Ceil(t.Standing() * (throttler.RetryClasses - 1))),
+	}
+}
+
+// pickInTurn picks a server for a request, which waits while there is none.
+func (w *fixture) pickInTurn(e int, t *scheduler.Ticket, deadline time.Time) (s *server, retryAfter time.Duration) {
+	if w.before {
+		return w.pick(e, nil, deadline, 15), 50 * time.Millisecond
+	}
+	sched := w.entries[e]
 	limit, probes := t.Objective(), 15
-	if locked(w, func() bool { return sched.Short(now) }) {
+	if locked(w, func() bool { return sched.Short(time.Now()) }) {
 		probes = 7
 	}
 	if t.Late() {
 		limit, probes = deadline, 3
 	}
-	for {
+	for time.Now().Before(deadline) {
 		decide := sched.Defer
 		if locked(w, func() bool { return sched.MayTry(t) }) {
 			if s := w.pick(e, t, limit, probes); s != nil {
 				locked(w, func() bool { sched.Found(time.Now(), t); return true })
-				ok = w.run(s)
-				locked(w, func() bool { sched.Freed(); return true })
-				return 50 * time.Millisecond, ok
+				return s, 0
 			}
 			decide, probes = sched.Missed, 4
 		}
 		switch v := locked(w, func() scheduler.Verdict { return decide(time.Now(), t) }).(type) {
 		case scheduler.Refuse:
-			return time.Until(v.RetryAt), false
+			return nil, time.Until(v.RetryAt)
 		case scheduler.Wait:
 			select {
 			case <-t.Wake:
@@ -194,36 +253,59 @@
 			}
 		}
 	}
+	return nil, 0
 }
 
-// call sends a request until it is served, up to three times again.
+// call sends a request until it is served, up to three times again. A response after its
+// deadline is lost.
 func (w *fixture) call(c *caller) {
 	w.add(&c.sent, 1)
 	begun := time.Now()
-	deadline := begun.Add(timeLimit)
+	deadline := begun.Add(w.limit)
 	for try := 0; try < 4 && time.Until(deadline) > 20*time.Millisecond; try++ {
 		after, ok := w.serve(c, deadline)
 		switch {
 		case ok && time.Since(begun) <= w.target:
 			w.add(&c.inTime, 1)
 			return
-		case ok:
+		case ok && !time.Now().After(deadline):
 			w.add(&c.late, 1)
 			return
+		case ok:
+			w.add(&c.lost, 1)
+			return
 		case try == 1:
 			w.add(&c.refusedTwice, 1)
 		}
 		w.add(&c.refusals, 1)
-		if !c.Repeats {
-			time.Sleep(min(after, time.Until(deadline)/3))
+		switch left := time.Until(deadline) / 3; {
+		case c.BacksOff:
+			time.Sleep(left)
+		case !c.Repeats:
+			time.Sleep(min(after, left))
 		}
 	}
 }
 
-// play sends requests for 10 s, or longer with few entries, and returns what the callers got.
+// play returns what the callers got in all runs of a case.
 func play(t *testing.T, p played, entries int, before bool) (w *fixture) {
+	probes := 0
+	for run := range uint64(max(1, p.Runs)) {
+		w = playOnce(t, p, entries, before, run+1)
+		p.Callers = w.Callers
+		probes += w.probes
+	}
+	w.probes = probes
+	return w
+}
+
+// playOnce sends requests for 10 s, or longer with few entries, and adds what the callers got.
+func playOnce(t *testing.T, p played, entries int, before bool, seed uint64) (w *fixture) {
 	p.Callers = append([]caller(nil), p.Callers...)
-	w = &fixture{played: p, target: p.Objective * time.Millisecond, before: before, rng: rand.New(rand.NewPCG(1, 1))}
+	w = &fixture{played: p, target: p.Objective * time.Millisecond, before: before, rng: rand.New(rand.NewPCG(seed, seed))}
+	if w.limit = p.Limit * time.Millisecond; p.Limit == 0 {
+		w.limit = timeLimit
+	}
 	for _, c := range p.Callers {
 		w.ranks = max(w.ranks, c.Rank+1)
 	}
@@ -235,6 +317,7 @@
 		rate := p.Load * float64(len(w.servers)) * slots / work.Seconds()
 		for range entries {
 			w.entries = append(w.entries, scheduler.New(w.rng.Float64))
+			w.budgets = append(w.budgets, throttler.NewRetryBudget(w.begun, 10*time.Second))
 		}
 		duration := 10 * time.Second * time.Duration(min(8, max(1, 100/entries)))
 		var wg sync.WaitGroup
@@ -242,7 +325,8 @@
 			c := &w.Callers[i]
 			wg.Go(func() {
 				for end := time.Now().Add(duration); time.Now().Before(end); {
-					time.Sleep(time.Duration(2 * w.draw() / (rate * c.Share) * float64(time.Second)))
+					swing := 1 + p.Swing*math.Sin(2*math.Pi*time.Since(w.begun).Seconds()/5)
+					time.Sleep(time.Duration(2 * w.draw() / (rate * swing * c.Share) * float64(time.Second)))
 					wg.Go(func() { w.call(c) })
 				}
 			})
@@ -252,7 +336,7 @@
 	return w
 }
 
-// TestSharedServers guards against requests of a low rank or of a large workspace that take
+// TestSharedServers guards against scheduling that serves callers worse than none, against requests of a low rank or of a large workspace that take
 // the capacity that more urgent ones need, against ranks, workspaces and callers that starve,
 // and against callers that gain by retries without pause, where no entry knows of another.
 func TestSharedServers(t *testing.T) {
@@ -278,12 +362,15 @@
 	for i, c := range w.Callers {
 		sent, served = sent+c.sent, served+c.inTime+c.late
 		for _, c := range []caller{before.Callers[i], c} {
-			t.Logf("rank %d %-5s sent %5d: in time %5.1f, late %4.1f, refused %5.1f, refused twice %5.1f, refusals %5.1f",
-				c.Rank, c.Workspace, c.sent, c.percent(c.inTime), c.percent(c.late), 100-c.served(), c.percent(c.refusedTwice), c.percent(c.refusals))
+			t.Logf("rank %d %-5s sent %5d: in time %5.1f, late %4.1f, lost %4.1f, refused %5.1f, refused twice %5.1f, refusals %5.1f",
+				c.Rank, c.Workspace, c.sent, c.percent(c.inTime), c.percent(c.late), c.percent(c.lost), 100-c.served()-c.percent(c.lost), c.percent(c.refusedTwice), c.percent(c.refusals))
 		}
 	}
 	t.Logf("probes: %d before, %d after, for %d requests", before.probes, w.probes, sent)
-	for _, c := range w.Callers {
+	for i, c := range w.Callers {
+		if w.NoWorse {
+			checkNoWorse(t, before.Callers[i], c)
+		}
 		if c.percent(c.inTime) < c.InTime {
 			t.Errorf("rank %d %s: %.1f %% served in time, want %.0f", c.Rank, c.Workspace, c.percent(c.inTime), c.InTime)
 		}
@@ -297,3 +384,22 @@
 		}
 	}
 }
+
+const (
+	// maxLoss is the percentage of its requests that a rank may lose by scheduling, and
+	// maxUrgentLoss that of the highest rank, which covers differences between equal runs.
+	maxLoss, maxUrgentLoss = 2, 1
+)
+
+func checkNoWorse(t *testing.T, before, c caller) {
+	loss := float64(maxLoss)
+	if c.Rank == 0 {
+		loss = maxUrgentLoss
+	}
+	if was, is := before.percent(before.inTime), c.percent(c.inTime); is < was-loss {
+		t.Errorf("rank %d %s: %.1f %% served in time, %.1f without scheduling", c.Rank, c.Workspace, is, was)
+	}
+	if was, is := before.served(), c.served(); is < was-loss {
+		t.Errorf("rank %d %s: %.1f %% served, %.1f without scheduling", c.Rank, c.Workspace, is, was)
+	}
+}
