snapshotter: attempts can wait for changes of their server

Cause: an attempt under way learns nothing of what other requests and probes hear of its server. Change: ServerState.Changed returns a channel that the next load report, ejection, or end of the registration closes; Changes tells what was learned since a time. Nothing uses them yet. Result: the tests of the package pass.

--- a/entry/snapshotter/backend.go
+++ b/entry/snapshotter/backend.go
@@ -64,6 +64,9 @@
 	rateLimit    describer.RateLimit
 	rateLimitAt  time.Time
 	rateTokens   throttler.TokenBucket
+	lostAt       time.Time
+	// changed is closed by the next event that Changes reports. It is nil if nobody waits.
+	changed chan struct{}
 }
 
 // NewServerState returns the state of a server that has not been used yet. It follows
@@ -168,6 +171,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.load, s.loadAt, s.heardAt = load, now, now
+	s.notify()
 }
 
 // ObserveProbe records the answer to a probe that was sent at a time: the load, if the server
@@ -179,6 +183,7 @@
 	defer s.mu.Unlock()
 	if h.HasLoad {
 		s.load, s.loadAt = h.Load, now
+		s.notify()
 	}
 	s.heardAt = now
 	s.ejections = 0
@@ -226,6 +231,7 @@
 	wait := min(maxEjection, initialEjection<<min(s.ejections, 4))
 	s.ejections++
 	s.ejectedUntil = now.Add(wait)
+	s.notify()
 }
 
 // Readmit ends an ejection, after the entry itself could not reach any server.
--- a/entry/snapshotter/snapshotter.go
+++ b/entry/snapshotter/snapshotter.go
@@ -122,7 +122,7 @@
 	if !ok || known.Incarnation != server.Incarnation || known.Address != server.Address {
 		b.State = s.connect(server)
 		if ok {
-			known.State.Close()
+			known.State.endRegistration(time.Now())
 			b.State.inheritColdTokens(known.State)
 		}
 	}
@@ -146,7 +146,7 @@
 	if b.Incarnation != 0 {
 		s.departed[id] = departed{Backend: b, until: time.Now().Add(departedMemory)}
 	}
-	b.State.Close()
+	b.State.endRegistration(time.Now())
 	s.stale.Store(true)
 }
 
