--- a/entry/hedger/hedger.go
+++ b/entry/hedger/hedger.go
@@ -138,6 +138,8 @@
 	// Expected is its latency by the server's stated slowness and load, and Usual that of
 	// the route on an idle server without noisy neighbours.
 	Expected, Usual time.Duration
+	// Slowness is the server's stated slowness at the send.
+	Slowness float64
 	// Objective is when the response becomes late, or zero if the route has no objective.
 	Objective time.Time
 	// Deadline is when the caller stops waiting.
--- a/entry/hedger/hedger_test.go
+++ b/entry/hedger/hedger_test.go
@@ -1,6 +1,7 @@
 package hedger_test
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"os"
@@ -210,3 +211,30 @@
 	}
 	is.True(h.DueAt(a).Sub(start) < 2*usual)
 }
+
+// TestDueBy guards against hedges by evidence that cannot respond before the attempt, and
+// against evidence without effect.
+func TestDueBy(t *testing.T) {
+	const ms = time.Millisecond
+	text, err := os.ReadFile("_fixtures/due-by.txt")
+	is.New(t).NoErr(err)
+	for line := range strings.Lines(string(text)) {
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		t.Run(strings.TrimSpace(line), func(t *testing.T) {
+			is := is.New(t)
+			var expected, usual, deadline, after time.Duration
+			var slowness, stated float64
+			var due bool
+			_, err := fmt.Sscan(line, &expected, &usual, &deadline, &slowness, &stated, &after, &due)
+			is.NoErr(err)
+			a := hedger.Attempt{Sent: start, Expected: expected * ms, Usual: usual * ms, Deadline: start.Add(deadline * ms), Slowness: slowness}
+			evidence := hedger.Evidence(hedger.Lost{})
+			if stated > 0 {
+				evidence = hedger.Slowed{Slowness: stated}
+			}
+			is.Equal(a.DueBy(start.Add(after*ms), evidence), due)
+		})
+	}
+}
