balancer: hedges are due at once by evidence of their server

Cause: an attempt whose server becomes slow, crashes or is removed was hedged after the usual latency only, although the entry knew it earlier by other requests and probes. What the response to the attempt itself states does not count. New event hedge-due, new metric samphire_hedge_evidence_total. Without a limit nothing changes.

--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -83,13 +83,18 @@
 			results <- result
 		}()
 	}
+	watch := b.watchServer(p)
 	start(func(ctx context.Context) attemptResult { return b.send(ctx, c, p) })
-	due := b.hedgeDue(c, p, begun[0])
-	timer := time.NewTimer(time.Until(due))
+	first := b.describeAttempt(c, p, begun[0])
+	timer := time.NewTimer(time.Until(b.hedgeDue(c, first)))
 	defer timer.Stop()
 	running, looks := 1, 1
 	for {
 		select {
+		case <-watch.changed:
+			if watch.showsDue(c, first) {
+				timer.Reset(0)
+			}
 		case <-timer.C:
 			if wait := b.opts.Link.Delay(time.Now()); wait > 0 {
 				// The response may wait for the own link, and so would that to a hedge.
@@ -101,9 +106,12 @@
 				if looks < b.maxHedgeLooks() {
 					looks++
 					timer.Reset(b.estimate(c.route.Name).latency)
+				} else {
+					watch.end()
 				}
 				continue
 			}
+			watch.end()
 			b.metrics.retries.With(string(retrier.CauseHedge)).Inc()
 			running++
 			start(send)
@@ -157,6 +165,7 @@
 		Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id,
 	})
 	ended := time.Now()
+	p.ended.Store(true)
 	b.observe(ctx, c, p, now, link.SaturatedTime(ended), resp, outcome)
 	b.countRun(c, now, outcome)
 	if ctx.Err() == nil {
@@ -193,7 +202,7 @@
 		}
 	case retrier.Shed:
 		if resp.Status == http.StatusMisdirectedRequest {
-			p.State.SetLeaving()
+			p.State.SetReplaced(now)
 		}
 		failed = true
 	case retrier.NotSent:
--- a/entry/balancer/hedge.go
+++ b/entry/balancer/hedge.go
@@ -29,6 +29,8 @@
 type hedgeMetrics struct {
 	results *meter.CounterVec
 	skipped *meter.CounterVec
+	// evidence counts the attempts whose hedge became due by evidence.
+	evidence *meter.CounterVec
 	// wasted is the time in nanoseconds of attempts whose responses were not used.
 	wasted *atomic.Int64
 }
@@ -41,9 +43,10 @@
 
 func newHedgeMetrics(r *meter.Registry) hedgeMetrics {
 	m := hedgeMetrics{
-		results: r.CounterVec("hedges_total", "Hedged requests, by whether the response to the hedge was used.", "result"),
-		skipped: r.CounterVec("skipped_hedges_total", "Hedges that were due and not sent, by reason.", "reason"),
-		wasted:  &atomic.Int64{},
+		results:  r.CounterVec("hedges_total", "Hedged requests, by whether the response to the hedge was used.", "result"),
+		skipped:  r.CounterVec("skipped_hedges_total", "Hedges that were due and not sent, by reason.", "reason"),
+		evidence: r.CounterVec("hedge_evidence_total", "Attempts whose hedge became due because their server had become slow or was gone, by evidence.", "evidence"),
+		wasted:   &atomic.Int64{},
 	}
 	for _, result := range []string{hedgeWon, hedgeLost} {
 		m.results.With(result)
@@ -51,28 +54,36 @@
 	for _, reason := range hedger.Reasons() {
 		m.skipped.With(string(reason))
 	}
+	for _, kind := range hedger.EvidenceKinds() {
+		m.evidence.With(string(kind))
+	}
 	r.Gauge("hedge_wasted_seconds_total", "Time of attempts of hedged requests whose responses were not used.", func() float64 {
 		return time.Duration(m.wasted.Load()).Seconds()
 	})
 	return m
 }
 
-// hedgeDue returns when an attempt that was sent at a time is hedged.
-func (b *Balancer) hedgeDue(c *call, p *picked, sent time.Time) time.Time {
+// hedgeDue returns when an attempt is hedged.
+func (b *Balancer) hedgeDue(c *call, a hedger.Attempt) time.Time {
 	if b.hedger == nil {
 		byObjective := time.Duration(hedgeObjective * float64(c.route.TargetLatency))
-		return sent.Add(max(byObjective, time.Duration(hedgeRatio*float64(p.expected))))
+		return a.Sent.Add(max(byObjective, time.Duration(hedgeRatio*float64(a.Expected))))
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hedger.DueAt(a)
+}
+
+// describeAttempt describes an attempt to the hedger.
+func (b *Balancer) describeAttempt(c *call, p *picked, sent time.Time) hedger.Attempt {
 	a := hedger.Attempt{
 		Service: c.service, Route: c.route.Name, Sent: sent, Expected: p.expected,
-		Usual: b.estimate(c.route.Name).latency, Deadline: c.deadline,
+		Usual: b.estimate(c.route.Name).latency, Slowness: p.slowness, Deadline: c.deadline,
 	}
 	if c.route.TargetLatency > 0 {
 		a.Objective = c.arrived.Add(c.route.TargetLatency)
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.hedger.DueAt(a)
+	return a
 }
 
 // maxHedgeLooks returns how often a server is sought for the hedge of one attempt.
--- a/entry/balancer/hedge_test.go
+++ b/entry/balancer/hedge_test.go
@@ -1,8 +1,12 @@
 package balancer_test
 
 import (
+	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +15,9 @@
 
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/hedger"
+	"samphiremux/entry/roundtripper"
+	"samphiremux/entry/snapshotter"
+	"samphiremux/pkg/describer"
 )
 
 // TestHedgesWithinLimit guards against hedges beyond the operators' limit, of requests that
@@ -77,3 +84,59 @@
 		f.close()
 	})
 }
+
+// TestHedgeByEvidence guards against hedges that wait for the usual latency, here 100 ms,
+// although the server of the attempt is known to be slow or gone, against such hedges without
+// a limit, and against those for what the response to the attempt itself states.
+func TestHedgeByEvidence(t *testing.T) {
+	type state = snapshotter.ServerState
+	slow := roundtripper.Health{HasLoad: true, Load: describer.Load{Slots: 2, Slowness: 7}}
+	eject := func(_ *fixture, s *state) { s.Eject(time.Now()) }
+	for _, c := range []struct {
+		name, method, path string
+		limit              float64
+		show               func(f *fixture, s *state)
+		hedged             int
+	}{
+		{"slow by a probe", http.MethodGet, "/look/1", 1, func(_ *fixture, s *state) { s.ObserveProbe(time.Now(), time.Now(), slow) }, 1},
+		{"slow by a response", http.MethodGet, "/look/1", 1, func(_ *fixture, s *state) { s.ObserveLoad(time.Now(), slow.Load) }, 1},
+		{"ejected", http.MethodGet, "/look/1", 1, eject, 1},
+		{"removed", http.MethodGet, "/look/1", 1, func(f *fixture, _ *state) { f.snapshotter.RemoveServer("i-0") }, 1},
+		{"leaves and ends its requests", http.MethodGet, "/look/1", 1, func(_ *fixture, s *state) { s.SetLeaving() }, 0},
+		{"connections closed", http.MethodGet, "/look/1", 1, func(f *fixture, _ *state) { f.snapshotter.CloseAllIdle() }, 0},
+		{"limit of zero", http.MethodGet, "/look/1", 0, eject, 0},
+		{"no limit", http.MethodGet, "/look/1", -1, eject, 0},
+		{"may run once", http.MethodPost, "/book/1", 1, eject, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				all := servers(2, func(w io.Writer, id string) bool {
+					_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nLoad: 1,700\r\nContent-Length: 2\r\n\r\nok", id)
+					return err == nil
+				})
+				all[0].work, all[1].work = 100*time.Millisecond, 100*time.Millisecond
+				all[1].slowness = 120 // the first one is chosen
+				f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+				if c.limit >= 0 {
+					f.balancer.UseHedger(hedger.New(c.limit))
+				}
+				for i := range 100 {
+					f.send(c.method, c.path, strconv.Itoa(i))
+				}
+				w := httptest.NewRecorder()
+				f.metrics.ServeHTTP(w, nil)
+				is.True(strings.Contains(w.Body.String(), `hedge_evidence_total{evidence="slowed"} 0`))
+				before := arrivals(all)
+				all[0].work = 350 * time.Millisecond
+				go f.send(c.method, c.path, "last")
+				time.Sleep(40 * time.Millisecond)
+				c.show(f, f.snapshotter.Snapshot().Services["stock"][0].State)
+				time.Sleep(20 * time.Millisecond)
+				is.Equal(arrivals(all), before+1+c.hedged)
+				time.Sleep(time.Second)
+				f.close()
+			})
+		})
+	}
+}
--- a/entry/balancer/pick.go
+++ b/entry/balancer/pick.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"samphiremux/entry/chooser"
@@ -99,6 +100,8 @@
 	cold *coldPart
 	// beyond reports that the server is outside the subset of its service.
 	beyond bool
+	// ended reports that the attempt at the server has ended, with or without a response.
+	ended atomic.Bool
 }
 
 // slowdown returns how many times longer the server takes than an idle one
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -277,7 +277,7 @@
 		b.observeRateLimit(now, cand.Backend, h.RateLimit)
 		b.observeReached()
 	case isWrongInstance(err):
-		cand.State.SetLeaving()
+		cand.State.SetReplaced(now)
 		b.observeReached()
 	case responded(err):
 		cand.State.Eject(now)
--- a/entry/balancer/trace.go
+++ b/entry/balancer/trace.go
@@ -32,6 +32,9 @@
 	Chosen Decision = "chosen"
 	// Hedged means that a second server was picked to hedge the first.
 	Hedged Decision = "hedged"
+	// HedgeDue means that the server of an attempt was found slow or gone, so that a hedge is
+	// due at once. It carries the evidence.
+	HedgeDue Decision = "hedge-due"
 	// HedgeSkipped means that a hedge was due and was not sent. It carries the reason.
 	HedgeSkipped Decision = "hedge-skipped"
 	// Delegated means that the request was passed on to another entry. It carries what
@@ -47,7 +50,7 @@
 
 // Decisions returns every decision.
 func Decisions() []Decision {
-	return []Decision{Received, LeftOut, Waiting, Chosen, Hedged, HedgeSkipped, Delegated, Ended, Answered, Refused}
+	return []Decision{Received, LeftOut, Waiting, Chosen, Hedged, HedgeDue, HedgeSkipped, Delegated, Ended, Answered, Refused}
 }
 
 const (
