hedger: late hedges leave one saved hedge to those in time

Cause: where more responses are late than the limit covers, hedges that cannot meet the objective use it up, and evidence finds none left. Change: AdmitFor lets a hedge that cannot be in time for the objective take a saved hedge only if one remains. The limit is the same.

--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -101,7 +101,7 @@
 				timer.Reset(wait)
 				continue
 			}
-			send := b.hedge(ctx, c, state)
+			send := b.hedge(ctx, c, state, first)
 			if send == nil {
 				if looks < b.maxHedgeLooks() {
 					looks++
--- a/entry/balancer/hedge.go
+++ b/entry/balancer/hedge.go
@@ -94,12 +94,12 @@
 	return limitedHedgeLooks
 }
 
-// hedge picks a second server and returns the function that sends the request there. If
+// hedge picks a second server for an attempt and returns the function that sends the request there. If
 // this entry reaches no server, the hedge is passed on to another entry. It returns nil if
 // the route allows no further attempt, if the server is full or too slow, or if the retry
 // budget or the operators' limit is used up.
-func (b *Balancer) hedge(ctx context.Context, c *call, state *attempts) (send sendFunc) {
-	send, reason := b.admitHedge(ctx, c, state)
+func (b *Balancer) hedge(ctx context.Context, c *call, state *attempts, first hedger.Attempt) (send sendFunc) {
+	send, reason := b.admitHedge(ctx, c, state, first)
 	if send == nil {
 		b.metrics.hedges.skipped.With(string(reason)).Inc()
 		if b.hedger != nil {
@@ -110,14 +110,14 @@
 }
 
 // admitHedge is hedge with the reason if there is none.
-func (b *Balancer) admitHedge(ctx context.Context, c *call, state *attempts) (send sendFunc, reason hedger.Reason) {
+func (b *Balancer) admitHedge(ctx context.Context, c *call, state *attempts, first hedger.Attempt) (send sendFunc, reason hedger.Reason) {
 	if c.trial || state.sent+2 > c.route.MaxAttempts {
 		return nil, hedger.AttemptsUsed
 	}
 	if !b.mayHedge(c) {
 		return nil, hedger.KeyRevoked
 	}
-	if skip, ok := b.checkHedgeLimit(c.service).(hedger.Skip); ok {
+	if skip, ok := b.checkHedgeLimit(first).(hedger.Skip); ok {
 		return nil, skip.Reason
 	}
 	p, cause := b.pick(ctx, c)
@@ -147,14 +147,14 @@
 	return func(ctx context.Context) attemptResult { return b.send(ctx, c, p) }, ""
 }
 
-// checkHedgeLimit returns whether the operators' limit allows a hedge now.
-func (b *Balancer) checkHedgeLimit(service string) hedger.Verdict {
+// checkHedgeLimit returns whether the operators' limit allows a hedge of an attempt now.
+func (b *Balancer) checkHedgeLimit(first hedger.Attempt) hedger.Verdict {
 	if b.hedger == nil {
 		return hedger.Hedge{}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.hedger.Admit(time.Now(), service)
+	return b.hedger.AdmitFor(time.Now(), first)
 }
 
 // suitsHedge reports whether a hedge may go to a server. Without a limit, cold servers and
--- a/entry/hedger/hedger.go
+++ b/entry/hedger/hedger.go
@@ -19,6 +19,10 @@
 	maxSavedTokens = 4.0
 	// hedgeToken is one hedge, less the error of adding up shares such as 0.1.
 	hedgeToken = 1 - 1e-9
+	// reservedTokens is the number of saved hedges that are left to attempts whose hedge can
+	// still be in time for the objective. With none, where more responses are late than the
+	// limit allows to hedge, hedges by evidence mostly found the limit used up.
+	reservedTokens = 1
 	// shortageMemory is the time after a sign of a shortage in which nothing is hedged.
 	shortageMemory = time.Second
 	// marginRatio is the time, in usual latencies, that is left for a hedge to be in time for
@@ -215,6 +219,19 @@
 	return Hedge{}
 }
 
+// AdmitFor is Admit for the hedge of an attempt. A hedge that cannot be in time for the
+// objective leaves reservedTokens to others.
+func (h *Hedger) AdmitFor(now time.Time, a Attempt) Verdict {
+	inTime := a.Objective.IsZero() || !now.Add(a.Usual).After(a.Objective)
+	if !inTime && h.service(a.Service).tokens < hedgeToken+reservedTokens {
+		if skip, ok := h.Admit(now, a.Service).(Skip); ok {
+			return skip
+		}
+		return Skip{LimitReached}
+	}
+	return h.Admit(now, a.Service)
+}
+
 // Take takes the token of a hedge. It reports false if another request has taken it since
 // Admit.
 func (h *Hedger) Take(name string) bool {
--- a/entry/hedger/hedger_test.go
+++ b/entry/hedger/hedger_test.go
@@ -238,3 +238,63 @@
 		})
 	}
 }
+
+// playTurns sends requests with an objective of 1.5 times the usual latency, each to a server
+// that is fast at the send. Each server then becomes seven times slower for half a second
+// after 1.25 s on average. The entry hears from it perSecond times a second by its other
+// requests. It returns the share in time, the share that is late without a hedge and whose
+// server stated that it is slow while a hedge could be in time, and the hedges for each request.
+func playTurns(perSecond, limit float64) (inTime, avoidable, hedged float64) {
+	const typical, target, requests = 165 * time.Millisecond, 250 * time.Millisecond, 20000
+	rng := rand.New(rand.NewPCG(3, 3))
+	draw := func() (took, onset time.Duration) {
+		work := time.Duration(float64(typical) * math.Exp(0.15*rng.NormFloat64()))
+		onset = time.Duration(rng.ExpFloat64() * 1.25 * float64(time.Second))
+		return work + 6*min(max(0, work-onset), time.Second/14), onset
+	}
+	h := hedger.New(limit)
+	for i := range requests {
+		sent := start.Add(time.Duration(i) * time.Second / 6)
+		h.ObserveRequest("s")
+		a := hedger.Attempt{
+			Service: "s", Route: "r", Sent: sent, Expected: typical, Usual: typical, Slowness: 1,
+			Objective: sent.Add(target), Deadline: sent.Add(time.Second),
+		}
+		took, onset := draw()
+		again, _ := draw()
+		report := onset + time.Duration(rng.ExpFloat64()/perSecond*float64(time.Second))
+		if took > target && report+typical <= target {
+			avoidable++
+		}
+		wait := h.DueAt(a).Sub(sent)
+		if report < min(wait, onset+time.Second/2) && a.DueBy(sent.Add(report), hedger.Slowed{Slowness: 7}) {
+			wait = report
+		}
+		if _, ok := h.AdmitFor(sent.Add(wait), a).(hedger.Hedge); ok && wait < took && h.Take("s") {
+			hedged++
+			took = min(took, wait+again)
+		}
+		h.ObserveLatency(sent, "r", float64(took)/float64(typical))
+		if took <= target {
+			inTime++
+		}
+	}
+	return inTime / requests, avoidable / requests, hedged / requests
+}
+
+// TestServersThatBecomeSlow plays servers that become seven times slower for half a second
+// while requests run there. It guards against a route whose objective is too near for a hedge
+// after the usual latency, so that hedges gain nothing.
+func TestServersThatBecomeSlow(t *testing.T) {
+	is := is.New(t)
+	const limit = 0.05
+	before, _, _ := playTurns(1e-9, limit)
+	for _, perSecond := range []float64{1, 4, 16} {
+		inTime, avoidable, hedged := playTurns(perSecond, limit)
+		t.Logf("%.0f reports a second: in time %.4f (%.4f without), avoidable %.4f, hedged %.4f", perSecond, inTime, before, avoidable, hedged)
+		is.True(hedged <= limit)
+		// Some hedges take longer than usual themselves, and some reports come when the limit
+		// is used up, by hedges of other late responses too.
+		is.True(inTime-before >= avoidable/2)
+	}
+}
