--- a/entry/hedger/evidence.go
+++ b/entry/hedger/evidence.go
@@ -4,8 +4,8 @@
 
 const (
 	// minSlowdown is the ratio of the slowness that a server states to the one at the send
-	// from which it counts as slower. Below, a report differs from the one before by chance;
-	// noisy neighbours slow a server about seven times.
+	// from which it counts as slower. A hedge may go to a server with a slowness of 1.6, and
+	// would gain little below; noisy neighbours slow a server about seven times.
 	minSlowdown = 2.0
 	// meanOnset is the part of the time since the send after which the server became slow,
 	// on average, if it was not at the send and states it now.
