--- a/entry/balancer/hedge.go
+++ b/entry/balancer/hedge.go
@@ -29,6 +29,8 @@
 type hedgeMetrics struct {
 	results *meter.CounterVec
 	skipped *meter.CounterVec
+	// evidence counts the attempts whose hedge became due by evidence.
+	evidence *meter.CounterVec
 	// wasted is the time in nanoseconds of attempts whose responses were not used.
 	wasted *atomic.Int64
 }
@@ -41,9 +43,10 @@
 
 func newHedgeMetrics(r *meter.Registry) hedgeMetrics {
 	m := hedgeMetrics{
-		results: r.CounterVec("hedges_total", "Hedged requests, by whether the response to the hedge was used.", "result"),
-		skipped: r.CounterVec("skipped_hedges_total", "Hedges that were due and not sent, by reason.", "reason"),
-		wasted:  &atomic.Int64{},
+		results:  r.CounterVec("hedges_total", "Hedged requests, by whether the response to the hedge was used.", "result"),
+		skipped:  r.CounterVec("skipped_hedges_total", "Hedges that were due and not sent, by reason.", "reason"),
+		evidence: r.CounterVec("hedge_evidence_total", "Attempts whose hedge became due because their server had become slow or was gone, by evidence.", "evidence"),
+		wasted:   &atomic.Int64{},
 	}
 	for _, result := range []string{hedgeWon, hedgeLost} {
 		m.results.With(result)
@@ -51,28 +54,36 @@
 	for _, reason := range hedger.Reasons() {
 		m.skipped.With(string(reason))
 	}
+	for _, kind := range hedger.EvidenceKinds() {
+		m.evidence.With(string(kind))
+	}
 	r.Gauge("hedge_wasted_seconds_total", "Time of attempts of hedged requests whose responses were not used.", func() float64 {
 		return time.Duration(m.wasted.Load()).Seconds()
 	})
 	return m
 }
 
-// hedgeDue returns when an attempt that was sent at a time is hedged.
-func (b *Balancer) hedgeDue(c *call, p *picked, sent time.Time) time.Time {
+// hedgeDue returns when an attempt is hedged.
+func (b *Balancer) hedgeDue(c *call, a hedger.Attempt) time.Time {
 	if b.hedger == nil {
 		byObjective := time.Duration(hedgeObjective * float64(c.route.TargetLatency))
-		return sent.Add(max(byObjective, time.Duration(hedgeRatio*float64(p.expected))))
+		return a.Sent.Add(max(byObjective, time.Duration(hedgeRatio*float64(a.Expected))))
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hedger.DueAt(a)
+}
+
+// describeAttempt describes an attempt to the hedger.
+func (b *Balancer) describeAttempt(c *call, p *picked, sent time.Time) hedger.Attempt {
 	a := hedger.Attempt{
 		Service: c.service, Route: c.route.Name, Sent: sent, Expected: p.expected,
-		Usual: b.estimate(c.route.Name).latency, Deadline: c.deadline,
+		Usual: b.estimate(c.route.Name).latency, Slowness: p.slowness, Deadline: c.deadline,
 	}
 	if c.route.TargetLatency > 0 {
 		a.Objective = c.arrived.Add(c.route.TargetLatency)
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.hedger.DueAt(a)
+	return a
 }
 
 // maxHedgeLooks returns how often a server is sought for the hedge of one attempt.
@@ -83,12 +94,12 @@
 	return limitedHedgeLooks
 }
 
-// hedge picks a second server and returns the function that sends the request there. If
+// hedge picks a second server for an attempt and returns the function that sends the request there. If
 // this entry reaches no server, the hedge is passed on to another entry. It returns nil if
 // the route allows no further attempt, if the server is full or too slow, or if the retry
 // budget or the operators' limit is used up.
-func (b *Balancer) hedge(ctx context.Context, c *call, state *attempts) (send sendFunc) {
-	send, reason := b.admitHedge(ctx, c, state)
+func (b *Balancer) hedge(ctx context.Context, c *call, state *attempts, first hedger.Attempt) (send sendFunc) {
+	send, reason := b.admitHedge(ctx, c, state, first)
 	if send == nil {
 		b.metrics.hedges.skipped.With(string(reason)).Inc()
 		if b.hedger != nil {
@@ -99,14 +110,14 @@
 }
 
 // admitHedge is hedge with the reason if there is none.
-func (b *Balancer) admitHedge(ctx context.Context, c *call, state *attempts) (send sendFunc, reason hedger.Reason) {
+func (b *Balancer) admitHedge(ctx context.Context, c *call, state *attempts, first hedger.Attempt) (send sendFunc, reason hedger.Reason) {
 	if c.trial || state.sent+2 > c.route.MaxAttempts {
 		return nil, hedger.AttemptsUsed
 	}
 	if !b.mayHedge(c) {
 		return nil, hedger.KeyRevoked
 	}
-	if skip, ok := b.checkHedgeLimit(c.service).(hedger.Skip); ok {
+	if skip, ok := b.checkHedgeLimit(first).(hedger.Skip); ok {
 		return nil, skip.Reason
 	}
 	p, cause := b.pick(ctx, c)
@@ -136,14 +147,14 @@
 	return func(ctx context.Context) attemptResult { return b.send(ctx, c, p) }, ""
 }
 
-// checkHedgeLimit returns whether the operators' limit allows a hedge now.
-func (b *Balancer) checkHedgeLimit(service string) hedger.Verdict {
+// checkHedgeLimit returns whether the operators' limit allows a hedge of an attempt now.
+func (b *Balancer) checkHedgeLimit(first hedger.Attempt) hedger.Verdict {
 	if b.hedger == nil {
 		return hedger.Hedge{}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.hedger.Admit(time.Now(), service)
+	return b.hedger.AdmitFor(time.Now(), first)
 }
 
 // suitsHedge reports whether a hedge may go to a server. Without a limit, cold servers and
