tallier: counts can be taken back

A request that is counted while it still runs may be refused as not run afterwards. Counts are merged by their maximum, so a lower count would be lost to an older state that a slow relay passes on. A cell has the same size as before. Windows without requests that count get no report.

TestReversalLost passes on the older state last.

--- a/entry/tallier/tallier.go
+++ b/entry/tallier/tallier.go
@@ -38,8 +38,14 @@
 	sequence  uint32
 	requests  uint32
 	workspace uint16
+	// reversed is the part of requests that was taken back. Both only grow, so that states
+	// that arrive in another order are merged.
+	reversed uint16
 }
 
+// net returns the requests that count.
+func (c cell) net() int64 { return int64(c.requests) - int64(c.reversed) }
+
 // tally holds the counts of one source.
 type tally struct {
 	windows map[int64][]cell
@@ -85,23 +91,42 @@
 }
 
 // Count counts a request of a workspace at this entry. Requests of a window whose counts are
-// no longer needed are dropped.
-func (t *Tallier) Count(window int64, workspace string) {
+// no longer needed are dropped. It reports whether the request was counted.
+func (t *Tallier) Count(window int64, workspace string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if window <= t.reported {
 		t.dropped++
-		return
+		return false
 	}
 	own := t.sources[t.self]
 	c := t.cell(own, window, workspace)
 	if c == nil {
 		t.dropped++
-		return
+		return false
 	}
 	c.requests++
 	c.sequence = t.nextSequence()
 	t.bound(own, own.openWindow)
+	return true
+}
+
+// Reverse takes back the count of a request at this entry. It reports false if the counts of
+// the window are no longer kept.
+func (t *Tallier) Reverse(window int64, workspace string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	own := t.sources[t.self]
+	if _, kept := own.windows[window]; !kept {
+		return false
+	}
+	c := t.cell(own, window, workspace)
+	if c == nil || c.net() <= 0 || c.reversed == math.MaxUint16 {
+		return false
+	}
+	c.reversed++
+	c.sequence = t.nextSequence()
+	return true
 }
 
 // nextSequence numbers a change. The caller holds the lock.
@@ -170,7 +195,7 @@
 	for window, cells := range tally.windows {
 		for _, c := range cells {
 			if t.isAfter(c.sequence, after) {
-				out.Counts = append(out.Counts, &linkpb.UsageCount{Window: window, Workspace: t.names[c.workspace], Requests: uint64(c.requests)})
+				out.Counts = append(out.Counts, &linkpb.UsageCount{Window: window, Workspace: t.names[c.workspace], Requests: uint64(c.requests), Reversed: uint64(c.reversed)})
 			}
 		}
 	}
@@ -230,8 +255,9 @@
 			continue
 		}
 		c := t.cell(from, count.GetWindow(), count.GetWorkspace())
-		if requests := uint32(min(count.GetRequests(), math.MaxUint32)); c != nil && requests > c.requests {
-			c.requests, c.sequence = requests, t.nextSequence()
+		requests, reversed := uint32(min(count.GetRequests(), math.MaxUint32)), uint16(min(count.GetReversed(), math.MaxUint16))
+		if c != nil && (requests > c.requests || reversed > c.reversed) {
+			c.requests, c.reversed, c.sequence = max(c.requests, requests), max(c.reversed, reversed), t.nextSequence()
 		}
 	}
 	t.bound(from, from.openWindow)
@@ -273,7 +299,7 @@
 			}
 		}
 		for _, c := range of.windows[farthest] {
-			t.dropped += int64(c.requests)
+			t.dropped += c.net()
 		}
 		delete(of.windows, farthest)
 	}
@@ -288,19 +314,21 @@
 	sum := map[string]int64{}
 	for _, tally := range t.sources {
 		for _, c := range tally.windows[window] {
-			sum[t.names[c.workspace]] += int64(c.requests)
+			if n := c.net(); n > 0 {
+				sum[t.names[c.workspace]] += n
+			}
 		}
 	}
 	return sum
 }
 
-// Windows returns the windows with counts from first to last, in order.
+// Windows returns the windows from first to last that have requests which count, in order.
 func (t *Tallier) Windows(first, last int64) (windows []int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, tally := range t.sources {
-		for window := range tally.windows {
-			if window >= first && window <= last {
+		for window, cells := range tally.windows {
+			if window >= first && window <= last && slices.ContainsFunc(cells, func(c cell) bool { return c.net() > 0 }) {
 				windows = append(windows, window)
 			}
 		}
--- a/entry/tallier/tallier_test.go
+++ b/entry/tallier/tallier_test.go
@@ -107,3 +107,24 @@
 	counts, _ := relay.Changes(0)
 	is.Equal(len(counts), 0) // the entry has not been heard of for long
 }
+
+// TestReversalLost guards against a count that was taken back and returns, since a relay
+// passes on an older state later, and against a report for a window without requests.
+func TestReversalLost(t *testing.T) {
+	is := is.New(t)
+	entry, slow, relay, holder := tallier.New("e1", "i1"), tallier.New("r1", "i2"), tallier.New("r2", "i3"), tallier.New("h", "i9")
+	is.True(entry.Count(7, "stock"))
+	is.True(entry.Count(7, "mail"))
+	exchange(slow, entry, "e1")
+	is.True(entry.Reverse(7, "mail"))
+	exchange(relay, entry, "e1")
+	forward(relay, holder)
+	forward(slow, holder)
+	is.Equal(holder.Sum(7), map[string]int64{"stock": 1})
+	is.True(entry.Reverse(7, "stock"))
+	exchange(relay, entry, "e1")
+	forward(relay, holder)
+	is.Equal(len(holder.Windows(0, 100)), 0)
+	entry.SetReported(7)
+	is.True(!entry.Reverse(7, "stock")) // its window has been reported
+}
