balancer: requests that run for long are counted in their window

A request was counted when its first attempt that may have run had ended. The window in which the attempt began is reported 2 s after its end, so requests that ran for longer were dropped.

An attempt that still runs after 0.7 s is counted then; the report waits for this, the heartbeat of the relay (0.3 s) and its message to the holder (1 s). The count stands until the request ends, whatever becomes of that attempt, and is taken back if the request was refused as not run: moving it to the window of a later attempt could count it twice. An entry that refuses a request that another one passed on, and whose count may be in a report, says so in its refusal (Samphire-Counted), and a request whose passing on was lost is left to the count of the entry that took it; before, both could count it.

--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -147,9 +147,11 @@
 	b.setWorkspace(header, c.identity)
 	p.State.Begin()
 	defer p.State.End()
+	stop := b.countLongRun(c, now)
 	resp, outcome := p.State.Send(ctx, p.conn, roundtripper.Request{
 		Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id,
 	})
+	stop()
 	ended := time.Now()
 	b.observe(ctx, c, p, now, resp, outcome)
 	b.countRun(c, now, outcome)
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -93,8 +93,10 @@
 	// may be nil.
 	OnAttempt func(Attempt)
 	// OnRun is called once for each request of a workspace, when its first attempt that may
-	// have run has ended, with the time at which that began. It may be nil.
-	OnRun func(workspace string, begun time.Time)
+	// have run has ended or has run for long, with the time at which that began. The function
+	// that it returns is called if the request was refused as not run after all, and reports
+	// whether the request is certainly not counted then. It may be nil.
+	OnRun func(workspace string, begun time.Time) (reverse func() (certain bool))
 	// NotifySuspect notifies the other entries that a backend server crashed while
 	// it ran a request, how many crashes this entry has seen for it, and the attempt at
 	// the last of them. Zero crashes clear the request. It may be nil.
@@ -171,7 +173,7 @@
 		opts.OnAttempt = func(Attempt) {}
 	}
 	if opts.OnRun == nil {
-		opts.OnRun = func(string, time.Time) {}
+		opts.OnRun = func(string, time.Time) func() bool { return func() bool { return true } }
 	}
 	if opts.MayTake == nil {
 		opts.MayTake = func(time.Time) bool { return true }
@@ -235,7 +237,11 @@
 	defer c.held.Release()
 	defer b.endTrial(c)
 	resp, refusal := b.run(ctx, c)
+	c.endCount(refusal)
 	if refusal != nil {
+		if h != nil && c.hasCounted() {
+			w.Header().Set(delegator.CountedHeader, "1")
+		}
 		b.refuse(w, r, h, b.withRetryTime(time.Now(), c, *refusal), &c.trace)
 		return
 	}
--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -171,6 +171,7 @@
 	r := b.delegatedRequest(c, sent)
 	r.ReachesNone = reason == refuser.UnreachableServers || reason == refuser.BackendUnreachable
 	result := b.opts.Delegator.Send(ctx, r)
+	c.observeCount(result)
 	if responded, ok := result.(delegator.Responded); ok {
 		b.setLeaving(c.service, responded.Leaving)
 	}
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"samphiremux/entry/refuser"
@@ -43,8 +42,7 @@
 	backend snapshotter.Backend
 	// delegated is the id of the entry that the request was passed on to.
 	delegated string
-	// counted reports that the request counts as run.
-	counted atomic.Bool
+	count     runCount
 	// trial reports that the request is the trial of one that is suspected of crashing
 	// servers.
 	trial bool
--- a/entry/balancer/trial.go
+++ b/entry/balancer/trial.go
@@ -71,6 +71,7 @@
 		r := b.delegatedRequest(c, state.sent)
 		r.Trial = true
 		result := b.opts.Delegator.SendTo(ctx, id, r)
+		c.observeCount(result)
 		if !tookTrial(result) {
 			continue
 		}
--- a/entry/delegator/delegator.go
+++ b/entry/delegator/delegator.go
@@ -52,7 +52,8 @@
 	LeavingHeader = "Samphire-Leaving-Server"
 	// TrialHeader marks a request that may run only as a trial, which the entry is to make.
 	TrialHeader = "Samphire-Trial"
-	// CountedHeader marks a request that the entry that passes it on has counted as run.
+	// CountedHeader marks a request that the entry that passes it on has counted as run, and
+	// the refusal of one that the refusing entry has counted.
 	CountedHeader = "Samphire-Counted"
 	// RetryHeader carries the time after which a refused request may be served, as a Go
 	// duration. It is missing if that is not known.
@@ -185,6 +186,8 @@
 	Refusal refuser.Refusal
 	// Attempts is as in Lost.
 	Attempts int
+	// Counted reports that the entry has counted the request as run.
+	Counted bool
 }
 
 // Lost is a request that another entry took without a complete response. It may have run.
@@ -236,7 +239,6 @@
 // Send passes a request on until ctx is done. An entry that turns it down unsent makes
 // room for the next one.
 func (d *Delegator) Send(ctx context.Context, r Request) Result {
-	d.setHeaders(r)
 	var last Result = Unreached{}
 	var tried []*peerState
 	for len(tried) < maxTries {
@@ -249,6 +251,7 @@
 			return last
 		}
 		tried = append(tried, p)
+		d.setHeaders(r)
 		last = p.send(ctx, conn, r)
 		switch result := last.(type) {
 		case Responded:
@@ -262,6 +265,7 @@
 			if result.Refusal.Kind != refuser.NotRun {
 				return result
 			}
+			r.Counted = r.Counted || result.Counted
 			switch result.Refusal.Reason {
 			case refuser.BackendUnreachable:
 				// It reaches servers, but none of this service.
@@ -327,7 +331,9 @@
 	}
 	told, leaving := resp.Header.Get(OutcomeHeader), parseLeavingServer(resp.Header.Get(LeavingHeader))
 	resp.Header.Del(OutcomeHeader)
+	counted := resp.Header.Get(CountedHeader) != ""
 	resp.Header.Del(LeavingHeader)
+	resp.Header.Del(CountedHeader)
 	if told == Passed {
 		return Responded{Entry: p.ID, Response: resp, Leaving: leaving, Attempts: attempts}
 	}
@@ -338,7 +344,7 @@
 	if wait, err := time.ParseDuration(resp.Header.Get(RetryHeader)); err == nil && wait > 0 {
 		refusal = refusal.WithRetryAt(time.Now().Add(wait))
 	}
-	return Refused{Entry: p.ID, Refusal: refusal, Attempts: attempts}
+	return Refused{Entry: p.ID, Refusal: refusal, Attempts: attempts, Counted: counted}
 }
 
 // CloseExpired closes connections that have been idle for too long, and those to entries
--- a/entry/usagereporter/decider.go
+++ b/entry/usagereporter/decider.go
@@ -9,11 +9,14 @@
 
 const (
 	// settleTime is the time after the end of a window until its counts are complete:
-	// requests that began in it have been answered (0.5 to 1 s), relays have asked for the
-	// counts (0.3 s) and passed them on (1 s). It and the other times after the end of a
+	// requests that began in it have been counted, if need be while they run (0.7 s), relays
+	// have asked for the counts (0.3 s) and passed them on (1 s). It and the other times after the end of a
 	// window begin when this entry learns of the end from half of the entries, up to 1.3 s
 	// late.
 	settleTime = 2 * time.Second
+	// reversalTime is the time after the end of a window in which a count that is taken back
+	// reaches the holder before the report.
+	reversalTime = settleTime - 1300*time.Millisecond
 	// partialTime is the time after the end of a window from which it is reported though
 	// not all entries have been heard of. It leaves the rest of the 10 s after which a report
 	// is late for tries to send it.
--- a/entry/usagereporter/usagereporter.go
+++ b/entry/usagereporter/usagereporter.go
@@ -126,11 +126,20 @@
 	return &Reporter{o: o, tallier: tallier.New(o.Self, o.Incarnation), decider: NewDecider(o.Self, Limits{})}
 }
 
-// Count counts a request of a workspace whose first attempt began at a time.
-func (r *Reporter) Count(workspace string, begun time.Time) {
-	if l, enabled := r.o.Limits(); enabled {
-		r.tallier.Count(WindowAt(r.o.TimeOfDay()-time.Since(begun), l.Window), workspace)
+// Count counts a request of a workspace whose first attempt began at a time. It returns a
+// function that takes the count back unless it knows that the window has been reported, and
+// that reports whether the request is certainly in no report.
+func (r *Reporter) Count(workspace string, begun time.Time) (reverse func() (certain bool)) {
+	l, enabled := r.o.Limits()
+	window := int64(0)
+	if enabled {
+		window = WindowAt(r.o.TimeOfDay()-time.Since(begun), l.Window)
+	}
+	if !enabled || !r.tallier.Count(window, workspace) {
+		return func() bool { return true }
 	}
+	certainUntil := time.Duration(window+1)*l.Window + reversalTime
+	return func() bool { return r.tallier.Reverse(window, workspace) && r.o.TimeOfDay() < certainUntil }
 }
 
 // Query returns what a relay asks an entry for, or nil if no usage is reported.
