enroller: a process keeps the registration of the previous one

The value of a registration names its lease. A process that starts waits for its first list and renews that lease if the registration differs in nothing but the incarnation; a refused renewal leads to a new registration at once. Relays send usage counts to the holder anew when its token changes, since a restart of the holder no longer changes its incarnation.

--- a/entry/enroller/enroller.go
+++ b/entry/enroller/enroller.go
@@ -109,6 +109,9 @@
 	checkNow    chan struct{}
 	lease       storer.LeaseID
 	nextRenewal time.Time
+	// keptLease is the lease in the store's registration of this entry, for a process that has
+	// none. It is zero if the entry must register anew.
+	keptLease storer.LeaseID
 	// nextRelayRenewal is when the renewal is due if this entry is a relay.
 	nextRelayRenewal time.Time
 	stopped          bool
@@ -152,10 +155,11 @@
 	defer e.mu.Unlock()
 	switch {
 	case id == e.o.Self.ID && deleted:
-		e.lease, e.nextRenewal = 0, time.Time{}
+		e.lease, e.keptLease, e.nextRenewal = 0, 0, time.Time{}
 		e.participation = e.participation.withoutRegistration(now)
 		return true
 	case id == e.o.Self.ID:
+		e.keptLease = e.keepableLease(value)
 		e.participation = e.participation.withRegistration(now)
 		return true
 	case deleted:
--- a/entry/enroller/registration.go
+++ b/entry/enroller/registration.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"samphiremux/entry/tracker"
 	"samphiremux/pkg/storer"
 )
 
@@ -21,6 +22,8 @@
 	// checkInterval is the time between checks whether the registration is due for
 	// renewal.
 	checkInterval = 250 * time.Millisecond
+	// listCheckInterval is the time between checks whether the first list has arrived.
+	listCheckInterval = 20 * time.Millisecond
 	// retryDelay is the wait before the next renewal after a failed call of the store, and
 	// passiveRetryDelay that of an entry which is not among the first relays of its failure
 	// domain. Its lease lasts for several of them, and in an outage the renewals of all
@@ -29,8 +32,48 @@
 	passiveRetryDelay = 4 * time.Second
 )
 
+// firstListTime is the time for which a process waits at its start for the list of the store,
+// which tells whether the registration of the previous process still holds. A list on a slow
+// link takes 1.2 s.
+const firstListTime = 1500 * time.Millisecond
+
+// registration is the value of an entry's key in the store. The lease is part of it, so that
+// the next process of the entry can keep both.
+type registration struct {
+	tracker.Member
+	Lease storer.LeaseID `json:"lease,omitempty"`
+}
+
+// keepableLease returns the lease of a registration that an earlier process of this entry has
+// made. It is zero if the registration differs in more than the incarnation, which tells others
+// of a restart and which nothing depends on.
+func (e *Enroller) keepableLease(value []byte) storer.LeaseID {
+	var r registration
+	if err := json.Unmarshal(value, &r); err != nil {
+		return 0
+	}
+	earlier, own := r.Member, e.o.Self
+	earlier.Incarnation, own.Incarnation = "", ""
+	if earlier != own {
+		return 0
+	}
+	return r.Lease
+}
+
+// awaitList waits until this entry knows the keys of the store, for firstListTime at most.
+func (e *Enroller) awaitList(ctx context.Context) {
+	for until := time.Now().Add(firstListTime); e.o.StoreCache.Revision() == 0 && time.Now().Before(until); {
+		select {
+		case <-time.After(listCheckInterval):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // RunRegistration registers this entry and renews the registration until ctx ends.
 func (e *Enroller) RunRegistration(ctx context.Context) {
+	e.awaitList(ctx)
 	for {
 		e.renewIfDue(ctx)
 		select {
@@ -50,6 +93,9 @@
 	e.mu.Lock()
 	renewalDue := !e.stopped && (!now.Before(e.nextRenewal) || (relay && !now.Before(e.nextRelayRenewal)))
 	lease := e.lease
+	if renewalDue && lease == 0 {
+		lease, e.keptLease = e.keptLease, 0
+	}
 	e.mu.Unlock()
 	if !renewalDue {
 		return
@@ -124,8 +170,8 @@
 	}
 }
 
-// renew renews the lease. If there is none or it has expired, it registers the entry
-// under a new one. It returns the lease to renew next, or zero if the entry must
+// renew renews the lease, which may be that of the previous process of this entry. If there is
+// none or it has expired, it registers the entry under a new one. It returns the lease to renew next, or zero if the entry must
 // register again.
 func (e *Enroller) renew(ctx context.Context, lease storer.LeaseID) (_ storer.LeaseID, err error) {
 	if lease != 0 {
@@ -144,7 +190,7 @@
 	if err != nil {
 		return 0, err
 	}
-	value, err := json.Marshal(e.o.Self)
+	value, err := json.Marshal(registration{e.o.Self, lease})
 	if err != nil {
 		return 0, err
 	}
--- a/entry/usagereporter/usagereporter.go
+++ b/entry/usagereporter/usagereporter.go
@@ -348,7 +348,7 @@
 func (r *Reporter) RunForwarding(ctx context.Context) {
 	t := time.NewTicker(forwardInterval)
 	defer t.Stop()
-	var to tracker.Member
+	var to Token
 	var after uint64
 	for {
 		select {
@@ -360,12 +360,14 @@
 		if collects := r.o.Members().IsRelay() || r.o.Stopping(); !enabled || !collects {
 			continue
 		}
-		holder, ok := r.holder()
+		holder, token, ok := r.holder()
 		if !ok {
 			continue
 		}
-		if holder.ID != to.ID || holder.Incarnation != to.Incarnation {
-			to, after = holder, 0
+		if token != to {
+			// Another entry, or another process of the same one, which may not have registered
+			// anew. It sends no report before these counts have come.
+			to, after = token, 0
 		}
 		if counts, upTo := r.tallier.Changes(after); len(counts) > 0 && r.forward(ctx, holder, counts) {
 			after = upTo
@@ -375,23 +377,23 @@
 
 // Flush sends the counts of this entry to the holder before the process ends.
 func (r *Reporter) Flush(ctx context.Context) {
-	holder, ok := r.holder()
+	holder, _, ok := r.holder()
 	if _, enabled := r.o.Limits(); enabled && ok {
 		r.forward(ctx, holder, []*linkpb.UsageCounts{r.tallier.Answer(&linkpb.UsageQuery{})})
 	}
 }
 
-// holder returns the holder if it is another entry.
-func (r *Reporter) holder() (m tracker.Member, ok bool) {
+// holder returns the holder and its token if it is another entry.
+func (r *Reporter) holder() (m tracker.Member, token Token, ok bool) {
 	r.mu.Lock()
-	id := r.newest.Holder
+	id, token := r.newest.Holder, r.newest.Token
 	r.mu.Unlock()
 	members := r.o.Members().UsableMembers(time.Now())
 	i := slices.IndexFunc(members, func(m tracker.Member) bool { return m.ID == id && id != r.o.Self })
 	if i < 0 {
-		return tracker.Member{}, false
+		return tracker.Member{}, 0, false
 	}
-	return members[i], true
+	return members[i], token, true
 }
 
 // forward sends counts to the holder. It reports whether they arrived.
--- a/standin/measurer/relay_test.go
+++ b/standin/measurer/relay_test.go
@@ -130,6 +130,8 @@
 	enroller  *enroller.Enroller
 	pool      *linker.Pool
 	uplink    throttler.ByteBudget
+	// end ends the process of the entry.
+	end context.CancelFunc
 	// earlier reports that the entry reads heartbeats as the version before did.
 	earlier bool
 }
@@ -211,7 +213,8 @@
 // start starts an entry with a host, domain and bandwidth.
 func (f *copyFleet) start(t *testing.T, e *copyEntry) {
 	t.Helper()
-	ctx := f.ctx
+	ctx, end := context.WithCancel(f.ctx)
+	e.end = end
 	f.network.SetBandwidth(e.host, e.bandwidth)
 	address := netip.AddrPortFrom(e.host, 7000)
 	l, err := f.network.Listen(address)
@@ -238,6 +241,7 @@
 	e.enroller = enroller.New(time.Now(), enroller.Options{
 		Self: tracker.Member{
 			ID: fmt.Sprintf("entry-%s-%02d", e.domain, e.host.As4()[3]), Domain: e.domain, Address: e.host.String(), LinkAddress: address.String(), LinkRate: e.bandwidth,
+			Incarnation: time.Now().String(),
 		},
 		Store: store, Prefix: "entries/", StoreCache: e.reflector, Log: hclog.NewNullLogger(),
 		Seeds: func() []string { return nil }, Pool: e.pool,
--- a/steer/commander/usage_test.go
+++ b/steer/commander/usage_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -46,19 +47,7 @@
 func (f *fleet) reportUsage(ctx context.Context, d time.Duration) {
 	started := time.Now()
 	for _, e := range f.entries {
-		s := *e.settings.Load()
-		s.CloudAPI = translator.CloudAPI{Address: cloudAddress, ReportsUsage: true, CallInterval: 200 * time.Millisecond}
-		s.Bounds.UsageWindow, s.Bounds.LeaseTime = 5*time.Second, 3*time.Second
-		e.settings.Store(&s)
-		e.uptime = func() time.Duration { return time.Since(started) }
-		ctx, cancel := context.WithCancel(ctx)
-		end := f.ends[e]
-		f.ends[e] = func() {
-			end()
-			cancel()
-		}
-		go e.usage.Run(ctx)
-		go e.usage.RunForwarding(ctx)
+		f.enableUsage(ctx, e, started)
 	}
 	for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(500 * time.Millisecond) {
 		for _, e := range f.entries {
@@ -67,6 +56,66 @@
 	}
 }
 
+// enableUsage enables usage reports at an entry, whose uptime begins at a time.
+func (f *fleet) enableUsage(ctx context.Context, e *entry, started time.Time) {
+	s := *e.settings.Load()
+	s.CloudAPI = translator.CloudAPI{Address: cloudAddress, ReportsUsage: true, CallInterval: 200 * time.Millisecond}
+	s.Bounds.UsageWindow, s.Bounds.LeaseTime = 5*time.Second, 3*time.Second
+	e.settings.Store(&s)
+	e.uptime = func() time.Duration { return time.Since(started) }
+	ctx, cancel := context.WithCancel(ctx)
+	end := f.ends[e]
+	f.ends[e] = func() {
+		end()
+		cancel()
+	}
+	go e.usage.Run(ctx)
+	go e.usage.RunForwarding(ctx)
+}
+
+// TestHolderRestarts guards against counts that relays have sent to the previous process of the
+// holder, whose registration the next one keeps, and do not send again.
+func TestHolderRestarts(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		var mu sync.Mutex
+		reports := map[int64]usageReport{}
+		serveCloud(f.network, func(r usageReport) {
+			mu.Lock()
+			defer mu.Unlock()
+			reports[r.window] = r
+		})
+		f.followStore()
+		time.Sleep(10 * time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		started := time.Now()
+		f.reportUsage(ctx, 13*time.Second)
+		holder := slices.IndexFunc(f.entries, func(e *entry) bool { return e.usage.Stats().Holder })
+		counted := int64(26)
+		for range 4 {
+			for i, e := range f.entries {
+				if i != holder {
+					e.usage.Count("others", time.Now())
+				}
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		time.Sleep(1500 * time.Millisecond) // relays have passed these counts on
+		f.restart(holder)
+		f.enableUsage(ctx, f.entries[holder], started)
+		time.Sleep(30 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		stock, others := int64(0), int64(0)
+		for _, r := range reports {
+			stock, others = stock+r.counts["stock"], others+r.counts["others"]
+		}
+		if want := int64(len(f.entries)-1) * 4; others != want || stock < int64(len(f.entries)-1)*counted {
+			t.Errorf("%d requests of others and %d of all entries reported, %d and %d expected", others, stock, want, int64(len(f.entries))*counted)
+		}
+	})
+}
+
 // TestStoppedEntryNotCounted guards against the counts of an entry that stops and that are
 // lost, since it serves on for a while after it has deregistered.
 func TestStoppedEntryNotCounted(t *testing.T) {
