--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -161,9 +161,11 @@
 	link := b.opts.Link.Start(now, 0)
 	p.State.Begin()
 	defer p.State.End()
+	stop := b.countLongRun(c, now)
 	resp, outcome := p.State.Send(ctx, p.conn, roundtripper.Request{
 		Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id,
 	})
+	stop()
 	ended := time.Now()
 	p.ended.Store(true)
 	b.observe(ctx, c, p, now, link.SaturatedTime(ended), resp, outcome)
--- a/entry/enroller/enroller.go
+++ b/entry/enroller/enroller.go
@@ -109,10 +109,15 @@
 	checkNow    chan struct{}
 	lease       storer.LeaseID
 	nextRenewal time.Time
+	// keptLease is the lease in the store's registration of this entry, for a process that has
+	// none. It is zero if the entry must register anew.
+	keptLease storer.LeaseID
 	// nextRelayRenewal is when the renewal is due if this entry is a relay.
 	nextRelayRenewal time.Time
-	stopped          bool
-	contact          storeContact
+	// postponeUntil is the time until which a renewal may wait for the end of an outage.
+	postponeUntil time.Time
+	stopped       bool
+	contact       storeContact
 
 	// forwardedBytes counts the bytes of changes sent with heartbeats, and
 	// failedHeartbeats the heartbeats without an answer.
@@ -152,10 +157,11 @@
 	defer e.mu.Unlock()
 	switch {
 	case id == e.o.Self.ID && deleted:
-		e.lease, e.nextRenewal = 0, time.Time{}
+		e.lease, e.keptLease, e.nextRenewal = 0, 0, time.Time{}
 		e.participation = e.participation.withoutRegistration(now)
 		return true
 	case id == e.o.Self.ID:
+		e.keptLease = e.keepableLease(value)
 		e.participation = e.participation.withRegistration(now)
 		return true
 	case deleted:
--- a/entry/enroller/registration.go
+++ b/entry/enroller/registration.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"samphiremux/entry/tracker"
 	"samphiremux/pkg/storer"
 )
 
@@ -21,6 +22,10 @@
 	// checkInterval is the time between checks whether the registration is due for
 	// renewal.
 	checkInterval = 250 * time.Millisecond
+	// maxRenewInterval is the time until a renewal in an outage of the store.
+	maxRenewInterval = 2 * leaseTTL / 3
+	// listCheckInterval is the time between checks whether the first list has arrived.
+	listCheckInterval = 20 * time.Millisecond
 	// retryDelay is the wait before the next renewal after a failed call of the store, and
 	// passiveRetryDelay that of an entry which is not among the first relays of its failure
 	// domain. Its lease lasts for several of them, and in an outage the renewals of all
@@ -29,8 +34,48 @@
 	passiveRetryDelay = 4 * time.Second
 )
 
+// firstListTime is the time for which a process waits at its start for the list of the store,
+// which tells whether the registration of the previous process still holds. A list on a slow
+// link takes 1.2 s.
+const firstListTime = 1500 * time.Millisecond
+
+// registration is the value of an entry's key in the store. The lease is part of it, so that
+// the next process of the entry can keep both.
+type registration struct {
+	tracker.Member
+	Lease storer.LeaseID `json:"lease,omitempty"`
+}
+
+// keepableLease returns the lease of a registration that an earlier process of this entry has
+// made. It is zero if the registration differs in more than the incarnation, which tells others
+// of a restart and which nothing depends on.
+func (e *Enroller) keepableLease(value []byte) storer.LeaseID {
+	var r registration
+	if err := json.Unmarshal(value, &r); err != nil {
+		return 0
+	}
+	earlier, own := r.Member, e.o.Self
+	earlier.Incarnation, own.Incarnation = "", ""
+	if earlier != own {
+		return 0
+	}
+	return r.Lease
+}
+
+// awaitList waits until this entry knows the keys of the store, for firstListTime at most.
+func (e *Enroller) awaitList(ctx context.Context) {
+	for until := time.Now().Add(firstListTime); e.o.StoreCache.Revision() == 0 && time.Now().Before(until); {
+		select {
+		case <-time.After(listCheckInterval):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // RunRegistration registers this entry and renews the registration until ctx ends.
 func (e *Enroller) RunRegistration(ctx context.Context) {
+	e.awaitList(ctx)
 	for {
 		e.renewIfDue(ctx)
 		select {
@@ -46,10 +91,14 @@
 // stopped.
 func (e *Enroller) renewIfDue(ctx context.Context) {
 	relay := e.IsRelay()
+	reached := e.o.StoreCache.StoreReachable()
 	now := time.Now()
 	e.mu.Lock()
-	renewalDue := !e.stopped && (!now.Before(e.nextRenewal) || (relay && !now.Before(e.nextRelayRenewal)))
+	renewalDue := !e.stopped && !e.mayPostpone(now, reached) && (!now.Before(e.nextRenewal) || (relay && !now.Before(e.nextRelayRenewal)))
 	lease := e.lease
+	if renewalDue && lease == 0 {
+		lease, e.keptLease = e.keptLease, 0
+	}
 	e.mu.Unlock()
 	if !renewalDue {
 		return
@@ -71,6 +120,7 @@
 	now = time.Now()
 	confirmed := e.contact.confirmed(now)
 	e.nextRenewal, e.nextRelayRenewal = sent.Add(renewInterval), sent.Add(relayRenewInterval)
+	e.postponeUntil = sent.Add(maxRenewInterval)
 	if e.electionStart.After(e.nextRelayRenewal) {
 		// Until then most entries consider themselves the relay.
 		e.nextRelayRenewal = e.electionStart
@@ -82,6 +132,13 @@
 	}
 }
 
+// mayPostpone reports whether a renewal waits for the end of an outage of the store, which
+// others or this entry's list of the keys show: a call that is refused costs as much as ten
+// renewals. The lease lasts for some tries then. The caller holds the lock.
+func (e *Enroller) mayPostpone(now time.Time, reached bool) bool {
+	return e.lease != 0 && now.Before(e.postponeUntil) && (!reached || e.awaitsRelay(now))
+}
+
 // renewPromptly renews the lease, and reports when the answered call was sent. A connection
 // to the store may have gone silent, so a renewal whose response is overdue is sent once more
 // on a new one. If that response is overdue as well, the store counts as failed until it
@@ -124,8 +181,8 @@
 	}
 }
 
-// renew renews the lease. If there is none or it has expired, it registers the entry
-// under a new one. It returns the lease to renew next, or zero if the entry must
+// renew renews the lease, which may be that of the previous process of this entry. If there is
+// none or it has expired, it registers the entry under a new one. It returns the lease to renew next, or zero if the entry must
 // register again.
 func (e *Enroller) renew(ctx context.Context, lease storer.LeaseID) (_ storer.LeaseID, err error) {
 	if lease != 0 {
@@ -144,7 +201,7 @@
 	if err != nil {
 		return 0, err
 	}
-	value, err := json.Marshal(e.o.Self)
+	value, err := json.Marshal(registration{e.o.Self, lease})
 	if err != nil {
 		return 0, err
 	}
--- a/entry/reflector/reflector.go
+++ b/entry/reflector/reflector.go
@@ -86,6 +86,9 @@
 	IsRelay func() bool
 	// HasRelay reports whether a relay has recently sent a heartbeat to this entry.
 	HasRelay func() bool
+	// AwaitsRelay reports whether this entry does not watch the store though it has no relay,
+	// since others find out first whether the store answers. It may be nil.
+	AwaitsRelay func() bool
 	// MayBecomeRelay reports whether this entry would be among the first to watch the
 	// store on behalf of others.
 	MayBecomeRelay func() bool
@@ -94,6 +97,9 @@
 	// copy. The key may have been lost in the outage, and its writer may not have
 	// reached the store again yet.
 	HoldTime func(key string, restored bool) time.Duration
+	// CanWait reports whether the changes of a key need not be known at once. The next watch
+	// begins later after a batch that has no others. It may be nil.
+	CanWait func(key string) bool
 	// OnChange is called after changes have arrived from the store itself.
 	OnChange func()
 	// Sink receives every change of the copy.
