usagereporter: the fixture is free of data races

Tests set fields of the fixture (which entries are lost, cut off or suspended, the hooks of the store and the platform, clocks, the process of an entry) while its goroutines read them, and read the calls of the platform without the lock, so that go test -race failed in most tests.

These fields are atomics now, state of the store and the platform is read under the lock, and a restart replaces the process of an entry as one value. No check and no bound has changed; counters that hooks keep are atomics.

--- a/entry/usagereporter/fixture_test.go
+++ b/entry/usagereporter/fixture_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +29,10 @@
 	t     *testing.T
 	start time.Time
 	nodes []*node
+	// onCommit runs with each transaction before and after it takes effect. An error before
+	// refuses it, and one after loses its response. OnCall runs likewise with each call of
+	// the platform before and after it is received.
+	onCommit, onCall hook
 
 	mu sync.Mutex
 	// value, revision and era are the state of the store, and commits its calls.
@@ -35,14 +40,23 @@
 	revision storer.Revision
 	era      int64
 	commits  int
-	// onCommit runs with each transaction before and after it takes effect. An error before
-	// refuses it, and one after loses its response.
-	onCommit func(n *node, committed bool) error
 	// calls are the calls that the platform received, and accepted the reports by window.
 	calls    []call
 	accepted map[int64]call
-	// onCall runs with each call before and after it is received, as onCommit does.
-	onCall func(n *node, received bool) error
+}
+
+// hook is a function that tests replace while entries run.
+type hook struct {
+	f atomic.Pointer[func(n *node, done bool) error]
+}
+
+func (h *hook) set(f func(n *node, done bool) error) { h.f.Store(&f) }
+
+func (h *hook) run(n *node, done bool) error {
+	if f := h.f.Load(); f != nil {
+		return (*f)(n, done)
+	}
+	return nil
 }
 
 // call is a call that the platform received.
@@ -55,29 +69,34 @@
 
 // node is one entry: what it knows of the others, of the store and of the time.
 type node struct {
-	*usagereporter.Reporter
-	w      *fixture
-	id     string
-	cancel context.CancelFunc
-	// The fields below are set by tests.
-	dead, lacksStore, cut bool
-	clockOffset           time.Duration
-	// transit is the time that calls of the platform take to arrive.
-	transit time.Duration
-	// wroteAt is when the last transaction was sent.
+	w  *fixture
+	id string
+	// process is replaced when the entry restarts.
+	process atomic.Pointer[process]
+	// wroteAt is when the last transaction was sent. The lock of the fixture guards it.
 	wroteAt time.Time
+
+	// The fields below are set by tests.
+	dead, lacksStore, cut atomic.Bool
+	// clockOffset is a time.Duration.
+	clockOffset atomic.Int64
+	// transit is the time.Duration that calls of the platform take to arrive.
+	transit atomic.Int64
 	// copied is the copy of the store of an entry that learns no changes.
-	copied *storer.KeyValue
+	copied atomic.Pointer[storer.KeyValue]
+}
+
+// process is one process of an entry.
+type process struct {
+	*usagereporter.Reporter
+	cancel context.CancelFunc
 }
 
 // run runs a test with entries in virtual time, and checks the calls of the platform.
 func run(t *testing.T, entries int, test func(w *fixture)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := &fixture{
-			t: t, start: time.Now(), accepted: map[int64]call{}, revision: 1,
-			onCommit: func(*node, bool) error { return nil }, onCall: func(*node, bool) error { return nil },
-		}
+		w := &fixture{t: t, start: time.Now(), accepted: map[int64]call{}, revision: 1}
 		// Entries that run read the list, so it is complete before the first one begins.
 		for i := range entries {
 			w.nodes = append(w.nodes, &node{w: w, id: fmt.Sprintf("e%d", i)})
@@ -90,7 +109,7 @@
 		defer func() {
 			cancel()
 			for _, n := range w.nodes {
-				n.cancel()
+				n.process.Load().cancel()
 			}
 			time.Sleep(15 * time.Second) // calls under way end
 		}()
@@ -103,23 +122,21 @@
 func (w *fixture) begin(i int) {
 	n := w.nodes[i]
 	ctx, cancel := context.WithCancel(w.t.Context())
-	n.cancel = cancel
-	n.Reporter = usagereporter.New(usagereporter.Options{
+	p := &process{cancel: cancel, Reporter: usagereporter.New(usagereporter.Options{
 		Self: n.id, Incarnation: fmt.Sprint(time.Since(w.start)), Store: &store{node: n}, StoreCache: n, Key: "usage",
 		Members: func() usagereporter.Members { return n },
 		Limits:  func() (usagereporter.Limits, bool) { return limits, true },
 		Uptime:  func() time.Duration { return time.Since(w.start) }, TimeOfDay: n.timeOfDay,
 		Send: n.send, Stopping: func() bool { return false }, Log: hclog.NewNullLogger(),
-	})
-	go n.Run(ctx)
+	})}
+	n.process.Store(p)
+	go p.Run(ctx)
 }
 
 // kill ends the process of an entry.
 func (w *fixture) kill(n *node) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	n.dead = true
-	n.cancel()
+	n.dead.Store(true)
+	n.process.Load().cancel()
 }
 
 // exchange lets entries ask each other for their counts.
@@ -127,8 +144,9 @@
 	for ctx.Err() == nil {
 		for _, a := range w.nodes {
 			for _, b := range w.nodes {
-				if a != b && !a.dead && !b.dead && !a.cut && !b.cut {
-					a.Receive(b.Answer(a.Query(b.id)))
+				if a != b && !a.dead.Load() && !b.dead.Load() && !a.cut.Load() && !b.cut.Load() {
+					asking := a.process.Load()
+					asking.Receive(b.process.Load().Answer(asking.Query(b.id)))
 				}
 			}
 		}
@@ -140,9 +158,9 @@
 func (w *fixture) serve(d time.Duration) {
 	for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(500 * time.Millisecond) {
 		for _, n := range w.nodes {
-			if !n.dead {
-				n.Count("stock", time.Now())
-				n.Count("mail", time.Now())
+			if !n.dead.Load() {
+				n.process.Load().Count("stock", time.Now())
+				n.process.Load().Count("mail", time.Now())
 			}
 		}
 	}
@@ -151,7 +169,7 @@
 // holder returns the entry that holds usage reporting, and fails the test if none does.
 func (w *fixture) holder() *node {
 	for _, n := range w.nodes {
-		if !n.dead && n.Stats().Holder {
+		if !n.dead.Load() && n.process.Load().Stats().Holder {
 			return n
 		}
 	}
@@ -164,12 +182,34 @@
 	return usagereporter.WindowAt(time.Duration(w.start.Add(after).UnixNano()), limits.Window)
 }
 
+// received returns the calls that the platform has received.
+func (w *fixture) received() []call {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.calls)
+}
+
+// reports returns the reports that the platform has accepted, by window.
+func (w *fixture) reports() map[int64]call {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.accepted)
+}
+
+// written returns the number of transactions so far and the value in the store.
+func (w *fixture) written() (commits int, value []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.commits, w.value
+}
+
 // reported fails the test unless each window in a range of times was accepted, not later
 // than a time after its end.
 func (w *fixture) reported(from, to, late time.Duration) {
 	w.t.Helper()
+	accepted := w.reports()
 	for at := from; at < to; at += limits.Window {
-		c, ok := w.accepted[w.window(at)]
+		c, ok := accepted[w.window(at)]
 		if end := w.start.Add(at + limits.Window); !ok || c.at.Sub(end) > late {
 			w.t.Errorf("window at %s: accepted %t, %s after its end", at, ok, c.at.Sub(end))
 		}
@@ -179,19 +219,20 @@
 // check checks what the platform must never see.
 func (w *fixture) check() {
 	w.t.Helper()
-	for i, c := range w.calls {
-		if i > 0 && c.token < w.calls[i-1].token {
-			w.t.Errorf("token %s of %s after %s of %s", c.token, c.holder, w.calls[i-1].token, w.calls[i-1].holder)
+	calls, accepted := w.received(), w.reports()
+	for i, c := range calls {
+		if i > 0 && c.token < calls[i-1].token {
+			w.t.Errorf("token %s of %s after %s of %s", c.token, c.holder, calls[i-1].token, calls[i-1].holder)
 		}
-		if first := w.accepted[c.Window]; first.Counts != nil && !maps.Equal(first.Counts, c.Counts) {
+		if first := accepted[c.Window]; first.Counts != nil && !maps.Equal(first.Counts, c.Counts) {
 			w.t.Errorf("window %d: %v by %s, then %v by %s", c.Window, first.Counts, first.holder, c.Counts, c.holder)
 		}
-		for _, earlier := range w.calls[:i] {
+		for _, earlier := range calls[:i] {
 			if earlier.token == c.token && earlier.holder != c.holder {
 				w.t.Errorf("token %s used by %s and %s", c.token, earlier.holder, c.holder)
 			}
 			between := func(b call) bool { return b.holder != c.holder && !b.at.Before(earlier.at) }
-			if earlier.holder == c.holder && c.at.Sub(earlier.at) < limits.LeaseTime && slices.ContainsFunc(w.calls[:i], between) {
+			if earlier.holder == c.holder && c.at.Sub(earlier.at) < limits.LeaseTime && slices.ContainsFunc(calls[:i], between) {
 				w.t.Errorf("%s acts again within the lease time after another holder", c.holder)
 			}
 		}
@@ -201,16 +242,19 @@
 // send is the call of the platform.
 func (n *node) send(ctx context.Context, s usagereporter.Send, mayBegin func() bool) (usagereporter.SendResult, error) {
 	// Another holder may have taken over just after the transaction.
-	if end, ok := ctx.Deadline(); !ok || end.Sub(n.wroteAt) > limits.LeaseTime {
-		n.w.t.Errorf("call of %s may end %s after its transaction, when another holder may send", n.id, end.Sub(n.wroteAt))
+	n.w.mu.Lock()
+	wroteAt := n.wroteAt
+	n.w.mu.Unlock()
+	if end, ok := ctx.Deadline(); !ok || end.Sub(wroteAt) > limits.LeaseTime {
+		n.w.t.Errorf("call of %s may end %s after its transaction, when another holder may send", n.id, end.Sub(wroteAt))
 	}
-	if err := n.w.onCall(n, false); err != nil {
+	if err := n.w.onCall.run(n, false); err != nil {
 		return usagereporter.Unsettled, err
 	}
 	if !mayBegin() {
 		return usagereporter.Unsettled, errors.New("not begun")
 	}
-	time.Sleep(n.transit)
+	time.Sleep(time.Duration(n.transit.Load()))
 	n.w.mu.Lock()
 	c := call{s.Report, time.Now(), n.id, s.Token}
 	n.w.calls = append(n.w.calls, c)
@@ -218,7 +262,7 @@
 		n.w.accepted[c.Window] = c
 	}
 	n.w.mu.Unlock()
-	if err := n.w.onCall(n, true); errors.Is(err, errRejected) {
+	if err := n.w.onCall.run(n, true); errors.Is(err, errRejected) {
 		return usagereporter.Rejected, err
 	} else if err != nil {
 		return usagereporter.Unsettled, err
@@ -239,7 +283,7 @@
 	n.w.commits++
 	n.wroteAt = time.Now()
 	n.w.mu.Unlock()
-	if err := n.w.onCommit(n, false); err != nil {
+	if err := n.w.onCommit.run(n, false); err != nil {
 		return storer.NotCommitted{Cause: err}
 	}
 	n.w.mu.Lock()
@@ -255,7 +299,7 @@
 	n.w.value = t.Puts[0].Value
 	committed := storer.Committed{Revision: n.w.revision}
 	n.w.mu.Unlock()
-	if err := n.w.onCommit(n, true); err != nil {
+	if err := n.w.onCommit.run(n, true); err != nil {
 		return storer.Unknown{Cause: err}
 	}
 	return committed
@@ -272,9 +316,10 @@
 func (n *node) Get(string) ([]byte, storer.Revision) {
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
+	copied := n.copied.Load()
 	switch {
-	case n.copied != nil:
-		return n.copied.Value, n.copied.ModRevision
+	case copied != nil:
+		return copied.Value, copied.ModRevision
 	case n.w.value == nil:
 		return nil, 0
 	}
@@ -284,10 +329,11 @@
 // freeze suspends an entry, which learns what the store holds some time after that.
 func (n *node) freeze(d time.Duration) {
 	value, revision := n.Get("usage")
-	n.dead, n.copied = true, &storer.KeyValue{Value: value, ModRevision: revision}
+	n.dead.Store(true)
+	n.copied.Store(&storer.KeyValue{Value: value, ModRevision: revision})
 	time.Sleep(d)
-	n.dead = false
-	time.AfterFunc(2*time.Second, func() { n.copied = nil })
+	n.dead.Store(false)
+	time.AfterFunc(2*time.Second, func() { n.copied.Store(nil) })
 }
 
 func (n *node) Revision() storer.Revision {
@@ -297,10 +343,8 @@
 }
 
 func (n *node) UsableMembers(time.Time) (members []tracker.Member) {
-	n.w.mu.Lock()
-	defer n.w.mu.Unlock()
 	for _, m := range n.w.nodes {
-		if !m.dead {
+		if !m.dead.Load() {
 			members = append(members, tracker.Member{ID: m.id})
 		}
 	}
@@ -308,16 +352,16 @@
 }
 
 func (n *node) LacksStore(_ time.Time, id string) bool {
-	return slices.ContainsFunc(n.w.nodes, func(m *node) bool { return m.id == id && m.lacksStore })
+	return slices.ContainsFunc(n.w.nodes, func(m *node) bool { return m.id == id && m.lacksStore.Load() })
 }
 
 func (n *node) Rank(string) (rank, entries int) { return slices.Index(n.w.nodes, n), len(n.w.nodes) }
-func (n *node) IsRelay() bool                   { return !n.lacksStore }
-func (n *node) ReachesStore() bool              { return !n.lacksStore }
+func (n *node) IsRelay() bool                   { return !n.lacksStore.Load() }
+func (n *node) ReachesStore() bool              { return !n.lacksStore.Load() }
 func (n *node) ReportStoreFailure()             {}
 
 func (n *node) timeOfDay() time.Duration {
-	return time.Duration(time.Now().Add(n.clockOffset).UnixNano())
+	return time.Duration(time.Now().Add(time.Duration(n.clockOffset.Load())).UnixNano())
 }
 
 // manyCounts has 90 workspaces in each window of a range.
--- a/entry/usagereporter/usagereporter_test.go
+++ b/entry/usagereporter/usagereporter_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,10 +23,11 @@
 		w.serve(time.Minute)
 		w.reported(0, 50*time.Second, 5*time.Second)
 		for at := time.Duration(0); at < 50*time.Second; at += limits.Window {
-			is.Equal(w.accepted[w.window(at)].Counts, map[string]int64{"stock": 40, "mail": 40})
+			is.Equal(w.reports()[w.window(at)].Counts, map[string]int64{"stock": 40, "mail": 40})
 		}
-		is.Equal(len(w.calls), len(w.accepted)) // nothing was repeated
-		is.True(float64(w.commits) < 0.25*60)
+		is.Equal(len(w.received()), len(w.reports())) // nothing was repeated
+		commits, _ := w.written()
+		is.True(float64(commits) < 0.25*60)
 	})
 }
 
@@ -47,16 +49,16 @@
 				w.serve(18 * time.Second)
 				victim := w.holder()
 				kill := func(n *node, done bool) error {
-					if n != victim || n.dead || done != c.done {
+					if n != victim || n.dead.Load() || done != c.done {
 						return nil
 					}
 					w.kill(n)
 					return errLost
 				}
 				if c.commit {
-					w.onCommit = kill
+					w.onCommit.set(kill)
 				} else {
-					w.onCall = kill
+					w.onCall.set(kill)
 				}
 				w.serve(30 * time.Second)
 				w.reported(0, 35*time.Second, lateTime)
@@ -81,20 +83,20 @@
 		t.Run(c.name, func(t *testing.T) {
 			run(t, 3, func(w *fixture) {
 				is := is.New(w.t)
-				tries := 0
-				w.onCall = func(_ *node, received bool) error {
+				var tries atomic.Int64
+				w.onCall.set(func(_ *node, received bool) error {
 					if received != c.received || w.holder() == nil {
 						return nil
 					}
-					if tries++; tries%2 == 1 {
+					if tries.Add(1)%2 == 1 {
 						time.Sleep(c.delay)
 						return errLost
 					}
 					return nil
-				}
+				})
 				w.serve(45 * time.Second)
 				w.reported(0, 30*time.Second, lateTime)
-				is.True(w.holder().Stats().Repeated > 0)
+				is.True(w.holder().process.Load().Stats().Repeated > 0)
 			})
 		})
 	}
@@ -107,21 +109,21 @@
 		run(t, 3, func(w *fixture) {
 			is := is.New(w.t)
 			w.serve(18 * time.Second)
-			frozen := w.holder()
+			var frozen atomic.Pointer[node]
+			frozen.Store(w.holder())
 			freeze := func(n *node, done bool) error {
-				if n == frozen && done != inCall {
-					frozen = nil
+				if done != inCall && frozen.CompareAndSwap(n, nil) {
 					n.freeze(12 * time.Second)
 				}
 				return nil
 			}
 			if inCall {
-				w.onCall = freeze
+				w.onCall.set(freeze)
 			} else {
-				w.onCommit = freeze
+				w.onCommit.set(freeze)
 			}
 			w.serve(40 * time.Second)
-			is.Equal(frozen, nil)
+			is.Equal(frozen.Load(), nil)
 			w.reported(0, 40*time.Second, lateTime)
 		})
 	}
@@ -133,13 +135,13 @@
 	run(t, 3, func(w *fixture) {
 		w.serve(18 * time.Second)
 		former := w.holder()
-		former.transit = 2500 * time.Millisecond
-		w.onCall = func(n *node, received bool) error {
+		former.transit.Store(int64(2500 * time.Millisecond))
+		w.onCall.set(func(n *node, received bool) error {
 			if n == former && !received {
-				former.dead = true // as the others see it
+				former.dead.Store(true) // as the others see it
 			}
 			return nil
-		}
+		})
 		w.serve(30 * time.Second)
 		w.reported(0, 35*time.Second, lateTime)
 	})
@@ -151,17 +153,17 @@
 	run(t, 3, func(w *fixture) {
 		is := is.New(w.t)
 		w.serve(18 * time.Second)
-		before := len(w.calls)
-		w.onCall = func(_ *node, received bool) error {
-			if received && len(w.calls) == before+1 {
+		before := len(w.received())
+		w.onCall.set(func(_ *node, received bool) error {
+			if received && len(w.received()) == before+1 {
 				return errRejected
 			}
 			return nil
-		}
+		})
 		w.serve(30 * time.Second)
 		w.reported(0, 35*time.Second, lateTime)
-		is.Equal(len(w.calls), len(w.accepted)) // the rejected one was sent once
-		is.Equal(w.holder().Stats().Omitted, int64(1))
+		is.Equal(len(w.received()), len(w.reports())) // the rejected one was sent once
+		is.Equal(w.holder().process.Load().Stats().Omitted, int64(1))
 	})
 }
 
@@ -172,13 +174,13 @@
 		is := is.New(w.t)
 		w.serve(18 * time.Second)
 		before := w.holder()
-		w.onCommit = func(n *node, committed bool) error {
+		w.onCommit.set(func(n *node, committed bool) error {
 			if n == before && !committed {
-				n.lacksStore = true
+				n.lacksStore.Store(true)
 				return errors.New("refused")
 			}
 			return nil
-		}
+		})
 		w.serve(30 * time.Second)
 		w.reported(0, 35*time.Second, lateTime)
 		is.True(w.holder() != before)
@@ -192,12 +194,12 @@
 		is := is.New(w.t)
 		w.serve(18 * time.Second)
 		before := w.holder()
-		w.onCall = func(n *node, _ bool) error {
+		w.onCall.set(func(n *node, _ bool) error {
 			if n == before {
 				return errors.New("unreachable")
 			}
 			return nil
-		}
+		})
 		w.serve(40 * time.Second)
 		is.True(w.holder() != before)
 		w.reported(0, 45*time.Second, 15*time.Second)
@@ -212,15 +214,15 @@
 			is := is.New(w.t)
 			w.serve(20 * time.Second)
 			holder := w.holder()
-			holder.cut = true
+			holder.cut.Store(true)
 			if restarted { // and has never heard of the others
-				holder.cancel()
+				holder.process.Load().cancel()
 				w.begin(slices.Index(w.nodes, holder))
 			}
 			w.serve(40 * time.Second)
-			is.True(!w.holder().cut)
+			is.True(!w.holder().cut.Load())
 			for at := 20 * time.Second; at < 45*time.Second; at += limits.Window {
-				is.True(w.accepted[w.window(at)].Counts["stock"] >= 38) // of 50, 10 by the entry that is cut off
+				is.True(w.reports()[w.window(at)].Counts["stock"] >= 38) // of 50, 10 by the entry that is cut off
 			}
 		})
 	}
@@ -232,11 +234,12 @@
 	run(t, 3, func(w *fixture) {
 		is := is.New(w.t)
 		w.serve(16 * time.Second)
-		w.onCommit = func(*node, bool) error { return errors.New("down") }
-		commits := w.commits
+		w.onCommit.set(func(*node, bool) error { return errors.New("down") })
+		commits, _ := w.written()
 		w.serve(5 * time.Second)
-		is.True(w.commits-commits <= 3)
-		w.onCommit = func(*node, bool) error { return nil }
+		after, _ := w.written()
+		is.True(after-commits <= 3)
+		w.onCommit.set(func(*node, bool) error { return nil })
 		w.serve(25 * time.Second)
 		w.reported(0, 35*time.Second, lateTime)
 	})
@@ -246,13 +249,13 @@
 // transaction is lost, whether it took effect or not.
 func TestResponseOfStoreLost(t *testing.T) {
 	run(t, 3, func(w *fixture) {
-		n := 0
-		w.onCommit = func(_ *node, committed bool) error {
-			if n++; committed && n%4 < 2 {
+		var outcomes atomic.Int64
+		w.onCommit.set(func(_ *node, committed bool) error {
+			if n := outcomes.Add(1); committed && n%4 < 2 {
 				return errLost
 			}
 			return nil
-		}
+		})
 		w.serve(60 * time.Second)
 		w.reported(0, 40*time.Second, lateTime)
 	})
@@ -263,16 +266,16 @@
 func TestAllRestart(t *testing.T) {
 	run(t, 3, func(w *fixture) {
 		w.serve(18 * time.Second)
-		w.onCall = func(_ *node, received bool) error {
+		w.onCall.set(func(_ *node, received bool) error {
 			if received {
 				for i, n := range w.nodes {
-					n.cancel()
+					n.process.Load().cancel()
 					w.begin(i)
 				}
-				w.onCall = func(*node, bool) error { return nil }
+				w.onCall.set(func(*node, bool) error { return nil })
 			}
 			return nil
-		}
+		})
 		w.serve(40 * time.Second)
 		w.reported(0, 15*time.Second, lateTime)
 		w.reported(25*time.Second, 45*time.Second, lateTime)
@@ -296,19 +299,20 @@
 		t.Run(c.name, func(t *testing.T) {
 			run(t, 3, func(w *fixture) {
 				is := is.New(w.t)
-				backup := w.value
+				_, backup := w.written()
 				w.serve(13 * time.Second)
 				if !c.first {
-					backup = w.value
+					_, backup = w.written()
 				}
 				w.serve(20 * time.Second)
-				last := w.calls[len(w.calls)-1].token
+				calls := w.received()
+				last := calls[len(calls)-1].token
 				if c.killed {
 					w.kill(w.holder())
 				}
 				for i, n := range w.nodes {
 					if c.restart {
-						n.cancel()
+						n.process.Load().cancel()
 						w.begin(i)
 					}
 				}
@@ -319,7 +323,8 @@
 				if !c.killed && !c.restart {
 					w.reported(25*time.Second, 40*time.Second, lateTime) // the holder knows what it has reported
 				}
-				is.True(w.calls[len(w.calls)-1].token > last)
+				calls = w.received()
+				is.True(calls[len(calls)-1].token > last)
 			})
 		})
 	}
@@ -330,18 +335,19 @@
 func TestReportUnknownAfterRestore(t *testing.T) {
 	run(t, 3, func(w *fixture) {
 		w.serve(18 * time.Second)
-		victim, backup := w.holder(), w.value
-		w.onCall = func(n *node, received bool) error {
-			if !received || n != victim || n.dead {
+		victim := w.holder()
+		_, backup := w.written()
+		w.onCall.set(func(n *node, received bool) error {
+			if !received || n != victim || n.dead.Load() {
 				return nil
 			}
 			w.kill(n)
 			w.restore(backup)
 			for _, other := range w.nodes {
-				other.Count("stock", time.Now().Add(-4*time.Second)) // as late as the report
+				other.process.Load().Count("stock", time.Now().Add(-4*time.Second)) // as late as the report
 			}
 			return errLost
-		}
+		})
 		w.serve(40 * time.Second)
 		w.reported(30*time.Second, 45*time.Second, lateTime)
 	})
@@ -353,12 +359,13 @@
 	run(t, 5, func(w *fixture) {
 		is := is.New(w.t)
 		w.serve(18 * time.Second)
-		w.onCall = func(*node, bool) error { return errors.New("down") }
-		commits := w.commits
+		w.onCall.set(func(*node, bool) error { return errors.New("down") })
+		commits, _ := w.written()
 		w.serve(60 * time.Second)
-		w.t.Logf("%d transactions in 60 s", w.commits-commits)
-		is.True(float64(w.commits-commits) < 0.3*60)
-		w.onCall = func(*node, bool) error { return nil }
+		after, _ := w.written()
+		w.t.Logf("%d transactions in 60 s", after-commits)
+		is.True(float64(after-commits) < 0.3*60)
+		w.onCall.set(func(*node, bool) error { return nil })
 		w.serve(20 * time.Second)
 		w.reported(0, 85*time.Second, 80*time.Second)
 	})
@@ -370,10 +377,10 @@
 	for _, offset := range []time.Duration{-time.Hour, -7 * time.Second, 7 * time.Second, time.Hour} {
 		run(t, 5, func(w *fixture) {
 			w.serve(18 * time.Second)
-			w.holder().clockOffset = offset
+			w.holder().clockOffset.Store(int64(offset))
 			w.serve(50 * time.Second)
 			w.reported(20*time.Second, 50*time.Second, 15*time.Second)
-			for window, c := range w.accepted {
+			for window, c := range w.reports() {
 				if end := w.start.Add(time.Duration(window-w.window(0)+1) * limits.Window); c.at.Before(end.Add(time.Second)) {
 					w.t.Errorf("clock of the holder %s ahead: window reported %s after its end: %v", offset, c.at.Sub(end), c.Counts)
 				}
