steer/commander: a test from a caller's key to the reported count

Nothing tested the way from the key of a request through an entry, its tallier, relays and the holder to the report that the platform receives.

One test sends requests of two workspaces, on public routes, ones that a server refuses as not run before another one serves them, ones that all refuse, and ones whose first response is lost, at each entry, one of which passes its requests on, and compares the sums of all reports.

A request that the entry which passed it on had counted before is not in it; TestRequestCountedByRuns has that case.

--- a/steer/commander/usage_test.go
+++ b/steer/commander/usage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -11,7 +12,10 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"samphiremux/entry/usagereporter"
+	"samphiremux/pkg/describer"
 	"samphiremux/pkg/storer"
 	"samphiremux/platform/translator"
 )
@@ -114,6 +118,80 @@
 	})
 }
 
+// TestKeyToReport guards against requests that are in no report, in the report of another
+// workspace or in it twice, and against reported requests that no server has run, on the way
+// from a caller's key through the entries to the platform.
+func TestKeyToReport(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		var mu sync.Mutex
+		reports := map[int64]map[string]int64{}
+		serveCloud(f.network, func(r usageReport) {
+			mu.Lock()
+			defer mu.Unlock()
+			reports[r.window] = r.counts
+		})
+		f.respond = func(w http.ResponseWriter, r *http.Request) {
+			id := r.Header.Get(translator.HeaderRequestID)
+			if strings.Contains(r.URL.Path, "refused") || (strings.Contains(r.URL.Path, "elsewhere") && f.runsOf(id) == 1) {
+				w.Header().Set(translator.HeaderNotExecuted, "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			if strings.Contains(r.URL.Path, "lost") && f.runsOf(id) == 1 {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		f.followStore()
+		time.Sleep(10 * time.Second)
+		f.isolate(0) // passes its requests on
+		for _, e := range f.entries {
+			is.New(t).NoErr(e.snapshots.SetTable(keyedTable(2).WithWorkspaces([]describer.KeyedWorkspace{
+				{Workspace: describer.Workspace{Name: "first"}, Keys: []string{"k-1"}},
+				{Workspace: describer.Workspace{Name: "second"}, Keys: []string{"k-2"}},
+			})))
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f.reportUsage(ctx, 0)
+		for n, c := range []struct {
+			path, key string
+			status    int
+			// runs is the number of requests that servers got, the refused ones among them.
+			runs int
+		}{
+			{"/look/1", "k-1", http.StatusOK, 1},
+			{"/book/1", "k-2", http.StatusOK, 1},
+			{"/look/1", "k-3", http.StatusUnauthorized, 0},
+			{"/open/1", "k-1", http.StatusOK, 1},
+			{"/open/1", "k-3", http.StatusOK, 1},
+			{"/open/1", "", http.StatusOK, 1},
+			{"/book/elsewhere", "k-1", http.StatusOK, 2},
+			{"/look/elsewhere", "k-2", http.StatusOK, 2},
+			{"/look/lost", "k-1", http.StatusOK, 2},
+			{"/book/refused", "k-2", http.StatusServiceUnavailable, 2},
+		} {
+			for i := range f.entries {
+				id, lines := fmt.Sprintf("r%d-%d", n, i), []string{"Authorization: Bearer " + c.key}
+				if c.key == "" {
+					lines = nil
+				}
+				if status := f.sendLines(t, i, c.path, id, lines); status != c.status || f.runsOf(id) != c.runs {
+					t.Errorf("%s with key %q at entry %d: status %d, reached servers %d times", c.path, c.key, i, status, f.runsOf(id))
+				}
+			}
+		}
+		time.Sleep(20 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		sum := map[string]int{}
+		for _, counts := range reports {
+			for workspace, n := range counts {
+				sum[workspace] += int(n)
+			}
+		}
+		is.New(t).Equal(sum, map[string]int{"first": 4 * fleetSize, "second": 2 * fleetSize})
+	})
+}
+
 // remove deletes a key.
 func (s *memoryStore) remove(key string) {
 	s.Commit(context.Background(), storer.Transaction{Deletes: []string{key}})
