--- a/entry/usagereporter/reversal_test.go
+++ b/entry/usagereporter/reversal_test.go
@@ -17,12 +17,12 @@
 		at := w.start.Add(20 * time.Second) // the end of a window
 		begun := at.Add(-10 * time.Millisecond)
 		time.Sleep(time.Until(at.Add(690 * time.Millisecond)))
-		n := w.nodes[1]
+		p := w.nodes[1].process.Load()
 		for range 3 {
-			n.Count("stock", begun)
+			p.Count("stock", begun)
 		}
-		is.True(n.Count("stock", begun)())
-		tooLate := n.Count("stock", begun)
+		is.True(p.Count("stock", begun)())
+		tooLate := p.Count("stock", begun)
 		time.Sleep(20 * time.Millisecond)
 		is.True(!tooLate())
 		time.Sleep(20 * time.Second)
