soaker: entries report usage, and the reports are compared

The soak test did not know of usage reports.

Its entries have cloud-api settings (windows of 2 s, since runs are short, else the documented bounds). Each entry has its own address of the store and of the cloud API: connections between loopback addresses all come from 127.0.0.1, so the emulator knows the sender by the address that it called, and an entry can be cut off. At the end the violations of the emulator are reported, and each window is compared with the requests that servers began to run: never more than 5% (or 3 requests) too high, and never that much too low in calm windows that are reported or 10 s old.

Calm are windows in which no entry was killed (nor in the second after it, for which the design note allows a loss) or suspended. Two further cases do not count as calm: no process ran from the begin of the window to its report (counts are in memory only), and the holder was killed or suspended within 10 s of a restore of the store between the two (the next one leaves windows out by design). Drawn scripts settle for 12 s before the fleet stops.

New script events: suspend, cut, platform, backup, restore; 'holder' names the sender of the last accepted report. Four scripts inject the faults. Not covered: an entry that is cut off from the relays only.

--- a/standin/platformemulator/usage.go
+++ b/standin/platformemulator/usage.go
@@ -73,6 +73,7 @@
 	recent     []time.Time
 	calls      []usageCall
 	reports    map[int64]UsageReport
+	lastSender netip.Addr
 	violations []string
 }
 
@@ -111,6 +112,13 @@
 	return maps.Clone(a.reports)
 }
 
+// LastSender returns the sender of the last report that was accepted.
+func (a *UsageAPI) LastSender() netip.Addr {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lastSender
+}
+
 // Violations returns how calls broke the rules.
 func (a *UsageAPI) Violations() []string {
 	a.mu.Lock()
@@ -210,6 +218,7 @@
 		a.report("%s reported window %d with %v, %v was accepted before", sender, u.Window, u.Counts, earlier.Counts)
 		return http.StatusConflict
 	}
+	a.lastSender = sender
 	return http.StatusOK
 }
 
--- a/standin/soaker/backend_test.go
+++ b/standin/soaker/backend_test.go
@@ -39,6 +39,7 @@
 type run struct {
 	server    string
 	signature string
+	workspace string
 	began     time.Time
 	// brokenOff is set if the entry closed the connection while the server was at work.
 	brokenOff bool
@@ -52,10 +53,10 @@
 	faults []violation
 }
 
-func (l *runLog) begin(id, server string) *run {
+func (l *runLog) begin(id, server, workspace string) *run {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := &run{server: server, signature: signatureOf(id, server), began: time.Now()}
+	r := &run{server: server, signature: signatureOf(id, server), workspace: workspace, began: time.Now()}
 	l.runs[id] = append(l.runs[id], r)
 	return r
 }
@@ -214,9 +215,10 @@
 
 func (b *backend) execute(w http.ResponseWriter, r *http.Request, id string) {
 	requestID := r.Header.Get(translator.HeaderRequestID)
-	execution := b.log.begin(requestID, id)
+	workspace := r.Header.Get(translator.HeaderWorkspace)
+	execution := b.log.begin(requestID, id, workspace)
 	if b.plant == "run-twice" {
-		b.log.begin(requestID, id)
+		b.log.begin(requestID, id, workspace)
 	}
 	b.mu.Lock()
 	b.running++
--- a/standin/soaker/checker_test.go
+++ b/standin/soaker/checker_test.go
@@ -35,10 +35,12 @@
 	mu      sync.Mutex
 	records []record
 	// kills holds when processes were killed.
-	kills      []time.Time
-	violations []violation
-	runs       *runLog
-	lags       *lagMeter
+	kills []time.Time
+	// suspensions holds when processes were suspended.
+	suspensions []outage
+	violations  []violation
+	runs        *runLog
+	lags        *lagMeter
 	// keys is nil if the configuration has no workspaces.
 	keys *keyring
 }
@@ -55,6 +57,12 @@
 	c.kills = append(c.kills, at)
 }
 
+func (c *checks) addSuspension(o outage) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.suspensions = append(c.suspensions, o)
+}
+
 func (c *checks) report(rule, format string, args ...any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -174,10 +182,13 @@
 	return text + fmt.Sprintf(", ended %v with status %d (%v)", r.process.since(r.ended), r.status, r.err)
 }
 
-// excuses reports whether the process was killed while a request was in flight.
+// excuses reports whether the process was killed or suspended while a request was in flight.
 func (p *process) excuses(began, ended time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if slices.ContainsFunc(p.suspended, func(o outage) bool { return !ended.Before(o.begin) && !o.end.Add(thawTime).Before(began) }) {
+		return true
+	}
 	// The caller sees the end of its connection only after the kill.
 	return !p.killed.IsZero() && !ended.Before(p.killed) && !p.exited.Before(began)
 }
--- a/standin/soaker/fleet_test.go
+++ b/standin/soaker/fleet_test.go
@@ -30,6 +30,7 @@
 	locatePort    = 8546
 	callerPort    = 8548
 	delegatedPort = 7540
+	cloudPort     = 8550
 )
 
 var zones = []string{"a", "b"}
@@ -48,6 +49,10 @@
 	zones []string
 	// storeOf returns the address of the store for an entry. Nil means storeURL.
 	storeOf func(entry int) string
+	// backup is the copy of the store that a restore brings back.
+	backup platformemulator.Copy
+	// usage is nil if the entries report no usage.
+	usage *usageChecks
 	// version is the version of the configuration that was written last.
 	version int64
 
@@ -76,6 +81,7 @@
 			}
 		}
 	}
+	f.usage = newUsageChecks(t, f)
 	f.addEntries(t)
 	return f
 }
@@ -199,7 +205,9 @@
 	mu sync.Mutex
 	// termed, killed and exited are zero while it has not come to that.
 	termed, killed, exited time.Time
-	ready                  time.Time
+	// suspended holds its suspensions.
+	suspended []outage
+	ready     time.Time
 	// answered is set once it has answered whether it is ready.
 	answered bool
 	// grace is the longest and shortGrace the shortest grace period that may have been in
@@ -241,16 +249,18 @@
 	if e.fleet.storeOf != nil {
 		store = e.fleet.storeOf(e.number)
 	}
-	value, _ := json.Marshal(map[string]any{
+	settings := map[string]any{
 		"node": "edge-" + strconv.Itoa(e.number), "zone": e.zone(), "region": "r",
 		"listen":         map[string]string{"front": e.at(callerPort), "ready": e.at(readyPort), "control": e.at(linkPort), "directory": e.at(locatePort)},
 		"internal-ports": []int{delegatedPort, delegatedPort + 15}, "seeds": seeds,
 		"limits": map[string]any{"memory-mb": 284, "link-mbps": 1000.0},
-		"bounds": []string{fmt.Sprintf("grace-s=%v", grace.Seconds()), "loss-slack-ms=200", "drain-ms=2000"},
+		"bounds": append(e.fleet.usage.bounds(), fmt.Sprintf("grace-s=%v", grace.Seconds()), "loss-slack-ms=200", "drain-ms=2000"),
 		"provider": map[string]any{
 			"address": store, "form": "kv", "writes-per-s": 400, "reads-per-s": 2000,
 		},
-	})
+	}
+	e.fleet.usage.addSettings(settings, e.number)
+	value, _ := json.Marshal(settings)
 	// The file changes as a whole, so that no process reads a part of it.
 	next := e.file + ".next"
 	if err := os.WriteFile(next, value, 0o600); err != nil {
@@ -321,6 +331,7 @@
 		return nil, nil
 	}
 	e.process = p
+	e.fleet.usage.addProcess(p)
 	ended = make(chan struct{})
 	if name := e.greeting; name != "" {
 		e.greeting = ""
--- a/standin/soaker/script_test.go
+++ b/standin/soaker/script_test.go
@@ -14,7 +14,9 @@
 	entries int
 	seed    uint64
 	length  time.Duration
-	grace   time.Duration
+	// settle is the time without events after the fleet is ready, in which usage is reported.
+	settle time.Duration
+	grace  time.Duration
 	// plant names the fault of the harness that the checks must find, or is empty.
 	plant  string
 	events []event
@@ -47,16 +49,29 @@
 	"pause": 2,
 	// store-away keeps the store from answering for some time.
 	"store-away": 1,
+	// backup copies the store, and restore brings the copy back.
+	"backup":  0,
+	"restore": 0,
+	// platform injects a fault of the cloud API for some time: slow, down, lost, 429 or 503.
+	"platform": 2,
+	// suspend stops the process of an entry for some time, and cut cuts an entry off from the
+	// store or the platform. Entries are named by their number, or as the holder of usage
+	// reports.
+	"suspend": 2,
+	"cut":     3,
 }
 
 const serversPerService = 3
 
+// drawnSettle is enough for windows after the events of a drawn script to be reported.
+const drawnSettle = 12 * time.Second
+
 var services = []string{"catalogue", "booking"}
 
 // drawScript returns the script of a seed.
 func drawScript(seed uint64, entries int, length time.Duration) script {
 	r := rand.New(rand.NewPCG(seed, 1))
-	s := script{entries: entries, seed: seed, length: length, grace: time.Duration(2+r.IntN(2)) * time.Second}
+	s := script{entries: entries, seed: seed, length: length, settle: drawnSettle, grace: time.Duration(2+r.IntN(2)) * time.Second}
 	pick := func(values ...time.Duration) string { return values[r.IntN(len(values))].String() }
 	restart := func() string {
 		return pick(0, 50*time.Millisecond, 300*time.Millisecond, time.Second)
@@ -122,7 +137,7 @@
 // String returns the script in the form that parseScript reads.
 func (s script) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "entries %d\nseed %d\nlength %v\ngrace %v\n", s.entries, s.seed, s.length, s.grace)
+	fmt.Fprintf(&b, "entries %d\nseed %d\nlength %v\nsettle %v\ngrace %v\n", s.entries, s.seed, s.length, s.settle, s.grace)
 	if s.plant != "" {
 		fmt.Fprintf(&b, "plant %s\n", s.plant)
 	}
@@ -159,6 +174,8 @@
 		s.seed, err = strconv.ParseUint(fields[1], 10, 64)
 	case "length":
 		s.length, err = time.ParseDuration(fields[1])
+	case "settle":
+		s.settle, err = time.ParseDuration(fields[1])
 	case "grace":
 		s.grace, err = time.ParseDuration(fields[1])
 	case "plant":
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -141,6 +141,8 @@
 	} else {
 		f.awaitReady(readyTime)
 	}
+	time.Sleep(s.settle)
+	f.usage.endAll()
 	// The whole fleet stops while callers go on.
 	endRestarts()
 	for _, e := range f.entries {
@@ -153,6 +155,7 @@
 	calling.Wait()
 	cancel()
 	changing.Wait()
+	t.Log(f.usage.check(f.checks))
 	return f.checks.judge()
 }
 
@@ -167,12 +170,31 @@
 		f.backends[e.args[0]].pause(duration(e.args[1]))
 	case "store-away":
 		changing.Go(func() { f.leaveStore(duration(e.args[0])) })
+	case "backup":
+		f.backup = f.store.Copy()
+	case "restore":
+		f.usage.addRestore()
+		f.store.Restore(f.backup)
+	case "platform":
+		changing.Go(func() { f.usage.disturb(ctx, e.args[0], duration(e.args[1])) })
+	case "suspend":
+		changing.Go(func() { f.entryNamed(e.args[0]).suspend(duration(e.args[1])) })
+	case "cut":
+		changing.Go(func() { f.usage.cut(ctx, f.entryNamed(e.args[0]), e.args[1], duration(e.args[2])) })
 	default:
-		number, _ := strconv.Atoi(e.args[0])
-		f.entries[number-1].apply(ctx, e)
+		f.entryNamed(e.args[0]).apply(ctx, e)
 	}
 }
 
+// entryNamed returns the entry with a number, or the holder of usage reports.
+func (f *fleet) entryNamed(name string) *entryProcess {
+	if name == "holder" {
+		return f.usage.holder()
+	}
+	number, _ := strconv.Atoi(name)
+	return f.entries[number-1]
+}
+
 // apply carries out an event of one entry. Signals are dropped while it does not run.
 func (e *entryProcess) apply(ctx context.Context, v event) {
 	switch v.verb {
