overloader: crowds against the program of the own interface

samphire-entry has no bounds on connections, heads, bodies or unread responses. TestOwnCrowds runs its real process against 19 crowds of 300 connections, with the bounds of TestCrowds: 96 MB and 200 descriptors, 32,768 kB of growth, and one ordinary request answered. The crowds and bounds are fixed by this commit; the limits come as environment variables, which this version of the program ignores.

The backend server of the fixture echoes the attempt id and writes large bodies in pieces of 64 KiB, so that the test itself does not hold a copy for each connection. TestCrowds has the same crowds, bounds and checks as before.

--- a/standin/overloader/entry_test.go
+++ b/standin/overloader/entry_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"samphiremux/entry/sender"
 	"samphiremux/platform/storeadapter"
 	"samphiremux/platform/translator"
 	"samphiremux/standin/platformemulator"
@@ -29,17 +30,29 @@
 	cmd *exec.Cmd
 	// addresses holds the addresses of its listeners by their names in the settings.
 	addresses map[string]string
-	sent      atomic.Int64
+	// request returns an ordinary request with an id.
+	request func(id string) (*http.Request, error)
+	sent    atomic.Int64
 }
 
-// startEntry starts an entry and waits until it is ready.
-func startEntry(t *testing.T) *entry {
+// startEntry starts an entry on a VM of a scale and waits until it is ready.
+func startEntry(t *testing.T, size scale) *entry {
 	t.Helper()
 	store := platformemulator.NewStore()
 	host, storeURL := serveStore(t, store)
-	backend := serveBackend(t, host)
-	putConfiguration(store, backend)
+	backend := serveBackend(t, host, size.crowd)
+	putConfiguration(store, backend, size.crowd)
 	e := &entry{addresses: map[string]string{}}
+	e.request = func(id string) (*http.Request, error) {
+		req, err := http.NewRequest(http.MethodPost, "http://"+e.addresses["front"]+"/orders/", strings.NewReader("one order"))
+		if err != nil {
+			return nil, err
+		}
+		req.Host = "overload.example"
+		req.Header.Set(translator.HeaderRequestID, id)
+		req.Header.Set(translator.HeaderDeadline, "4000")
+		return req, nil
+	}
 	for name, port := range map[string]int{"front": 8548, "ready": 8542, "directory": 8546, "control": 8544, "internal": 7540} {
 		e.addresses[name] = net.JoinHostPort(host, strconv.Itoa(port))
 	}
@@ -50,7 +63,7 @@
 			"front": e.addresses["front"], "ready": e.addresses["ready"], "control": e.addresses["control"], "directory": e.addresses["directory"],
 		},
 		"internal-ports": []int{7540, 7555}, "seeds": []string{e.addresses["control"]},
-		"limits":   map[string]any{"memory-mb": memoryMB, "max-fds": maxDescriptors, "link-mbps": 1000.0},
+		"limits":   map[string]any{"memory-mb": size.memoryMB, "max-fds": size.maxDescriptors, "link-mbps": 1000.0},
 		"provider": map[string]any{"address": storeURL, "form": "kv", "writes-per-s": 400, "reads-per-s": 2000},
 	})
 	if err := os.WriteFile(file, settings, 0o600); err != nil {
@@ -58,6 +71,13 @@
 	}
 	e.cmd = exec.Command(program, "--log-level", "warn")
 	e.cmd.Env = append(os.Environ(), translator.SettingsVariable+"="+file)
+	e.start(t, "http://"+e.addresses["ready"]+translator.ReadyPath)
+	return e
+}
+
+// start starts the process and waits until a readiness check succeeds.
+func (e *entry) start(t *testing.T, readyURL string) {
+	t.Helper()
 	if err := e.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -66,17 +86,16 @@
 		_ = e.cmd.Wait()
 	})
 	for range 200 {
-		resp, err := http.Get("http://" + e.addresses["ready"] + translator.ReadyPath)
+		resp, err := http.Get(readyURL)
 		if err == nil {
 			_ = resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
-				return e
+				return
 			}
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
 	t.Fatal("the entry is not ready")
-	return nil
 }
 
 // serveStore serves the store at a loopback address that no other test uses.
@@ -98,7 +117,7 @@
 }
 
 // serveBackend runs a backend server with as many slots as a crowd has connections.
-func serveBackend(t *testing.T, host string) (address string) {
+func serveBackend(t *testing.T, host string, slots int) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", host+":8100")
 	if err != nil {
@@ -106,19 +125,25 @@
 	}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h := w.Header()
-		h.Set(translator.HeaderLoad, fmt.Sprintf("0,0,%d", crowdSize))
+		h.Set(translator.HeaderLoad, fmt.Sprintf("0,0,%d", slots))
 		if r.URL.Path == "/health" {
 			h.Set(translator.HeaderInstance, "backend-1")
 			return
 		}
 		h.Set(translator.HeaderRequestID, r.Header.Get(translator.HeaderRequestID))
 		h.Set(translator.HeaderSignature, "signature")
+		h.Set(sender.AttemptIDHeader, r.Header.Get(sender.AttemptIDHeader))
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
 		size, _ := strconv.Atoi(r.Header.Get(sizeHeader))
 		h.Set("Content-Length", strconv.Itoa(size))
-		_, _ = io.WriteString(w, strings.Repeat("x", size))
+		piece := strings.Repeat("x", min(size, 64<<10))
+		for ; size > 0; size -= len(piece) {
+			if _, err := io.WriteString(w, piece[:min(size, len(piece))]); err != nil {
+				return
+			}
+		}
 	})}
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
@@ -126,7 +151,7 @@
 }
 
 // putConfiguration stores the configuration and the registration of the backend server.
-func putConfiguration(store *platformemulator.Store, backend string) {
+func putConfiguration(store *platformemulator.Store, backend string, slots int) {
 	configuration, _ := json.Marshal(map[string]any{
 		"version": 1,
 		"routes": []map[string]any{{
@@ -139,7 +164,7 @@
 	store.PutUnguarded(translator.ConfigurationKey, configuration)
 	registration, _ := json.Marshal(map[string]any{
 		"address": backend, "born": 1,
-		"info":   map[string]any{"service": "orders", "version": "v1", "zone": "a", "slots": crowdSize},
+		"info":   map[string]any{"service": "orders", "version": "v1", "zone": "a", "slots": slots},
 		"status": map[string]any{"state": "ready", "sequence": 1, "cold-left-ms": 0},
 	})
 	store.PutUnguarded("servers/backend-1", registration)
@@ -147,13 +172,10 @@
 
 // sendOrdinary sends a small request on a connection of its own.
 func (e *entry) sendOrdinary(client *http.Client) (status int, err error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+e.addresses["front"]+"/orders/", strings.NewReader("one order"))
+	req, err := e.request(fmt.Sprintf("ordinary-%d", e.sent.Add(1)))
 	if err != nil {
 		return 0, err
 	}
-	req.Host = "overload.example"
-	req.Header.Set(translator.HeaderRequestID, fmt.Sprintf("ordinary-%d", e.sent.Add(1)))
-	req.Header.Set(translator.HeaderDeadline, "4000")
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0, err
--- a/standin/overloader/overloader_test.go
+++ b/standin/overloader/overloader_test.go
@@ -1,6 +1,6 @@
-// Package overloader runs one real entry against crowds of callers that exceed limits, and
-// checks that the process lives within the memory and the descriptors of its settings, and
-// that it answers an ordinary request while the crowd holds its connections.
+// Package overloader runs one real entry of each program against crowds of callers that
+// exceed limits, and checks that the process lives within the memory and the descriptors of
+// its settings, and that it answers an ordinary request while the crowd holds its connections.
 package overloader
 
 import (
@@ -26,9 +26,9 @@
 	// memoryMB and maxDescriptors are the limits in the settings of the entry.
 	memoryMB       = 96
 	maxDescriptors = 200
-	// maxGrowthKB is what a crowd may add to the peak memory of the process: a third of its
-	// memory, as 60 MiB are of the 184 of the smallest VM.
-	maxGrowthKB = memoryMB << 10 / 3
+	// growthShare is what a crowd may add to the peak memory of the process, as a divisor of
+	// its memory: a third, as 60 MiB are of the 184 of the smallest VM.
+	growthShare = 3
 	// crowdTime is the time for which a crowd sends. It keeps its connections open beyond.
 	crowdTime = 4 * time.Second
 	// ordinaryTries is the number of times that an ordinary caller sends its request, with
@@ -37,11 +37,21 @@
 	ordinaryPause = 500 * time.Millisecond
 )
 
-var program string
+// scale is the size of a crowd and of the VM of the entry.
+type scale struct {
+	crowd                    int
+	memoryMB, maxDescriptors int
+	maxGrowthKB              int
+}
+
+var smallScale = scale{crowd: crowdSize, memoryMB: memoryMB, maxDescriptors: maxDescriptors, maxGrowthKB: memoryMB << 10 / growthShare}
+
+// program and ownProgram are the programs for the users' platform and for the own interface.
+var program, ownProgram string
 
 func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
 
-// buildAndRun builds the program once for all tests.
+// buildAndRun builds the programs once for all tests.
 func buildAndRun(m *testing.M) int {
 	dir, err := os.MkdirTemp("", "overload")
 	if err != nil {
@@ -49,10 +59,12 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	program = filepath.Join(dir, "samphire-steer")
-	if out, err := exec.Command("go", "build", "-o", program, "samphiremux/steer").CombinedOutput(); err != nil {
-		fmt.Printf("%v: %s\n", err, out)
-		return 1
+	program, ownProgram = filepath.Join(dir, "samphire-steer"), filepath.Join(dir, "samphire-entry")
+	for file, source := range map[string]string{program: "samphiremux/steer", ownProgram: "samphiremux/entry"} {
+		if out, err := exec.Command("go", "build", "-o", file, source).CombinedOutput(); err != nil {
+			fmt.Printf("%v: %s\n", err, out)
+			return 1
+		}
 	}
 	return m.Run()
 }
@@ -61,13 +73,15 @@
 type crowd struct {
 	Name string `json:"name"`
 	// Port is the listener that it connects to: front, ready, directory, internal or
-	// control.
+	// control, or caller, link or admin of the own interface.
 	Port string `json:"port"`
 	// Start is sent once, and Repeat until Bytes bytes are sent in all. "{n}" in Repeat is
 	// replaced by a number that rises.
 	Start  string `json:"start"`
 	Repeat string `json:"repeat"`
 	Bytes  int    `json:"bytes"`
+	// PauseMS is the time in milliseconds between two pieces.
+	PauseMS int `json:"pause-ms"`
 }
 
 // pieces returns what a connection sends, in pieces of some kilobytes.
@@ -89,12 +103,12 @@
 
 // send connects the crowd and sends until all is sent, refused, or crowdTime has passed. It
 // reads nothing. The connections stay open until the end of the test.
-func (c crowd) send(t *testing.T, address string) {
+func (c crowd) send(t *testing.T, address string, size int) {
 	t.Helper()
 	pieces := c.pieces()
 	end := time.Now().Add(crowdTime)
 	var senders sync.WaitGroup
-	for range crowdSize {
+	for range size {
 		conn, err := net.DialTimeout("tcp", address, time.Second)
 		if err != nil {
 			// An entry may leave connections unaccepted.
@@ -108,6 +122,7 @@
 				if _, err := conn.Write([]byte(piece)); err != nil {
 					return
 				}
+				time.Sleep(time.Duration(c.PauseMS) * time.Millisecond)
 			}
 		})
 	}
@@ -119,40 +134,54 @@
 // hold more memory or descriptors than its VM has, and against one that serves nobody else
 // while they do.
 func TestCrowds(t *testing.T) {
-	data, err := os.ReadFile("_fixtures/crowds.json")
+	for _, c := range readCrowds(t, "_fixtures/crowds.json") {
+		t.Run(c.Name, func(t *testing.T) { c.run(t, startEntry(t, smallScale), smallScale) })
+	}
+}
+
+// TestOwnCrowds guards against the same failures of the program of the own interface.
+func TestOwnCrowds(t *testing.T) {
+	for _, c := range readCrowds(t, "_fixtures/own_crowds.json") {
+		t.Run(c.Name, func(t *testing.T) { c.run(t, startOwnEntry(t, smallScale), smallScale) })
+	}
+}
+
+func readCrowds(t *testing.T, file string) (crowds []crowd) {
+	t.Helper()
+	data, err := os.ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
 	}
-	var crowds []crowd
 	if err := json.Unmarshal(data, &crowds); err != nil {
 		t.Fatal(err)
 	}
-	for _, c := range crowds {
-		t.Run(c.Name, func(t *testing.T) {
-			e := startEntry(t)
-			if served, seen := e.serveOrdinary(); !served {
-				t.Fatalf("the entry serves nobody without a crowd: %s", seen)
-			}
-			before, _ := e.peakMemory()
-			done, most := make(chan struct{}), make(chan int, 1)
-			go func() { most <- e.mostDescriptors(done) }()
-			c.send(t, e.addresses[c.Port])
-			served, seen := e.serveOrdinary()
-			close(done)
-			descriptors := <-most
-			peak, alive := e.peakMemory()
-			t.Logf("peak memory %d kB before and %d after, %d descriptors at most; ordinary request: %s", before, peak, descriptors, seen)
-			switch {
-			case !alive:
-				failurefilter.Errorf(t, "the process ended")
-			case peak-before > maxGrowthKB:
-				failurefilter.Errorf(t, "peak memory grew from %d kB by %d, more than %d", before, peak-before, maxGrowthKB)
-			case descriptors > maxDescriptors:
-				failurefilter.Errorf(t, "%d descriptors, more than %d", descriptors, maxDescriptors)
-			case !served:
-				failurefilter.Errorf(t, "an ordinary request is not answered: %s", seen)
-			}
-		})
+	return crowds
+}
+
+// run sends the crowd to an entry and checks its bounds.
+func (c crowd) run(t *testing.T, e *entry, size scale) {
+	t.Helper()
+	if served, seen := e.serveOrdinary(); !served {
+		t.Fatalf("the entry serves nobody without a crowd: %s", seen)
+	}
+	before, _ := e.peakMemory()
+	done, most := make(chan struct{}), make(chan int, 1)
+	go func() { most <- e.mostDescriptors(done) }()
+	c.send(t, e.addresses[c.Port], size.crowd)
+	served, seen := e.serveOrdinary()
+	close(done)
+	descriptors := <-most
+	peak, alive := e.peakMemory()
+	t.Logf("peak memory %d kB before and %d after, %d descriptors at most; ordinary request: %s", before, peak, descriptors, seen)
+	switch {
+	case !alive:
+		failurefilter.Errorf(t, "the process ended")
+	case peak-before > size.maxGrowthKB:
+		failurefilter.Errorf(t, "peak memory grew from %d kB by %d, more than %d", before, peak-before, size.maxGrowthKB)
+	case descriptors > size.maxDescriptors:
+		failurefilter.Errorf(t, "%d descriptors, more than %d", descriptors, size.maxDescriptors)
+	case !served:
+		failurefilter.Errorf(t, "an ordinary request is not answered: %s", seen)
 	}
 }
 
