bodyreader: bounded reads of request bodies, apart from the balancer

samphire-entry needs the reads of bodies that samphire-steer has: memory that counts from the first byte, parts of bodies of unknown length, and an end at the request's deadline. The code moves from the balancer into a package that both use, unchanged but for names.

go test ./balancer ./expirer ./reserver passes.

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"samphiremux/entry/bodyreader"
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/delegator"
 	"samphiremux/entry/estimator"
@@ -224,7 +225,7 @@
 func (b *Balancer) serve(w http.ResponseWriter, r *http.Request, h *hop) {
 	c, refusal := b.receive(w, r, h)
 	if refusal != nil {
-		boundDiscard(w, r)
+		bodyreader.BoundDiscard(w, r)
 		b.refuse(w, r, h, *refusal, &trace{})
 		return
 	}
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -1,13 +1,12 @@
 package balancer
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"samphiremux/entry/bodyreader"
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/reserver"
 	"samphiremux/entry/snapshotter"
@@ -101,8 +100,8 @@
 			return nil, refusal
 		}
 	}
-	held := b.holdBody(w, now)
-	body, refusal := readBody(w, r, bodyLimit, held, deadline)
+	held := bodyreader.Hold(b.opts.Bodies, w, now)
+	body, refusal := bodyreader.Read(w, r, bodyLimit, held, deadline)
 	switch {
 	case refusal != nil && refusal.Reason == refuser.BodyTooLarge:
 		refusal = b.notAllowed(refuser.BodyTooLarge)
@@ -147,107 +146,6 @@
 	return rest[begin:]
 }
 
-// readBody reads the whole body within the limit of the configuration and the memory of the
-// hold, until the deadline or the end of the context of the request.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, held *reserver.Hold, deadline time.Time) ([]byte, *refuser.Refusal) {
-	if r.ContentLength == 0 {
-		held.Keep()
-		return nil, nil
-	}
-	if limit > 0 {
-		if r.ContentLength > limit {
-			return nil, notRun(refuser.BodyTooLarge)
-		}
-		r.Body = http.MaxBytesReader(unwrapped(w), r.Body, limit)
-	}
-	if !held.ResizeAt(time.Now(), max(0, r.ContentLength)) {
-		return nil, notRun(refuser.MemoryFull)
-	}
-	end := boundRead(r.Context(), w, deadline)
-	from := progressReader{r.Body, held}
-	var body []byte
-	var err error
-	if r.ContentLength > 0 {
-		body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(from, body)
-	} else {
-		body, err = readUnknownLength(from, held)
-	}
-	whole := err == nil && held.Keep()
-	end(whole)
-	if !whole {
-		return nil, readFailure(r.Context(), held, deadline, err)
-	}
-	return body, nil
-}
-
-// firstBodyBytes is the size in bytes of the first part of a body of unknown length, and
-// maxPartBytes that of the largest.
-const (
-	firstBodyBytes = 4 << 10
-	maxPartBytes   = 256 << 10
-)
-
-// errMemoryFull is returned if a body grows beyond the memory that is left.
-var errMemoryFull = errors.New("no memory is left for the body")
-
-// readUnknownLength reads a whole body in parts, which are joined at its end. A buffer that
-// is copied as it grows would leave as much garbage as it holds for each body that does not
-// end.
-func readUnknownLength(r io.Reader, held *reserver.Hold) (body []byte, err error) {
-	var parts [][]byte
-	total := int64(0)
-	for size := firstBodyBytes; ; size = min(2*size, maxPartBytes) {
-		if !held.ResizeAt(time.Now(), total+int64(size)) {
-			return nil, errMemoryFull
-		}
-		part := make([]byte, 0, size)
-		for len(part) < size && err == nil {
-			var n int
-			n, err = r.Read(part[len(part):size])
-			part = part[:len(part)+n]
-		}
-		total += int64(len(part))
-		parts = append(parts, part)
-		switch {
-		case errors.Is(err, io.EOF):
-			return join(parts, total, held)
-		case err != nil:
-			// A body that is cut off ends with another error.
-			return nil, err
-		}
-	}
-}
-
-// join returns the body of parts that have a number of bytes in all. Both are held while it
-// is copied.
-func join(parts [][]byte, total int64, held *reserver.Hold) (body []byte, err error) {
-	if len(parts) == 1 {
-		return parts[0], nil
-	}
-	if !held.ResizeAt(time.Now(), 2*total) {
-		return nil, errMemoryFull
-	}
-	body = make([]byte, 0, total)
-	for _, part := range parts {
-		body = append(body, part...)
-	}
-	held.Resize(total)
-	return body, nil
-}
-
-// unwrapped returns the writer of net/http, which a reader tells to close the connection
-// behind a body that is too large.
-func unwrapped(w http.ResponseWriter) http.ResponseWriter {
-	for {
-		outer, ok := w.(interface{ Unwrap() http.ResponseWriter })
-		if !ok {
-			return w
-		}
-		w = outer.Unwrap()
-	}
-}
-
 // goldenRatio is the step of the low-discrepancy sequence of a key. The draws
 // spread evenly, so that traffic shares hold also over few requests.
 const goldenRatio = 0.6180339887498949
