allotter: the shares of memory and descriptors, apart from samphire-steer

The shares of a VM's memory and descriptors, and what follows from them, move from steer/commander into a package that both programs use. No value changes.

--- a/steer/commander/bounds.go
+++ b/steer/commander/bounds.go
@@ -1,13 +1,11 @@
 package commander
 
 import (
-	"cmp"
-	"math"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
+	"samphiremux/entry/allotter"
 	"samphiremux/entry/capper"
 	"samphiremux/entry/expirer"
 	"samphiremux/entry/meter"
@@ -15,28 +13,6 @@
 )
 
 const (
-	// defaultDescriptors is the number of file descriptors of the smallest VM. It holds if
-	// neither the settings nor the process have a limit.
-	defaultDescriptors = 4100
-	// ownDescriptors is the number of descriptors for the listeners, the store and links
-	// that the entry opens.
-	ownDescriptors = 32
-	// Shares of the other descriptors. If all entries but one are lost, the last one gets
-	// the connections of up to 2,400 callers, and each entry has one link to another one.
-	callerShare    = 0.6
-	serverShare    = 0.15
-	linkShare      = 0.125
-	delegatedShare = 0.03
-	locateShare    = 0.03
-	otherShare     = 0.01
-	// holdShare is the part of the memory for request heads and bodies, and for responses
-	// that callers read slowly. The heap takes up to 1.4 times as much, since that is when
-	// the collector runs. Of the smallest VM it is 18 MiB; its link brings 10 MB in 8 s.
-	holdShare = 0.1
-	// linkMemoryShare is the part of the memory for messages of other entries, and
-	// minLinkBytes is enough for the largest one.
-	linkMemoryShare = 1.0 / 16
-	minLinkBytes    = 5 << 20
 	// defaultHeaderBytes is the size of the largest head of a request while there is no
 	// configuration, and hopHeaderBytes that of the headers that another entry adds.
 	defaultHeaderBytes = 16 << 10
@@ -46,19 +22,11 @@
 	smallHeaderBytes = 8 << 10
 	// boundLogInterval is the time between two log lines about peers that exceed limits.
 	boundLogInterval = 10 * time.Second
-	// connectionMemoryShare is the part of the memory for callers' connections, and
-	// connectionBytes what an idle one takes (27 MiB for 3,000 were measured).
-	connectionMemoryShare = 0.2
-	connectionBytes       = 10 << 10
-	// unboundedMemory stands for the memory of a VM whose settings give none.
-	unboundedMemory = 4 << 30
 )
 
 // bounds are the bounds on what callers and other peers can make an entry hold.
 type bounds struct {
-	descriptors int
-	// connections bounds the connections of one listener by their memory.
-	connections int
+	limits allotter.Allotter
 	// memory holds what callers and entries that pass requests on send, and link what
 	// entries send over the link.
 	memory, link *reserver.Reserver
@@ -91,15 +59,11 @@
 	return reasons
 }
 
-func newBounds(memory int64, descriptors int, metrics *meter.Registry) *bounds {
-	total := float64(cmp.Or(memory, unboundedMemory))
+func newBounds(limits allotter.Allotter, metrics *meter.Registry) *bounds {
 	b := &bounds{
-		descriptors: max(1, cmp.Or(descriptors, ownLimit(), defaultDescriptors)-ownDescriptors),
-		connections: int(connectionMemoryShare * total / connectionBytes),
-		memory:      reserver.New(int64(holdShare * total)).WithLone(int64(bodyShare * total)),
-		link:        reserver.New(max(minLinkBytes, int64(linkMemoryShare*total))),
-		refused:     metrics.CounterVec("bounded_connections_total", "Connections closed at a bound of what peers may hold, by listener and reason.", "listener", "reason"),
-		logged:      map[[2]string]int64{},
+		limits: limits, memory: limits.Requests(), link: limits.Link(),
+		refused: metrics.CounterVec("bounded_connections_total", "Connections closed at a bound of what peers may hold, by listener and reason.", "listener", "reason"),
+		logged:  map[[2]string]int64{},
 	}
 	for listener, reasons := range boundReasons {
 		for _, reason := range reasons {
@@ -113,26 +77,11 @@
 	return b
 }
 
-// share returns the number of connections for a share of the descriptors.
-func (b *bounds) share(share float64) int {
-	return max(2, min(int(share*float64(b.descriptors)), b.connections))
-}
-
-// ownLimit returns the number of descriptors that the operating system allows the process,
-// or zero if that is not known.
-func ownLimit() int {
-	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
-		return 0
-	}
-	return int(limit.Cur)
-}
-
 // expirer returns an expirer of the connections of a listener, for a share of the
 // descriptors.
 func (b *bounds) expirer(listener string, share float64, head func() expirer.HeadLimits) *expirer.Expirer {
 	return expirer.New(time.Now).WithBounds(expirer.Bounds{
-		Connections: b.share(share), Head: head, Memory: b.memory,
+		Connections: b.limits.Connections(share), Head: head, Memory: b.memory,
 		OnClose: func(r expirer.Reason) { b.refused.With(listener, string(r)).Inc() },
 	})
 }
@@ -165,7 +114,7 @@
 // boundLink returns a listener of the link that keeps within the bounds.
 func (e *entry) boundLink(l net.Listener) net.Listener {
 	return capper.Wrap(l, capper.Bounds{
-		Connections: e.bounds.share(linkShare), Memory: e.bounds.link,
+		Connections: e.bounds.limits.Connections(allotter.LinkShare), Memory: e.bounds.link,
 		OnClose: func(r capper.Reason) { e.bounds.refused.With(linkListener, string(r)).Inc() },
 	})
 }
--- a/steer/commander/commander.go
+++ b/steer/commander/commander.go
@@ -15,6 +15,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"samphiremux/entry/allotter"
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/logwriter"
 	"samphiremux/pkg/flagparser"
@@ -30,9 +31,8 @@
 	exitSettings = 3
 )
 
-// gcPercent is the garbage collector's target percentage. It is low since peak memory
-// costs more than CPU time on the users' VMs.
-const gcPercent = 40
+// gcPercent is the garbage collector's target percentage.
+const gcPercent = allotter.GCPercent
 
 const (
 	// logBufferLines is the number of log lines buffered for a slow output: about 300
@@ -93,8 +93,8 @@
 		return exitOK
 	}
 	debug.SetGCPercent(gcPercent)
-	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
+	if heap := allotter.New(s.MemoryBytes, s.MaxDescriptors).HeapBytes(); heap > 0 {
+		debug.SetMemoryLimit(heap)
 	}
 	lines := logwriter.New(out, logBufferLines)
 	defer lines.Close(logFlushTimeout)
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"samphiremux/entry/allotter"
 	"samphiremux/entry/balancer"
 	"samphiremux/entry/capper"
 	"samphiremux/entry/chooser"
@@ -60,14 +61,6 @@
 	// last response. Within it, an entry with a few requests a second probes each server of
 	// its failure domain.
 	answeredWindow = 5 * time.Second
-	// bufferShare is the part of the memory, as a divisor, for response bodies that are being
-	// read. While they grow and until they are collected they take several times as much.
-	bufferShare    = 16
-	maxBufferBytes = 64 << 20
-	// bodyShare is the part of the memory for the largest request body, and what else
-	// callers hold. The collector keeps the rest of the heap within heapShare.
-	bodyShare = 0.75
-	heapShare = 0.85
 	// maxLocateTTL is the time for which callers may cache the list of entries, unless
 	// the settings allow less.
 	maxLocateTTL = 2 * time.Second
@@ -118,15 +111,6 @@
 	}
 }
 
-// bufferBytes returns the bytes of response bodies that may be read at the same time, for
-// the memory of the process in bytes, or zero if it is not limited.
-func bufferBytes(memory int64) int64 {
-	if memory == 0 {
-		return maxBufferBytes
-	}
-	return min(memory/bufferShare, maxBufferBytes)
-}
-
 // dialFunc opens a connection to an address.
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -138,15 +122,15 @@
 		}),
 	}
 	e.settings.Store(&s)
-	e.bounds = newBounds(s.MemoryBytes, s.MaxDescriptors, e.metrics)
-	e.expirer = e.bounds.expirer(callerListener, callerShare, e.headLimits)
-	e.dialer = capper.NewDialer(dial, e.bounds.share(serverShare), func() { e.snapshots.CloseAllIdle() })
+	e.bounds = newBounds(allotter.New(s.MemoryBytes, s.MaxDescriptors), e.metrics)
+	e.expirer = e.bounds.expirer(callerListener, allotter.CallerShare, e.headLimits)
+	e.dialer = capper.NewDialer(dial, e.bounds.limits.Connections(allotter.ServerShare), func() { e.snapshots.CloseAllIdle() })
 	headers := roundtripper.Headers{
 		RequestID: translator.HeaderRequestID, Instance: translator.HeaderInstance, NotExecuted: translator.HeaderNotExecuted,
 		Signature: translator.HeaderSignature, ReadLoad: translator.Load, ReadRateLimit: translator.RateLimit, ReadColdRemaining: translator.ColdLeft,
 		ReadLeaving: translator.IsLeaving, ReadPause: translator.Pause,
 	}
-	buffers := roundtripper.NewBuffers(bufferBytes(s.MemoryBytes))
+	buffers := roundtripper.NewBuffers(e.bounds.limits.BufferBytes())
 	connections := e.metrics.CounterVec("server_connections_total", "Connections opened to backend servers, by why no open one was used.", "cause")
 	for _, cause := range roundtripper.OpenCauses() {
 		connections.With(string(cause))
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"samphiremux/entry/allotter"
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/delegator"
 	"samphiremux/entry/drainer"
@@ -74,14 +75,14 @@
 	go func() { _ = linker.Serve(ctx, e.boundLink(l.link), &link{entry: e}) }()
 	callers := e.callerServer(e.balancer)
 	go func() { _ = callers.Serve(e.expirer.WrapListener(l.callers)) }()
-	ready, readyConns := e.boundServer(http.HandlerFunc(e.serveReady), l.ready, readyListener, otherShare)
+	ready, readyConns := e.boundServer(http.HandlerFunc(e.serveReady), l.ready, readyListener, allotter.OtherShare)
 	go func() { _ = ready.Serve(readyConns) }()
-	locate, locateConns := e.boundServer(http.HandlerFunc(e.serveLocate), l.locate, locateListener, locateShare)
+	locate, locateConns := e.boundServer(http.HandlerFunc(e.serveLocate), l.locate, locateListener, allotter.LocateShare)
 	go func() { _ = locate.Serve(locateConns) }()
 	delegated := e.server(http.HandlerFunc(e.serveDelegated))
 	delegated.BaseContext = callers.BaseContext
 	if l.delegated != nil {
-		tracker := e.bounds.expirer(delegatedListener, delegatedShare, e.delegatedHeadLimits)
+		tracker := e.bounds.expirer(delegatedListener, allotter.DelegatedShare, e.delegatedHeadLimits)
 		delegated.ConnState = tracker.ConnState
 		go func() { _ = delegated.Serve(tracker.WrapListener(l.delegated)) }()
 	}
@@ -101,7 +102,7 @@
 		e.log.Warn("Cannot listen for metrics; running without them.", "error", err)
 		return
 	}
-	server, conns := e.boundServer(e.metrics, l, metricsListener, otherShare)
+	server, conns := e.boundServer(e.metrics, l, metricsListener, allotter.OtherShare)
 	go func() { _ = server.Serve(conns) }()
 }
 
