commander: bounds of what callers can make samphire-entry hold

Callers without limits brought the process to 1.8 GB: it had no bound on connections, bodies, unread responses, messages of the link or requests to the admin server.

Bodies are read until the deadline of their request (30 s before) within a tenth of the memory; memory-full (503) is not-run. Response bodies that are being read share a sixteenth of the memory, beyond which they are streamed. Streamed responses hold half of the connections to servers at most, and the slowest gives way. A connection to a server that is not opened at the bound is no evidence about the server. Refusals, locate answers and admin responses have a write deadline, since a connection in use is never closed for another one (TestUnreadRefusal, fails without it).

--- a/entry/assembler/assembler.go
+++ b/entry/assembler/assembler.go
@@ -16,6 +16,8 @@
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 
+	"samphiremux/entry/allotter"
+	"samphiremux/entry/bodyreader"
 	"samphiremux/entry/checker"
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/collector"
@@ -82,6 +84,9 @@
 	// LinkListener accepts the link connections of other entries.
 	LinkListener net.Listener
 	Now          func() time.Time
+	// Bounds are the bounds on what callers and other peers can make the entry hold. It may
+	// be nil.
+	Bounds *Bounds
 	// Announce delivers announcements of version moves. It may be nil.
 	Announce coordinator.AnnounceFunc
 	Log      hclog.Logger
@@ -141,15 +146,13 @@
 	metrics := collector.New()
 	node := reconciler.New(reconciler.Options{Self: self, Policy: id.Policy, Seed: id.Seed, Now: deps.Now, Metrics: metrics})
 	e := &Entry{
-		node: node, deps: deps, identity: id, drainer: drainer.New(), expirer: expirer.New(deps.Now),
+		node: node, deps: deps, identity: id, drainer: drainer.New(),
 		spawner: spawner.New(deps.Log, metrics),
-		servers: sender.New(deps.DialServer),
-		probes:  sender.New(deps.DialServer),
-		peers: sender.New(func(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
-			return deps.DialPeer(ctx, a.String())
-		}),
-		pool: linker.NewPool(deps.DialPeer),
+		pool:    linker.NewPool(deps.DialPeer),
 	}
+	deps.Bounds.register(metrics)
+	e.expirer = e.newExpirer(callerListener, allotter.CallerShare, maxHeaderBytes)
+	e.newSenders()
 	ctx, e.cancel = context.WithCancel(ctx)
 	e.startActors(ctx, rng)
 	return e
@@ -219,7 +222,7 @@
 	e.tickEvery(ctx, coordinatorActor, coordinator.Interval, rng)
 	e.tickEvery(ctx, checkerActor, checker.Interval, rng)
 	e.wg.Go(func() { watch.Run(ctx, watcherActor.Send) })
-	e.wg.Go(func() { _ = linker.Serve(ctx, e.deps.LinkListener, linkhandler.New(e.node, owner, fetch)) })
+	e.wg.Go(func() { _ = linker.Serve(ctx, e.boundLink(e.deps.LinkListener), linkhandler.New(e.node, owner, fetch)) })
 	e.wg.Go(func() { e.pollVMs(ctx) })
 	e.wg.Go(func() { e.closeExpired(ctx) })
 	e.serveCallers(notify, checks)
@@ -233,6 +236,7 @@
 		select {
 		case <-t.C:
 			e.expirer.CloseExpired(expirer.Timeouts{Header: headerTimeout, Idle: idleTimeout})
+			e.observeBounds(e.deps.Now())
 		case <-ctx.Done():
 			return
 		}
@@ -257,10 +261,13 @@
 // serveCallers serves locate queries and forwards all other requests.
 func (e *Entry) serveCallers(notify forwarder.Notifier, checks *checker.Checker) {
 	locate := locator.New(e.node)
-	forward := forwarder.New(e.node, e.servers, e.peers, notify, e.drainer.MayTake, checks.Reaches, e.deps.Log.Named("forwarder"))
+	forward := forwarder.New(e.node, e.servers, e.peers, notify, e.drainer.MayTake, checks.Reaches, e.deps.Log.Named("forwarder")).
+		WithBounds(e.deps.Bounds.forwarderBounds())
 	// A http.ServeMux would redirect callers whose paths have empty or dot segments.
 	handler := func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == locator.Path {
+			bodyreader.BoundDiscard(w, r)
+			forwarder.BoundWrite(w)
 			locate.ServeHTTP(w, r)
 			return
 		}
--- a/entry/assembler/probe.go
+++ b/entry/assembler/probe.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/netip"
 
+	"samphiremux/entry/capper"
 	"samphiremux/entry/granter"
 	"samphiremux/entry/retrier"
 	"samphiremux/entry/sender"
@@ -29,6 +31,10 @@
 		Idempotent: true, Address: address, MaxConnections: probeConnections,
 	})
 	if _, ok := outcome.(retrier.Answered); !ok {
+		if notSent, ok := outcome.(retrier.NotSent); ok && errors.Is(notSent.Cause, capper.ErrTooManyConnections) {
+			// Nothing is known, as of a server that asked for a pause.
+			return granter.ProbeResult{Paused: true}
+		}
 		return granter.ProbeResult{}
 	}
 	if resp.Remainder != nil {
--- a/entry/collector/collector.go
+++ b/entry/collector/collector.go
@@ -61,6 +61,15 @@
 	KeysReplayed prometheus.Counter
 	// CutStreams counts streamed responses that ended early.
 	CutStreams prometheus.Counter
+	// BoundedConnections counts connections that were closed at a bound of what peers may
+	// hold, by listener and reason.
+	BoundedConnections *prometheus.CounterVec
+	// HeldBytes is the memory of heads and bodies of requests, and of responses that
+	// callers read slowly.
+	HeldBytes prometheus.Gauge
+	// EvictedMessages is the number of heads, bodies and responses that were given up at the
+	// bound of memory.
+	EvictedMessages prometheus.Gauge
 }
 
 // New returns metrics in a registry of their own. The series of every refusal
@@ -88,6 +97,9 @@
 	m.RevertsRefused = m.counter("document_reverts_refused_total", "Older documents that the store offered and the entry refused.")
 	m.KeysReplayed = m.counter("keys_replayed_total", "Answers repeated for resent idempotency keys.")
 	m.CutStreams = m.counter("cut_streams_total", "Streamed answers that ended early.")
+	m.BoundedConnections = m.counterVec("bounded_connections_total", "Connections closed at a bound of what peers may hold, by listener and reason.", "listener", "reason")
+	m.HeldBytes = m.gauge("held_bytes", "Bytes of request heads and bodies, and of responses that callers read slowly.")
+	m.EvictedMessages = m.gauge("evicted_messages_total", "Heads, bodies and responses given up at the bound of memory, since their callers made no progress.")
 	m.registry.MustRegister(m.Latency)
 	m.createSeries()
 	return m
--- a/entry/commander/commander.go
+++ b/entry/commander/commander.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -15,12 +16,14 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"samphiremux/entry/adminserver"
+	"samphiremux/entry/allotter"
 	"samphiremux/entry/assembler"
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/coordinator"
@@ -41,6 +44,11 @@
 const (
 	// adminHeaderTimeout bounds the time to read the headers of an admin request.
 	adminHeaderTimeout = 5 * time.Second
+	// adminTimeout bounds the time to read an admin request, and to write its response.
+	// Without it a caller that reads nothing keeps its connection.
+	adminTimeout = 10 * time.Second
+	// adminIdleTimeout exceeds the usual interval of scrapes.
+	adminIdleTimeout = 2 * time.Minute
 	// hookTimeout bounds one call to the hook.
 	hookTimeout = 5 * time.Second
 	// shutdownTimeout bounds a graceful shutdown.
@@ -56,6 +64,8 @@
 	Link     string `arg:"--link-address,env:SAMPHIRE_LINK_ADDRESS" help:"overrides the setting link-address"`
 	Admin    string `arg:"--admin-address,env:SAMPHIRE_ADMIN_ADDRESS" help:"overrides the setting admin-address"`
 	Policy   string `arg:"--policy,env:SAMPHIRE_POLICY" help:"overrides the setting policy"`
+	Memory   int    `arg:"--memory-mb,env:SAMPHIRE_MEMORY_MB" help:"overrides the setting memory-mb"`
+	MaxFDs   int    `arg:"--max-descriptors,env:SAMPHIRE_MAX_DESCRIPTORS" help:"overrides the setting max-descriptors"`
 	LogLevel string `arg:"--log-level,env:SAMPHIRE_LOG_LEVEL" help:"overrides the setting log-level"`
 	LogJSON  bool   `arg:"--log-json,env:SAMPHIRE_LOG_JSON" help:"write log lines as JSON"`
 	Check    bool   `arg:"--check" help:"check the settings and exit"`
@@ -117,6 +127,7 @@
 			*o.target = o.value
 		}
 	}
+	s.MemoryMB, s.MaxDescriptors = cmp.Or(a.Memory, s.MemoryMB), cmp.Or(a.MaxFDs, s.MaxDescriptors)
 	s.LogJSON = s.LogJSON || a.LogJSON
 	return s, s.Check()
 }
@@ -139,9 +150,20 @@
 		}
 		listeners = append(listeners, l)
 	}
-	e := assembler.Start(context.Background(), identity(s), dependencies(s, listeners[0], listeners[1], log))
-	admin := &http.Server{Handler: adminserver.Handler(e.Node()), ReadHeaderTimeout: adminHeaderTimeout}
-	go func() { _ = admin.Serve(listeners[2]) }()
+	limits := allotter.New(int64(s.MemoryMB)<<20, s.MaxDescriptors)
+	debug.SetGCPercent(allotter.GCPercent)
+	if heap := limits.HeapBytes(); heap > 0 {
+		debug.SetMemoryLimit(heap)
+	}
+	deps := dependencies(s, listeners[0], listeners[1], log)
+	deps.Bounds = assembler.NewBounds(limits)
+	e := assembler.Start(context.Background(), identity(s), deps)
+	admin := &http.Server{
+		Handler: adminserver.Handler(e.Node()), ReadHeaderTimeout: adminHeaderTimeout, IdleTimeout: adminIdleTimeout,
+		ReadTimeout: adminTimeout, WriteTimeout: adminTimeout,
+	}
+	adminConns := e.BoundAdmin(admin, listeners[2])
+	go func() { _ = admin.Serve(adminConns) }()
 	log.Info("Entry runs.", "id", s.ID, "caller-address", s.CallerAddress)
 	<-ctx.Done()
 	log.Info("Entry is shutting down; it serves until its last locate answers expire.")
--- a/entry/forwarder/attempt.go
+++ b/entry/forwarder/attempt.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
+	"samphiremux/entry/capper"
 	"samphiremux/entry/dispatcher"
 	"samphiremux/entry/quarantiner"
 	"samphiremux/entry/refuser"
@@ -188,6 +190,11 @@
 	if _, unconfirmed := result.outcome.(retrier.Unconfirmed); unconfirmed {
 		f.servers.CloseIdle(srv.Address)
 	}
+	if notSent, ok := result.outcome.(retrier.NotSent); ok && errors.Is(notSent.Cause, capper.ErrTooManyConnections) {
+		// The bound of this entry says nothing about the server.
+		permit.Abandon()
+		return result
+	}
 	permit.Done(result.outcome, isFailure(result.response))
 	f.detectCrash(c, srv.Address, quarantiner.Attempt{Begun: start, Ended: ended}, result.outcome)
 	return result
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -16,9 +15,11 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"samphiremux/entry/bodyreader"
 	"samphiremux/entry/quarantiner"
 	"samphiremux/entry/reconciler"
 	"samphiremux/entry/refuser"
+	"samphiremux/entry/reserver"
 	"samphiremux/entry/retrier"
 	"samphiremux/entry/sanitizer"
 	"samphiremux/entry/sender"
@@ -54,8 +55,12 @@
 	RequestIDHeader = "X-Request-Id"
 )
 
-// maxBodyBytes is the maximum size of a request body.
-const maxBodyBytes = 1 << 20
+const (
+	// maxBodyBytes is the maximum size of a request body.
+	maxBodyBytes = 1 << 20
+	// memoryRetryAfter is long enough for one of the largest bodies to be passed on.
+	memoryRetryAfter = 500 * time.Millisecond
+)
 
 // Notifier informs the other entries of a service.
 type Notifier interface {
@@ -79,6 +84,7 @@
 	// mayTake reports whether a request with this deadline may be passed on.
 	mayTake   func(deadline time.Time) bool
 	log       hclog.Logger
+	bounds    Bounds
 	lostPeers lostPeers
 	// attemptIDPrefix makes attempt ids unique across entries and restarts.
 	attemptIDPrefix string
@@ -114,7 +120,9 @@
 	uri            string
 	header         http.Header
 	body           []byte
-	fingerprint    quarantiner.Fingerprint
+	// held is the memory of the body, and empty once the run of a request with a key holds it.
+	held        *reserver.Hold
+	fingerprint quarantiner.Fingerprint
 }
 
 // ServeHTTP implements http.Handler.
@@ -123,11 +131,13 @@
 	if id := r.Header.Get(sender.AttemptIDHeader); id != "" && r.Header.Get(HopHeader) != "" {
 		w.Header().Set(sender.AttemptIDHeader, id)
 	}
-	c, refusal := f.newCall(r, arrived)
+	c, refusal := f.newCall(w, r, arrived)
 	if refusal != nil {
+		bodyreader.BoundDiscard(w, r)
 		f.refuse(w, "", *refusal)
 		return
 	}
+	defer func() { c.takeHold().Release() }()
 	// The time to read the body is over, and a request may last longer.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	ctx, cancel := context.WithTimeout(r.Context(), c.deadline.Sub(arrived))
@@ -142,7 +152,18 @@
 	f.writeResponse(w, name, response)
 }
 
+// takeHold returns the memory of the body, which the caller has to release.
+func (c *call) takeHold() *reserver.Hold {
+	held := c.held
+	c.held = &reserver.Hold{}
+	return held
+}
+
 func (f *Forwarder) refuse(w http.ResponseWriter, service string, r refuser.Refusal) {
+	if r.Reason == refuser.MemoryFull {
+		r = r.WithRetryAt(time.Now().Add(memoryRetryAfter))
+	}
+	BoundWrite(w)
 	f.node.Metrics().Refused(r)
 	f.node.Metrics().Requests.WithLabelValues(service, string(r.Kind)).Inc()
 	r.Write(w)
@@ -150,7 +171,7 @@
 
 // newCall reads a request, looks up its service and route, and checks its
 // limits.
-func (f *Forwarder) newCall(r *http.Request, now time.Time) (c *call, refusal *refuser.Refusal) {
+func (f *Forwarder) newCall(w http.ResponseWriter, r *http.Request, now time.Time) (c *call, refusal *refuser.Refusal) {
 	snapshot := f.node.Snapshot()
 	if snapshot == nil {
 		return nil, notRun(refuser.NoDocument)
@@ -178,14 +199,14 @@
 	if refusal := c.applyOuterLimits(r.Header, now); refusal != nil {
 		return nil, refusal
 	}
-	c.body, err = io.ReadAll(io.LimitReader(r.Body, maxBodyBytes+1))
-	switch {
-	case err != nil:
-		return nil, notRun(refuser.CallerDisconnected)
-	case len(c.body) > maxBodyBytes:
-		return nil, notRun(refuser.BodyTooLarge)
-	case !f.mayTake(c.deadline):
-		return nil, notRun(refuser.Stopping)
+	c.held = bodyreader.Hold(f.bounds.Memory, w, time.Now())
+	c.body, refusal = bodyreader.Read(w, r, maxBodyBytes, c.held, c.deadline)
+	if refusal == nil && !f.mayTake(c.deadline) {
+		refusal = notRun(refuser.Stopping)
+	}
+	if refusal != nil {
+		c.held.Release()
+		return nil, refusal
 	}
 	c.fingerprint = quarantiner.FingerprintOf(name, c.method, c.uri, c.body)
 	return c, nil
@@ -317,29 +338,22 @@
 			h.Set(PassedHeader, "true")
 		}
 	}
-	if a.Remainder == nil {
-		if a.Header.Get("Content-Length") == "" || len(a.Body) > 0 {
-			h.Set("Content-Length", strconv.Itoa(len(a.Body)))
-		}
-		w.WriteHeader(a.Status)
-		_, _ = w.Write(a.Body)
-		return
+	if a.Remainder != nil {
+		defer a.Remainder.Close()
+	} else if a.Header.Get("Content-Length") == "" || len(a.Body) > 0 {
+		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
 	}
-	defer a.Remainder.Close()
 	w.WriteHeader(a.Status)
-	if err := stream(w, a); err != nil {
+	streamed := a.Remainder != nil
+	err := f.deliver(w, a)
+	if err == nil {
+		return
+	}
+	if streamed {
 		f.node.Metrics().CutStreams.Inc()
 		f.log.Warn("Streamed response ended early; aborting the connection of the caller.", "service", service, "error", err)
-		panic(http.ErrAbortHandler)
-	}
-}
-
-func stream(w io.Writer, a *sender.Response) error {
-	if _, err := w.Write(a.Body); err != nil {
-		return err
 	}
-	_, err := io.Copy(w, a.Remainder)
-	return err
+	panic(http.ErrAbortHandler)
 }
 
 // forwardToPeers forwards the request to one member after another until one
--- a/entry/forwarder/peer.go
+++ b/entry/forwarder/peer.go
@@ -147,7 +147,9 @@
 		r := <-results
 		return r.response, r.refusal
 	}
+	held := c.takeHold()
 	go func() {
+		defer held.Release()
 		if r := <-results; r.response != nil && r.response.Remainder != nil {
 			_ = r.response.Remainder.Close()
 		}
--- a/entry/granter/granter.go
+++ b/entry/granter/granter.go
@@ -35,7 +35,8 @@
 	// that the result says nothing about the server.
 	NoContact bool
 	Draining  bool
-	// Paused is true if the server was not probed, since it asked for a pause.
+	// Paused is true if the server was not probed, since it asked for a pause or the entry
+	// could open no more connections.
 	Paused    bool
 	RateLimit describer.RateLimit
 }
--- a/entry/sender/response.go
+++ b/entry/sender/response.go
@@ -9,15 +9,16 @@
 	"slices"
 
 	"samphiremux/entry/refuser"
+	"samphiremux/entry/reserver"
 	"samphiremux/entry/retrier"
 	"samphiremux/entry/sanitizer"
 	"samphiremux/pkg/describer"
 )
 
 // readResponse reads and classifies the response. It buffers a body of up to
-// MaxBufferedBytes, and leaves the rest of a larger one to be streamed. A response with
+// MaxBufferedBytes, as far as there is room, and leaves the rest to be streamed. A response with
 // the id of another attempt, or merged with another one, is rejected as mismatched.
-func (r Request) readResponse(httpResp *http.Response, a *attempt, cancel context.CancelCauseFunc) (resp *Response, o retrier.Outcome) {
+func (r Request) readResponse(httpResp *http.Response, a *attempt, buffers *reserver.Reserver, cancel context.CancelCauseFunc) (resp *Response, o retrier.Outcome) {
 	got := httpResp.Header.Get(AttemptIDHeader)
 	if (got != r.AttemptID && (got != "" || r.EchoRequired)) || sanitizer.HasMergedHead(httpResp) {
 		a.closeConn()
@@ -38,7 +39,7 @@
 	if !isRefusal {
 		httpResp.Body = a.checkEnd(httpResp)
 	}
-	body, err := io.ReadAll(io.LimitReader(httpResp.Body, MaxBufferedBytes+1))
+	body, whole, err := readBody(httpResp, buffers)
 	if err != nil {
 		a.closeConn()
 		cancel(nil)
@@ -49,7 +50,7 @@
 		Draining:  httpResp.Header.Get(DrainingHeader) != "",
 		RateLimit: describer.ParseRateLimit(httpResp.Header.Get(RateLimitHeader)),
 	}
-	if len(body) > MaxBufferedBytes {
+	if !whole && (!isRefusal || len(body) > MaxBufferedBytes) {
 		resp.Remainder = &streamedBody{ReadCloser: httpResp.Body, cancel: cancel}
 		return resp, retrier.Answered{}
 	}
--- a/entry/sender/sender.go
+++ b/entry/sender/sender.go
@@ -16,7 +16,9 @@
 	"sync/atomic"
 	"time"
 
+	"samphiremux/entry/capper"
 	"samphiremux/entry/refuser"
+	"samphiremux/entry/reserver"
 	"samphiremux/entry/retrier"
 	"samphiremux/entry/sanitizer"
 	"samphiremux/entry/throttler"
@@ -68,6 +70,8 @@
 // them, and is safe for concurrent use.
 type Sender struct {
 	dial Dialer
+	// buffers holds the response bodies that are being read. It may be nil.
+	buffers *reserver.Reserver
 
 	mu    sync.Mutex
 	pools map[netip.AddrPort]*pool
@@ -144,11 +148,22 @@
 	}
 }
 
-// Reachable reports whether the server still accepts connections.
+// CloseAllIdle closes the idle connections to all servers.
+func (s *Sender) CloseAllIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.pools {
+		p.idempotent.CloseIdleConnections()
+		p.nonIdempotent.CloseIdleConnections()
+	}
+}
+
+// Reachable reports whether the server still accepts connections, as far as is known: at the
+// bound of connections none is opened.
 func (s *Sender) Reachable(ctx context.Context, address netip.AddrPort) bool {
 	conn, err := s.dial(ctx, address)
 	if err != nil {
-		return false
+		return errors.Is(err, capper.ErrTooManyConnections)
 	}
 	_ = conn.Close()
 	return true
@@ -354,7 +369,7 @@
 		return nil, a.errorOutcome(ctx, expectsContinue, err), false
 	}
 	s.observeHead(r, httpResp)
-	resp, o = r.readResponse(httpResp, a, cancel)
+	resp, o = r.readResponse(httpResp, a, s.buffers, cancel)
 	return resp, o, false
 }
 
--- a/entry/settingsreader/settingsreader.go
+++ b/entry/settingsreader/settingsreader.go
@@ -44,6 +44,11 @@
 	HookAddress string `yaml:"hook-address"`
 	// Policy is the name of the policy that chooses a backend server.
 	Policy string `yaml:"policy"`
+	// MemoryMB is the memory of the VM in MiB, and MaxDescriptors the number of file
+	// descriptors of the process. They bound what callers can make the entry hold. Zero
+	// means that they are not known.
+	MemoryMB       int `yaml:"memory-mb"`
+	MaxDescriptors int `yaml:"max-descriptors"`
 	// LogLevel is trace, debug, info, warn, error or off.
 	LogLevel string `yaml:"log-level"`
 	// LogJSON selects JSON instead of text for log lines.
@@ -118,6 +123,9 @@
 		checkAddress(fmt.Sprintf("peers[%d]", i), peer, fail)
 	}
 	s.checkURLs(fail)
+	if s.MemoryMB < 0 || s.MaxDescriptors < 0 {
+		fail("memory-mb or max-descriptors", "must not be negative")
+	}
 	if _, err := chooser.ParsePolicy(s.Policy); err != nil {
 		fail("policy", "is invalid: %v", err)
 	}
