balancer: write deadlines for small responses

A connection with a request in progress is never closed at the bound of connections. Peers that send requests and read none of the refusals, or none of the responses of the readiness, directory and metrics listeners and of the checks between entries, kept their connections for ever; 40 of them were all of the readiness listener on the smallest VM.

Each such response has 15 s, as pieces of larger ones have.

--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -61,11 +61,13 @@
 // once at most.
 func (b *Balancer) ServeDelegated(w http.ResponseWriter, r *http.Request) {
 	if delegator.IsProbe(r) {
+		BoundWrite(w)
 		b.serveHealth(w, r)
 		return
 	}
 	h := readHop(r.Header)
 	h.tell = func(attempts int) {
+		BoundWrite(w)
 		w.Header().Set(delegator.AttemptsHeader, strconv.Itoa(attempts))
 		w.WriteHeader(http.StatusProcessing)
 		w.Header().Del(delegator.AttemptsHeader)
--- a/entry/balancer/delivery.go
+++ b/entry/balancer/delivery.go
@@ -54,6 +54,12 @@
 	return written, err
 }
 
+// BoundWrite bounds the time for which a caller may leave a small response unread. Without it
+// the connection stays in use, and the bound of connections closes none in use.
+func BoundWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(minStallTime))
+}
+
 // deliver writes the body of a response. The memory of what was read already is held
 // meanwhile, and given up if the caller does not read.
 func (b *Balancer) deliver(w http.ResponseWriter, resp *roundtripper.Response) (err error) {
@@ -61,6 +67,7 @@
 	if b.opts.IdleTimeout != nil {
 		d.stall = max(d.stall, b.opts.IdleTimeout())
 	}
+	BoundWrite(w)
 	now := time.Now()
 	d.hold = b.opts.Bodies.HoldUntilEvicted(now, func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Now()) })
 	defer d.hold.Release()
--- a/entry/balancer/response.go
+++ b/entry/balancer/response.go
@@ -42,6 +42,7 @@
 // refuse answers a caller, or the entry that passes the request on, whose request is
 // refused. If it has disconnected, it aborts the connection.
 func (b *Balancer) refuse(w http.ResponseWriter, r *http.Request, h *hop, refusal refuser.Refusal, t *trace) {
+	BoundWrite(w)
 	b.metrics.refusals.With(string(refusal.Kind), string(refusal.Reason)).Inc()
 	if refusal.Reason == refuser.CallerDisconnected {
 		t.add(Refused, "kind", string(refusal.Kind), "reason", string(refusal.Reason))
--- a/steer/commander/bounds.go
+++ b/steer/commander/bounds.go
@@ -20,6 +20,8 @@
 	// smallHeaderBytes is the size of the largest head of requests that no caller sends:
 	// readiness checks, queries for entries and scrapes of metrics.
 	smallHeaderBytes = 8 << 10
+	// smallWriteTimeout bounds the time to read a small request and to write its response.
+	smallWriteTimeout = 15 * time.Second
 	// boundLogInterval is the time between two log lines about peers that exceed limits.
 	boundLogInterval = 10 * time.Second
 )
@@ -92,6 +94,8 @@
 	tracker := e.bounds.expirer(name, share, func() expirer.HeadLimits { return expirer.NewHeadLimits(smallHeaderBytes) })
 	s := e.server(h)
 	s.ConnState = tracker.ConnState
+	// Without it a peer that reads no responses keeps its connection.
+	s.WriteTimeout = smallWriteTimeout
 	return s, tracker.WrapListener(l)
 }
 
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"samphiremux/entry/allotter"
+	"samphiremux/entry/balancer"
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/delegator"
 	"samphiremux/entry/drainer"
@@ -196,6 +197,7 @@
 // probe, so that it gets no further requests.
 func (e *entry) serveDelegated(w http.ResponseWriter, r *http.Request) {
 	if delegator.IsProbe(r) && e.isStopping() {
+		balancer.BoundWrite(w)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
