reserver: responses count while they are read and until they are delivered

A heap profile showed 35 MB of response bodies: those being read had a bound of their own beside that of requests, and those between the read and the write counted nowhere.

A reserver.Group holds the responses to one request from their first byte above 16 KiB until the request ends, in the memory of requests, up to a quarter of it; beyond, they are streamed. A response that was read is no longer refused for lack of memory when its delivery begins. The results of probes are kept by pointer, since the buffer of their channel took 5.7 kB for each request, and the pieces of streamed responses are pooled.

The soak test was not run.

--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -148,7 +148,7 @@
 	p.State.Begin()
 	defer p.State.End()
 	resp, outcome := p.State.Send(ctx, p.conn, roundtripper.Request{
-		Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id,
+		Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id, Memory: c.responses,
 	})
 	ended := time.Now()
 	b.observe(ctx, c, p, now, resp, outcome)
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -234,6 +234,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline.Add(deadlineSlack))
 	defer cancel()
 	defer c.held.Release()
+	defer c.responses.Release()
 	defer b.endTrial(c)
 	resp, refusal := b.run(ctx, c)
 	if refusal != nil {
--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -186,7 +186,7 @@
 	b.opts.Headers.SetDeadline(header, time.Until(c.deadline))
 	b.setCredentials(header, c.identity)
 	return delegator.Request{
-		Request:  roundtripper.Request{Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id},
+		Request:  roundtripper.Request{Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id, Memory: c.responses},
 		Attempts: sent, Configuration: c.view.Table.Version, Service: c.service, Counted: c.hasCounted(),
 	}
 }
--- a/entry/balancer/delivery.go
+++ b/entry/balancer/delivery.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"samphiremux/entry/reserver"
@@ -27,6 +28,9 @@
 	undeliveredMemoryFull = "memory-full"
 )
 
+// pieces holds the buffers of streamed responses.
+var pieces = sync.Pool{New: func() any { return new([deliveryPiece]byte) }}
+
 // errNoRoom is returned for a response that is held for a caller that reads slowly, if there
 // is no memory left for such responses.
 var errNoRoom = errors.New("no memory is left for a response that is not read")
@@ -60,8 +64,8 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(minStallTime))
 }
 
-// deliver writes the body of a response. The memory of what was read already is held
-// meanwhile, and given up if the caller does not read.
+// deliver writes the body of a response. The memory of what was read already, or of the piece
+// that is streamed, is held meanwhile, and given up if the caller does not read.
 func (b *Balancer) deliver(w http.ResponseWriter, resp *roundtripper.Response) (err error) {
 	d := &delivery{w: w, stall: minStallTime}
 	if b.opts.IdleTimeout != nil {
@@ -69,7 +73,8 @@
 	}
 	BoundWrite(w)
 	now := time.Now()
-	d.hold = b.opts.Bodies.HoldUntilEvicted(now, func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Now()) })
+	d.hold = resp.Held
+	d.hold.AllowEviction(now, func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Now()) })
 	defer d.hold.Release()
 	defer func() {
 		switch {
@@ -80,15 +85,13 @@
 			b.metrics.undelivered.With(undeliveredStalled).Inc()
 		}
 	}()
-	// Smaller bodies fit in the buffers of the connection.
-	if len(resp.Body) > deliveryPiece && !d.hold.ResizeAt(now, int64(len(resp.Body))) {
-		return errNoRoom
-	}
 	if _, err = d.Write(resp.Body); err != nil || resp.Remainder == nil {
 		return err
 	}
 	resp.Body = nil // may be collected while the rest is streamed
-	d.hold.Resize(0)
-	_, err = io.CopyBuffer(d, resp.Remainder, make([]byte, deliveryPiece))
+	d.hold.ResizeAt(time.Now(), deliveryPiece)
+	piece := pieces.Get().(*[deliveryPiece]byte)
+	defer pieces.Put(piece)
+	_, err = io.CopyBuffer(d, resp.Remainder, piece[:])
 	return err
 }
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -158,7 +158,7 @@
 type probes struct {
 	balancer *Balancer
 	path     string
-	results  chan probeResult
+	results  chan *probeResult
 	// pending is the number of probes that have not ended.
 	pending int
 	rounds  int
@@ -168,7 +168,7 @@
 
 func (b *Balancer) newProbes(view *snapshotter.Snapshot, service string) *probes {
 	return &probes{
-		balancer: b, path: view.Table.Services[service].HealthPath, results: make(chan probeResult, maxProbes),
+		balancer: b, path: view.Table.Services[service].HealthPath, results: make(chan *probeResult, maxProbes),
 		lateUntil: time.Now().Add(maxRounds * probeRoundTimeout),
 	}
 }
@@ -186,7 +186,10 @@
 		awaited, wait = p.pending, time.Until(p.lateUntil)
 	}
 	for _, cand := range batch {
-		go func() { p.results <- p.balancer.probe(ctx, cand, p.path, round) }()
+		go func() {
+			r := p.balancer.probe(ctx, cand, p.path, round)
+			p.results <- &r
+		}()
 	}
 	p.pending += len(batch)
 	limit := time.NewTimer(wait)
@@ -196,7 +199,7 @@
 		select {
 		case r := <-p.results:
 			p.pending--
-			results = append(results, r)
+			results = append(results, *r)
 			if r.round == round || len(batch) == 0 {
 				awaited--
 			}
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -28,10 +28,12 @@
 	header   http.Header
 	body     []byte
 	// held is the memory of the body.
-	held    *reserver.Hold
-	id      string
-	tried   map[string]bool
-	leftOut leftOut
+	held *reserver.Hold
+	// responses is the memory of the bodies of servers' responses.
+	responses *reserver.Group
+	id        string
+	tried     map[string]bool
+	leftOut   leftOut
 	// hop is nil for a request that comes from a caller.
 	hop *hop
 	// probes is the number of servers that were probed for the last attempt, and unreached
@@ -116,7 +118,7 @@
 	return &call{
 		identity: caller, route: route, service: service, version: view.Splits[service].PickVersion(b.draw("version of " + service)),
 		view: view, arrived: now, deadline: deadline, method: r.Method, host: r.Host, target: target,
-		header: header, body: body, held: held, id: id, tried: map[string]bool{}, hop: h,
+		header: header, body: body, held: held, responses: b.opts.Bodies.Group(), id: id, tried: map[string]bool{}, hop: h,
 	}, nil
 }
 
--- a/entry/reserver/reserver.go
+++ b/entry/reserver/reserver.go
@@ -16,6 +16,9 @@
 	// largeShare is the part of the memory that larger bodies may use, so that small
 	// requests are not refused because of a few large ones.
 	largeShare = 0.9
+	// yieldShare is the part of the memory up to which holds that can do without are given.
+	// The rest is for messages that would be refused.
+	yieldShare = 0.25
 	// stallTime is the time without progress after which a hold may be evicted. Links lose
 	// packets; a retransmission takes 0.2 to 0.4 s.
 	stallTime = time.Second
@@ -81,6 +84,22 @@
 	return h
 }
 
+// AllowEviction makes a hold one that may be evicted from now on, as of HoldUntilEvicted. One
+// of a group no longer yields to others.
+func (h *Hold) AllowEviction(now time.Time, evict func()) {
+	r := h.reserver
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h.began, h.touched, h.progress, h.evict = now, now, 0, evict
+	h.yields = false
+	if !h.evicted {
+		r.evictable[h] = struct{}{}
+	}
+}
+
 // Hold is the memory of one message. It is used by one goroutine at a time.
 type Hold struct {
 	reserver *Reserver
@@ -91,6 +110,8 @@
 	began, touched time.Time
 	progress       int64
 	evicted        bool
+	// yields is set while the hold gets bytes only up to yieldShare.
+	yields bool
 }
 
 // Resize makes the hold one of n bytes. It reports false, and changes nothing, if there is no
@@ -191,6 +212,8 @@
 	isLone := n > smallBytes && beside > r.maxLarge && beside == used && used-n <= r.maxLarge
 	var room bool
 	switch {
+	case h.yields:
+		room = float64(used) <= yieldShare*float64(r.max)
 	case isLone:
 		room = used <= r.maxLone
 	case n > smallBytes:
--- a/entry/roundtripper/buffers.go
+++ b/entry/roundtripper/buffers.go
@@ -6,6 +6,10 @@
 // shared Buffers.
 const defaultBufferBytes = 16 << 20
 
+// freeBytes is the size of a body that its hold does not count. Smaller ones fit in the buffers
+// of a connection.
+const freeBytes = 16 << 10
+
 // Buffers bounds the memory of response bodies that are being read at the same time, over
 // the clients that share it. A body that finds no room is streamed from there on, so that
 // faulty servers whose bodies do not end cannot use up the memory of the process.
--- a/entry/roundtripper/conn.go
+++ b/entry/roundtripper/conn.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"samphiremux/entry/peeker"
+	"samphiremux/entry/reserver"
 	"samphiremux/entry/sanitizer"
 )
 
@@ -224,12 +225,16 @@
 }
 
 // readBody reads the body of a response up to a limit in bytes, or less if there is no room
-// in the buffers. If the body is longer, whole is false, body holds its start and the rest
+// in the buffers or for its hold. If the body is longer, whole is false, body holds its start and the rest
 // can be read from the response. Otherwise the body is closed.
-func readBody(rep reply, limit int64, b *Buffers) (body []byte, whole bool, err error) {
+func readBody(rep reply, limit int64, b *Buffers, held *reserver.Hold) (body []byte, whole bool, err error) {
 	taken := int64(0)
 	defer func() {
 		b.give(taken)
+		if taken > freeBytes {
+			// The buffers that the body outgrew are garbage.
+			held.Resize(int64(cap(body)))
+		}
 		if whole || err != nil {
 			_ = rep.Body.Close()
 		}
@@ -249,6 +254,9 @@
 			return body, false, nil
 		}
 		taken += size
+		if taken > freeBytes && !held.Resize(taken) {
+			return body, false, nil
+		}
 		body = append(make([]byte, 0, size), body...)
 		for int64(len(body)) < size {
 			n, err := rep.Body.Read(body[len(body):size])
--- a/entry/roundtripper/probe.go
+++ b/entry/roundtripper/probe.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"samphiremux/entry/reserver"
 	"samphiremux/pkg/describer"
 )
 
@@ -107,7 +108,7 @@
 			return Health{}, err
 		}
 		cl.observe(rep)
-		if _, whole, err := readBody(rep, maxProbeBytes, cl.buffers); err != nil || !whole {
+		if _, whole, err := readBody(rep, maxProbeBytes, cl.buffers, &reserver.Hold{}); err != nil || !whole {
 			return Health{}, fmt.Errorf("response to the health probe truncated: %w", err)
 		}
 		if rep.Header.Get(cl.headers.Signature) != "" || rep.Header.Get(cl.headers.RequestID) != "" {
--- a/entry/roundtripper/send.go
+++ b/entry/roundtripper/send.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"time"
 
+	"samphiremux/entry/reserver"
 	"samphiremux/entry/retrier"
 	"samphiremux/pkg/describer"
 )
@@ -24,6 +25,8 @@
 	Body   []byte
 	// ID is the request id that the server echoes in its response.
 	ID string
+	// Memory holds the body of the response until the request ends. It may be nil.
+	Memory *reserver.Group
 	// OnInformational is called with the headers of each informational response. It may be
 	// nil.
 	OnInformational func(http.Header)
@@ -38,6 +41,8 @@
 	// Remainder streams the rest of a body that is too large to buffer. It is nil
 	// if Body is whole. The caller must close it.
 	Remainder io.ReadCloser
+	// Held is the memory of Body.
+	Held *reserver.Hold
 	// Load is the load that the server reports. It is valid if HasLoad is set.
 	Load    describer.Load
 	HasLoad bool
@@ -84,7 +89,7 @@
 	if cl.isRefusal(rep.StatusCode, rep.Header) {
 		c.refusedID = r.ID
 	}
-	return cl.finish(ctx, c, rep, written, stop)
+	return cl.finish(ctx, c, rep, r.Memory.Hold(), written, stop)
 }
 
 // httpRequest builds the HTTP request. It keeps net/http from adding a User-Agent
@@ -121,7 +126,7 @@
 			return rep, false, "", nil
 		}
 		mismatched, mismatchedID = true, got
-		if _, whole, err := readBody(rep, maxBuffered, cl.buffers); err != nil || !whole || rep.Close {
+		if _, whole, err := readBody(rep, maxBuffered, cl.buffers, &reserver.Hold{}); err != nil || !whole || rep.Close {
 			return reply{}, mismatched, mismatchedID, errors.New("received a response to another request")
 		}
 	}
@@ -149,9 +154,10 @@
 
 // finish reads the body of a response, classifies the response, and returns the
 // connection to the pool if it is reusable.
-func (cl *Client) finish(ctx context.Context, c *Conn, rep reply, written <-chan error, stop func() bool) (*Response, retrier.Outcome) {
-	body, whole, err := readBody(rep, maxBuffered, cl.buffers)
+func (cl *Client) finish(ctx context.Context, c *Conn, rep reply, held *reserver.Hold, written <-chan error, stop func() bool) (*Response, retrier.Outcome) {
+	body, whole, err := readBody(rep, maxBuffered, cl.buffers, held)
 	if err != nil {
+		held.Release()
 		c.close()
 		stop()
 		if ctx.Err() != nil {
@@ -159,7 +165,7 @@
 		}
 		return nil, retrier.Truncated{Cause: fmt.Errorf("reading response body: %w", err)}
 	}
-	resp := &Response{Status: rep.StatusCode, Header: rep.Header, Body: body}
+	resp := &Response{Status: rep.StatusCode, Header: rep.Header, Body: body, Held: held}
 	resp.Load, resp.HasLoad = cl.headers.ReadLoad(rep.Header)
 	resp.RateLimit = cl.headers.ReadRateLimit(rep.Header)
 	o := cl.outcome(resp)
