--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -163,7 +163,7 @@
 	defer p.State.End()
 	stop := b.countLongRun(c, now)
 	resp, outcome := p.State.Send(ctx, p.conn, roundtripper.Request{
-		Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id,
+		Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id, Memory: c.responses,
 	})
 	stop()
 	ended := time.Now()
--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -61,11 +61,13 @@
 // once at most.
 func (b *Balancer) ServeDelegated(w http.ResponseWriter, r *http.Request) {
 	if delegator.IsProbe(r) {
+		BoundWrite(w)
 		b.serveHealth(w, r)
 		return
 	}
 	h := readHop(r.Header)
 	h.tell = func(attempts int) {
+		BoundWrite(w)
 		w.Header().Set(delegator.AttemptsHeader, strconv.Itoa(attempts))
 		w.WriteHeader(http.StatusProcessing)
 		w.Header().Del(delegator.AttemptsHeader)
@@ -185,7 +187,7 @@
 	b.opts.Headers.SetDeadline(header, time.Until(c.deadline))
 	b.setCredentials(header, c.identity)
 	return delegator.Request{
-		Request:  roundtripper.Request{Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id},
+		Request:  roundtripper.Request{Method: c.method, Host: c.host, Target: c.target, Header: header, Body: c.body, ID: c.id, Memory: c.responses},
 		Attempts: sent, Configuration: c.view.Table.Version, Service: c.service, Counted: c.hasCounted(),
 	}
 }
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -170,7 +170,7 @@
 type probes struct {
 	balancer *Balancer
 	path     string
-	results  chan probeResult
+	results  chan *probeResult
 	// pending is the number of probes that have not ended.
 	pending int
 	rounds  int
@@ -183,7 +183,7 @@
 // newProbes returns the probes for an attempt that wait for the own link until a time at most.
 func (b *Balancer) newProbes(view *snapshotter.Snapshot, service string, limit time.Time) *probes {
 	return &probes{
-		balancer: b, path: view.Table.Services[service].HealthPath, results: make(chan probeResult, maxProbes), limit: limit,
+		balancer: b, path: view.Table.Services[service].HealthPath, results: make(chan *probeResult, maxProbes), limit: limit,
 		late: b.opts.Link.Start(time.Now(), maxRounds*probeRoundTimeout).WithLimit(limit),
 	}
 }
@@ -203,7 +203,10 @@
 		awaited, timeout = p.pending, p.late
 	}
 	for _, cand := range batch {
-		go func() { p.results <- p.balancer.probe(ctx, cand, p.path, round) }()
+		go func() {
+			r := p.balancer.probe(ctx, cand, p.path, round)
+			p.results <- &r
+		}()
 	}
 	p.pending += len(batch)
 	limit := time.NewTimer(min(maxRoundStep, timeout.Remaining(time.Now())))
@@ -213,7 +216,7 @@
 		select {
 		case r := <-p.results:
 			p.pending--
-			results = append(results, r)
+			results = append(results, *r)
 			if r.round == round || len(batch) == 0 {
 				awaited--
 			}
