--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -58,6 +58,9 @@
 const (
 	// maxBodyBytes is the maximum size of a request body.
 	maxBodyBytes = 1 << 20
+	// bodyTimeout bounds the time to read a request body, which also ends at the deadline of
+	// the request.
+	bodyTimeout = 30 * time.Second
 	// memoryRetryAfter is long enough for one of the largest bodies to be passed on.
 	memoryRetryAfter = 500 * time.Millisecond
 )
@@ -199,8 +202,13 @@
 	if refusal := c.applyOuterLimits(r.Header, now); refusal != nil {
 		return nil, refusal
 	}
-	c.held = bodyreader.Hold(f.bounds.Memory, w, time.Now())
-	c.body, refusal = bodyreader.Read(w, r, maxBodyBytes, c.held, c.deadline)
+	begun := time.Now()
+	end := begun.Add(bodyTimeout)
+	if c.deadline.Before(end) {
+		end = c.deadline
+	}
+	c.held = bodyreader.Hold(f.bounds.Memory, w, begun)
+	c.body, refusal = bodyreader.Read(w, r, maxBodyBytes, c.held, end)
 	if refusal == nil && !f.mayTake(c.deadline) {
 		refusal = notRun(refuser.Stopping)
 	}
