tests: tables in data files, read in one place

Cause: tests read YAML tables in eight lines each, with unknown fields ignored, and tables that are new since are in test code. Change: pkg/fixturereader reads a table and fails for a field that the test does not know. Each test fails with a bug injected: queues of any length count as saturation, a rank without room limit, a second key accepted, unknown keys that may run, an outage that postpones no revocation, and others.

--- a/ctl/commander/check_test.go
+++ b/ctl/commander/check_test.go
@@ -7,11 +7,11 @@
 	"strings"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/matryer/is"
 
 	"samphiremux/ctl/differ"
 	"samphiremux/pkg/auditor"
+	"samphiremux/pkg/fixturereader"
 )
 
 // checkedFile is a file of a case: a base text with edits, or a text of its own.
@@ -44,11 +44,7 @@
 // TestCheck guards against findings that are lost, have a wrong position or appear for a
 // correct file, against wrong exit codes, and against API keys in the output.
 func TestCheck(t *testing.T) {
-	data, err := os.ReadFile("_fixtures/check.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var table struct {
+	type fixtureCase struct {
 		Bases map[string]string `yaml:"bases"`
 		Cases []struct {
 			Name  string                 `yaml:"name"`
@@ -58,9 +54,7 @@
 			Want  string                 `yaml:"want"`
 		} `yaml:"cases"`
 	}
-	if err := yaml.Unmarshal(data, &table); err != nil {
-		t.Fatal(err)
-	}
+	table := fixturereader.Read[fixtureCase](t, "_fixtures/check.yaml")
 	for _, c := range table.Cases {
 		t.Run(c.Name, func(t *testing.T) {
 			is := is.New(t)
--- a/entry/linkgauger/linkgauger_test.go
+++ b/entry/linkgauger/linkgauger_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"samphiremux/entry/linkgauger"
+	"samphiremux/pkg/fixturereader"
 )
 
 // rate is 10 Mbit/s in bytes per second.
@@ -18,38 +19,28 @@
 // those that are extended beside a link that is not, or without end.
 func TestTimeouts(t *testing.T) {
 	const timeout = 10 * time.Millisecond
-	for _, c := range []struct {
-		name string
-		rate float64
-		// bytes are transferred in each millisecond, for a number of them.
-		bytes, milliseconds int
-		received            bool
-		// least and most bound when the timeout passes that begins after 40 ms.
-		least, most time.Duration
-	}{
-		{"idle", rate, 0, 0, false, timeout, timeout},
-		{"no rate", 0, 540_000, 1, false, timeout, timeout},
-		{"small responses", rate, 300, 500, false, timeout, timeout},
-		{"small responses received", rate, 300, 500, true, timeout, timeout},
-		{"one response handed to the kernel", rate, 540_000, 1, false, 400 * time.Millisecond, 405 * time.Millisecond},
-		{"sending at the rate", rate, 1250, 200, false, timeout, timeout},
-		{"sending beyond the rate", rate, 2500, 200, false, 365 * time.Millisecond, 375 * time.Millisecond},
-		{"receiving at the rate", rate, 1250, 430, true, 400 * time.Millisecond, 450 * time.Millisecond},
-		{"receiving over a link that is slower than stated", rate, 900, 600, true, 570 * time.Millisecond, 640 * time.Millisecond},
-		{"saturated for long", rate, 1250, 3000, true, timeout + linkgauger.MaxExtension, timeout + linkgauger.MaxExtension},
-	} {
-		t.Run(c.name, func(t *testing.T) {
+	type transfer struct {
+		Name                string
+		Bytes, Milliseconds int
+		Unlimited, Received bool
+		Least, Most         time.Duration
+	}
+	for _, c := range fixturereader.Read[[]transfer](t, "_fixtures/timeouts.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
 			is := is.New(t)
-			g := linkgauger.New(c.rate)
+			g := linkgauger.New(rate)
+			if c.Unlimited {
+				g = linkgauger.New(0)
+			}
 			var begun linkgauger.Timeout
 			passed := time.Duration(-1)
 			for ms := range 4000 {
 				now := start.Add(time.Duration(ms) * time.Millisecond)
-				if ms < c.milliseconds {
-					if c.received {
-						g.Received(now, c.bytes)
+				if ms < c.Milliseconds {
+					if c.Received {
+						g.Received(now, c.Bytes)
 					} else {
-						g.Sent(now, c.bytes)
+						g.Sent(now, c.Bytes)
 					}
 				}
 				if ms == 40 {
@@ -60,8 +51,8 @@
 					is.Equal(begun.IsInconclusive(now), passed == timeout+linkgauger.MaxExtension)
 				}
 			}
-			if passed < c.least || passed > c.most {
-				t.Errorf("passed after %v, want %v to %v", passed, c.least, c.most)
+			if passed < c.Least || passed > c.Most {
+				t.Errorf("passed after %v, want %v to %v", passed, c.Least, c.Most)
 			}
 		})
 	}
--- a/entry/scheduler/scheduler_test.go
+++ b/entry/scheduler/scheduler_test.go
@@ -9,6 +9,7 @@
 
 	"samphiremux/entry/refuser"
 	"samphiremux/entry/scheduler"
+	"samphiremux/pkg/fixturereader"
 )
 
 // none is a draw with which no rank begins with a guaranteed request, and half one that leaves
@@ -63,34 +64,25 @@
 	s.Done(ticket)
 }
 
-// TestLeavesCapacity guards against less urgent requests that leave capacity to nobody, and
+// TestLeavesCapacity guards against less urgent requests that leave capacity unused, and
 // against those that take what urgent ones lack.
 func TestLeavesCapacity(t *testing.T) {
-	for _, c := range []struct {
-		name string
-		// lacked reports that urgent requests lacked capacity, and after is the time since.
-		lacked     bool
-		after      time.Duration
-		busy, full int
-		room       bool
-	}{
-		{"urgent requests find room", false, 0, 7, 8, true},
-		{"urgent requests lack it", true, 0, 3, 8, false},
-		{"urgent requests lack it, the slots are theirs too", true, 0, 2, 8, true},
-		{"they lacked it half a minute ago", true, 30 * time.Second, 7, 8, true},
-		{"no queue, urgent requests find room", false, 0, 2, slots, true},
-		{"no queue, urgent requests lack it", true, 0, 2, slots, false},
-		{"no queue, they lacked it half a minute ago", true, 30 * time.Second, 2, slots, true},
-	} {
-		t.Run(c.name, func(t *testing.T) {
+	type server struct {
+		Name         string
+		Lacked, Room bool
+		After        time.Duration
+		Busy, Full   int
+	}
+	for _, c := range fixturereader.Read[[]server](t, "_fixtures/leaves_capacity.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
 			is := is.New(t)
 			s, now := scheduler.New(none), time.Now()
-			if c.lacked {
+			if c.Lacked {
 				lackUrgently(s, now)
 			}
-			now = now.Add(c.after)
-			srv := scheduler.Server{Busy: c.busy, Slots: slots, Full: c.full, Work: work}
-			is.Equal(s.Room(now, offer(s, now, 1, 2, timeLimit), srv), c.room)
+			now = now.Add(c.After)
+			srv := scheduler.Server{Busy: c.Busy, Slots: slots, Full: c.Full, Work: work}
+			is.Equal(s.Room(now, offer(s, now, 1, 2, timeLimit), srv), c.Room)
 			is.True(s.Room(now, offer(s, now, 0, 2, timeLimit), srv))
 		})
 	}
--- a/entry/sender/cut_behind_test.go
+++ b/entry/sender/cut_behind_test.go
@@ -7,27 +7,21 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
-	"github.com/matryer/is"
-
 	"samphiremux/entry/retrier"
+	"samphiremux/pkg/fixturereader"
 )
 
 // TestResponseBehindBrokenOffHead guards against a response that is read together with the
 // start of an earlier one before it, and taken for a refusal or for another status.
 func TestResponseBehindBrokenOffHead(t *testing.T) {
-	is := is.New(t)
-	data, err := os.ReadFile("_fixtures/cut_behind.yaml")
-	is.NoErr(err)
-	var cases []struct {
+	type fixtureCase struct {
 		Name, Cut, Writes string
 		Status            int
 	}
-	is.NoErr(yaml.Unmarshal(data, &cases))
+	cases := fixturereader.Read[[]fixtureCase](t, "_fixtures/cut_behind.yaml")
 	for _, c := range cases {
 		for _, echo := range []bool{true, false} {
 			t.Run(c.Name, func(t *testing.T) {
--- a/standin/soaker/keys_test.go
+++ b/standin/soaker/keys_test.go
@@ -10,13 +10,14 @@
 
 	"github.com/matryer/is"
 
+	"samphiremux/pkg/fixturereader"
 	"samphiremux/platform/translator"
 )
 
 const (
 	// steadyKey is in every configuration.
 	steadyKey = "soak-steady"
-	// workspaceHeader tells a server the workspace of the caller's key.
+	// workspaceHeader carries the workspace of the caller's key to a server.
 	workspaceHeader = "Expected-Workspace"
 	// keyTime is the time from the acceptance of a configuration by the store until its keys
 	// have taken effect at every entry.
@@ -206,40 +207,24 @@
 	ring.lives["old"] = keyLife{workspace: "rotating", added: at(0), retired: at(10_000), revoked: at(10_001)}
 	ring.lives["outage"] = keyLife{workspace: "rotating", added: at(0), retired: at(20_000), revoked: at(20_001)}
 	ring.outages = []outage{{at(21_000), at(23_000)}}
-	for _, c := range []struct {
-		name, key     string
-		status, began int
-		// ran is when a server ran it, or zero.
-		ran  int
-		rule string
-	}{
-		{"valid", steadyKey, 200, 5000, 5001, ""},
-		{"valid, refused", steadyKey, 401, 5000, 0, "DENIED"},
-		{"unknown, refused", "other", 401, 5000, 0, ""},
-		{"unknown, ran", "other", 200, 5000, 5001, "KEY"},
-		{"none, ran", "", 200, 5000, 5001, "KEY"},
-		{"none, refused later than others know", "", 503, 5000, 0, ""},
-		{"new, refused", "old", 401, 1000, 0, ""},
-		{"in force, refused", "old", 401, 5000, 0, "DENIED"},
-		{"revoked, refused at once", "old", 401, 10_000, 0, ""},
-		{"revoked, ran soon", "old", 200, 12_000, 12_001, ""},
-		{"revoked, ran late", "old", 200, 12_000, 12_600, "KEY"},
-		{"revoked, store away", "outage", 200, 25_000, 25_001, ""},
-		{"revoked, store back", "outage", 200, 27_000, 27_001, "KEY"},
-	} {
-		t.Run(c.name, func(t *testing.T) {
+	type request struct {
+		Name, Key, Rule    string
+		Status, Began, Ran int
+	}
+	for _, c := range fixturereader.Read[[]request](t, "_fixtures/keys.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
 			is := is.New(t)
 			var runs []*run
 			r := record{
-				id: "1", method: http.MethodGet, key: c.key, status: c.status, began: at(c.began), sent: at(c.began), ended: at(c.began + 700),
-				deadline: at(c.began + 5000), process: &process{started: start, exited: at(100_000)},
+				id: "1", method: http.MethodGet, key: c.Key, status: c.Status, began: at(c.Began), sent: at(c.Began), ended: at(c.Began + 700),
+				deadline: at(c.Began + 5000), process: &process{started: start, exited: at(100_000)},
 			}
-			if c.ran > 0 {
-				runs = []*run{{server: "s", signature: signatureOf("1", "s"), began: at(c.ran)}}
+			if c.Ran > 0 {
+				runs = []*run{{server: "s", signature: signatureOf("1", "s"), began: at(c.Ran)}}
 				r.signature, r.bodySum = signatureOf("1", "s"), sumOf(bodyOf("1", "s", 0))
 			}
 			rule, _ := (&checks{lags: &lagMeter{}, keys: ring}).fault(r, runs)
-			is.Equal(rule, c.rule)
+			is.Equal(rule, c.Rule)
 		})
 	}
 }
--- a/steer/commander/keys_test.go
+++ b/steer/commander/keys_test.go
@@ -7,19 +7,18 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/reflector"
 	"samphiremux/pkg/describer"
+	"samphiremux/pkg/fixturereader"
 	"samphiremux/platform/translator"
 )
 
@@ -72,20 +71,12 @@
 // though not, and against headers of the caller that reach a server, at an entry that reaches
 // the servers and at one that passes requests on.
 func TestKeyForms(t *testing.T) {
-	data, err := os.ReadFile("_fixtures/keys.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var cases []struct {
-		Name      string   `yaml:"name"`
-		Path      string   `yaml:"path"`
-		Lines     []string `yaml:"lines"`
-		Status    int      `yaml:"status"`
-		Workspace string   `yaml:"workspace"`
-	}
-	if err := yaml.Unmarshal(data, &cases); err != nil {
-		t.Fatal(err)
+	type keyForm struct {
+		Name, Path, Workspace string
+		Lines                 []string
+		Status                int
 	}
+	cases := fixturereader.Read[[]keyForm](t, "_fixtures/keys.yaml")
 	for _, delegated := range []bool{false, true} {
 		t.Run(fmt.Sprintf("delegated %v", delegated), func(t *testing.T) {
 			withFleet(t, func(t *testing.T, f *fleet) {
--- a/steer/commander/pipelined_test.go
+++ b/steer/commander/pipelined_test.go
@@ -5,32 +5,29 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/matryer/is"
 
 	"samphiremux/pkg/describer"
+	"samphiremux/pkg/fixturereader"
 	"samphiremux/platform/translator"
 )
 
 // pipelinedCase is a series of requests on one connection, and what must come of them.
 type pipelinedCase struct {
-	Name     string `yaml:"name"`
+	Name     string
 	Requests []struct {
-		Line    string   `yaml:"line"`
-		Headers []string `yaml:"headers"`
-		Body    string   `yaml:"body"`
-		Fill    int      `yaml:"fill"`
-		Raw     string   `yaml:"raw"`
-	} `yaml:"requests"`
-	Responses []int `yaml:"responses"`
-	Stops     bool  `yaml:"stops"`
+		Line, Body, Raw string
+		Headers         []string
+		Fill            int
+	}
+	Responses []int
+	Stops     bool
 }
 
 // text returns the bytes that the caller writes.
@@ -98,20 +95,12 @@
 // sent on one connection, and against requests that run though they stand behind a response
 // that closes the connection, or within a body that was refused.
 func TestPipelined(t *testing.T) {
-	data, err := os.ReadFile("_fixtures/pipelined.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var cases []pipelinedCase
-	if err := yaml.Unmarshal(data, &cases); err != nil {
-		t.Fatal(err)
-	}
 	keyed := fleetRoute("keyed", false)
 	look, book := fleetRoute("look", true), fleetRoute("book", false)
 	look.Public, book.Public = true, true
 	table := describer.NewRouteTable(2, []describer.Route{look, book, keyed},
 		[]describer.Service{{Name: "stock", HealthPath: "/health", ColdRate: 9.3}}, describer.Limits{BodyBytes: 1 << 20}).WithWorkspaces(nil)
-	for _, c := range cases {
+	for _, c := range fixturereader.Read[[]pipelinedCase](t, "_fixtures/pipelined.yaml") {
 		for _, delegated := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, delegated %v", c.Name, delegated), func(t *testing.T) {
 				withFleet(t, func(t *testing.T, f *fleet) {
