roundtripper: a request of which nothing was written is not sent

Its connection had answered the probe and was reset before the request was written. Such an attempt counted as one that may have run, so that it used up an attempt, and a request that must not run twice was refused with 502. Change: Conn records whether a byte of the request was written. If none was, the outcome is NotSent: the server is ejected as after a failed dial, and the request goes to another server, or to another entry, without counting as an attempt. A request of which a part was written may have run, as before.

--- a/entry/roundtripper/conn.go
+++ b/entry/roundtripper/conn.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -51,6 +52,7 @@
 type Conn struct {
 	net       net.Conn
 	head      *headLimiter
+	sent      *sendTracker
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	idleUntil time.Time
@@ -63,8 +65,42 @@
 }
 
 func newConn(c net.Conn, o *openings) *Conn {
-	head := &headLimiter{source: c}
-	return &Conn{net: c, head: head, reader: bufio.NewReaderSize(head, readBufferSize), writer: bufio.NewWriterSize(c, writeBufferSize), fresh: true, openings: o}
+	head, sent := &headLimiter{source: c}, &sendTracker{conn: c}
+	return &Conn{
+		net: c, head: head, sent: sent, reader: bufio.NewReaderSize(head, readBufferSize), writer: bufio.NewWriterSize(sent, writeBufferSize),
+		fresh: true, openings: o,
+	}
+}
+
+// sendTracker records whether any byte of the current request was written.
+type sendTracker struct {
+	conn net.Conn
+	mu   sync.Mutex
+	any  bool
+}
+
+// Write implements io.Writer.
+func (t *sendTracker) Write(p []byte) (n int, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n, err = t.conn.Write(p)
+	t.any = t.any || n > 0
+	return n, err
+}
+
+// begin starts a request.
+func (t *sendTracker) begin() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.any = false
+}
+
+// sentNothing reports that no byte of the request was written. The connection must be closed,
+// which ends a write that is under way.
+func (t *sendTracker) sentNothing() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.any
 }
 
 // errHeadTooLarge is returned by reads beyond the bound of a head.
--- a/entry/roundtripper/send.go
+++ b/entry/roundtripper/send.go
@@ -75,6 +75,7 @@
 	stop := c.closeOnDone(ctx)
 	req := r.httpRequest()
 	written := make(chan error, 1)
+	c.sent.begin()
 	if len(r.Body) > maxInlineBody {
 		go func() { written <- c.write(req) }()
 	} else {
@@ -84,6 +85,9 @@
 	if err != nil {
 		c.close()
 		stop()
+		if ctx.Err() == nil && !mismatched && c.sent.sentNothing() {
+			return nil, retrier.NotSent{Cause: err}
+		}
 		return nil, errorOutcome(ctx, mismatched, mismatchedID, err)
 	}
 	if cl.isRefusal(rep.StatusCode, rep.Header) {
@@ -258,7 +262,7 @@
 	io.ReadCloser
 	conn *Conn
 	stop func() bool
-	// end tells whether the end of the body is that of a whole response.
+	// end reports whether the end of the body is that of a whole response.
 	end func() error
 	// release returns the connection to the pool. Whole reports that the body was read to its
 	// end, and ended that Close was called.
--- a/steer/commander/partition_test.go
+++ b/steer/commander/partition_test.go
@@ -406,3 +406,26 @@
 	f.network.close()
 	time.Sleep(2 * idleTimeout)
 }
+
+// TestResetBetweenProbeAndRequest guards against requests that are refused as possibly run,
+// or use up their attempts, since connections are reset after the probe and before the
+// request is written.
+func TestResetBetweenProbeAndRequest(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		f.hijackProbe = func(w http.ResponseWriter, _ *http.Request, server string) bool {
+			if server == "i-11" {
+				return false
+			}
+			conn, _, _ := http.NewResponseController(w).Hijack()
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", translator.HeaderInstance, server)
+			_ = conn.Close()
+			return true
+		}
+		for _, path := range []string{"/look/a", "/book/a"} {
+			if id := "r" + path; !f.call(0, path, id) || f.runsOf(id) != 1 {
+				t.Errorf("%s was not served, or ran %d times", path, f.runsOf(id))
+			}
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
