deliverer: the delivery of responses in one place

Cause: balancer/delivery.go and forwarder/delivery.go had the same writer for callers that read slowly or not at all, with the same sizes, times and errors. Change: package deliverer has it. The forwarder takes the buffers of streamed responses from the same pool as the balancer. balancer.BoundWrite stays, for serve.go of steer/commander.

--- a/entry/assembler/assembler.go
+++ b/entry/assembler/assembler.go
@@ -22,6 +22,7 @@
 	"samphiremux/entry/chooser"
 	"samphiremux/entry/collector"
 	"samphiremux/entry/coordinator"
+	"samphiremux/entry/deliverer"
 	"samphiremux/entry/drainer"
 	"samphiremux/entry/expirer"
 	"samphiremux/entry/forwarder"
@@ -267,7 +268,7 @@
 	handler := func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == locator.Path {
 			bodyreader.BoundDiscard(w, r)
-			forwarder.BoundWrite(w)
+			deliverer.BoundWrite(w)
 			locate.ServeHTTP(w, r)
 			return
 		}
--- a/entry/balancer/delivery.go
+++ b/entry/balancer/delivery.go
@@ -2,84 +2,39 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"os"
-	"sync"
 	"time"
 
-	"samphiremux/entry/reserver"
+	"samphiremux/entry/deliverer"
 	"samphiremux/entry/roundtripper"
 )
 
-const (
-	// deliveryPiece is the size in bytes of the pieces in which a response is written, so
-	// that a caller which reads slowly differs from one that does not read.
-	deliveryPiece = 16 << 10
-	// minStallTime is the least time after which a caller that reads nothing of a response is
-	// given up. The idle timeout may be shorter, but a caller that reads slowly makes room in
-	// the buffers of the connection only every few seconds.
-	minStallTime = 15 * time.Second
-)
-
 // Values of the label "cause" of responses that callers do not read.
 const (
 	undeliveredStalled    = "stalled"
 	undeliveredMemoryFull = "memory-full"
 )
 
-// pieces holds the buffers of streamed responses.
-var pieces = sync.Pool{New: func() any { return new([deliveryPiece]byte) }}
-
-// errNoRoom is returned for a response that is held for a caller that reads slowly, if there
-// is no memory left for such responses.
-var errNoRoom = errors.New("no memory is left for a response that is not read")
-
-// delivery writes a response to a caller that may read slowly or not at all.
-type delivery struct {
-	w     http.ResponseWriter
-	stall time.Duration
-	hold  *reserver.Hold
-}
-
-// Write implements io.Writer.
-func (d *delivery) Write(p []byte) (written int, err error) {
-	connection := http.NewResponseController(d.w)
-	for written < len(p) && err == nil {
-		_ = connection.SetWriteDeadline(time.Now().Add(d.stall))
-		if d.hold.IsEvicted() {
-			return written, errNoRoom
-		}
-		var n int
-		n, err = d.w.Write(p[written:min(len(p), written+deliveryPiece)])
-		written += n
-		d.hold.Progress(time.Now(), n)
-	}
-	return written, err
-}
-
-// BoundWrite bounds the time for which a caller may leave a small response unread. Without it
-// the connection stays in use, and the bound of connections closes none in use.
-func BoundWrite(w http.ResponseWriter) {
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(minStallTime))
-}
+// BoundWrite bounds the time for which a caller or another entry may leave a small response
+// unread, as deliverer.BoundWrite does.
+func BoundWrite(w http.ResponseWriter) { deliverer.BoundWrite(w) }
 
 // deliver writes the body of a response. The memory of what was read already, or of the piece
-// that is streamed, is held meanwhile, and given up if the caller does not read.
+// that is streamed, is held until then, and given up if the caller does not read.
 func (b *Balancer) deliver(w http.ResponseWriter, resp *roundtripper.Response) (err error) {
-	d := &delivery{w: w, stall: minStallTime}
+	idle := time.Duration(0)
 	if b.opts.IdleTimeout != nil {
-		d.stall = max(d.stall, b.opts.IdleTimeout())
+		idle = b.opts.IdleTimeout()
 	}
 	BoundWrite(w)
-	now := time.Now()
-	d.hold = resp.Held
-	d.hold.AllowEviction(now, func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Now()) })
-	defer d.hold.Release()
+	hold := resp.Held
+	d := deliverer.New(w, hold, idle)
+	defer hold.Release()
 	defer func() {
 		switch {
 		case err == nil:
-		case errors.Is(err, errNoRoom), d.hold.IsEvicted():
+		case errors.Is(err, deliverer.ErrNoRoom), hold.IsEvicted():
 			b.metrics.undelivered.With(undeliveredMemoryFull).Inc()
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			b.metrics.undelivered.With(undeliveredStalled).Inc()
@@ -89,9 +44,6 @@
 		return err
 	}
 	resp.Body = nil // may be collected while the rest is streamed
-	d.hold.ResizeAt(time.Now(), deliveryPiece)
-	piece := pieces.Get().(*[deliveryPiece]byte)
-	defer pieces.Put(piece)
-	_, err = io.CopyBuffer(d, resp.Remainder, piece[:])
-	return err
+	hold.ResizeAt(time.Now(), deliverer.PieceBytes)
+	return d.Stream(resp.Remainder)
 }
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"samphiremux/entry/bodyreader"
+	"samphiremux/entry/deliverer"
 	"samphiremux/entry/quarantiner"
 	"samphiremux/entry/reconciler"
 	"samphiremux/entry/refuser"
@@ -166,7 +167,7 @@
 	if r.Reason == refuser.MemoryFull {
 		r = r.WithRetryAt(time.Now().Add(memoryRetryAfter))
 	}
-	BoundWrite(w)
+	deliverer.BoundWrite(w)
 	f.node.Metrics().Refused(r)
 	f.node.Metrics().Requests.WithLabelValues(service, string(r.Kind)).Inc()
 	r.Write(w)
