linkgauger: the check for a rate in one place

Cause: four functions began with the same seven lines. Change: lock locks a gauger that has a rate. Package comment without "meanwhile". Result: tests pass; TestTurns fails with the check removed, TestTimeouts with MaxExtension not applied. 3 lines of code fewer.

--- a/entry/linkgauger/linkgauger.go
+++ b/entry/linkgauger/linkgauger.go
@@ -1,7 +1,7 @@
-// Package linkgauger tells how busy the own link of an entry is, from the bytes that its
+// Package linkgauger estimates how busy the own link of an entry is, from the bytes that its
 // connections send and receive, and extends timeouts of its peers by the time for which the
 // link is saturated. It handles responses and bodies that fill a slow link for some hundred
-// milliseconds: a peer that does not answer meanwhile may be healthy, since the answer or
+// milliseconds: a peer that does not answer during that time may be healthy, since the answer or
 // the question waits behind them.
 package linkgauger
 
@@ -64,6 +64,19 @@
 	g.rate = rate
 }
 
+// lock locks a gauger with a rate. It reports false, and locks nothing, if there is none.
+func (g *Gauger) lock() bool {
+	if g == nil {
+		return false
+	}
+	g.mu.Lock()
+	if g.rate <= 0 {
+		g.mu.Unlock()
+		return false
+	}
+	return true
+}
+
 // transferTime returns the time that n bytes need. The caller holds the lock.
 func (g *Gauger) transferTime(n int) time.Duration {
 	return time.Duration(float64(n) / g.rate * float64(time.Second))
@@ -72,14 +85,10 @@
 // PieceBytes returns the size of the pieces in which a large message is to be sent, or zero if
 // it need not be.
 func (g *Gauger) PieceBytes() int {
-	if g == nil {
+	if !g.lock() {
 		return 0
 	}
-	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.rate <= 0 {
-		return 0
-	}
 	return max(minPieceBytes, int(g.rate*pieceTime.Seconds()))
 }
 
@@ -87,14 +96,10 @@
 // after a wait, so that what the kernel holds does not delay small messages for long. Pieces of
 // several messages take turns, since each waits for those that were reserved before.
 func (g *Gauger) Reserve(now time.Time, n int) (wait time.Duration) {
-	if g == nil {
+	if !g.lock() {
 		return 0
 	}
-	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.rate <= 0 {
-		return 0
-	}
 	return max(0, g.reserve(now, n)-maxBulkQueue)
 }
 
@@ -116,14 +121,10 @@
 func (g *Gauger) SentReserved(now time.Time, n int) { g.send(now, n, true) }
 
 func (g *Gauger) send(now time.Time, n int, reserved bool) {
-	if g == nil {
+	if !g.lock() {
 		return
 	}
-	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.rate <= 0 {
-		return
-	}
 	if !reserved {
 		g.reserve(now, n)
 	}
@@ -138,14 +139,10 @@
 
 // Received counts bytes that have arrived.
 func (g *Gauger) Received(now time.Time, n int) {
-	if g == nil {
+	if !g.lock() {
 		return
 	}
-	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.rate <= 0 {
-		return
-	}
 	needed := g.transferTime(n)
 	passed := time.Duration(receivedShare * float64(now.Sub(g.receivedAt)))
 	g.received = min(maxReceived, max(0, g.received-passed)+needed)
