subsetter, placer: half the processor time for an order of servers

Cause: with 300 entries and 3,000 servers the entries of 0.16 cores compute the order of servers once a second while a failure domain leaves and returns. By a profile, half of the time went into sorting all entries of the domain at each server, a quarter into the weights and the rest into sorting records of 56 bytes and looking up ranks in maps. Change: only the first 16 ranks at each server are determined, and all of them for the few servers that need more. Servers that have their part of the entries are left out of the further ranks. Records are sorted by key and place. A weight is the digest of one buffer on the stack (18 ns, was 22). Weights are as before, so an entry of the previous version has the same order.

--- a/entry/balancer/subset.go
+++ b/entry/balancer/subset.go
@@ -16,7 +16,7 @@
 	// returns is to get requests within 4 s.
 	subsetInterval = 500 * time.Millisecond
 	// orderInterval is the least time between two computations of an order of servers, which
-	// take 8 ms of a core with 100 entries and 600 servers in the failure domain. The servers of
+	// take 3 ms of a core with 100 entries and 600 servers in the failure domain. The servers of
 	// a domain that return one after the other would otherwise keep a small VM busy with them.
 	orderInterval = time.Second
 	// memberAge is the time since the last response of a member from which it is probed
--- a/entry/subsetter/subsetter.go
+++ b/entry/subsetter/subsetter.go
@@ -11,7 +11,6 @@
 
 import (
 	"cmp"
-	"iter"
 	"math"
 	"slices"
 
@@ -89,6 +88,7 @@
 // failure domain, unless this has fewer slots for its entries than the whole service: then a
 // part of them is in the domains that have more.
 func (f Fleet) Order() (ids []string) {
+	ids = make([]string, 0, len(f.Servers))
 	d := f.domains()
 	size := EvenSize(len(f.Servers), d.entries())
 	share := float64(d[f.Self.Domain].entries) / float64(d.entries())
@@ -111,8 +111,7 @@
 	local := min(len(own), int(math.Ceil(float64(size)*min(1, d.supply(f.Self.Domain)))))
 	assigned, unassigned := f.assign(own, local)
 	assignedSpare, unassignedSpare := f.assign(spare, size-local)
-	assigned = append(assigned, assignedSpare...)
-	sortByKey(assigned)
+	assigned = byKey(append(assigned, assignedSpare...))
 	for _, section := range [][]competed{assigned, unassigned, unassignedSpare, f.byWeight(rest)} {
 		for _, c := range section {
 			ids = append(ids, c.ID)
@@ -131,8 +130,23 @@
 	key float64
 }
 
-func sortByKey(servers []competed) {
-	slices.SortStableFunc(servers, func(x, y competed) int { return cmp.Compare(x.key, y.key) })
+// byKey returns servers in the order of their keys, and of their places if keys are equal. It
+// sorts places, since servers are large.
+func byKey(servers []competed) (sorted []competed) {
+	type keyed struct {
+		key   float64
+		place int
+	}
+	places := make([]keyed, len(servers))
+	for i, s := range servers {
+		places[i] = keyed{s.key, i}
+	}
+	slices.SortFunc(places, func(x, y keyed) int { return cmp.Or(cmp.Compare(x.key, y.key), cmp.Compare(x.place, y.place)) })
+	sorted = make([]competed, 0, len(servers))
+	for _, p := range places {
+		sorted = append(sorted, servers[p.place])
+	}
+	return sorted
 }
 
 // assign assigns servers to the entries of the domain, a number to each entry. It goes through
@@ -142,44 +156,38 @@
 	if number == 0 {
 		return nil, f.byWeight(servers)
 	}
-	entries := []placer.Member{f.Self}
+	ranks := rankings{entries: []placer.Member{f.Self}, whole: map[int][]uint16{}}
 	for _, e := range f.Others {
 		if e.Domain == f.Self.Domain {
-			entries = append(entries, e)
+			ranks.entries = append(ranks.entries, e)
 		}
 	}
-	slots := 0.0
-	ranked := make([]weighted, len(entries))
-	// rankings holds the entries at each server, as indices, in the order of their ranks.
-	rankings := make([]uint16, 0, len(entries)*len(servers))
+	entries, slots := len(ranks.entries), 0.0
 	for i := range servers {
-		for j, e := range entries {
-			ranked[j] = weighted{placer.Weight(servers[i].ID, e.ID), uint16(j)}
-		}
-		slices.SortFunc(ranked, func(x, y weighted) int { return cmp.Compare(y.weight, x.weight) })
-		for rank, w := range ranked {
-			rankings = append(rankings, w.entry)
-			if w.entry == 0 {
-				servers[i].key = rankKey(rank, servers[i].slots)
-			}
-		}
+		servers[i].key = rankKey(ranks.add(servers[i].ID), servers[i].slots)
 		slots += servers[i].slots
 	}
-	users, has := make([]int, len(servers)), make([]int, len(entries))
+	users, has := make([]int, len(servers)), make([]int, entries)
 	mine := make([]bool, len(servers))
-	lacking := len(entries)
-	for place := range places(servers, len(entries)) {
-		entry := rankings[place.server*len(entries)+place.rank]
-		part := math.Ceil(float64(number*len(entries)) * servers[place.server].slots / slots)
-		if has[entry] >= number || float64(users[place.server]) >= part {
-			continue
-		}
-		has[entry]++
-		users[place.server]++
-		mine[place.server] = mine[place.server] || entry == 0
-		if has[entry] == number {
-			lacking--
-		}
+	// open holds the servers that do not have their part of the entries yet.
+	open, classes := byID(servers), slotClasses(servers)
+	lacking := entries
+	for _, ranksAt := range steps(classes, entries) {
+		open = slices.DeleteFunc(open, func(i int) bool {
+			rank, part := ranksAt[classes.of[i]], math.Ceil(float64(number*entries)*servers[i].slots/slots)
+			if rank < 0 {
+				return false
+			}
+			if entry := ranks.at(servers[i].ID, i, rank); has[entry] < number {
+				has[entry]++
+				users[i]++
+				mine[i] = mine[i] || entry == 0
+				if has[entry] == number {
+					lacking--
+				}
+			}
+			return float64(users[i]) >= part
+		})
 		if lacking == 0 {
 			break
 		}
@@ -191,62 +199,18 @@
 			others = append(others, s)
 		}
 	}
-	sortByKey(others)
-	return assigned, others
+	return assigned, byKey(others)
 }
 
 // rankKey returns the rank of an entry at a server, for each slot.
 func rankKey(rank int, slots float64) float64 { return (float64(rank) + 0.5) / slots }
 
-// place is a rank at a server, which is given as an index.
-type place struct{ server, rank int }
-
-// places iterates over all ranks at all servers, by rankKey and then by the id of the server.
-// Servers have few different numbers of slots, so this needs no sorting of all places, which
-// would take tens of milliseconds with a hundred entries and several hundred servers.
-func places(servers []competed, ranks int) iter.Seq[place] {
-	byID := make([]int, len(servers))
-	rankAt := map[float64]map[float32]int{}
-	var keys []float32
-	for i, s := range servers {
-		byID[i] = i
-		if rankAt[s.slots] != nil {
-			continue
-		}
-		rankAt[s.slots] = map[float32]int{}
-		for rank := range ranks {
-			key := float32(rankKey(rank, s.slots))
-			rankAt[s.slots][key] = rank
-			keys = append(keys, key)
-		}
-	}
-	slices.SortFunc(byID, func(x, y int) int { return cmp.Compare(servers[x].ID, servers[y].ID) })
-	slices.Sort(keys)
-	keys = slices.Compact(keys)
-	return func(yield func(place) bool) {
-		for _, key := range keys {
-			for _, i := range byID {
-				if rank, ok := rankAt[servers[i].slots][key]; ok && !yield(place{i, rank}) {
-					return
-				}
-			}
-		}
-	}
-}
-
 // byWeight sorts servers for which the entries do not compete.
 func (f Fleet) byWeight(servers []competed) []competed {
 	for i, s := range servers {
 		servers[i].key = -float64(placer.Weight(s.ID, f.Self.ID)) * s.slots
 	}
-	sortByKey(servers)
-	return servers
-}
-
-// weighted is an entry, as an index, with its rendezvous weight for a server.
-type weighted struct {
-	weight uint64
-	entry  uint16
+	return byKey(servers)
 }
 
 // Inputs returns a hash of all that Order depends on. The order of entries and servers does
--- a/pkg/placer/placer.go
+++ b/pkg/placer/placer.go
@@ -59,12 +59,12 @@
 
 // Weight returns the rendezvous weight of a member for a key.
 func Weight(key, member string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(key)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(member)
-	return d.Sum64()
+	// Ids are short. The digest of a buffer takes 18 ns in place of 22 for one that is written
+	// to, and an entry of a large fleet computes 60,000 weights when a server is registered.
+	var buffer [64]byte
+	b := append(buffer[:0], key...)
+	b = append(b, 0)
+	return xxhash.Sum64(append(b, member...))
 }
 
 // Subset returns the members that serve a service, up to size of them. It goes by rank,
