snapshotter: a change of some servers leaves the others in place

With 3,000 servers that takes 1.3 ms of a core and 0.9 MB, and while a third of them return there is a change before nearly every read. TestManyChanges also checks removed servers and those that change their service.

--- a/entry/snapshotter/snapshotter.go
+++ b/entry/snapshotter/snapshotter.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -46,6 +47,9 @@
 	excludedDomains map[string]bool
 	orders          map[string]describer.MoveOrder
 	records         map[string]MoveRecord
+	// changed holds the services that differ from current, each with the ids of its servers that
+	// do.
+	changed map[string]map[string]bool
 	// departed holds removed servers, so that a record of the same incarnation does not
 	// reset what they said of themselves.
 	departed map[string]departed
@@ -66,9 +70,9 @@
 func New(connect Connect) *Snapshotter {
 	s := &Snapshotter{
 		connect: connect, backends: map[string]Backend{}, departed: map[string]departed{}, excludedDomains: map[string]bool{},
-		orders: map[string]describer.MoveOrder{}, records: map[string]MoveRecord{},
+		orders: map[string]describer.MoveOrder{}, records: map[string]MoveRecord{}, changed: map[string]map[string]bool{},
 	}
-	s.current.Store(&Snapshot{})
+	s.current.Store(&Snapshot{Services: map[string][]Backend{}, Splits: map[string]TrafficSplit{}})
 	return s
 }
 
@@ -128,8 +132,11 @@
 	}
 	b.State.SetCold(server.ColdUntil)
 	delete(s.departed, server.ID)
+	if registered, ok := s.backends[server.ID]; ok {
+		s.markChanged(registered.Service, server.ID)
+	}
 	s.backends[server.ID] = b
-	s.stale.Store(true)
+	s.markChanged(server.Service, server.ID)
 }
 
 // RemoveServer removes a backend server, so that it gets no new requests, and closes
@@ -147,7 +154,7 @@
 		s.departed[id] = departed{Backend: b, until: time.Now().Add(departedMemory)}
 	}
 	b.State.endRegistration(time.Now())
-	s.stale.Store(true)
+	s.markChanged(b.Service, id)
 }
 
 // SetDomainExcluded takes a failure domain out of service or puts it back.
@@ -167,7 +174,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.orders[o.Service] = o
-	s.stale.Store(true)
+	s.markChanged(o.Service)
 }
 
 // RemoveOrder removes an order that the operators withdrew. The service stays on the
@@ -176,7 +183,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.orders, service)
-	s.stale.Store(true)
+	s.markChanged(service)
 }
 
 // SetMoveRecord records the state of a version move. A record that is not newer than
@@ -188,7 +195,7 @@
 		return
 	}
 	s.records[service] = r
-	s.stale.Store(true)
+	s.markChanged(service)
 }
 
 // CloseIdle closes the connections to backend servers that have been idle for too
@@ -216,23 +223,57 @@
 	}
 }
 
-// rebuild publishes a new snapshot if the current one is stale. The caller holds the
+// rebuild publishes a new snapshot if the current one is stale. Services without a change keep
+// their servers: to sort all servers took 1.3 ms of a core with 3,000, and while those of a
+// failure domain return there is a change before nearly every request. The caller holds the
 // lock.
 func (s *Snapshotter) rebuild() {
 	if !s.stale.Load() {
 		return // another caller rebuilt it in the meantime
 	}
-	next := &Snapshot{Table: s.table, Services: map[string][]Backend{}, ExcludedDomains: map[string]bool{}, Splits: map[string]TrafficSplit{}}
-	for _, b := range s.backends {
-		next.Services[b.Service] = append(next.Services[b.Service], b)
-	}
-	for name, all := range next.Services {
-		slices.SortFunc(all, func(a, b Backend) int { return cmp.Compare(a.ID, b.ID) })
-		next.Splits[name] = s.split(name, all)
-	}
-	for name := range s.excludedDomains {
-		next.ExcludedDomains[name] = true
+	before := s.current.Load()
+	next := &Snapshot{Table: s.table, Services: maps.Clone(before.Services), ExcludedDomains: maps.Clone(s.excludedDomains), Splits: maps.Clone(before.Splits)}
+	for service, ids := range s.changed {
+		if all := s.merge(service, before.Services[service], ids); len(all) > 0 {
+			next.Services[service], next.Splits[service] = all, s.split(service, all)
+		} else {
+			delete(next.Services, service)
+			delete(next.Splits, service)
+		}
 	}
+	clear(s.changed)
 	s.current.Store(next)
 	s.stale.Store(false)
 }
+
+// merge returns the servers of a service, sorted by id, from those before and the ids of the
+// servers that were added, updated or removed since. The caller holds the lock.
+func (s *Snapshotter) merge(service string, before []Backend, ids map[string]bool) (all []Backend) {
+	if len(ids) == 0 {
+		return before
+	}
+	all = make([]Backend, 0, len(before)+len(ids))
+	for _, id := range slices.Sorted(maps.Keys(ids)) {
+		n, known := slices.BinarySearchFunc(before, id, func(b Backend, id string) int { return cmp.Compare(b.ID, id) })
+		all, before = append(all, before[:n]...), before[n:]
+		if known {
+			before = before[1:]
+		}
+		if b, ok := s.backends[id]; ok && b.Service == service {
+			all = append(all, b)
+		}
+	}
+	return append(all, before...)
+}
+
+// markChanged records that servers of a service, or its moves, have changed. The caller holds
+// the lock.
+func (s *Snapshotter) markChanged(service string, ids ...string) {
+	if s.changed[service] == nil {
+		s.changed[service] = map[string]bool{}
+	}
+	for _, id := range ids {
+		s.changed[service][id] = true
+	}
+	s.stale.Store(true)
+}
--- a/entry/snapshotter/snapshotter_test.go
+++ b/entry/snapshotter/snapshotter_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -204,7 +205,8 @@
 }
 
 // TestManyChanges adds thousands of servers between two reads. The snapshot read
-// before must not change, and the next one must hold all of them.
+// before must not change, and the next one must hold all of them in order, and none that was
+// removed or belongs to another service since.
 func TestManyChanges(t *testing.T) {
 	is := is.New(t)
 	s := newSnapshotter()
@@ -216,6 +218,22 @@
 	after := s.Snapshot()
 	is.Equal(len(after.Services["stock"]), 3000)
 	is.True(after == s.Snapshot()) // not rebuilt without a change
+	s.RemoveServer("17")
+	moved := server("18", "v1")
+	moved.Service = "orders"
+	s.PutServer(moved)
+	s.PutServer(server("1800a", "v2"))
+	is.Equal(len(after.Services["stock"]), 3000)
+	var ids []string
+	for _, b := range s.Snapshot().Services["stock"] {
+		ids = append(ids, b.ID)
+	}
+	is.Equal(len(ids), 2999)
+	is.True(slices.IsSorted(ids))
+	is.True(!slices.Contains(ids, "17") && !slices.Contains(ids, "18") && slices.Contains(ids, "1800a"))
+	is.Equal(s.Snapshot().Services["orders"][0].ID, "18")
+	s.RemoveServer("18")
+	is.Equal(len(s.Snapshot().Services), 1)
 }
 
 // TestOlderConfigurationDuringRebuild guards against requests that read the state before a
