reflector: a relay makes each batch of changes once

Cause: for each heartbeat to an entry that lacks changes, a relay goes through all keys. With 3,300 keys that takes 0.1 ms, and a relay of 100 entries sends 330 heartbeats a second, so that it is busy with it for 40 ms of each second while a failure domain returns. Change: batches with a limit are kept until the copy changes, 16 at most, by the revision that the receiver has confirmed and the limit. Most entries have confirmed the same revision.

--- a/entry/reflector/batch.go
+++ b/entry/reflector/batch.go
@@ -14,10 +14,35 @@
 //
 // A limit other than zero bounds the size of the batch in bytes. Values larger than that
 // are omitted, and the batch ends before the first change that does not fit any more. A
-// full batch that does not fit is empty and its revision zero.
+// full batch that does not fit is empty and its revision zero. Batches with a limit are kept
+// until the copy changes, and must not be altered: a relay sends the same one to most entries
+// of its failure domain, and with 3,300 keys each takes 0.1 ms of a core.
 func (r *Reflector) ChangesSince(above storer.Revision, limit int) (b Batch) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	asked := bounds{above, limit}
+	if b, ok := r.batches[asked]; ok {
+		return b
+	}
+	b = r.changesSince(above, limit)
+	if limit != 0 && len(r.batches) < maxBatches {
+		r.batches[asked] = b
+	}
+	return b
+}
+
+// maxBatches is the number of batches that are kept. Entries mostly report one of a few
+// revisions.
+const maxBatches = 16
+
+// bounds is what a batch was asked for.
+type bounds struct {
+	above storer.Revision
+	limit int
+}
+
+// changesSince is ChangesSince without the batches that are kept. The caller holds the lock.
+func (r *Reflector) changesSince(above storer.Revision, limit int) (b Batch) {
 	if !r.ready {
 		return Batch{}
 	}
--- a/entry/reflector/batch_test.go
+++ b/entry/reflector/batch_test.go
@@ -69,8 +69,8 @@
 	})
 }
 
-// TestBatchOverLimit guards against batches that skip a change between two others, and
-// against full batches that lack keys.
+// TestBatchOverLimit guards against batches that skip a change between two others, against
+// full batches that lack keys, and against a batch of before a change.
 func TestBatchOverLimit(t *testing.T) {
 	runWithFixture(t, func(is *is.I, fx *fixture) {
 		var changes []*linkpb.Change
@@ -85,6 +85,11 @@
 		is.Equal(b.CompleteRevision(), storer.Revision(11))
 		is.Equal(fx.reflector.ChangesSince(3, 100).Revision, storer.Revision(0)) // a full batch
 		is.Equal(len(fx.reflector.ChangesSince(10, 0).Changes), 4)
+		is.Equal(len(fx.reflector.ChangesSince(13, 100).Changes), 1)
+		fx.reflector.ApplyBatch(time.Now(), reflector.Batch{Revision: 15, Changes: []*linkpb.Change{{Key: "e", Value: []byte("v"), Revision: 15}}})
+		b = fx.reflector.ChangesSince(13, 100)
+		is.Equal(len(b.Changes), 2)
+		is.Equal(b.Revision, storer.Revision(15))
 	})
 }
 
--- a/entry/reflector/hold.go
+++ b/entry/reflector/hold.go
@@ -48,6 +48,7 @@
 // applyOrHold applies a change, or holds it back for a time. A key that was written again
 // since it is held is applied at once. The caller holds the lock.
 func (r *Reflector) applyOrHold(now time.Time, c Change, hold time.Duration) {
+	clear(r.batches)
 	h, held := r.held[c.Key]
 	writtenAgain := held && !c.Deleted && c.Revision > h.change.Revision
 	switch {
@@ -69,6 +70,7 @@
 			continue
 		}
 		delete(r.held, key)
+		clear(r.batches)
 		r.apply(now, h.change)
 	}
 }
--- a/entry/reflector/reflector.go
+++ b/entry/reflector/reflector.go
@@ -140,6 +140,8 @@
 	omittedUpTo storer.Revision
 	// wakeReads starts the reads of omitted values.
 	wakeReads chan struct{}
+	// batches holds results of ChangesSince until the copy changes.
+	batches map[bounds]Batch
 }
 
 // keyState is the newest known state of a key. A deleted one is a tombstone.
@@ -154,7 +156,7 @@
 func New(o Options) *Reflector {
 	return &Reflector{
 		o: o, keys: map[string]*keyState{}, held: map[string]heldChange{},
-		omitted: map[string]omission{}, wakeReads: make(chan struct{}, 1),
+		omitted: map[string]omission{}, wakeReads: make(chan struct{}, 1), batches: map[bounds]Batch{},
 	}
 }
 
@@ -235,6 +237,7 @@
 	}
 	if !r.ready {
 		r.ready = true
+		clear(r.batches)
 		r.unconfirmedSince = now
 		r.compacted = b.Revision
 		r.o.Log.Info("State taken from another entry.", "revision", b.Revision.Number())
@@ -268,6 +271,7 @@
 	r.advance(at)
 	if !r.ready {
 		r.compacted = at
+		clear(r.batches)
 	}
 	r.ready = true
 	if afterOutage {
@@ -289,6 +293,7 @@
 // lock.
 func (r *Reflector) advance(revision storer.Revision) {
 	if revision > r.revision {
+		clear(r.batches)
 		if r.ready && revision.Era() > r.revision.Era() {
 			r.o.Log.Warn("Store was restored from a copy.", "era", revision.Era(), "revision", revision.Number(), "known", r.revision.Number())
 		}
@@ -305,6 +310,7 @@
 	for key, e := range r.keys {
 		if e.deleted && now.Sub(e.appliedAt) > tombstoneTTL {
 			delete(r.keys, key)
+			clear(r.batches)
 			r.compacted = max(r.compacted, e.revision)
 		}
 	}
@@ -318,6 +324,7 @@
 	if ok && c.Revision <= known.revision {
 		return
 	}
+	clear(r.batches)
 	if h, held := r.held[c.Key]; held {
 		if c.Revision <= h.change.Revision {
 			return
