balancer: less memory for each connection with an unread response

Cause: in the trial of 1,500 connections with unread responses, the resident memory grew by up to 92 MB; the bound is 60 MiB. Measured in the process at the peak: 33.8 MB live heap of 40.3, and 25 MB of stacks. The frames of the request path exceeded 8 KiB together, so that each connection had a stack of 16 KiB, and 600 streamed responses held a buffer of 16 KiB each. Change: probes pass their results by pointer, hedged attempts, the run of a request and the head of its response have functions of their own, so that their frames are not below that of the delivery. A streamed response has a buffer of 4 KiB, and still counts 16 KiB in the memory of requests, for its buffers and its connection to the server. TestSlowReader has two cases of 540 KB, read at 1 Mbit/s and not at all.

--- a/entry/balancer/attempt.go
+++ b/entry/balancer/attempt.go
@@ -58,9 +58,7 @@
 	return !idempotent || e.response.Status < http.StatusInternalServerError
 }
 
-// attempt sends the request to one server. Under a coordinated policy an
-// idempotent request is hedged to a second server when the first is late. The
-// first final result wins and cancels the other attempt.
+// attempt sends the request to one server, or to a second one too if it may be hedged.
 func (b *Balancer) attempt(ctx context.Context, c *call, p *picked, state *attempts) attemptResult {
 	c.tried[p.ID] = true
 	if !c.route.Idempotent || !chooser.Coordinated(b.opts.Policy) {
@@ -69,6 +67,13 @@
 		state.add(result.outcome)
 		return result
 	}
+	return b.attemptHedged(ctx, c, p, state)
+}
+
+// attemptHedged sends an idempotent request to one server, and to a second one when the first
+// is late. The first final result wins and cancels the other attempt. It is apart from attempt
+// since its frame would enlarge the stacks of all other requests.
+func (b *Balancer) attemptHedged(ctx context.Context, c *call, p *picked, state *attempts) attemptResult {
 	results := make(chan attemptResult, 2)
 	var cancels []context.CancelFunc
 	var begun []time.Time
--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -22,6 +22,7 @@
 	"samphiremux/entry/monitor"
 	"samphiremux/entry/quarantiner"
 	"samphiremux/entry/reserver"
+	"samphiremux/entry/roundtripper"
 	"samphiremux/entry/snapshotter"
 	"samphiremux/entry/throttler"
 	"samphiremux/pkg/placer"
@@ -228,19 +229,38 @@
 
 // serve serves a request of a caller, or one that another entry passes on.
 func (b *Balancer) serve(w http.ResponseWriter, r *http.Request, h *hop) {
-	c, refusal := b.receive(w, r, h)
-	if refusal != nil {
-		bodyreader.BoundDiscard(w, r)
-		b.refuse(w, r, h, *refusal, &trace{})
+	c := b.take(w, r, h)
+	if c == nil {
 		return
 	}
-	c.traceReceived()
-	b.countWorkspace(c)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline.Add(deadlineSlack))
 	defer cancel()
 	defer c.held.Release()
 	defer c.responses.Release()
 	defer b.endTrial(c)
+	if resp := b.process(ctx, w, r, c); resp != nil {
+		b.writeResponse(w, resp)
+	}
+}
+
+// take reads a request. It returns nil if the request was refused.
+func (b *Balancer) take(w http.ResponseWriter, r *http.Request, h *hop) *call {
+	c, refusal := b.receive(w, r, h)
+	if refusal != nil {
+		bodyreader.BoundDiscard(w, r)
+		b.refuse(w, r, h, *refusal, &trace{})
+		return nil
+	}
+	return c
+}
+
+// process runs a request. It returns the response that is to be written, or nil if the request
+// was refused. It is apart from serve since its frame would stay on the stack while the caller
+// reads the response.
+func (b *Balancer) process(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call) *roundtripper.Response {
+	h := c.hop
+	c.traceReceived()
+	b.countWorkspace(c)
 	resp, refusal := b.run(ctx, c)
 	c.endCount(refusal)
 	if refusal != nil {
@@ -248,7 +268,7 @@
 			w.Header().Set(delegator.CountedHeader, "1")
 		}
 		b.refuse(w, r, h, b.withRetryTime(time.Now(), c, *refusal), &c.trace)
-		return
+		return nil
 	}
 	c.trace.add(Answered, "status", resp.Status, "took-ms", time.Since(c.arrived).Milliseconds())
 	if c.delegated == "" {
@@ -258,5 +278,5 @@
 	if h != nil {
 		b.writeHopHeaders(c, resp)
 	}
-	b.writeResponse(w, resp)
+	return resp
 }
--- a/entry/balancer/delivery.go
+++ b/entry/balancer/delivery.go
@@ -16,6 +16,13 @@
 	// deliveryPiece is the size in bytes of the pieces in which a response is written, so
 	// that a caller which reads slowly differs from one that does not read.
 	deliveryPiece = 16 << 10
+	// streamPiece is the size in bytes of the buffer of a streamed response. It is small since
+	// each caller that does not read keeps one; net/http writes no more than that at once. The
+	// deadline of the request bounds the delivery beside the stall time of each piece.
+	streamPiece = 4 << 10
+	// streamCost is the memory in bytes that a streamed response takes, in buffers and by its
+	// connection to the server.
+	streamCost = 16 << 10
 	// minStallTime is the least time after which a caller that reads nothing of a response is
 	// given up. The idle timeout may be shorter, but a caller that reads slowly makes room in
 	// the buffers of the connection only every few seconds.
@@ -29,7 +36,7 @@
 )
 
 // pieces holds the buffers of streamed responses.
-var pieces = sync.Pool{New: func() any { return new([deliveryPiece]byte) }}
+var pieces = sync.Pool{New: func() any { return new([streamPiece]byte) }}
 
 // errNoRoom is returned for a response that is held for a caller that reads slowly, if there
 // is no memory left for such responses.
@@ -89,8 +96,8 @@
 		return err
 	}
 	resp.Body = nil // may be collected while the rest is streamed
-	d.hold.ResizeAt(time.Now(), deliveryPiece)
-	piece := pieces.Get().(*[deliveryPiece]byte)
+	d.hold.ResizeAt(time.Now(), streamCost)
+	piece := pieces.Get().(*[streamPiece]byte)
 	defer pieces.Put(piece)
 	_, err = io.CopyBuffer(d, resp.Remainder, piece[:])
 	return err
--- a/entry/balancer/delivery_test.go
+++ b/entry/balancer/delivery_test.go
@@ -18,20 +18,24 @@
 
 // TestSlowReader guards against a whole response that is broken off since its caller reads
 // with pauses longer than the idle timeout, and against a caller that keeps a response by
-// reading nothing.
+// reading nothing. A streamed response over a slow link is whole within its deadline.
 func TestSlowReader(t *testing.T) {
-	large := strings.Repeat("0123456789abcde\n", 240<<10/16)
 	for _, c := range []struct {
-		name  string
-		pause time.Duration
-		whole bool
+		name, head string
+		size       int
+		pause      time.Duration
+		read       int64
+		whole      bool
 	}{
-		{"with pauses", 5 * time.Second, true},
-		{"not at all", time.Minute, false},
+		{"with pauses", "GET /look/1 HTTP/1.1\r\nLeft: 400ms", 240 << 10, 5 * time.Second, 60 << 10, true},
+		{"not at all", "GET /look/1 HTTP/1.1\r\nLeft: 400ms", 240 << 10, time.Minute, 60 << 10, false},
+		{"540 KB at 1 Mbit/s", "GET /download/1 HTTP/1.1\r\nLeft: 5s", 540_000, 100 * time.Millisecond, 12_500, true},
+		{"540 KB not at all", "GET /download/1 HTTP/1.1\r\nLeft: 5s", 540_000, time.Minute, 12_500, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
+				large := strings.Repeat("0123456789abcde\n", c.size/16)
 				all := servers(1, func(w io.Writer, id string) bool {
 					_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Length: %d\r\n\r\n%s", id, len(large), large)
 					return err == nil
@@ -47,7 +51,7 @@
 				defer server.Close()
 				defer close(l.conns)
 				defer caller.Close()
-				_, err := io.WriteString(caller, "GET /look/1 HTTP/1.1\r\nHost: h\r\nId: r1\r\nLeft: 400ms\r\n\r\n")
+				_, err := io.WriteString(caller, c.head+"\r\nHost: h\r\nId: r1\r\n\r\n")
 				is.NoErr(err)
 				resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
 				is.NoErr(err)
@@ -55,7 +59,7 @@
 				for err == nil && got < len(large) {
 					time.Sleep(c.pause)
 					var n int64
-					n, err = io.CopyN(io.Discard, resp.Body, 60<<10)
+					n, err = io.CopyN(io.Discard, resp.Body, c.read)
 					got += int(n)
 				}
 				is.Equal(got == len(large), c.whole)
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -121,7 +121,7 @@
 	return min(remaining, time.Duration(maxQueueObjective*float64(c.route.TargetLatency)))
 }
 
-func (r probeResult) release() {
+func (r *probeResult) release() {
 	if r.err == nil && r.conn != nil {
 		r.State.Release(r.conn)
 	}
@@ -131,7 +131,7 @@
 // what cost. A server that is cold or states a rate limit may only if this entry's
 // part of the rate allows a request now. If that is why it may not, unusable is the
 // reason for a refusal.
-func (b *Balancer) evaluate(c *call, est routeEstimate, r probeResult) (p *picked, cost float64, unusable refuser.Reason) {
+func (b *Balancer) evaluate(c *call, est routeEstimate, r *probeResult) (p *picked, cost float64, unusable refuser.Reason) {
 	if reason := unavailable(r.State); reason != "" {
 		return nil, 0, reason
 	}
@@ -195,17 +195,18 @@
 // the first response, or after probeRoundTimeout without a response, which is extended while
 // the own link is saturated. Answers to earlier rounds count as well. Without servers it waits
 // for those until they are too late.
-func (p *probes) round(ctx context.Context, batch []candidate) (results []probeResult) {
+func (p *probes) round(ctx context.Context, batch []candidate) (results []*probeResult) {
 	p.rounds++
 	round, awaited := p.rounds, len(batch)
 	timeout := p.balancer.opts.Link.Start(time.Now(), probeRoundTimeout).WithLimit(p.limit)
 	if awaited == 0 {
 		awaited, timeout = p.pending, p.late
 	}
-	for _, cand := range batch {
+	for i := range batch {
+		r := &probeResult{candidate: batch[i], round: round}
 		go func() {
-			r := p.balancer.probe(ctx, cand, p.path, round)
-			p.results <- &r
+			p.balancer.probe(ctx, p.path, r)
+			p.results <- r
 		}()
 	}
 	p.pending += len(batch)
@@ -216,7 +217,7 @@
 		select {
 		case r := <-p.results:
 			p.pending--
-			results = append(results, *r)
+			results = append(results, r)
 			if r.round == round || len(batch) == 0 {
 				awaited--
 			}
@@ -247,46 +248,46 @@
 	}()
 }
 
-// probe probes a server. It goes on when the request ends first, so that servers that do not
-// answer count.
-func (b *Balancer) probe(ctx context.Context, cand candidate, path string, round int) probeResult {
+// probe probes the server of a result and completes the result. It goes on when the request
+// ends first, so that servers that do not answer count.
+func (b *Balancer) probe(ctx context.Context, path string, r *probeResult) {
 	sent := time.Now()
 	timeout := b.opts.Link.Start(sent, probeTimeout)
 	ctx, cancel := linkcounter.WithTimeout(context.WithoutCancel(ctx), timeout)
 	defer cancel()
-	h, conn, err := cand.State.Probe(ctx, path)
+	r.health, r.conn, r.err = r.State.Probe(ctx, path)
 	failure := probeFailure("")
-	if err != nil {
-		failure = failureOf(ctx, timeout, err)
+	if r.err != nil {
+		failure = failureOf(ctx, timeout, r.err)
 	}
-	b.observeProbe(cand, sent, h, err, failure)
-	return probeResult{candidate: cand, round: round, health: h, conn: conn, err: err, linkTime: timeout.SaturatedTime(time.Now())}
+	b.observeProbe(r, sent, failure)
+	r.linkTime = timeout.SaturatedTime(time.Now())
 }
 
 // observeProbe updates the state of a server after a probe that was sent at a time, and
-// failed in a way unless err is nil.
-func (b *Balancer) observeProbe(cand candidate, sent time.Time, h roundtripper.Health, err error, failure probeFailure) {
+// failed in a way unless the error of the result is nil.
+func (b *Balancer) observeProbe(r *probeResult, sent time.Time, failure probeFailure) {
 	now := time.Now()
 	result := "ok"
-	if err != nil {
+	if r.err != nil {
 		result = "error"
 		b.metrics.failedProbes.With(string(failure)).Inc()
 	}
 	b.metrics.probes.With(result).Inc()
 	switch {
 	case failure == probeAtBound, failure == probeOwnLink:
-	case err == nil:
-		cand.State.ObserveProbe(now, sent, h)
-		b.observeRateLimit(now, cand.Backend, h.RateLimit)
+	case r.err == nil:
+		r.State.ObserveProbe(now, sent, r.health)
+		b.observeRateLimit(now, r.Backend, r.health.RateLimit)
 		b.observeReached()
-	case isWrongInstance(err):
-		cand.State.SetReplaced(now)
+	case isWrongInstance(r.err):
+		r.State.SetReplaced(now)
 		b.observeReached()
-	case responded(err):
-		cand.State.Eject(now)
+	case responded(r.err):
+		r.State.Eject(now)
 		b.observeReached()
 	default:
-		cand.State.Eject(now)
-		b.observeUnreached(cand.ID)
+		r.State.Eject(now)
+		b.observeUnreached(r.ID)
 	}
 }
--- a/entry/balancer/response.go
+++ b/entry/balancer/response.go
@@ -94,6 +94,20 @@
 // response ends early, it aborts the caller's connection, so that the caller
 // does not take a truncated response for a complete one.
 func (b *Balancer) writeResponse(w http.ResponseWriter, resp *roundtripper.Response) {
+	if resp.Remainder != nil {
+		defer resp.Remainder.Close()
+	}
+	writeHead(w, resp)
+	if err := b.deliver(w, resp); err != nil {
+		if resp.Remainder != nil {
+			b.opts.Log.Warn("Streamed response ended early; aborting the connection to the caller.", "error", err)
+		}
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// writeHead writes the status and the headers of a server's response.
+func writeHead(w http.ResponseWriter, resp *roundtripper.Response) {
 	h := w.Header()
 	for name, values := range endToEndHeader(resp.Header) {
 		h[name] = values
@@ -103,14 +117,6 @@
 	}
 	if resp.Remainder == nil {
 		h.Set("Content-Length", contentLength(resp))
-	} else {
-		defer resp.Remainder.Close()
 	}
 	w.WriteHeader(resp.Status)
-	if err := b.deliver(w, resp); err != nil {
-		if resp.Remainder != nil {
-			b.opts.Log.Warn("Streamed response ended early; aborting the connection to the caller.", "error", err)
-		}
-		panic(http.ErrAbortHandler)
-	}
 }
