--- a/entry/balancer/delivery.go
+++ b/entry/balancer/delivery.go
@@ -44,6 +44,6 @@
 		return err
 	}
 	resp.Body = nil // may be collected while the rest is streamed
-	hold.ResizeAt(time.Now(), deliverer.PieceBytes)
+	hold.ResizeAt(time.Now(), deliverer.StreamCost)
 	return d.Stream(resp.Remainder)
 }
--- a/entry/deliverer/deliverer.go
+++ b/entry/deliverer/deliverer.go
@@ -12,9 +12,15 @@
 )
 
 const (
-	// PieceBytes is the size of the pieces in which a response is written, so that a caller
+	// StreamCost is the memory in bytes that a streamed response takes, in buffers and by its
+	// connection to the server.
+	StreamCost = 16 << 10
+	// pieceBytes is the size of the pieces in which a response is written, so that a caller
 	// which reads slowly differs from one that does not read.
-	PieceBytes = 16 << 10
+	pieceBytes = 16 << 10
+	// streamBytes is the size of the buffer of a streamed response. It is small since each
+	// caller that does not read keeps one; net/http writes no more than that at once.
+	streamBytes = 4 << 10
 	// minStallTime is the least time after which a caller that reads nothing of a response is
 	// given up. The idle timeout may be shorter, but a caller that reads slowly makes room in
 	// the buffers of the connection only every few seconds.
@@ -26,7 +32,7 @@
 var ErrNoRoom = errors.New("no room is left for a response that is not read")
 
 // pieces holds the buffers of streamed responses.
-var pieces = sync.Pool{New: func() any { return new([PieceBytes]byte) }}
+var pieces = sync.Pool{New: func() any { return new([streamBytes]byte) }}
 
 // BoundWrite bounds the time for which a caller may leave a small response unread. Without it
 // the connection stays in use, and the bound of connections closes none in use.
@@ -57,7 +63,7 @@
 			return written, ErrNoRoom
 		}
 		var n int
-		n, err = d.w.Write(p[written:min(len(p), written+PieceBytes)])
+		n, err = d.w.Write(p[written:min(len(p), written+pieceBytes)])
 		written += n
 		d.hold.Progress(time.Now(), n)
 	}
@@ -66,7 +72,7 @@
 
 // Stream writes what is read from r.
 func (d *Delivery) Stream(r io.Reader) error {
-	piece := pieces.Get().(*[PieceBytes]byte)
+	piece := pieces.Get().(*[streamBytes]byte)
 	defer pieces.Put(piece)
 	_, err := io.CopyBuffer(d, r, piece[:])
 	return err
--- a/entry/forwarder/delivery.go
+++ b/entry/forwarder/delivery.go
@@ -41,7 +41,7 @@
 func (f *Forwarder) deliver(w http.ResponseWriter, a *sender.Response) error {
 	deliverer.BoundWrite(w)
 	held := int64(len(a.Body))
-	if held <= deliverer.PieceBytes {
+	if held <= deliverer.StreamCost {
 		// Smaller bodies fit in the buffers of the connection.
 		held = 0
 	}
