balancer: tests share their fixture, routes, servers and headers

Cause: each test of the balancer that is new since set up virtual time, a fixture and its end, and four of them wrote routes, tables, servers or headers again. Change: withFixture, withSubset and withShortFixture set a test up; routeOf, tableOf, serverOf, callerHeaders and metric are used by all. The tables of TestAccess, TestUnfinishedBodies, TestSaturatedLinkTakenForDeadServers and TestUrgentRequestsUseFullServers are in _fixtures. TestHedgesWithinLimit also requires that without a hedge not all requests are served. TestShortenedTimeLimit passed without the rule that it guards (RouteLimit of the scheduler), also on; a second request that has to wait makes it fail then.

--- a/entry/balancer/authorize_test.go
+++ b/entry/balancer/authorize_test.go
@@ -16,6 +16,7 @@
 
 	"samphiremux/entry/chooser"
 	"samphiremux/pkg/describer"
+	"samphiremux/pkg/fixturereader"
 )
 
 // secretKey is a valid key of workspace "first" in guardedTable.
@@ -24,14 +25,9 @@
 // guardedTable returns a table like that of the fixture, but with workspaces. The route
 // "open" is public. Without workspaces no key is valid.
 func guardedTable(version int64, workspaces ...describer.KeyedWorkspace) *describer.RouteTable {
-	route := func(name string, idempotent, public bool) describer.Route {
-		return describer.Route{
-			Name: name, Host: "h", Prefix: "/" + name + "/", Idempotent: idempotent, Public: public, TimeLimit: 500 * time.Millisecond,
-			TargetLatency: 200 * time.Millisecond, MaxAttempts: 2, Services: []describer.WeightedService{{Service: "stock", Share: 1}},
-		}
-	}
-	return describer.NewRouteTable(version, []describer.Route{route("look", true, false), route("book", false, false), route("open", true, true)},
-		[]describer.Service{{Name: "stock", HealthPath: "/health", ColdRate: 9.3}}, describer.Limits{}).WithWorkspaces(workspaces)
+	open := routeOf("open", true)
+	open.Public = true
+	return tableOf(version, describer.Limits{}, routeOf("look", true), routeOf("book", false), open).WithWorkspaces(workspaces)
 }
 
 func firstWorkspace() describer.KeyedWorkspace {
@@ -53,60 +49,35 @@
 }
 
 // withGuardedFixture runs a test with a table that holds secretKey, in virtual time.
-func withGuardedFixture(t *testing.T, all []*backend, test func(*testing.T, *fixture)) {
+func withGuardedFixture(t *testing.T, all []*backend, test func(*is.I, *fixture)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
-		defer f.close()
+	withFixture(t, all, func(is *is.I, f *fixture) {
 		f.setTable(guardedTable(2, firstWorkspace()))
-		test(t, f)
+		test(is, f)
 	})
 }
 
-func (f *fixture) setTable(table *describer.RouteTable) {
-	if err := f.snapshotter.SetTable(table); err != nil {
-		f.t.Error(err)
-	}
-}
-
 // TestAccess guards against requests that are served without a valid key, and against
 // headers with which a caller poses as a workspace or shows its key to a server.
 func TestAccess(t *testing.T) {
-	for _, c := range []struct {
-		name, path string
-		sent       http.Header
-		outdated   bool
-		status     int
-		// workspace is what the server gets.
-		workspace []string
-	}{
-		{"valid key", "/look/1", http.Header{"Key": {secretKey}}, false, 200, []string{"first"}},
-		{"valid key, workspace claimed", "/look/1", http.Header{"Key": {secretKey}, "Workspace": {"second", "third"}}, false, 200, []string{"first"}},
-		{"valid key, headers named as hop-by-hop", "/look/1", http.Header{"Key": {secretKey}, "Connection": {"Key, Workspace"}}, false, 200, []string{"first"}},
-		{"unknown key", "/look/1", http.Header{"Key": {"other"}}, false, 401, nil},
-		{"no key", "/book/1", nil, false, 401, nil},
-		{"no key, workspace claimed", "/book/1", http.Header{"Workspace": {"first"}}, false, 401, nil},
-		{"two keys", "/look/1", http.Header{"Key": {secretKey, secretKey}}, false, 401, nil},
-		{"no route", "/else/1", nil, false, 404, nil},
-		{"unknown key, newer configuration", "/look/1", http.Header{"Key": {"other"}}, true, 503, nil},
-		{"no key, newer configuration", "/look/1", nil, true, 503, nil},
-		{"valid key, newer configuration", "/look/1", http.Header{"Key": {secretKey}}, true, 200, []string{"first"}},
-		{"public route", "/open/1", nil, false, 200, nil},
-		{"public route, workspace claimed", "/open/1", http.Header{"Workspace": {"first"}}, false, 200, nil},
-		{"public route, unknown key", "/open/1", http.Header{"Key": {"other"}}, false, 200, nil},
-		{"public route, valid key", "/open/1", http.Header{"Key": {secretKey}}, false, 200, []string{"first"}},
-	} {
-		t.Run(c.name, func(t *testing.T) {
+	type access struct {
+		Name, Path string
+		Sent       http.Header
+		Outdated   bool
+		Status     int
+		Workspace  []string
+	}
+	for _, c := range fixturereader.Read[[]access](t, "_fixtures/access.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
 			all := servers(1, respondOK)
-			withGuardedFixture(t, all, func(t *testing.T, f *fixture) {
-				is := is.New(t)
-				f.outdated = c.outdated
-				w := f.sendWith(http.MethodGet, c.path, "r1", c.sent)
-				is.Equal(w.Code, c.status)
-				is.Equal(w.Header().Get("Challenge") != "", c.status == 401)
-				is.Equal(arrivals(all) == 1, c.status == 200)
-				if c.status == 200 {
-					is.Equal(all[0].arrived[0].Header.Values("Workspace"), append([]string(nil), c.workspace...))
+			withGuardedFixture(t, all, func(is *is.I, f *fixture) {
+				f.outdated = c.Outdated
+				w := f.sendWith(http.MethodGet, c.Path, "r1", c.Sent)
+				is.Equal(w.Code, c.Status)
+				is.Equal(w.Header().Get("Challenge") != "", c.Status == 401)
+				is.Equal(arrivals(all) == 1, c.Status == 200)
+				if c.Status == 200 {
+					is.Equal(all[0].arrived[0].Header.Values("Workspace"), append([]string(nil), c.Workspace...))
 					is.Equal(all[0].arrived[0].Header.Values("Key"), []string(nil))
 				}
 			})
@@ -117,11 +88,8 @@
 // TestHeadersWithoutWorkspaces guards against headers that are withheld from servers of a
 // configuration without workspaces.
 func TestHeadersWithoutWorkspaces(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		all := servers(1, respondOK)
-		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
-		defer f.close()
+	all := servers(1, respondOK)
+	withFixture(t, all, func(is *is.I, f *fixture) {
 		sent := http.Header{"Key": {"a", "b"}, "Workspace": {"c", "d"}}
 		is.Equal(f.sendWith(http.MethodGet, "/look/1", "r1", sent).Code, http.StatusOK)
 		is.Equal(all[0].arrived[0].Header["Key"], []string{"a", "b"})
@@ -149,11 +117,8 @@
 		{"workspaces come into force", nil, guardedTable(3, firstWorkspace()), respondShed, 503, 2, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				all := servers(2, nil)
-				f := newFixture(t, chooser.ExpectedCompletion{}, all...)
-				defer f.close()
+			all := servers(2, nil)
+			withFixture(t, all, func(is *is.I, f *fixture) {
 				if c.begin != nil {
 					f.setTable(c.begin)
 				}
@@ -190,8 +155,7 @@
 func TestKeyRevokedWhileProbing(t *testing.T) {
 	all := servers(1, respondOK)
 	all[0].probeDelay = 8 * time.Millisecond
-	withGuardedFixture(t, all, func(t *testing.T, f *fixture) {
-		is := is.New(t)
+	withGuardedFixture(t, all, func(is *is.I, f *fixture) {
 		time.AfterFunc(4*time.Millisecond, func() { f.setTable(guardedTable(3)) })
 		is.Equal(f.sendWith(http.MethodPost, "/book/1", "r1", http.Header{"Key": {secretKey}}).Code, http.StatusUnauthorized)
 		is.Equal(arrivals(all), 0)
@@ -211,8 +175,7 @@
 			for _, b := range all {
 				b.work = 300 * time.Millisecond
 			}
-			withGuardedFixture(t, all, func(t *testing.T, f *fixture) {
-				is := is.New(t)
+			withGuardedFixture(t, all, func(is *is.I, f *fixture) {
 				if c.revoked {
 					time.AfterFunc(50*time.Millisecond, func() { f.setTable(guardedTable(3)) })
 				}
@@ -227,8 +190,7 @@
 // TestWorkspaceLabels guards against a metric that grows with each workspace that ever was
 // in a configuration.
 func TestWorkspaceLabels(t *testing.T) {
-	withGuardedFixture(t, servers(1, respondOK), func(t *testing.T, f *fixture) {
-		is := is.New(t)
+	withGuardedFixture(t, servers(1, respondOK), func(is *is.I, f *fixture) {
 		for n := range 250 {
 			key := fmt.Sprintf("key-%d", n)
 			w := describer.KeyedWorkspace{Workspace: describer.Workspace{Name: fmt.Sprintf("w-%d", n)}, Keys: []string{key}}
@@ -237,9 +199,8 @@
 		}
 		out := httptest.NewRecorder()
 		f.metrics.ServeHTTP(out, nil)
-		series := strings.Count(out.Body.String(), "samphire_workspace_requests_total{")
-		is.Equal(series, 200)
-		is.True(strings.Contains(out.Body.String(), `samphire_workspace_requests_total{workspace="(others)"} 51`))
+		is.Equal(strings.Count(out.Body.String(), "samphire_workspace_requests_total{"), 200)
+		is.Equal(f.metric(`workspace_requests_total{workspace="(others)"}`), "51")
 	})
 }
 
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -198,6 +198,58 @@
 	},
 }
 
+// routeOf returns a route to the service of the fixture.
+func routeOf(name string, idempotent bool) describer.Route {
+	return describer.Route{
+		Name: name, Host: "h", Prefix: "/" + name + "/", Idempotent: idempotent, TimeLimit: 500 * time.Millisecond,
+		TargetLatency: 200 * time.Millisecond, MaxAttempts: 2, Services: []describer.WeightedService{{Service: "stock", Share: 1}},
+	}
+}
+
+// tableOf returns a table of routes to the service of the fixture.
+func tableOf(version int64, limits describer.Limits, routes ...describer.Route) *describer.RouteTable {
+	return describer.NewRouteTable(version, routes, []describer.Service{{Name: "stock", HealthPath: "/health", ColdRate: 9.3}}, limits)
+}
+
+// callerHeaders are the headers of requests that callers send and servers get.
+var callerHeaders = balancer.Headers{
+	RequestID: "Id", Instance: "Expect",
+	ReadDeadline: func(h http.Header) (time.Duration, bool) {
+		d, err := time.ParseDuration(h.Get("Left"))
+		return d, err == nil
+	},
+	SetDeadline:   func(h http.Header, d time.Duration) { h.Set("Left", d.String()) },
+	SetRetryAfter: func(h http.Header, d time.Duration) { h.Set("Retry-After", d.String()) },
+	Key:           "Key", Workspace: "Workspace",
+	ReadKey:      func(h http.Header) (string, bool) { return h.Get("Key"), len(h.Values("Key")) == 1 },
+	SetChallenge: func(h http.Header) { h.Set("Challenge", "key") },
+}
+
+func (f *fixture) setTable(table *describer.RouteTable) {
+	f.t.Helper()
+	if err := f.snapshotter.SetTable(table); err != nil {
+		f.t.Error(err)
+	}
+}
+
+// serverOf returns the server with an id as the fixture registers it. The number is its port.
+func serverOf(id string, number int) describer.Server {
+	return describer.Server{
+		ID: id, Service: "stock", Domain: "a", Version: "v1", Slots: 2,
+		Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(number)),
+	}
+}
+
+// withFixture runs a test with a fixture of servers, in virtual time.
+func withFixture(t *testing.T, all []*backend, test func(*is.I, *fixture)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+		defer f.close()
+		test(is.New(t), f)
+	})
+}
+
 func newFixture(t *testing.T, policy chooser.Policy, backends ...*backend) *fixture {
 	return newEntryFixture(t, 0, policy, backends...)
 }
@@ -254,23 +306,11 @@
 			return clientConn, nil
 		}, headers))
 	})
-	route := func(name string, idempotent bool) describer.Route {
-		return describer.Route{
-			Name: name, Host: "h", Prefix: "/" + name + "/", Idempotent: idempotent, TimeLimit: 500 * time.Millisecond,
-			TargetLatency: 200 * time.Millisecond, MaxAttempts: 2, Services: []describer.WeightedService{{Service: "stock", Share: 1}},
-		}
-	}
-	download := route("download", true)
+	download := routeOf("download", true)
 	download.TimeLimit, download.TargetLatency = 5*time.Second, 2*time.Second
-	if err := f.snapshotter.SetTable(describer.NewRouteTable(1, []describer.Route{route("look", true), route("book", false), download},
-		[]describer.Service{{Name: "stock", HealthPath: "/health", ColdRate: 9.3}}, describer.Limits{HeaderBytes: 2 << 10, BodyBytes: 1 << 20})); err != nil {
-		t.Fatal(err)
-	}
+	f.setTable(tableOf(1, describer.Limits{HeaderBytes: 2 << 10, BodyBytes: 1 << 20}, routeOf("look", true), routeOf("book", false), download))
 	for i, b := range backends {
-		f.snapshotter.PutServer(describer.Server{
-			ID: b.id, Service: "stock", Domain: "a", Version: "v1", Slots: 2,
-			Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1)),
-		})
+		f.snapshotter.PutServer(serverOf(b.id, i+1))
 	}
 	f.balancer = balancer.New(balancer.Options{
 		Link: f.gauger,
@@ -301,22 +341,22 @@
 			defer f.mu.Unlock()
 			f.notices = append(f.notices, suspectNotice{fingerprint, crashes})
 		},
-		Headers: balancer.Headers{
-			RequestID: "Id", Instance: "Expect",
-			ReadDeadline: func(h http.Header) (time.Duration, bool) {
-				d, err := time.ParseDuration(h.Get("Left"))
-				return d, err == nil
-			},
-			SetDeadline:   func(h http.Header, d time.Duration) { h.Set("Left", d.String()) },
-			SetRetryAfter: func(h http.Header, d time.Duration) { h.Set("Retry-After", d.String()) },
-			Key:           "Key", Workspace: "Workspace",
-			ReadKey:      func(h http.Header) (string, bool) { return h.Get("Key"), len(h.Values("Key")) == 1 },
-			SetChallenge: func(h http.Header) { h.Set("Challenge", "key") },
-		},
+		Headers: callerHeaders,
 	}, rand.New(rand.NewPCG(1, 1+entry)))
 	return f
 }
 
+// metric returns the value of a metric with its labels, or nothing if there is none.
+func (f *fixture) metric(name string) string { return metricOf(f.metrics, name) }
+
+func metricOf(r *meter.Registry, name string) string {
+	w := httptest.NewRecorder()
+	r.ServeHTTP(w, nil)
+	_, rest, _ := strings.Cut(w.Body.String(), "\nsamphire_"+name+" ")
+	value, _, _ := strings.Cut(rest, "\n")
+	return value
+}
+
 // close closes the connections, so that the goroutines of the servers end.
 func (f *fixture) close() {
 	synctest.Wait()
--- a/entry/balancer/bounded_body_test.go
+++ b/entry/balancer/bounded_body_test.go
@@ -24,6 +24,7 @@
 	"samphiremux/entry/roundtripper"
 	"samphiremux/entry/snapshotter"
 	"samphiremux/pkg/describer"
+	"samphiremux/pkg/fixturereader"
 )
 
 // TestUnfinishedBodies guards against the memory and the connections of requests whose
@@ -32,21 +33,12 @@
 func TestUnfinishedBodies(t *testing.T) {
 	const head = "POST /book/ HTTP/1.1\r\nHost: h\r\nId: r1\r\n"
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", 80_000, strings.Repeat("x", 80_000))
-	for _, c := range []struct {
-		name, left, sent string
-		// closes is set if the caller closes its connection, and other if another request
-		// needs the memory.
-		closes, other bool
-		reason        string
-	}{
-		{"stated length, until the deadline", "300ms", "Content-Length: 150000\r\n\r\n" + chunk, false, false, "deadline-passed"},
-		{"in chunks, until the deadline", "300ms", "Transfer-Encoding: chunked\r\n\r\n" + chunk, false, false, "deadline-passed"},
-		{"stated length, for another request", "8s", "Content-Length: 150000\r\n\r\n" + chunk, false, true, "memory-full"},
-		{"in chunks, for another request", "8s", "Transfer-Encoding: chunked\r\n\r\n" + chunk, false, true, "memory-full"},
-		{"in chunks, cut off", "8s", "Transfer-Encoding: chunked\r\n\r\n" + chunk, true, false, "caller-gone"},
-		{"whole", "8s", "Transfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n\r\n", false, false, "no-backend-server"},
-	} {
-		t.Run(c.name, func(t *testing.T) {
+	type upload struct {
+		Name, Left, States, End, Reason string
+		Closes, Other                   bool
+	}
+	for _, c := range fixturereader.Read[[]upload](t, "_fixtures/unfinished_bodies.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
 			memory, metrics := reserver.New(200<<10), meter.New()
@@ -58,22 +50,19 @@
 				is.NoErr(err)
 				return conn
 			}
-			conn := send(head + "Left: " + c.left + "\r\n" + c.sent)
+			conn := send(head + "Left: " + c.Left + "\r\n" + c.States + "\r\n\r\n" + chunk + c.End)
 			defer conn.Close()
-			if c.closes {
+			if c.Closes {
 				time.Sleep(100 * time.Millisecond)
 				_ = conn.(*net.TCPConn).CloseWrite()
 			}
-			if c.other {
+			if c.Other {
 				time.Sleep(1200 * time.Millisecond) // longer than a hold may stall
 				other := send(head + "Left: 8s\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 100_000))
 				defer other.Close()
 			}
-			want := fmt.Sprintf("samphire_refusals_total{kind=\"not-run\",reason=%q} 1\n", c.reason)
 			isRefused := func() bool {
-				w := httptest.NewRecorder()
-				metrics.ServeHTTP(w, nil)
-				return strings.Contains(w.Body.String(), want)
+				return metricOf(metrics, fmt.Sprintf("refusals_total{kind=\"not-run\",reason=%q}", c.Reason)) == "1"
 			}
 			for range 500 {
 				if isRefused() && memory.Used() == 0 {
@@ -81,7 +70,7 @@
 				}
 				time.Sleep(10 * time.Millisecond)
 			}
-			t.Errorf("refused as %s: %v; %d bytes are held", c.reason, isRefused(), memory.Used())
+			t.Errorf("refused as %s: %v; %d bytes are held", c.Reason, isRefused(), memory.Used())
 		})
 	}
 }
@@ -118,9 +107,7 @@
 		is.NoErr(err)
 		// A caller is given up after 15 s without progress, however short the idle timeout is.
 		for range 2000 {
-			w := httptest.NewRecorder()
-			metrics.ServeHTTP(w, nil)
-			if !strings.Contains(w.Body.String(), "samphire_undelivered_responses_total{cause=\"stalled\"} 0\n") && memory.Used() == 0 {
+			if metricOf(metrics, `undelivered_responses_total{cause="stalled"}`) != "0" && memory.Used() == 0 {
 				return
 			}
 			time.Sleep(10 * time.Millisecond)
@@ -139,28 +126,24 @@
 			return d.DialContext(ctx, "tcp", s.Address.String())
 		}, headers))
 	})
-	route := describer.Route{
-		Name: "book", Host: "h", Prefix: "/book/", TimeLimit: 10 * time.Second, TargetLatency: time.Second, MaxAttempts: 1,
-		Services: []describer.WeightedService{{Service: "stock", Share: 1}},
-	}
-	if err := snapshots.SetTable(describer.NewRouteTable(1, []describer.Route{route}, []describer.Service{{Name: "stock", HealthPath: "/health"}}, describer.Limits{})); err != nil {
+	route := routeOf("book", false)
+	route.TimeLimit, route.TargetLatency, route.MaxAttempts = 10*time.Second, time.Second, 1
+	if err := snapshots.SetTable(tableOf(1, describer.Limits{}, route)); err != nil {
 		t.Fatal(err)
 	}
 	if backend != nil {
-		snapshots.PutServer(describer.Server{ID: "i-1", Service: "stock", Domain: "a", Version: "v1", Slots: 2, Address: netip.MustParseAddrPort(backend.String())})
+		srv := serverOf("i-1", 1)
+		srv.Address = netip.MustParseAddrPort(backend.String())
+		snapshots.PutServer(srv)
 	}
+	headers := callerHeaders
+	headers.Instance = "Expect-Instance" // the backend is of net/http, which refuses other values of Expect
 	b := balancer.New(balancer.Options{
 		Self: "e0", Domain: "a", Policy: chooser.ExpectedCompletion{}, Snapshot: snapshots.Snapshot, Bodies: memory, Metrics: metrics,
 		EntryCount: func() int { return 1 }, Rank: func(string) (int, int) { return 0, 1 },
 		IdleTimeout: func() time.Duration { return 300 * time.Millisecond },
 		RetryLimits: func() balancer.Limits { return balancer.Limits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second} }, Log: hclog.NewNullLogger(),
-		Headers: balancer.Headers{
-			RequestID: "Id", Instance: "Expect-Instance", SetDeadline: func(http.Header, time.Duration) {}, SetRetryAfter: func(http.Header, time.Duration) {},
-			ReadDeadline: func(h http.Header) (time.Duration, bool) {
-				d, err := time.ParseDuration(h.Get("Left"))
-				return d, err == nil
-			},
-		},
+		Headers: headers,
 	}, rand.New(rand.NewPCG(1, 1)))
 	server := httptest.NewServer(b)
 	t.Cleanup(func() {
--- a/entry/balancer/hedge_test.go
+++ b/entry/balancer/hedge_test.go
@@ -4,16 +4,12 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
-	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
-	"samphiremux/entry/chooser"
 	"samphiremux/entry/hedger"
 	"samphiremux/entry/roundtripper"
 	"samphiremux/entry/snapshotter"
@@ -39,13 +35,11 @@
 		{"second server is full", "/look/1", http.MethodGet, 1, func(b *backend) { b.running = 2 }, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				all := servers(2, respondOK)
-				all[0].work = time.Hour
-				all[1].slowness = 120 // the first one is chosen
-				c.change(all[1])
-				f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+			all := servers(2, respondOK)
+			all[0].work = time.Hour
+			all[1].slowness = 120 // the first one is chosen
+			c.change(all[1])
+			withFixture(t, all, func(is *is.I, f *fixture) {
 				f.balancer.UseHedger(hedger.New(c.limit))
 				served := 0
 				const requests = 6
@@ -55,13 +49,8 @@
 					}
 					time.Sleep(5 * time.Second)
 				}
-				sent := arrivals(all)
-				t.Logf("%d of %d served, %d sent", served, requests, sent)
-				if c.hedges {
-					is.Equal(served, requests)
-				} else {
-					is.True(sent <= requests)
-				}
+				is.Equal(served == requests, c.hedges)
+				is.Equal(arrivals(all) > requests, c.hedges)
 				f.close()
 				time.Sleep(2 * time.Hour)
 			})
@@ -72,16 +61,13 @@
 // TestNoHedgeUnderShortage guards against hedges while requests are refused since every
 // server is full.
 func TestNoHedgeUnderShortage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		all := servers(2, respondOK)
-		all[0].running, all[1].running = 40, 40
-		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+	all := servers(2, respondOK)
+	all[0].running, all[1].running = 40, 40
+	withFixture(t, all, func(is *is.I, f *fixture) {
 		h := hedger.New(1)
 		f.balancer.UseHedger(h)
 		is.Equal(f.send(http.MethodGet, "/look/1", "1").Code, http.StatusServiceUnavailable)
 		is.Equal(h.Admit(time.Now(), "stock"), hedger.Verdict(hedger.Skip{Reason: hedger.Shortage}))
-		f.close()
 	})
 }
 
@@ -109,24 +95,20 @@
 		{"may run once", http.MethodPost, "/book/1", 1, eject, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				all := servers(2, func(w io.Writer, id string) bool {
-					_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nLoad: 1,700\r\nContent-Length: 2\r\n\r\nok", id)
-					return err == nil
-				})
-				all[0].work, all[1].work = 100*time.Millisecond, 100*time.Millisecond
-				all[1].slowness = 120 // the first one is chosen
-				f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+			all := servers(2, func(w io.Writer, id string) bool {
+				_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nLoad: 1,700\r\nContent-Length: 2\r\n\r\nok", id)
+				return err == nil
+			})
+			all[0].work, all[1].work = 100*time.Millisecond, 100*time.Millisecond
+			all[1].slowness = 120 // the first one is chosen
+			withFixture(t, all, func(is *is.I, f *fixture) {
 				if c.limit >= 0 {
 					f.balancer.UseHedger(hedger.New(c.limit))
 				}
 				for i := range 100 {
 					f.send(c.method, c.path, strconv.Itoa(i))
 				}
-				w := httptest.NewRecorder()
-				f.metrics.ServeHTTP(w, nil)
-				is.True(strings.Contains(w.Body.String(), `hedge_evidence_total{evidence="slowed"} 0`))
+				is.Equal(f.metric(`hedge_evidence_total{evidence="slowed"}`), "0")
 				before := arrivals(all)
 				all[0].work = 350 * time.Millisecond
 				go f.send(c.method, c.path, "last")
@@ -135,7 +117,6 @@
 				time.Sleep(20 * time.Millisecond)
 				is.Equal(arrivals(all), before+1+c.hedged)
 				time.Sleep(time.Second)
-				f.close()
 			})
 		})
 	}
--- a/entry/balancer/own_bound_test.go
+++ b/entry/balancer/own_bound_test.go
@@ -4,22 +4,18 @@
 	"fmt"
 	"net/http"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"samphiremux/entry/capper"
-	"samphiremux/entry/chooser"
 )
 
 // TestOwnBoundOfConnections guards against servers that are ejected, and an entry that counts
 // as cut off from them, since the entry has opened as many connections as it may.
 func TestOwnBoundOfConnections(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		all := servers(3, respondOK)
-		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+	all := servers(3, respondOK)
+	withFixture(t, all, func(is *is.I, f *fixture) {
 		for _, b := range all {
 			b.dialError = fmt.Errorf("dial: %w", capper.ErrTooManyConnections)
 		}
@@ -35,6 +31,5 @@
 			b.dialError = nil
 		}
 		is.Equal(f.send(http.MethodPost, "/book/1", "2").Code, http.StatusOK)
-		f.close()
 	})
 }
--- a/entry/balancer/shortage_test.go
+++ b/entry/balancer/shortage_test.go
@@ -16,32 +16,29 @@
 
 	"samphiremux/entry/chooser"
 	"samphiremux/pkg/describer"
+	"samphiremux/pkg/fixturereader"
 )
 
-// newShortFixture returns a fixture of servers that each run or hold a number of requests. The
-// route "look" ranks below "book" by a number.
-func newShortFixture(t *testing.T, busy, ranksBelow int) *fixture {
-	return newLoggingShortFixture(t, hclog.NewNullLogger(), busy, ranksBelow)
+// shortTable returns a table in which the route "look" ranks below "book" by a number.
+func shortTable(version int64, ranksBelow int, limit time.Duration) *describer.RouteTable {
+	routes := []describer.Route{routeOf("book", false), routeOf("look", false)}
+	for i := range routes {
+		routes[i].TimeLimit, routes[i].TargetLatency = limit, 400*time.Millisecond
+	}
+	routes[1].Importance = ranksBelow
+	return tableOf(version, describer.Limits{}, routes...)
 }
 
-// newLoggingShortFixture returns a fixture as newShortFixture does, with a log.
-func newLoggingShortFixture(t *testing.T, log hclog.Logger, busy, ranksBelow int) *fixture {
+// newShortFixture returns a fixture of servers that each run or hold a number of requests, with
+// the routes of shortTable.
+func newShortFixture(t *testing.T, log hclog.Logger, busy, ranksBelow int) *fixture {
 	all := servers(3, respondOK)
 	for _, b := range all {
 		b.running = busy
 	}
 	// With the draws of this entry, the first request is not promoted by its guaranteed share.
 	f := newFixtureOf(t, 1, log, chooser.ExpectedCompletion{}, all...)
-	route := func(name string, importance int) describer.Route {
-		return describer.Route{
-			Name: name, Host: "h", Prefix: "/" + name + "/", Importance: importance, TimeLimit: 500 * time.Millisecond,
-			TargetLatency: 400 * time.Millisecond, MaxAttempts: 2, Services: []describer.WeightedService{{Service: "stock", Share: 1}},
-		}
-	}
-	if err := f.snapshotter.SetTable(describer.NewRouteTable(2, []describer.Route{route("book", 0), route("look", ranksBelow)},
-		[]describer.Service{{Name: "stock", HealthPath: "/health"}}, describer.Limits{})); err != nil {
-		t.Fatal(err)
-	}
+	f.setTable(shortTable(2, ranksBelow, 500*time.Millisecond))
 	f.balancer.EnableQueueing()
 	if ranksBelow > 0 {
 		for range 4 {
@@ -51,6 +48,16 @@
 	return f
 }
 
+// withShortFixture runs a test with the fixture of newShortFixture, in virtual time.
+func withShortFixture(t *testing.T, busy, ranksBelow int, test func(*is.I, *fixture)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newShortFixture(t, hclog.NewNullLogger(), busy, ranksBelow)
+		defer f.close()
+		test(is.New(t), f)
+	})
+}
+
 // setBusy changes the number of requests that the servers report.
 func (f *fixture) setBusy(busy int) {
 	for _, b := range f.backends {
@@ -67,46 +74,28 @@
 	f.setBusy(busy)
 }
 
-// waiting returns the number of waiting requests by the metrics.
-func (f *fixture) waiting() string {
-	w := httptest.NewRecorder()
-	f.metrics.ServeHTTP(w, nil)
-	_, rest, _ := strings.Cut(w.Body.String(), "\nsamphire_waiting_requests ")
-	n, _, _ := strings.Cut(rest, "\n")
-	return n
-}
-
 // TestUrgentRequestsUseFullServers guards against requests of a lower rank that queue at full
 // servers as urgent ones do, and against a change for services whose requests have one rank.
 func TestUrgentRequestsUseFullServers(t *testing.T) {
-	for _, c := range []struct {
-		name, path       string
-		busy, ranksBelow int
-		lacked           bool
-		status           int
-		waits            bool
-	}{
-		{"an urgent request queues at a full server", "/book/1", 4, 1, true, 200, false},
-		{"another one does not", "/look/1", 4, 1, true, 503, true},
-		{"another one does while urgent ones find room", "/look/1", 4, 1, false, 200, false},
-		{"with one rank it does", "/look/1", 4, 0, true, 200, false},
-		{"an urgent request waits for fuller servers", "/book/1", 5, 1, false, 503, true},
-		{"with one rank it is refused at once", "/book/1", 5, 0, false, 503, false},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				f := newShortFixture(t, c.busy, c.ranksBelow)
-				defer f.close()
-				if c.lacked {
-					f.lackUrgently(c.busy)
+	type request struct {
+		Name, Path    string
+		Busy          int
+		RanksBelow    int `yaml:"ranks-below"`
+		Lacked, Waits bool
+		Status        int
+	}
+	for _, c := range fixturereader.Read[[]request](t, "_fixtures/full_servers.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			withShortFixture(t, c.Busy, c.RanksBelow, func(is *is.I, f *fixture) {
+				if c.Lacked {
+					f.lackUrgently(c.Busy)
 				}
 				begun := time.Now()
-				w := f.send(http.MethodPost, c.path, "r1")
-				is.Equal(w.Code, c.status)
-				is.Equal(c.waits, c.status != 200 && time.Since(begun) > 100*time.Millisecond)
+				w := f.send(http.MethodPost, c.Path, "r1")
+				is.Equal(w.Code, c.Status)
+				is.Equal(c.Waits, c.Status != 200 && time.Since(begun) > 100*time.Millisecond)
 				is.True(time.Since(begun) < 400*time.Millisecond)
-				if c.status == http.StatusOK {
+				if c.Status == http.StatusOK {
 					return
 				}
 				after, err := time.ParseDuration(w.Header().Get("Retry-After"))
@@ -136,15 +125,12 @@
 		{"the entry stops", func(f *fixture, _ func()) { f.stopping.Store(true) }, 503, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				f := newShortFixture(t, 4, 1)
-				defer f.close()
+			withShortFixture(t, 4, 1, func(is *is.I, f *fixture) {
 				f.lackUrgently(4)
-				ctx, cancel := context.WithCancel(t.Context())
+				ctx, cancel := context.WithCancel(f.t.Context())
 				defer cancel()
 				time.AfterFunc(60*time.Millisecond, func() {
-					is.Equal(f.waiting(), "1")
+					is.Equal(f.metric("waiting_requests"), "1")
 					c.then(f, cancel)
 				})
 				r := httptest.NewRequest(http.MethodPost, "http://h/look/1", nil).WithContext(ctx)
@@ -156,7 +142,7 @@
 				is.True(time.Since(begun) < 160*time.Millisecond)
 				is.Equal(w.Code, c.status)
 				is.Equal(arrivals(f.backends), c.arrivals)
-				is.Equal(f.waiting(), "0")
+				is.Equal(f.metric("waiting_requests"), "0")
 			})
 		})
 	}
@@ -165,24 +151,16 @@
 // TestShortenedTimeLimit guards against requests that count as late retries after operators have
 // shortened the time limit of their route.
 func TestShortenedTimeLimit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newShortFixture(t, 0, 1)
-		defer f.close()
-		table := func(version int64, limit time.Duration) *describer.RouteTable {
-			route := describer.Route{
-				Name: "book", Host: "h", Prefix: "/book/", TimeLimit: limit, TargetLatency: 400 * time.Millisecond,
-				MaxAttempts: 2, Services: []describer.WeightedService{{Service: "stock", Share: 1}},
-			}
-			other := route
-			other.Name, other.Prefix, other.Importance = "look", "/look/", 1
-			return describer.NewRouteTable(version, []describer.Route{route, other}, []describer.Service{{Name: "stock", HealthPath: "/health"}}, describer.Limits{})
-		}
-		f.setTable(table(3, 5*time.Second))
+	withShortFixture(t, 0, 1, func(is *is.I, f *fixture) {
+		f.setTable(shortTable(3, 1, 5*time.Second))
 		is.Equal(f.sendWith(http.MethodPost, "/book/1", "r1", http.Header{"Left": nil}).Code, http.StatusOK)
-		f.setTable(table(4, 500*time.Millisecond))
+		f.setTable(shortTable(4, 1, 500*time.Millisecond))
+		f.setBusy(30)
+		begun := time.Now()
+		is.Equal(f.sendWith(http.MethodPost, "/book/1", "r2", http.Header{"Left": nil}).Code, http.StatusServiceUnavailable)
+		is.True(time.Since(begun) > 100*time.Millisecond) // it has waited, which a late retry does not
 		f.setBusy(4)
-		is.Equal(f.sendWith(http.MethodPost, "/book/1", "r2", http.Header{"Left": nil}).Code, http.StatusOK) // queues at a full server
+		is.Equal(f.sendWith(http.MethodPost, "/book/1", "r3", http.Header{"Left": nil}).Code, http.StatusOK) // queues at a full server
 	})
 }
 
@@ -191,10 +169,7 @@
 func TestWaitsForFasterServers(t *testing.T) {
 	for _, ranksBelow := range []int{0, 1} {
 		t.Run(fmt.Sprint(ranksBelow), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				f := newShortFixture(t, 0, ranksBelow)
-				defer f.close()
+			withShortFixture(t, 0, ranksBelow, func(is *is.I, f *fixture) {
 				setWork := func(work time.Duration, slowness int) {
 					time.Sleep(time.Second) // until the servers are idle
 					for _, b := range f.backends {
@@ -225,7 +200,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				var log bytes.Buffer
-				f := newLoggingShortFixture(t, hclog.New(&hclog.LoggerOptions{Output: &log}), c.busy, 1)
+				f := newShortFixture(t, hclog.New(&hclog.LoggerOptions{Output: &log}), c.busy, 1)
 				defer f.close()
 				f.lackUrgently(c.busy)
 				log.Reset()
--- a/entry/balancer/slow_link_test.go
+++ b/entry/balancer/slow_link_test.go
@@ -12,14 +12,13 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
-	"samphiremux/entry/chooser"
 	"samphiremux/entry/delegator"
 	"samphiremux/entry/linkcounter"
+	"samphiremux/pkg/fixturereader"
 )
 
 const (
@@ -29,8 +28,6 @@
 	// other, and slowLinkWindow the number of them that one connection has under way.
 	slowLinkPiece  = 4 << 10
 	slowLinkWindow = 16
-	// kernelBuffer is the number of pieces that the kernel of the entry takes for a response.
-	kernelBuffer = 256
 )
 
 // slowLink is one direction of the link of an entry. All connections share it.
@@ -215,52 +212,35 @@
 // requests that wait behind large responses, all of which the kernel takes at once. A server
 // that is dead is to be found once the link is free, half a second after one download.
 func TestSaturatedLinkTakenForDeadServers(t *testing.T) {
-	for _, c := range []struct {
-		name      string
-		downloads int
-		window    int
-		dead      bool
-		// refused reports that requests are refused: 256 KB are under way at any time, which
-		// take 210 ms for each probe and response, of 400 ms until the deadline. Unanswered is
-		// the number of requests that may run without a response in time.
-		refused    bool
-		unanswered int
-		// bound is for nine of ten small requests. Those that open a connection wait four
-		// times for the link, behind 64 KB of each response from its server.
-		bound time.Duration
-	}{
-		{"one", 1, slowLinkWindow, false, false, 0, 200 * time.Millisecond},
-		{"two", 2, slowLinkWindow, false, false, 0, 370 * time.Millisecond},
-		{"four", 4, slowLinkWindow, false, true, 5, time.Second},
-		{"six", 6, slowLinkWindow, false, true, 5, time.Second},
-		{"one, large buffers", 1, kernelBuffer, false, false, 0, 200 * time.Millisecond},
-		{"two, large buffers", 2, kernelBuffer, false, false, 0, 370 * time.Millisecond},
-		{"one, dead server", 1, slowLinkWindow, true, false, 0, 370 * time.Millisecond},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				all := servers(8, respondBig)
-				ejected := map[string]bool{}
-				if c.dead {
-					all[0].probeDelay, ejected[all[0].id] = time.Hour, true
-				}
-				f := newFixture(t, chooser.ExpectedCompletion{}, all...)
-				f.link = &slowLinks{window: c.window}
+	type play struct {
+		Name                          string
+		Downloads, Window, Unanswered int
+		Dead, Refused                 bool
+		Bound                         time.Duration
+	}
+	for _, c := range fixturereader.Read[[]play](t, "_fixtures/slow_link.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			all := servers(8, respondBig)
+			ejected := map[string]bool{}
+			if c.Dead {
+				all[0].probeDelay, ejected[all[0].id] = time.Hour, true
+			}
+			withFixture(t, all, func(is *is.I, f *fixture) {
+				f.link = &slowLinks{window: c.Window}
 				f.gauger.SetRate(slowLinkRate)
-				defer func() { time.Sleep(2 * time.Hour); f.close() }()
-				result := f.playSlowLink(c.downloads)
+				defer time.Sleep(2 * time.Hour)
+				result := f.playSlowLink(c.Downloads)
 				n := len(result.latencies)
-				t.Log(result.statuses, result.latencies[n/2], result.latencies[n*9/10], result.latencies[n-1])
+				f.t.Log(result.statuses, result.latencies[n/2], result.latencies[n*9/10], result.latencies[n-1])
 				for _, reason := range f.refusals() {
 					is.True(strings.Contains(reason, "own-link-saturated") || strings.Contains(reason, "no-answer-in-time"))
 				}
 				is.Equal(result.ejected, ejected)
 				refused, unanswered := result.statuses[http.StatusServiceUnavailable], result.statuses[http.StatusGatewayTimeout]
-				is.Equal(refused > 0, c.refused)
-				is.True(unanswered <= c.unanswered)
-				is.Equal(result.statuses[http.StatusOK]+refused+unanswered, c.downloads+60)
-				is.True(result.latencies[n*9/10] <= c.bound)
+				is.Equal(refused > 0, c.Refused)
+				is.True(unanswered <= c.Unanswered)
+				is.Equal(result.statuses[http.StatusOK]+refused+unanswered, c.Downloads+60)
+				is.True(result.latencies[n*9/10] <= c.Bound)
 			})
 		})
 	}
@@ -270,17 +250,15 @@
 // without a try at another entry, while the own link is saturated for as long as its caller
 // waits, and against one that is refused as if the servers were not reached.
 func TestRequestForwardedFromSaturatedLink(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		all := servers(4, respondOK)
-		for _, b := range all {
-			b.probeDelay = time.Second
-		}
-		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
-		defer func() { time.Sleep(2 * time.Second); f.close() }()
+	all := servers(4, respondOK)
+	for _, b := range all {
+		b.probeDelay = time.Second
+	}
+	withFixture(t, all, func(is *is.I, f *fixture) {
+		defer time.Sleep(2 * time.Second)
 		f.gauger.SetRate(slowLinkRate)
 		f.gauger.Sent(time.Now(), slowLinkRate)
-		asked := f.addPeer(t)
+		asked := f.addPeer(f.t)
 		start := time.Now()
 		w := f.send(http.MethodPost, "/book/1", "r1")
 		is.Equal(w.Code, http.StatusServiceUnavailable)
--- a/entry/balancer/subset_test.go
+++ b/entry/balancer/subset_test.go
@@ -4,18 +4,13 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http/httptest"
-	"net/netip"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
-	"samphiremux/entry/chooser"
 	"samphiremux/entry/snapshotter"
 	"samphiremux/entry/subsetter"
 	"samphiremux/pkg/describer"
@@ -30,6 +25,17 @@
 	return entries
 }
 
+// withSubset runs a test with a number of servers and of other entries, so that the entry has a
+// subset of the servers.
+func withSubset(t *testing.T, backends, entries int, test func(*is.I, *fixture, []*backend)) {
+	t.Helper()
+	all := servers(backends, respondOK)
+	withFixture(t, all, func(is *is.I, f *fixture) {
+		f.entries = fleetOf(entries)
+		test(is, f, all)
+	})
+}
+
 // sendPaced sends requests one after the other, with a pause before each.
 func (f *fixture) sendPaced(n int, pause time.Duration) (failed int) {
 	for i := range n {
@@ -63,15 +69,10 @@
 // servers of a large service, so that it opens a connection for most of its probes, and against
 // probes of servers whose connections are in use while others have idle ones.
 func TestConnectionsReused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		all := servers(100, respondOK)
+	withSubset(t, 100, 100, func(is *is.I, f *fixture, all []*backend) {
 		for _, b := range all {
 			b.work = 100 * time.Millisecond
 		}
-		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
-		defer f.close()
-		f.entries = fleetOf(100)
 		is.Equal(f.sendPaced(100, 500*time.Millisecond), 0) // load reports are out of date each time
 		is.True(used(all) <= 15)                            // the subset has up to 10 servers
 		is.True(f.opened() <= 15)
@@ -89,12 +90,8 @@
 // TestNoConnectionBesideIdleOnes guards against a connection that is opened for the third probe
 // of a request, to a server whose connection is in use, while two servers have idle ones.
 func TestNoConnectionBesideIdleOnes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		all := servers(100, respondOK)
-		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
-		defer func() { time.Sleep(time.Second); f.close() }()
-		f.entries = fleetOf(100)
+	withSubset(t, 100, 100, func(is *is.I, f *fixture, all []*backend) {
+		defer time.Sleep(time.Second) // until the servers are idle
 		is.Equal(f.sendPaced(80, 250*time.Millisecond), 0)
 		for _, b := range all {
 			b.work = 300 * time.Millisecond
@@ -114,27 +111,17 @@
 // to members again and again, only since they expire, and against members that get no probe
 // after they were drained, since their connections have expired.
 func TestExpiredConnectionsLeft(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		all := servers(100, respondOK)
+	withSubset(t, 100, 100, func(is *is.I, f *fixture, all []*backend) {
 		for _, b := range all {
 			b.healthHeader = "Keep-Alive: timeout=10\r\n"
 		}
-		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
-		defer f.close()
-		f.entries = fleetOf(100)
 		is.Equal(f.sendPaced(20, 2500*time.Millisecond), 0)
 		before := f.opened()
 		is.Equal(f.sendPaced(40, 2500*time.Millisecond), 0)
-		t.Log(before, f.opened()-before)
 		is.True(f.opened()-before <= 8)
-		member := all[slices.IndexFunc(all, func(b *backend) bool { return b.probed > 0 })]
-		srv := describer.Server{ID: member.id, Service: "stock", Domain: "a", Version: "v1", Slots: 2, Draining: true}
-		for _, b := range f.snapshotter.Snapshot().Services["stock"] {
-			if b.ID == member.id {
-				srv.Address = b.Address
-			}
-		}
+		i := slices.IndexFunc(all, func(b *backend) bool { return b.probed > 0 })
+		member, srv := all[i], serverOf(all[i].id, i+1)
+		srv.Draining = true
 		f.snapshotter.PutServer(srv)
 		is.Equal(f.sendPaced(5, 2500*time.Millisecond), 0)
 		probed := member.probed
@@ -148,11 +135,7 @@
 // TestFewServersAsBefore guards against a subset in a service with few servers.
 func TestFewServersAsBefore(t *testing.T) {
 	for n, want := range map[int]int{24: 0, 25: 1} {
-		synctest.Test(t, func(t *testing.T) {
-			is := is.New(t)
-			f := newFixture(t, chooser.ExpectedCompletion{}, servers(n, respondOK)...)
-			defer f.close()
-			f.entries = fleetOf(100)
+		withSubset(t, n, 100, func(is *is.I, f *fixture, _ []*backend) {
 			is.Equal(f.sendPaced(10, 50*time.Millisecond), 0)
 			is.Equal(len(f.balancer.SubsetSizes()), want)
 		})
@@ -162,12 +145,7 @@
 // TestSubsetExceeded guards against requests that are refused, or wait, because all servers of
 // the subset are full while others are free.
 func TestSubsetExceeded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		all := servers(100, respondOK)
-		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
-		defer f.close()
-		f.entries = fleetOf(100)
+	withSubset(t, 100, 100, func(is *is.I, f *fixture, all []*backend) {
 		is.Equal(f.sendPaced(40, 250*time.Millisecond), 0)
 		var free, full []*backend
 		for _, b := range all {
@@ -190,12 +168,7 @@
 // TestSubsetWithoutDomain guards against an entry that keeps its subset in a failure domain that
 // is excluded, and one that finds no server of a version.
 func TestSubsetWithoutDomain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		all := servers(60, respondOK)
-		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
-		defer f.close()
-		f.entries = fleetOf(120)
+	withSubset(t, 60, 120, func(is *is.I, f *fixture, all []*backend) {
 		for i := range f.entries[60:] {
 			f.entries[60+i].Domain = "b"
 		}
@@ -214,10 +187,9 @@
 
 // put registers a server of a failure domain.
 func (f *fixture) put(id string, number int, domain string, coldUntil time.Time) {
-	f.snapshotter.PutServer(describer.Server{
-		ID: id, Service: "stock", Domain: domain, Version: "v1", Slots: 2, ColdUntil: coldUntil,
-		Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(number)),
-	})
+	srv := serverOf(id, number)
+	srv.Domain, srv.ColdUntil = domain, coldUntil
+	f.snapshotter.PutServer(srv)
 }
 
 // TestNewServersUsed guards against servers that are registered later and get no request within
@@ -225,13 +197,10 @@
 func TestNewServersUsed(t *testing.T) {
 	for _, cold := range []time.Duration{0, 10 * time.Second} {
 		t.Run(fmt.Sprintf("cold for %v", cold), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				all := servers(100, respondOK)
-				added := all[99]
-				added.id = newServer(cold > 0, fleetOf(100))
-				f := newFixture(t, chooser.ExpectedCompletion{}, all...)
-				defer f.close()
+			all := servers(100, respondOK)
+			added := all[99]
+			added.id = newServer(cold > 0, fleetOf(100))
+			withFixture(t, all, func(is *is.I, f *fixture) {
 				f.entries = fleetOf(100)
 				f.snapshotter.RemoveServer(added.id)
 				is.Equal(f.sendPaced(60, 333*time.Millisecond), 0)
@@ -277,10 +246,7 @@
 
 // probeErrors returns the number of probes that failed.
 func (f *fixture) probeErrors() (n int) {
-	w := httptest.NewRecorder()
-	f.metrics.ServeHTTP(w, nil)
-	_, rest, _ := strings.Cut(w.Body.String(), `samphire_probes_total{result="error"} `)
-	_, _ = fmt.Sscan(rest, &n)
+	_, _ = fmt.Sscan(f.metric(`probes_total{result="error"}`), &n)
 	return n
 }
 
@@ -288,15 +254,10 @@
 // members again each time that their ejections end, so that it finds no server in its rounds,
 // and against servers that are not used again when the domain has returned.
 func TestLostDomain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		all := servers(60, respondOK)
-		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
-		defer f.close()
-		ctx, cancel := context.WithCancel(t.Context())
+	withSubset(t, 60, 120, func(is *is.I, f *fixture, all []*backend) {
+		ctx, cancel := context.WithCancel(f.t.Context())
 		defer cancel()
 		go f.balancer.RunReachChecks(ctx)
-		f.entries = fleetOf(120)
 		for i, b := range all[30:] {
 			f.entries[60+2*i].Domain, f.entries[61+2*i].Domain = "b", "b"
 			f.put(b.id, i+31, "b", time.Time{})
@@ -318,17 +279,11 @@
 // TestMembersOfEachVersion guards against a subset without servers of the target version of a
 // move, so that requests for it open a connection each.
 func TestMembersOfEachVersion(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		all := servers(60, respondOK)
-		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
-		defer f.close()
-		f.entries = fleetOf(60)
+	withSubset(t, 60, 60, func(is *is.I, f *fixture, all []*backend) {
 		for i, b := range all[50:] {
-			f.snapshotter.PutServer(describer.Server{
-				ID: b.id, Service: "stock", Domain: "a", Version: "v2", Slots: 2,
-				Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+51)),
-			})
+			srv := serverOf(b.id, i+51)
+			srv.Version = "v2"
+			f.snapshotter.PutServer(srv)
 		}
 		f.snapshotter.SetOrder(describer.MoveOrder{Service: "stock", Target: "v2", Revision: 5})
 		f.snapshotter.SetMoveRecord("stock", snapshotter.MoveRecord{Order: 5, Step: 1, Stable: "v1", Target: "v2", Phase: snapshotter.Moving, Share: 0.5})
@@ -343,12 +298,7 @@
 // TestLimitedServerReplaced guards against a member that states a rate limit of which this
 // entry holds no part, so that each request begins with a server that it may not use.
 func TestLimitedServerReplaced(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		all := servers(60, respondOK)
-		f := newFixture(t, chooser.ExpectedCompletion{}, all...)
-		defer f.close()
-		f.entries = fleetOf(60)
+	withSubset(t, 60, 60, func(is *is.I, f *fixture, all []*backend) {
 		is.Equal(f.sendPaced(40, 250*time.Millisecond), 0)
 		var limited []*backend
 		for _, b := range all {
