wording: plain terms in comments, log lines and docs

Change: single lines of comments and docs, and one log line ("Own link was saturated; servers that did not answer during that time are not ejected."). "In force" stays where it is older than or a name outside the code (the message "Configuration in force."). All modules build and vet.

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -40,7 +40,7 @@
 	// get it while the configuration has workspaces. Both are unset if there are no keys.
 	Key     string
 	ReadKey func(http.Header) (key string, ok bool)
-	// Workspace names the header that tells servers the workspace of a request.
+	// Workspace names the header with the workspace of a request, for servers.
 	Workspace string
 	// SetChallenge adds to a response how to send a key. It may be nil.
 	SetChallenge func(http.Header)
@@ -61,11 +61,11 @@
 	Domain  string
 	Policy  chooser.Policy
 	Headers Headers
-	// RetryLimits returns the retry limits in force.
+	// RetryLimits returns the current retry limits.
 	RetryLimits func() Limits
 	// Snapshot returns the current snapshot.
 	Snapshot func() *snapshotter.Snapshot
-	// Outdated reports whether a newer configuration than the one in force may exist. It
+	// Outdated reports whether a newer configuration than the current one may exist. It
 	// may be nil.
 	Outdated func() bool
 	// EntryCount returns the number of entries that share the limits, this one
--- a/entry/balancer/delegate.go
+++ b/entry/balancer/delegate.go
@@ -20,7 +20,7 @@
 	delegatedUnreached = "unreached"
 )
 
-// hop is what another entry tells of a request that it passes on.
+// hop is what another entry states about a request that it passes on.
 type hop struct {
 	// from is the id of that entry.
 	from string
@@ -33,12 +33,12 @@
 	trial bool
 	// counted reports that the other entry has counted the request as run.
 	counted bool
-	// tell tells that entry the number of attempts, once another one is about to begin.
+	// tell reports the number of attempts to that entry, once another one is about to begin.
 	tell func(attempts int)
 }
 
-// tellAttempts tells the entry that passed the request on of an attempt after the first of
-// this entry, which counts without a word.
+// tellAttempts reports an attempt after the first of this entry, which needs no report, to
+// the entry that passed the request on.
 func (c *call) tellAttempts(attempts int) {
 	if c.hop != nil && attempts > c.hop.attempts+1 {
 		c.hop.tell(attempts)
@@ -157,7 +157,7 @@
 	}
 }
 
-// writeHopHeaders adds what another entry is to know of a response that is passed on to it.
+// writeHopHeaders adds the headers between entries to a response that is passed on.
 func (b *Balancer) writeHopHeaders(c *call, resp *roundtripper.Response) {
 	resp.Header.Set(delegator.OutcomeHeader, delegator.Passed)
 	resp.Header.Del(delegator.LeavingHeader)
--- a/entry/balancer/leaving_test.go
+++ b/entry/balancer/leaving_test.go
@@ -214,7 +214,7 @@
 }
 
 // TestLeavingServerAfterRestartOfEntry guards against an entry that has just started and
-// sends to a server that says that it leaves, since only the entry before it heard so.
+// sends to a server that says that it leaves, since only its previous process received that notice.
 func TestLeavingServerAfterRestartOfEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/entry/balancer/probe_failure.go
+++ b/entry/balancer/probe_failure.go
@@ -12,7 +12,7 @@
 	"samphiremux/entry/linkgauger"
 )
 
-// probeFailure tells how a probe failed. It is a label value of a metric.
+// probeFailure is how a probe failed. It is a label value of a metric.
 type probeFailure string
 
 const (
--- a/entry/balancer/receive.go
+++ b/entry/balancer/receive.go
@@ -120,7 +120,7 @@
 	}, nil
 }
 
-// notAllowed returns the refusal of a request that the configuration in force does not allow,
+// notAllowed returns the refusal of a request that the current configuration does not allow,
 // for a reason. It is temporary while a newer configuration may allow the request.
 func (b *Balancer) notAllowed(reason refuser.Reason) *refuser.Refusal {
 	if b.opts.Outdated != nil && b.opts.Outdated() {
--- a/entry/balancer/response.go
+++ b/entry/balancer/response.go
@@ -81,8 +81,8 @@
 	b.flush(r.Header.Get(b.opts.Headers.RequestID), t, unknown)
 }
 
-// hopRefusal returns a refusal as another entry is told of it. Entries of earlier versions do
-// not know that a link may be saturated, and would take the request for lost.
+// hopRefusal returns a refusal as it is sent to another entry. Entries of earlier versions do
+// not know the reason of a saturated link, and would take the request for lost.
 func hopRefusal(r refuser.Refusal) refuser.Refusal {
 	if r.Reason == refuser.OwnLinkSaturated {
 		r.Reason = refuser.UnreachableServers
--- a/entry/balancer/subset.go
+++ b/entry/balancer/subset.go
@@ -30,7 +30,7 @@
 	// longer than the 4 s within which a new server is to get some.
 	firstUsers = 5
 	// maxAgeDiscount is the largest part by which the prior cost of a member is reduced the
-	// longer it has not been heard of, up to discountedAge, so that its connection is used
+	// longer it has not responded, up to discountedAge, so that its connection is used
 	// before it expires. It exceeds the random part of the cost. Servers close connections
 	// after 10 s, which is 8 s here.
 	maxAgeDiscount = 0.5
--- a/entry/balancer/usage.go
+++ b/entry/balancer/usage.go
@@ -28,7 +28,7 @@
 
 // countRun counts a request of a workspace after an attempt that began at a time, unless it
 // certainly did not run or the request has been counted. An entry that passes a request on
-// tells the other one whether it has counted it.
+// states whether it has counted it.
 func (b *Balancer) countRun(c *call, begun time.Time, o retrier.Outcome) {
 	if retrier.MayHaveRun(o) {
 		b.count(c, begun)
--- a/entry/bodyreader/bodyreader.go
+++ b/entry/bodyreader/bodyreader.go
@@ -169,7 +169,7 @@
 	return body, nil
 }
 
-// unwrapped returns the writer of net/http, which a reader tells to close the connection
+// unwrapped returns the writer of net/http, which a reader makes close the connection
 // behind a body that is too large.
 func unwrapped(w http.ResponseWriter) http.ResponseWriter {
 	for {
--- a/entry/capper/capper.go
+++ b/entry/capper/capper.go
@@ -133,7 +133,7 @@
 	closed = c.closed
 	c.mu.Unlock()
 	if closed {
-		// The connection was closed meanwhile, and gave back what it held before.
+		// The connection was closed before the resize, and had released its earlier hold.
 		c.held.Resize(0)
 	}
 	return ok
--- a/entry/drainer/response.go
+++ b/entry/drainer/response.go
@@ -13,7 +13,7 @@
 	})
 }
 
-// responseWriter writes a response of a process that may begin to stop meanwhile.
+// responseWriter writes a response of a process that may begin to stop while it is written.
 type responseWriter struct {
 	http.ResponseWriter
 	drainer *Drainer
--- a/entry/enroller/registration.go
+++ b/entry/enroller/registration.go
@@ -35,7 +35,7 @@
 )
 
 // firstListTime is the time for which a process waits at its start for the list of the store,
-// which tells whether the registration of the previous process still holds. A list on a slow
+// which shows whether the registration of the previous process still holds. A list on a slow
 // link takes 1.2 s.
 const firstListTime = 1500 * time.Millisecond
 
@@ -47,7 +47,7 @@
 }
 
 // keepableLease returns the lease of a registration that an earlier process of this entry has
-// made. It is zero if the registration differs in more than the incarnation, which tells others
+// made. It is zero if the registration differs in more than the incarnation, which shows others
 // of a restart and which nothing depends on.
 func (e *Enroller) keepableLease(value []byte) storer.LeaseID {
 	var r registration
--- a/entry/enroller/relay.go
+++ b/entry/enroller/relay.go
@@ -28,9 +28,9 @@
 	// or more; with three candidates, a domain in which it refused all of them had no relay for 7 s.
 	outageCandidates = 9
 	// minOutageWait and maxOutageWait bound the time for which an entry that is not among the
-	// first relays neither watches the store nor seeks the role, once the relay has told that
+	// first relays neither watches the store nor seeks the role, once the relay has reported that
 	// the store does not answer it. Otherwise every entry makes two to three calls in an outage
-	// of 5 s. Meanwhile the first relays find out whether the store answers them, and then the
+	// of 5 s. The first relays find out whether the store answers them, and then the
 	// others one by one, each outageTurn later than the one before it.
 	minOutageWait = 5 * time.Second
 	maxOutageWait = 15 * time.Second
@@ -50,8 +50,8 @@
 	passedOver map[string]bool
 	// last is the entry that has sent the last heartbeat as the relay.
 	last string
-	// storeLostUntil is the time until which this entry leaves it to the first relays to reach
-	// the store. It is zero unless a relay has told that the store does not answer it, and none
+	// storeLostUntil is the time until which only the first relays try to reach
+	// the store. It is zero unless a relay has reported that the store does not answer it, and none
 	// has sent a heartbeat since.
 	storeLostUntil time.Time
 	// rounds is the number of times that candidates were passed over since the last
--- a/entry/expirer/bounds.go
+++ b/entry/expirer/bounds.go
@@ -82,7 +82,7 @@
 	return victim, true
 }
 
-// claim is what a connection that carries no request has to say for itself at the bound.
+// claim is what decides at the bound whether a connection without a request is closed.
 type claim struct {
 	mayClose bool
 	// unused is set for a connection that has not carried a request in freshTime, or is in
--- a/entry/granter/granter.go
+++ b/entry/granter/granter.go
@@ -48,7 +48,7 @@
 type Reaches func(ctx context.Context, sv *reconciler.Service, except netip.AddrPort) bool
 
 // unseenLimit is the time without contact from which the entry does not know whether a
-// server restarted, unless a holder has reported responses of it meanwhile.
+// server restarted, unless a holder has reported responses of it in that time.
 const unseenLimit = 500 * time.Millisecond
 
 // ownedServer is the state of one server that this entry owns.
--- a/entry/hedger/evidence.go
+++ b/entry/hedger/evidence.go
@@ -12,7 +12,7 @@
 	meanOnset = 0.5
 )
 
-// Evidence is what an entry has learned of the server of an attempt since the send: Slowed,
+// Evidence is what an entry has observed of the server of an attempt since the send: Slowed,
 // Ejected or Lost.
 type Evidence interface{ evidence() }
 
--- a/entry/hedger/hedger_test.go
+++ b/entry/hedger/hedger_test.go
@@ -241,7 +241,7 @@
 
 // playTurns sends requests with an objective of 1.5 times the usual latency, each to a server
 // that is fast at the send. Each server then becomes seven times slower for half a second
-// after 1.25 s on average. The entry hears from it perSecond times a second by its other
+// after 1.25 s on average. The entry gets its responses perSecond times a second by its other
 // requests. It returns the share in time, the share that is late without a hedge and whose
 // server stated that it is slow while a hedge could be in time, and the hedges for each request.
 func playTurns(perSecond, limit float64) (inTime, avoidable, hedged float64) {
--- a/entry/reflector/list_watch.go
+++ b/entry/reflector/list_watch.go
@@ -30,7 +30,7 @@
 	// lists the keys once more and watches the store itself.
 	startDelay = time.Second
 	// relayBatchDelay and batchDelay are the pauses of a relay and of other entries
-	// after a batch of changes. Changes that arrive meanwhile are delivered in one
+	// after a batch of changes. Changes that arrive during a pause are delivered in one
 	// batch, since each answer of a watch is one more call of the store.
 	relayBatchDelay = 250 * time.Millisecond
 	batchDelay      = 400 * time.Millisecond
--- a/entry/reserver/evict_test.go
+++ b/entry/reserver/evict_test.go
@@ -26,7 +26,7 @@
 	slow.Progress(now, 10)
 	fast.Progress(now, 100_000)
 	next := r.Hold()
-	is.True(!r.Hold().ResizeAt(start.Add(time.Second/2), 300)) // nobody stalls yet
+	is.True(!r.Hold().ResizeAt(start.Add(time.Second/2), 300)) // no hold stalls yet
 	is.True(next.ResizeAt(now, 300))
 	is.Equal(evicted, map[string]bool{"stalled": true})
 	is.True(stalled.IsEvicted())
--- a/entry/reserver/group.go
+++ b/entry/reserver/group.go
@@ -3,7 +3,7 @@
 import "sync"
 
 // Group is the memory of the responses to one request, which is given back with it. It handles
-// responses that outlast the request, such as that of an attempt that was given up. Its holds
+// responses that end after the request, such as that of an attempt that was abandoned. Its holds
 // leave most of the memory to messages that would be refused without it, since a response that
 // is not held can be streamed. It is safe for concurrent use. A nil Group has no bound.
 type Group struct {
--- a/entry/reserver/reserver.go
+++ b/entry/reserver/reserver.go
@@ -49,7 +49,7 @@
 
 // WithLone lets one hold exceed the bound, up to a number of bytes together with the
 // others, which keep to the bound without it. So a large body that is allowed passes, but not
-// several at once, and other requests are not refused meanwhile.
+// several at once, and other requests are not refused because of it.
 func (r *Reserver) WithLone(bytes int64) *Reserver {
 	r.maxLone = bytes
 	return r
--- a/entry/roundtripper/end.go
+++ b/entry/roundtripper/end.go
@@ -20,7 +20,7 @@
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
 }
 
-// end returns a function that tells whether the end of the body is that of a whole response.
+// end returns a function that reports whether the end of the body is that of a whole response.
 // One without a length ends with the connection, which is orderly only if the whole request
 // was written: the kernel reports a reset once, and if a write gets the error, the read sees
 // an orderly end. The function may be called more than once.
--- a/entry/roundtripper/opened.go
+++ b/entry/roundtripper/opened.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// OpenCause tells why a new connection to a server was opened. It is a label value of a
+// OpenCause is why a new connection to a server was opened. It is a label value of a
 // metric.
 type OpenCause string
 
@@ -18,7 +18,7 @@
 	// OpenedExpired means that the last connection had been idle for too long.
 	OpenedExpired OpenCause = "expired"
 	// OpenedClosed means that the last connection was closed or broken by the server, or was
-	// given up after a failure.
+	// closed after a failure.
 	OpenedClosed OpenCause = "closed"
 )
 
--- a/entry/scheduler/mix.go
+++ b/entry/scheduler/mix.go
@@ -18,7 +18,7 @@
 )
 
 // Mix is the mix of ranks among the requests of one service at one entry. If almost all have
-// the same rank, there is nobody for whom they should leave capacity, whatever ranks the
+// the same rank, there are no requests for which they should leave capacity, whatever ranks the
 // configuration allows. The zero value is ready to use.
 type Mix struct {
 	// byRank holds the number of requests of each rank, decayed with their age.
@@ -40,7 +40,7 @@
 }
 
 // Differs reports whether the requests differ in rank. Until that is known they do not: an
-// entry that starts in a shortage would leave capacity to nobody.
+// entry that starts in a shortage would leave capacity that is not used.
 func (m *Mix) Differs() bool {
 	sum, most := 0.0, 0.0
 	for _, n := range m.byRank {
--- a/entry/sender/sender.go
+++ b/entry/sender/sender.go
@@ -42,7 +42,7 @@
 	// maxHeaderBytes bounds the size of response headers.
 	maxHeaderBytes = 64 << 10
 	// dialTimeout bounds one dial. http.Transport continues a dial after its request
-	// was cancelled, and the dial holds one of the server's connections meanwhile,
+	// was cancelled, and the dial holds one of the server's connections until it ends,
 	// for minutes if only the operating system's timeout applies. The timeout exceeds
 	// 1 s, the time after which a lost SYN is retransmitted.
 	dialTimeout = 1500 * time.Millisecond
--- a/entry/snapshotter/changes.go
+++ b/entry/snapshotter/changes.go
@@ -6,7 +6,7 @@
 	"samphiremux/pkg/describer"
 )
 
-// Changes is what this entry has learned of a server since a time.
+// Changes is what this entry has observed of a server since a time.
 type Changes struct {
 	// Load is the last load report since then, unless HasLoad is false.
 	Load    describer.Load
@@ -29,7 +29,7 @@
 	return s.changed
 }
 
-// Changes returns what this entry has learned of the server since a time.
+// Changes returns what this entry has observed of the server since a time.
 func (s *ServerState) Changes(now, since time.Time) Changes {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/tallier/tallier.go
+++ b/entry/tallier/tallier.go
@@ -337,7 +337,7 @@
 	return slices.Compact(windows)
 }
 
-// CompleteEntries returns the ids of the entries that have been heard of after a window
+// CompleteEntries returns the ids of the entries whose state was received after a window
 // ended by their clocks, so that their counts of it are complete.
 func (t *Tallier) CompleteEntries(window int64) map[string]bool {
 	t.mu.Lock()
@@ -364,7 +364,7 @@
 	return open[(len(open)-1)/2]
 }
 
-// SetReported drops the counts up to a window, and sources that have not been heard of for
+// SetReported drops the counts up to a window, and sources whose state has not been received for
 // maxWindows windows.
 func (t *Tallier) SetReported(reported int64) {
 	t.mu.Lock()
--- a/entry/tallier/tallier_test.go
+++ b/entry/tallier/tallier_test.go
@@ -64,7 +64,7 @@
 	is.Equal(relay.Sum(7), map[string]int64{"stock": 6})
 }
 
-// TestStaleStateOfAnEntry guards against an entry that counts as heard of after a window, or
+// TestStaleStateOfAnEntry guards against an entry that counts as complete after a window, or
 // not, by an older state that a slow relay passes on later.
 func TestStaleStateOfAnEntry(t *testing.T) {
 	is := is.New(t)
@@ -105,7 +105,7 @@
 	is.Equal(relay.Dropped(), int64(1))
 	relay.SetReported(100)
 	counts, _ := relay.Changes(0)
-	is.Equal(len(counts), 0) // the entry has not been heard of for long
+	is.Equal(len(counts), 0) // no state of the entry was received for long
 }
 
 // TestReversalLost guards against a count that was taken back and returns, since a relay
--- a/entry/usagereporter/decider.go
+++ b/entry/usagereporter/decider.go
@@ -25,10 +25,10 @@
 	paceTime  = time.Second
 	paceSlack = 150 * time.Millisecond
 	// partialTime is the time after the end of a window from which it is reported though
-	// not all entries have been heard of. It leaves the rest of the 10 s after which a report
+	// not all entries have sent their state. It leaves the rest of the 10 s after which a report
 	// is late for tries to send it.
 	partialTime = 5 * time.Second
-	// minCoverage is the share of the entries of which the holder must have heard. One that
+	// minCoverage is the share of the entries whose state the holder must have. One that
 	// has not is cut off, and its sums would be wrong.
 	minCoverage = 0.5
 	// authorityTime is the time for which the holder may send reports, from when it sent the
@@ -125,7 +125,7 @@
 	Record   Record
 	Guard    storer.Revision
 	Takeover bool
-	// Reason tells why this entry takes over, and Stuck that the holder may be there.
+	// Reason is why this entry takes over, and Stuck that the holder may be there.
 	Reason string
 	Stuck  bool
 }
--- a/entry/usagereporter/usagereporter.go
+++ b/entry/usagereporter/usagereporter.go
@@ -24,7 +24,7 @@
 	// forwardTimeout bounds a message to the holder.
 	forwardTimeout = 800 * time.Millisecond
 	// writeTimeout bounds a transaction. A response that comes later gives no authority to
-	// send, but tells that the record was written.
+	// send, but states that the record was written.
 	writeTimeout = 2 * time.Second
 	// sendTimeout bounds a call of the platform. Its beginning must lie within the authority of
 	// the holder, and its end within the lease time.
@@ -49,7 +49,7 @@
 	Revision() storer.Revision
 }
 
-// Members tells what this entry knows of the others.
+// Members is what this entry knows of the others.
 type Members interface {
 	// UsableMembers returns the entries that are not known to be lost or to stop.
 	UsableMembers(now time.Time) []tracker.Member
--- a/entry/usagereporter/usagereporter_test.go
+++ b/entry/usagereporter/usagereporter_test.go
@@ -215,7 +215,7 @@
 			w.serve(20 * time.Second)
 			holder := w.holder()
 			holder.cut.Store(true)
-			if restarted { // and has never heard of the others
+			if restarted { // and has no state of the others
 				holder.process.Load().cancel()
 				w.begin(slices.Index(w.nodes, holder))
 			}
--- a/standin/fuzzer/verbs.go
+++ b/standin/fuzzer/verbs.go
@@ -43,7 +43,7 @@
 	// A server states a rate limit, in requests per second.
 	"limit":   {2, (*run).limit},
 	"unlimit": {1, (*run).unlimit},
-	// A server refuses all requests for some seconds and wants none meanwhile.
+	// A server refuses all requests for some seconds and states a pause for that time.
 	"shed": {2, func(r *run, args []string) {
 		r.applyToServer(args, func(b *simulator.Backend, n float64) { b.ShedFor(time.Duration(n * float64(time.Second))) })
 	}},
--- a/standin/measurer/measurer.go
+++ b/standin/measurer/measurer.go
@@ -133,7 +133,7 @@
 }
 
 // applyOnce publishes the document again and returns the time until the new revision
-// is in force on every entry. With outage, the store is down meanwhile and recovers
+// is in force on every entry. With outage, the store is down until then and recovers
 // before the return.
 func applyOnce(ctx context.Context, cluster *simulator.Cluster, outage bool) (took time.Duration, err error) {
 	started := time.Now()
--- a/standin/measurer/relay_test.go
+++ b/standin/measurer/relay_test.go
@@ -327,7 +327,7 @@
 }
 
 // TestRelayFillsItsLink guards against a relay that sends a large configuration to every
-// entry of its failure domain, again and again, and answers nothing else meanwhile.
+// entry of its failure domain, again and again, and answers nothing else until it is done.
 func TestRelayFillsItsLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/standin/platformemulator/store.go
+++ b/standin/platformemulator/store.go
@@ -46,7 +46,7 @@
 // Faults are the faults that a Store injects.
 type Faults struct {
 	// Down makes every call block until its context ends. Leases do not expire
-	// meanwhile.
+	// during that time.
 	Down bool
 	// SlowBy delays every call.
 	SlowBy time.Duration
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -436,7 +436,7 @@
 }
 
 // leaveQueue removes a request from the queue, or releases the slot that it was granted
-// meanwhile.
+// since.
 func (s *Server) leaveQueue(granted chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -536,7 +536,7 @@
 	return d
 }
 
-// run takes the time that work needs at the server's speed, which may change meanwhile.
+// run takes the time that work needs at the server's speed, which may change during the run.
 func (s *Server) run(ctx context.Context, work time.Duration) {
 	remaining := float64(work)
 	for remaining > 0 {
--- a/steer/commander/saturation.go
+++ b/steer/commander/saturation.go
@@ -21,6 +21,6 @@
 	if now.Sub(e.linkLog.at) < linkLogInterval || saturated-e.linkLog.saturated < minLoggedSaturation {
 		return
 	}
-	e.log.Warn("Own link was saturated; servers that did not answer meanwhile are not ejected.", "saturated-ms", (saturated - e.linkLog.saturated).Milliseconds())
+	e.log.Warn("Own link was saturated; servers that did not answer during that time are not ejected.", "saturated-ms", (saturated - e.linkLog.saturated).Milliseconds())
 	e.linkLog = linkLog{at: now, saturated: saturated}
 }
