roundtripper: no write buffer for connections that are not writing

Cause: each connection to a server kept a buffer of 1 KiB for requests, also while it was idle or its response waited for the caller. Change: the buffers are pooled, and a connection has one only while a request is written. The tests of roundtripper pass, also with the race detector.

--- a/entry/roundtripper/conn.go
+++ b/entry/roundtripper/conn.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -52,7 +53,6 @@
 	net       net.Conn
 	head      *headLimiter
 	reader    *bufio.Reader
-	writer    *bufio.Writer
 	idleUntil time.Time
 	fresh     bool
 	// refusedID is the id of the last request that the server refused on the connection.
@@ -64,7 +64,7 @@
 
 func newConn(c net.Conn, o *openings) *Conn {
 	head := &headLimiter{source: c}
-	return &Conn{net: c, head: head, reader: bufio.NewReaderSize(head, readBufferSize), writer: bufio.NewWriterSize(c, writeBufferSize), fresh: true, openings: o}
+	return &Conn{net: c, head: head, reader: bufio.NewReaderSize(head, readBufferSize), fresh: true, openings: o}
 }
 
 // errHeadTooLarge is returned by reads beyond the bound of a head.
@@ -112,20 +112,30 @@
 	}
 }
 
+// writers holds the buffers of requests that are being written. A connection that is idle or
+// waits for a response has none.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferSize) }}
+
 // write sends the whole request, or returns an error.
 func (c *Conn) write(r *http.Request) error {
-	var out io.Writer = c.writer
+	writer := writers.Get().(*bufio.Writer)
+	writer.Reset(c.net)
+	defer func() {
+		writer.Reset(nil)
+		writers.Put(writer)
+	}()
+	var out io.Writer = writer
 	if strings.HasPrefix(r.URL.Opaque, "//") {
 		// Request.Write would put the scheme and a colon before it.
-		if _, err := fmt.Fprintf(c.writer, "%s %s HTTP/1.1\r\n", r.Method, r.URL.Opaque); err != nil {
+		if _, err := fmt.Fprintf(writer, "%s %s HTTP/1.1\r\n", r.Method, r.URL.Opaque); err != nil {
 			return err
 		}
-		out = &lineSkipper{writer: c.writer}
+		out = &lineSkipper{writer: writer}
 	}
 	if err := r.Write(out); err != nil {
 		return err
 	}
-	return c.writer.Flush()
+	return writer.Flush()
 }
 
 // lineSkipper writes everything but the first line. It implements io.ByteWriter, without
