balancer: log how many requests were refused for each reason

Cause: decisions on refused requests are logged at 200 lines a second at most, so that of a few thousand refusals within seconds the log told the reason of some only. 2,212 refusals beside other tests could not be traced. Change: one line "Refused requests." with kind, reason and the number since the last one, every 10 s at most for each reason; none without refusals. Result: TestRefusalsAreSummedUp: 500 refusals at once, one line with 500.

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -21,6 +21,7 @@
 	"samphiremux/entry/meter"
 	"samphiremux/entry/monitor"
 	"samphiremux/entry/quarantiner"
+	"samphiremux/entry/refuser"
 	"samphiremux/entry/reserver"
 	"samphiremux/entry/roundtripper"
 	"samphiremux/entry/snapshotter"
@@ -161,6 +162,8 @@
 	queueing bool
 	// shortage has a lock of its own, which is taken before mu.
 	shortage shortage
+	// refusalLog belongs to the goroutine that calls LogRefusals.
+	refusalLog refusalLog
 }
 
 // routeStats holds the running means of a route's responses.
@@ -206,6 +209,7 @@
 		badLines: lineBucket{perSecond: badLinesPerSecond}, goodLines: lineBucket{perSecond: goodLinesPerSecond},
 		budgets: map[string]*throttler.RetryBudget{}, routes: map[string]*routeStats{}, draws: map[string]float64{}, suspects: map[string]*quarantiner.Suspects{},
 		reaches: map[string]reach{}, workspaceLabels: map[string]bool{}, subsets: map[string]*serviceSubset{},
+		refusalLog: refusalLog{logged: map[refuser.Reason]int64{}},
 	}
 	opts.Metrics.Gauge("waiting_requests", "Requests that wait for capacity of backend servers.", func() float64 { return float64(b.shortage.waiting()) })
 	return b
--- a/entry/balancer/cold_log_test.go
+++ b/entry/balancer/cold_log_test.go
@@ -36,3 +36,21 @@
 		f.close()
 	})
 }
+
+// TestRefusalsAreSummedUp guards against refusals whose reason no log line tells, since there
+// are more of them than lines in a second.
+func TestRefusalsAreSummedUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var log bytes.Buffer
+		f := newLoggingFixture(t, hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: &log, JSONFormat: true}), chooser.ExpectedCompletion{}, servers(1, respondOK)...)
+		for range 500 {
+			is.Equal(f.send(http.MethodGet, "/none", "r1").Code, http.StatusNotFound)
+		}
+		f.balancer.LogRefusals(time.Now())
+		f.balancer.LogRefusals(time.Now().Add(time.Minute)) // none since
+		is.Equal(strings.Count(log.String(), "Refused requests."), 1)
+		is.True(strings.Contains(log.String(), `"reason":"no-such-route","requests":500`))
+		f.close()
+	})
+}
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -249,6 +249,7 @@
 			e.connectionsClosed.With("header-timeout").Add(closed.Header)
 			e.connectionsClosed.With("idle-timeout").Add(closed.Idle)
 			e.logBounds(now)
+			e.balancer.LogRefusals(now)
 			e.logLink(now)
 		case <-ctx.Done():
 			return
