enroller: secondary relays forward the changes of a relay

Cause: with 300 entries and 3,000 servers in three failure domains, the busiest entry sent 14.1 MB in the 6 s in which 1,000 servers and 100 entries returned, 7.7 MB in one second. By kind of message, 98 in 100 of it are changes in the heartbeats of a relay to the 99 others of its domain, each change once to each. Where they did not fit, entries watched the store: 1,157 watches. Change: from 33 entries on a relay sends changes to the square root of their number, which forward them in ordinary heartbeats. Entries that have not confirmed them after 0.5 s get them from the relay, so that a lost secondary relay or one of an earlier version costs half a second. No field of the link is added. The reports of unreachable entries are computed once for each round of heartbeats in place of each heartbeat. TestManySmallChangesLate has three cases with 60 entries in a domain, in two of which half of them are lost or of an earlier version. In that fleet an earlier version takes no changes from heartbeats other than those of a relay, which is what it does. Tried: reports of unreachable entries repeated every 0.9 s only; TestLostRelayNamed fails (a lost relay is named for 6.8 s, bound 6), so they are in each heartbeat as before.

--- a/entry/enroller/enroller.go
+++ b/entry/enroller/enroller.go
@@ -105,6 +105,8 @@
 	peerRevisions map[string]storer.Revision
 	// wake ends the wait before the next heartbeats.
 	wake chan struct{}
+	// forwardQueue holds heartbeats of relays whose changes are to be forwarded.
+	forwardQueue chan *linkpb.BeatRequest
 	// checkNow ends the wait before the next check whether a renewal is due.
 	checkNow    chan struct{}
 	lease       storer.LeaseID
@@ -129,7 +131,7 @@
 func New(now time.Time, o Options) *Enroller {
 	e := &Enroller{
 		o: o, members: tracker.NewWithoutHistory(now, o.Self), registered: map[string]tracker.Member{o.Self.ID: o.Self},
-		departed: map[string]time.Time{}, peerRevisions: map[string]storer.Revision{}, remoteUntil: map[string]time.Time{}, wake: make(chan struct{}, 1), checkNow: make(chan struct{}, 1),
+		departed: map[string]time.Time{}, peerRevisions: map[string]storer.Revision{}, remoteUntil: map[string]time.Time{}, wake: make(chan struct{}, 1), checkNow: make(chan struct{}, 1), forwardQueue: make(chan *linkpb.BeatRequest, forwardQueueLength),
 		electionStart: now.Add(electionDelay), election: election{due: now.Add(electionDelay), passedOver: map[string]bool{}},
 	}
 	e.members.SetRegistered(now, []tracker.Member{o.Self})
@@ -247,7 +249,7 @@
 	e.members.SetStopping()
 	lease := e.lease
 	e.mu.Unlock()
-	e.sendHeartbeats(ctx, append(e.domainPeers(), e.ringTargets(nil)...), false)
+	e.sendHeartbeats(ctx, append(e.domainPeers(), e.ringTargets(nil)...), e.newRound(time.Now(), false))
 	if lease == 0 {
 		return
 	}
--- a/entry/enroller/heartbeat.go
+++ b/entry/enroller/heartbeat.go
@@ -60,7 +60,9 @@
 // it. Every entry sends them to its ring targets every tracker.HeartbeatInterval, a
 // relay also to entries of other failure domains.
 func (e *Enroller) RunHeartbeats(ctx context.Context) {
+	go e.runFanOut(ctx)
 	var lastRing time.Time
+	var sent sentRevisions
 	wasRelay := false
 	for {
 		now := time.Now()
@@ -78,11 +80,15 @@
 		if relay && (ringDue || now.After(e.electionStart)) {
 			targets = append(targets, slices.DeleteFunc(e.remoteTargets(now), func(m tracker.Member) bool { return slices.Contains(targets, m) })...)
 		}
-		e.sendHeartbeats(ctx, targets, relay)
 		wait := tracker.HeartbeatInterval
+		r := e.newRound(now, relay)
 		if relay {
 			wait = relayInterval
+			sent, r.fanOut.confirmedUpTo = sent.with(now, e.o.StoreCache.Revision())
+		} else {
+			sent = nil
 		}
+		e.sendHeartbeats(ctx, targets, r)
 		select {
 		case <-time.After(wait):
 		case <-e.wake:
@@ -129,7 +135,7 @@
 // this entry is a relay, its heartbeats to its own failure domain mark it as one, and all of
 // them ask for usage counts: otherwise the counts of a relay would be at that entry only, and
 // those of the holder of usage reports would be lost with it.
-func (e *Enroller) sendHeartbeats(ctx context.Context, targets []tracker.Member, relay bool) {
+func (e *Enroller) sendHeartbeats(ctx context.Context, targets []tracker.Member, r round) {
 	e.mu.Lock()
 	now := time.Now()
 	for _, m := range targets {
@@ -137,21 +143,28 @@
 	}
 	e.mu.Unlock()
 	for _, m := range targets {
-		go e.sendHeartbeat(ctx, m, relay && m.Domain == e.o.Self.Domain, relay)
+		go e.sendHeartbeat(ctx, m, r)
 	}
 }
 
 // sendHeartbeat sends one heartbeat and records the answer.
-func (e *Enroller) sendHeartbeat(ctx context.Context, m tracker.Member, relay, asksUsage bool) {
+func (e *Enroller) sendHeartbeat(ctx context.Context, m tracker.Member, r round) {
+	e.callBeat(ctx, m, func() *linkpb.BeatRequest {
+		request := e.newRequest(m, r)
+		if r.relay && e.o.Usage != nil {
+			request.Usage = e.o.Usage.Query(m.ID)
+		}
+		return request
+	})
+}
+
+// callBeat sends a heartbeat, which is made once there is a connection, and records the answer.
+func (e *Enroller) callBeat(ctx context.Context, m tracker.Member, request func() *linkpb.BeatRequest) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	sent := time.Now()
 	err := e.o.Pool.Call(ctx, m.LinkAddress, func(ctx context.Context, c linkpb.DRPCLinkClient) error {
-		r := e.newRequest(m.ID, relay)
-		if asksUsage && e.o.Usage != nil {
-			r.Usage = e.o.Usage.Query(m.ID)
-		}
-		resp, err := c.Beat(ctx, r)
+		resp, err := c.Beat(ctx, request())
 		if err != nil {
 			return err
 		}
@@ -180,28 +193,60 @@
 	e.members.RecordHeartbeatAnswered(sent)
 }
 
+// round is what the heartbeats that are sent together have in common.
+type round struct {
+	// relay reports that this entry is a relay.
+	relay  bool
+	fanOut fanOut
+	// reports holds the entries that do not answer this one, and relayReports those that a
+	// relay reports to its own failure domain. A relay states all of them in each heartbeat:
+	// when it repeated them every 0.9 s only, callers were referred to a lost relay for 6.8 s.
+	reports, relayReports []string
+}
+
+// newRound returns a round of heartbeats.
+func (e *Enroller) newRound(now time.Time, relay bool) round {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := round{relay: relay, reports: e.tracked(now).Unreachable(now)}
+	if relay {
+		r.fanOut = e.fanOutOf(now, e.o.Self)
+		r.relayReports = append(slices.Clone(r.reports), e.remoteUnreachable(now)...)
+	}
+	return r
+}
+
 // newRequest returns the heartbeat for a peer. A relay adds the changes above the
-// revision that the peer last reported.
-func (e *Enroller) newRequest(peer string, relay bool) *linkpb.BeatRequest {
+// revision that the peer last reported, unless the peer gets them from its secondary relay.
+func (e *Enroller) newRequest(peer tracker.Member, in round) *linkpb.BeatRequest {
 	// The store cache is called without the lock held: it calls ApplyChange while it
 	// holds its own, so that the opposite order would deadlock.
 	reached := e.ReachesStore()
 	revision := e.o.StoreCache.Revision()
 	e.mu.Lock()
 	now := time.Now()
-	peerRevision, limit := e.peerRevisions[peer], e.changeLimit(now)
+	relay := in.relay && peer.Domain == e.o.Self.Domain
+	peerRevision, limit := e.peerRevisions[peer.ID], e.changeLimit(now)
+	_, isSecondary := in.fanOut.groups[peer.ID]
+	left := in.fanOut.leavesTo(peer.ID, peerRevision)
+	if isSecondary || left {
+		limit = in.fanOut.limit
+	}
 	r := &linkpb.BeatRequest{
 		EntryId: e.o.Self.ID, StoreReached: reached, Stopping: e.members.Stopping(),
-		Unreachable: e.tracked(now).Unreachable(now), Scout: relay,
+		Unreachable: in.reports, Scout: relay,
 	}
 	if relay {
-		r.Unreachable = append(r.Unreachable, e.remoteUnreachable(now)...)
+		r.Unreachable = in.relayReports
 	}
 	e.mu.Unlock()
 	complete := revision
 	if relay && peerRevision < revision {
 		if b := e.o.StoreCache.ChangesSince(peerRevision, limit); b.Revision != 0 {
 			r.CutShort = &b.CutShort
+			if left {
+				b = reflector.Batch{Revision: revision}
+			}
 			r.Changes, r.Omitted, r.Whole, r.AboveRevision = b.Changes, b.Omitted, b.Full, uint64(peerRevision)
 			revision, complete = b.Revision, b.CompleteRevision()
 			e.forwardedBytes.Add(int64(b.Size()))
@@ -216,8 +261,9 @@
 func (e *Enroller) HandleHeartbeat(r *linkpb.BeatRequest) *linkpb.BeatResponse {
 	now := time.Now()
 	peerRevision := coveredRevision(r, e.o.StoreCache.Revision().Era())
+	batch := e.applyChanges(now, r, peerRevision)
 	if r.GetScout() {
-		e.handleRelay(now, r, peerRevision)
+		e.handleRelay(now, r, peerRevision, batch)
 	}
 	e.o.StoreCache.ObservePeerRevision(now, peerRevision)
 	reached := e.ReachesStore()
@@ -267,17 +313,30 @@
 	return linker.DecodeRevision(r.GetDocumentRevision(), r.GetEra(), own)
 }
 
-// handleRelay applies the changes that a relay forwards, which are complete up to a
-// revision apart from the omitted ones. The relay counts as alive only if the store answers
-// it and its copy is not older than this entry's, and only while its changes fit in its
-// heartbeats: after one that is full, more are waiting.
-func (e *Enroller) handleRelay(now time.Time, r *linkpb.BeatRequest, upTo storer.Revision) {
-	b := reflector.Batch{
+// applyChanges applies the changes that a relay or a secondary relay sends, which are complete
+// up to a revision apart from the omitted ones. Those of a relay are forwarded, except whole
+// states, which are for this entry only.
+func (e *Enroller) applyChanges(now time.Time, r *linkpb.BeatRequest, upTo storer.Revision) (b reflector.Batch) {
+	b = reflector.Batch{
 		Changes: r.GetChanges(), Omitted: r.GetOmitted(), Above: storer.Revision(r.GetAboveRevision()), Revision: upTo, Full: r.GetWhole(),
 	}
-	if len(b.Changes) > 0 || len(b.Omitted) > 0 || b.Full {
-		e.o.StoreCache.ApplyBatch(now, b)
+	if len(b.Changes) == 0 && len(b.Omitted) == 0 && !b.Full {
+		return b
 	}
+	e.o.StoreCache.ApplyBatch(now, b)
+	if r.GetScout() && !b.Full {
+		select {
+		case e.forwardQueue <- r:
+		default:
+		}
+	}
+	return b
+}
+
+// handleRelay records the heartbeat of a relay, whose batch has been applied. The relay counts
+// as alive only if the store answers it and its copy is not older than this entry's, and only
+// while its changes fit in its heartbeats: after one that is full, more are waiting.
+func (e *Enroller) handleRelay(now time.Time, r *linkpb.BeatRequest, upTo storer.Revision, b reflector.Batch) {
 	if !r.GetStoreReached() || upTo < e.o.StoreCache.Revision() {
 		return
 	}
--- a/entry/enroller/relay.go
+++ b/entry/enroller/relay.go
@@ -220,7 +220,12 @@
 // that those to all entries of the failure domain take half of the link. The caller holds
 // the lock.
 func (e *Enroller) changeLimit(now time.Time) int {
-	peers := len(e.domainMembers(now, func(m tracker.Member) bool { return !e.isPassedOver(m.ID) }))
-	limit := linkShare * e.o.Self.LinkRate * relayInterval.Seconds() / float64(max(1, peers))
+	return boundedLimit(e.o.Self.LinkRate, len(e.domainMembers(now, func(m tracker.Member) bool { return !e.isPassedOver(m.ID) })))
+}
+
+// boundedLimit returns the size in bytes up to which changes are sent in one heartbeat, for an
+// entry with a link that sends them to a number of others.
+func boundedLimit(linkRate float64, receivers int) int {
+	limit := linkShare * linkRate * relayInterval.Seconds() / float64(max(1, receivers))
 	return int(min(max(limit, minChangeBytes), maxChangeBytes))
 }
--- a/standin/measurer/relay_fault_test.go
+++ b/standin/measurer/relay_fault_test.go
@@ -125,20 +125,70 @@
 }
 
 // TestManySmallChangesLate guards against entries that follow a relay in small steps, each
-// within the lag that is allowed, and fall seconds behind.
+// within the lag that is allowed, and fall seconds behind. In large failure domains it guards
+// against entries that lack changes since their secondary relay is lost or ignores them, and
+// against a relay that sends all changes to all entries.
 func TestManySmallChangesLate(t *testing.T) {
-	for _, servers := range []int{100, 400, 1000, 2700} {
-		t.Run(fmt.Sprintf("%d servers", servers), func(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		servers, entries int
+		// Every second entry crashes as the changes begin, or is of an earlier version.
+		lost, earlier bool
+		// maxCopies bounds what the relay sends, in copies of the changes.
+		maxCopies int
+	}{
+		{"100 servers", 100, 22, false, false, 21},
+		{"400 servers", 400, 22, false, false, 21},
+		{"1000 servers", 1000, 22, false, false, 21},
+		{"2700 servers", 2700, 22, false, false, 21},
+		{"100 servers, large domains", 100, 60, false, false, 12},
+		{"100 servers, large domains, half of the entries are lost", 100, 60, true, false, 59},
+		{"100 servers, large domains, half of the entries are of an earlier version", 100, 60, false, true, 59},
+	} {
+		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newCopyFleet(t, copyDomain{22, slowLink}, copyDomain{22, 20 * slowLink})
+				f := newCopyFleet(t, copyDomain{c.entries, slowLink}, copyDomain{c.entries, 20 * slowLink})
+				for i, e := range f.entries {
+					e.earlier = c.earlier && i%2 == 1
+				}
 				time.Sleep(5 * time.Second)
 				value := bytes.Repeat([]byte("s"), 300)
-				for i := range servers {
+				before := f.mostForwarded()
+				if c.lost {
+					f.loseEverySecond()
+				}
+				for i := range c.servers {
 					f.store.PutUnguarded(fmt.Sprintf("servers/i-%04d", i), value)
 				}
-				f.expectKnown(t, fmt.Sprintf("servers/i-%04d", servers-1), value, time.Now().Add(drainDeadline))
+				f.expectKnown(t, fmt.Sprintf("servers/i-%04d", c.servers-1), value, time.Now().Add(drainDeadline))
+				if sent := f.mostForwarded() - before; sent > int64(c.maxCopies*c.servers*(len(value)+len("servers/i-0000"))) {
+					t.Errorf("the relay sent %d bytes of changes, more than %d copies", sent, c.maxCopies)
+				}
 				f.close()
 			})
 		})
 	}
 }
+
+// loseEverySecond crashes every second entry that is no relay.
+func (f *copyFleet) loseEverySecond() {
+	var left []*copyEntry
+	for i, e := range f.entries {
+		if i%2 == 0 || e.enroller.IsRelay() {
+			left = append(left, e)
+			continue
+		}
+		e.end()
+		f.network.Crash(e.host)
+	}
+	f.entries = left
+}
+
+// mostForwarded returns the largest number of bytes of changes that an entry has sent with its
+// heartbeats.
+func (f *copyFleet) mostForwarded() (bytes int64) {
+	for _, e := range f.entries {
+		bytes = max(bytes, e.enroller.ForwardedBytes())
+	}
+	return bytes
+}
--- a/standin/measurer/relay_test.go
+++ b/standin/measurer/relay_test.go
@@ -136,10 +136,14 @@
 	earlier bool
 }
 
-// Beat implements linkpb.DRPCLinkServer. An earlier version knows no omitted values.
+// Beat implements linkpb.DRPCLinkServer. An earlier version knows no omitted values, and takes
+// changes from relays only.
 func (e *copyEntry) Beat(_ context.Context, r *linkpb.BeatRequest) (*linkpb.BeatResponse, error) {
 	if e.earlier {
 		r.Omitted, r.CoveredRevision, r.AboveRevision = nil, 0, 0
+		if !r.GetScout() {
+			r.Changes = nil
+		}
 	}
 	return e.enroller.HandleHeartbeat(r), nil
 }
