enroller: the limit of a heartbeat is computed once for a round

Cause: each heartbeat, also those of entries that are no relays, collected the members of the failure domain for the limit of its changes. Change: the limit is part of the round, and only a relay has one.

--- a/entry/enroller/heartbeat.go
+++ b/entry/enroller/heartbeat.go
@@ -198,6 +198,8 @@
 	// relay reports that this entry is a relay.
 	relay  bool
 	fanOut fanOut
+	// limit bounds the changes in a heartbeat that is not to a secondary relay.
+	limit int
 	// reports holds the entries that do not answer this one, and relayReports those that a
 	// relay reports to its own failure domain. A relay states all of them in each heartbeat:
 	// when it repeated them every 0.9 s only, callers were referred to a lost relay for 6.8 s.
@@ -210,7 +212,7 @@
 	defer e.mu.Unlock()
 	r := round{relay: relay, reports: e.tracked(now).Unreachable(now)}
 	if relay {
-		r.fanOut = e.fanOutOf(now, e.o.Self)
+		r.fanOut, r.limit = e.fanOutOf(now, e.o.Self), e.changeLimit(now)
 		r.relayReports = append(slices.Clone(r.reports), e.remoteUnreachable(now)...)
 	}
 	return r
@@ -224,9 +226,8 @@
 	reached := e.ReachesStore()
 	revision := e.o.StoreCache.Revision()
 	e.mu.Lock()
-	now := time.Now()
 	relay := in.relay && peer.Domain == e.o.Self.Domain
-	peerRevision, limit := e.peerRevisions[peer.ID], e.changeLimit(now)
+	peerRevision, limit := e.peerRevisions[peer.ID], in.limit
 	_, isSecondary := in.fanOut.groups[peer.ID]
 	left := in.fanOut.leavesTo(peer.ID, peerRevision)
 	if isSecondary || left {
