linkgauger: timeouts of probes are extended while the process gets no processor time

Cause: an entry with 0.16 of a core gets no processor time for up to 84 of 100 ms while it is busy, as after its start. When it runs again, the timers of its probes fire before it reads the answers, which have long arrived. The probes count as not answered, the servers are ejected, and requests are refused as backend-unreachable.

Change: a timer that fires 5 ms late or more shows such a stall. The timeout is extended by the delay and 10 ms to read what has arrived, as it is while the own link is saturated. A probe that ran for less than its timeout says nothing about the server (own-processor in samphire_failed_probes_total).

An entry that always has processor time is not affected.

--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -193,7 +193,7 @@
 
 // round probes servers concurrently. It returns when all have answered, probeGrace after
 // the first response, or after probeRoundTimeout without a response, which is extended while
-// the own link is saturated. Answers to earlier rounds count as well. Without servers it waits
+// the own link is saturated or the process was stalled. Answers to earlier rounds count as well. Without servers it waits
 // for those until they are too late.
 func (p *probes) round(ctx context.Context, batch []candidate) (results []probeResult) {
 	p.rounds++
@@ -209,8 +209,14 @@
 		}()
 	}
 	p.pending += len(batch)
-	limit := time.NewTimer(min(maxRoundStep, timeout.Remaining(time.Now())))
+	limit := time.NewTimer(0)
 	defer limit.Stop()
+	var due time.Time
+	wait := func(d time.Duration) {
+		limit.Reset(d)
+		due = time.Now().Add(d)
+	}
+	wait(min(maxRoundStep, timeout.Remaining(time.Now())))
 	answered := false
 	for awaited > 0 {
 		select {
@@ -222,13 +228,14 @@
 			}
 			if r.err == nil && !answered {
 				answered = true
-				limit.Reset(probeGrace)
+				wait(probeGrace)
 			}
 			continue
 		case <-limit.C:
+			timeout.ObserveTimer(time.Now(), due)
 		}
 		if rest := timeout.Remaining(time.Now()); rest > 0 && !answered && ctx.Err() == nil {
-			limit.Reset(min(maxRoundStep, rest))
+			wait(min(maxRoundStep, rest))
 			continue
 		}
 		break
@@ -274,7 +281,7 @@
 	}
 	b.metrics.probes.With(result).Inc()
 	switch {
-	case failure == probeAtBound, failure == probeOwnLink:
+	case failure == probeAtBound, failure == probeOwnLink, failure == probeOwnProcessor:
 	case err == nil:
 		cand.State.ObserveProbe(now, sent, h)
 		b.observeRateLimit(now, cand.Backend, h.RateLimit)
--- a/entry/balancer/probe_failure.go
+++ b/entry/balancer/probe_failure.go
@@ -32,6 +32,9 @@
 	// probeOwnLink means that no response arrived in time while the own link of this entry was
 	// saturated, which says nothing about the server.
 	probeOwnLink probeFailure = "own-link"
+	// probeOwnProcessor means that no response was read in time since this process got no
+	// processor time, which says nothing about the server.
+	probeOwnProcessor probeFailure = "own-processor"
 	// probeFailed means that the probe failed in another way, such as with a malformed
 	// response.
 	probeFailed probeFailure = "other"
@@ -39,7 +42,7 @@
 
 // probeFailures returns all ways in which a probe fails.
 func probeFailures() []probeFailure {
-	return []probeFailure{probeRefused, probeReset, probeUnanswered, probeUnhealthy, probeMisdirected, probeAtBound, probeOwnLink, probeFailed}
+	return []probeFailure{probeRefused, probeReset, probeUnanswered, probeUnhealthy, probeMisdirected, probeAtBound, probeOwnLink, probeOwnProcessor, probeFailed}
 }
 
 // failureOf returns how a probe failed that ended with err. Ctx is the context of the
@@ -54,8 +57,12 @@
 	case isWrongInstance(err):
 		return probeMisdirected
 	case ctx.Err() != nil || (errors.As(err, &netError) && netError.Timeout()):
-		if timeout.IsInconclusive(time.Now()) {
+		now := time.Now()
+		switch {
+		case timeout.IsInconclusive(now):
 			return probeOwnLink
+		case timeout.IsStalled(now):
+			return probeOwnProcessor
 		}
 		return probeUnanswered
 	case errors.Is(err, syscall.ECONNREFUSED):
--- a/entry/delegator/probe.go
+++ b/entry/delegator/probe.go
@@ -50,7 +50,7 @@
 	if p, conn := d.probe(ctx, probePath(r), candidates, r.ReachesNone); p != nil {
 		return p, conn
 	}
-	if ctx.Err() == nil && len(tried) == 0 && !begun.IsInconclusive(time.Now()) {
+	if ctx.Err() == nil && len(tried) == 0 && !begun.IsInconclusive(time.Now()) && !begun.IsStalled(time.Now()) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		d.unreachedUntil[r.search()] = time.Now().Add(unreachedTime)
@@ -200,7 +200,7 @@
 	defer cancel()
 	h, conn, err := p.Probe(ctx, path)
 	if err != nil {
-		if ctx.Err() == nil || !timeout.IsInconclusive(time.Now()) {
+		if now := time.Now(); ctx.Err() == nil || (!timeout.IsInconclusive(now) && !timeout.IsStalled(now)) {
 			p.avoid(time.Now())
 		}
 		return probed{peer: p}
--- a/entry/linkcounter/linkcounter.go
+++ b/entry/linkcounter/linkcounter.go
@@ -95,19 +95,21 @@
 // timeout has passed.
 func WithTimeout(ctx context.Context, t linkgauger.Timeout) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	var check func()
-	check = func() {
+	var check func(due time.Time)
+	check = func(due time.Time) {
 		if ctx.Err() != nil {
 			return
 		}
+		now := time.Now()
+		t.ObserveTimer(now, due)
 		// Bytes that follow extend the timeout, and nothing shortens it.
-		remaining := t.Remaining(time.Now())
+		remaining := t.Remaining(now)
 		if remaining <= 0 {
 			cancel(context.DeadlineExceeded)
 			return
 		}
-		time.AfterFunc(remaining, check)
+		time.AfterFunc(remaining, func() { check(now.Add(remaining)) })
 	}
-	check()
+	check(time.Now())
 	return ctx, func() { cancel(nil) }
 }
--- a/entry/linkgauger/linkgauger.go
+++ b/entry/linkgauger/linkgauger.go
@@ -2,7 +2,8 @@
 // connections send and receive, and extends timeouts of its peers by the time for which the
 // link is saturated. It handles responses and bodies that fill a slow link for some hundred
 // milliseconds: a peer that does not answer meanwhile may be healthy, since the answer or
-// the question waits behind them.
+// the question waits behind them. In the same way it handles a process that gets no processor
+// time for some ten milliseconds, and finds its timers passed before it has read the answers.
 package linkgauger
 
 import (
@@ -51,6 +52,10 @@
 	// may be in the future.
 	saturated      time.Duration
 	saturatedUntil time.Time
+	// stalled is the total time for which the process was stalled until stalledUntil, which
+	// may be in the future.
+	stalled      time.Duration
+	stalledUntil time.Time
 }
 
 // New returns the gauger of a link with a rate in bytes per second. Zero means that the rate
@@ -188,20 +193,23 @@
 	return g.saturated - max(0, g.saturatedUntil.Sub(now))
 }
 
-// Timeout is a timeout that runs only while the link is not saturated. It is immutable.
+// Timeout is a timeout that runs only while the link is not saturated and the process is not
+// stalled. It is immutable.
 type Timeout struct {
 	gauger   *Gauger
 	begun    time.Time
 	duration time.Duration
 	// limit is the time until which it may be extended.
 	limit time.Time
-	// saturated is the saturated time of the link at the begin.
-	saturated time.Duration
+	// saturated is the saturated time of the link at the begin, and stalled the time for which
+	// the process had been stalled until then.
+	saturated, stalled time.Duration
 }
 
 // Start returns a timeout that begins now.
 func (g *Gauger) Start(now time.Time, d time.Duration) Timeout {
-	return Timeout{gauger: g, begun: now, duration: d, limit: now.Add(d + MaxExtension), saturated: g.SaturatedTime(now)}
+	stalled, _ := g.stalledTime(now)
+	return Timeout{gauger: g, begun: now, duration: d, limit: now.Add(d + MaxExtension), saturated: g.SaturatedTime(now), stalled: stalled}
 }
 
 // WithLimit returns a copy that is not extended beyond a time.
@@ -220,7 +228,8 @@
 // Remaining returns the time until the timeout passes, as far as it is known. Zero means that
 // it has passed.
 func (t Timeout) Remaining(now time.Time) time.Duration {
-	end := t.begun.Add(t.duration + t.SaturatedTime(now) + t.gauger.Delay(now))
+	_, stalled := t.gauger.stalledTime(now)
+	end := t.begun.Add(t.duration + t.SaturatedTime(now) + t.stalledTime(now) + max(t.gauger.Delay(now), stalled))
 	if plain := t.begun.Add(t.duration); end.After(plain) && end.After(t.limit) {
 		end = plain
 		if t.limit.After(plain) {
--- a/entry/linkgauger/linkgauger_test.go
+++ b/entry/linkgauger/linkgauger_test.go
@@ -132,3 +132,33 @@
 	is.True(float64(total) < 4.1*rate)
 	is.Equal(linkgauger.New(0).PieceBytes(), 0)
 }
+
+// TestStalledProcess guards against a timeout that passes before a process which got no processor
+// time has read the answers, and against one that is extended without an end. A timer due after
+// 10 ms fires late.
+func TestStalledProcess(t *testing.T) {
+	const timeout, due = 60 * time.Millisecond, 10 * time.Millisecond
+	for _, c := range []struct {
+		name            string
+		late, remaining time.Duration
+		stalled         bool
+	}{
+		{"on time", 0, 50 * time.Millisecond, false},
+		{"late as usual", 2 * time.Millisecond, 48 * time.Millisecond, false},
+		{"stalled", 84 * time.Millisecond, 60 * time.Millisecond, true},
+		{"stalled for long", 3 * time.Second, 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			begun := linkgauger.New(0).Start(start, timeout)
+			now := start.Add(due + c.late)
+			begun.ObserveTimer(now, start.Add(due))
+			is.Equal(begun.Remaining(now), c.remaining)
+			is.Equal(begun.IsStalled(now), c.stalled)
+			is.True(!begun.IsInconclusive(now)) // the link was free
+			now = now.Add(c.remaining)
+			begun.ObserveTimer(now, now)
+			is.Equal(begun.Remaining(now), time.Duration(0))
+		})
+	}
+}
