reflector, enroller, steer/commander: a start is measured by phase, and waits for no timer

Cause: after all processes had ended at the same moment, the fleet did not serve for 1.0 to 1.3 s, as seen from the outside; nothing showed which phase takes the time. In a fleet of 100 entries in virtual time, with a store that takes 4 ms to respond, entries are ready after 4 ms, but - relays watch the store only after 1 s, so that servers which register or leave in this second are not known to any entry; - registration waits for a check every 20 ms; - after an outage of the store that begins before the start, entries wait for their next attempts (up to 1.2 s later, all at the same time), a list without a response for 2 s, and a registration without one for up to 3 s more.

Change: the process records when it reaches each phase (startrecorder): metric samphire_start_seconds and one log line with the first response. An entry is ready once it has a configuration and a backend server. A relay whose own registration is in its first list watches at once, without a second list; on a first start, with no registrations, the second list stays. Entries without state draw their next attempts at random, ask a peer at once when a list fails, and list at once when a heartbeat shows that the store answers another entry (three times at most). The first that gets the state sends heartbeats to its ring targets at once. An attempt to register that hangs or has failed begins anew with the state. No fetch from a peer begins while the response to the list arrives, which would fill a slow link twice.

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -99,6 +99,9 @@
 	// that it returns is called if the request was refused as not run after all, and reports
 	// whether the request is certainly not counted then. It may be nil.
 	OnRun func(workspace string, begun time.Time) (reverse func() (certain bool))
+	// OnProbe is called when a backend server has answered a probe, and OnResponse when its
+	// response has been passed on. They may be nil.
+	OnProbe, OnResponse func()
 	// NotifySuspect notifies the other entries that a backend server crashed while
 	// it ran a request, how many crashes this entry has seen for it, and the attempt at
 	// the last of them. Zero crashes clear the request. It may be nil.
@@ -182,6 +185,12 @@
 	if opts.MayTake == nil {
 		opts.MayTake = func(time.Time) bool { return true }
 	}
+	if opts.OnProbe == nil {
+		opts.OnProbe = func() {}
+	}
+	if opts.OnResponse == nil {
+		opts.OnResponse = func() {}
+	}
 	if opts.Settled == nil {
 		opts.Settled = func() bool { return true }
 	}
@@ -259,4 +268,5 @@
 		b.writeHopHeaders(c, resp)
 	}
 	b.writeResponse(w, resp)
+	b.opts.OnResponse()
 }
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -284,6 +284,7 @@
 	case failure == probeAtBound, failure == probeOwnLink, failure == probeOwnProcessor:
 	case err == nil:
 		cand.State.ObserveProbe(now, sent, h)
+		b.opts.OnProbe()
 		b.observeRateLimit(now, cand.Backend, h.RateLimit)
 		b.observeReached()
 	case isWrongInstance(err):
--- a/entry/enroller/enroller.go
+++ b/entry/enroller/enroller.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"samphiremux/entry/reflector"
+	"samphiremux/entry/startrecorder"
 	"samphiremux/entry/tracker"
 	"samphiremux/pkg/linker"
 	"samphiremux/pkg/linker/linkpb"
@@ -43,6 +44,11 @@
 	Seeds func() []string
 	// Usage exchanges usage counts with heartbeats. It may be nil.
 	Usage UsageExchange
+	// OnPeer is called when another entry has sent or answered a heartbeat, with whether the
+	// store answers that one. It may be nil.
+	OnPeer func(now time.Time, storeReached bool)
+	// Start records when another entry and the store have first answered. It may be nil.
+	Start *startrecorder.Recorder
 	Log   hclog.Logger
 }
 
@@ -118,6 +124,10 @@
 	postponeUntil time.Time
 	stopped       bool
 	contact       storeContact
+	// resumed is set by resumeRegistration, and cancelAttempt cancels an attempt to register
+	// that began before.
+	resumed       bool
+	cancelAttempt context.CancelFunc
 
 	// forwardedBytes counts the bytes of changes sent with heartbeats, and
 	// failedHeartbeats the heartbeats without an answer.
--- a/entry/enroller/heartbeat.go
+++ b/entry/enroller/heartbeat.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphiremux/entry/reflector"
+	"samphiremux/entry/startrecorder"
 	"samphiremux/entry/tracker"
 	"samphiremux/pkg/linker"
 	"samphiremux/pkg/linker/linkpb"
@@ -72,8 +73,10 @@
 		wasRelay = relay
 		ringDue := now.Sub(lastRing) >= tracker.HeartbeatInterval-relayInterval/2
 		if ringDue {
-			lastRing = now
 			targets = append(targets, e.ringTargets(targets)...)
+			if len(targets) > 0 {
+				lastRing = now
+			}
 		}
 		if relay && (ringDue || now.After(e.electionStart)) {
 			targets = append(targets, slices.DeleteFunc(e.remoteTargets(now), func(m tracker.Member) bool { return slices.Contains(targets, m) })...)
@@ -168,6 +171,7 @@
 // sent.
 func (e *Enroller) handleResponse(sent time.Time, resp *linkpb.BeatResponse) {
 	now := time.Now()
+	e.observePeer(now, resp.GetStoreReached())
 	revision := linker.DecodeRevision(resp.GetDocumentRevision(), resp.GetEra(), e.o.StoreCache.Revision().Era())
 	e.o.StoreCache.ObservePeerRevision(now, revision)
 	if e.o.Usage != nil {
@@ -212,9 +216,23 @@
 	return r
 }
 
+// observePeer records that another entry has sent or answered a heartbeat.
+func (e *Enroller) observePeer(now time.Time, storeReached bool) {
+	e.o.Start.Reach(startrecorder.Peers)
+	if e.o.OnPeer != nil {
+		e.o.OnPeer(now, storeReached)
+	}
+	if storeReached && e.o.StoreCache.Revision() != 0 {
+		e.mu.Lock()
+		e.resumeRegistration()
+		e.mu.Unlock()
+	}
+}
+
 // HandleHeartbeat records another entry's heartbeat and returns the answer.
 func (e *Enroller) HandleHeartbeat(r *linkpb.BeatRequest) *linkpb.BeatResponse {
 	now := time.Now()
+	e.observePeer(now, r.GetStoreReached())
 	peerRevision := coveredRevision(r, e.o.StoreCache.Revision().Era())
 	if r.GetScout() {
 		e.handleRelay(now, r, peerRevision)
@@ -251,10 +269,7 @@
 	if until := now.Add(minHandover + time.Duration(peers)*peerHandover); until.Before(e.relayUntil) {
 		e.relayUntil = until
 	}
-	select {
-	case e.checkNow <- struct{}{}:
-	default:
-	}
+	e.wakeCheck()
 }
 
 // coveredRevision returns the revision up to which the changes of a heartbeat are complete
--- a/entry/enroller/registration.go
+++ b/entry/enroller/registration.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"samphiremux/entry/startrecorder"
 	"samphiremux/entry/tracker"
 	"samphiremux/pkg/storer"
 )
@@ -67,12 +68,57 @@
 	for until := time.Now().Add(firstListTime); e.o.StoreCache.Revision() == 0 && time.Now().Before(until); {
 		select {
 		case <-time.After(listCheckInterval):
+		case <-e.checkNow:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// HandleStoreAnswer records that the store has answered a list or a watch of this entry.
+func (e *Enroller) HandleStoreAnswer() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.resumed {
+		e.contact.failed = false
+		e.resumeRegistration()
+	}
+}
+
+// resumeRegistration begins an attempt to register anew at once if one is under way or waits to
+// be made, the first time that the store is known to answer this entry or another one, and this
+// entry to have a copy of its keys: the store may have been unavailable until now, and the keys
+// tell whether the registration of the previous process holds. The caller holds the lock.
+func (e *Enroller) resumeRegistration() {
+	if e.resumed {
+		return
+	}
+	e.resumed = true
+	if e.lease != 0 {
+		return
+	}
+	e.nextRenewal = time.Time{}
+	if e.cancelAttempt != nil {
+		e.cancelAttempt()
+	}
+	e.wakeCheck()
+}
+
+// wakeCheck ends the wait before the next check whether a renewal is due.
+func (e *Enroller) wakeCheck() {
+	select {
+	case e.checkNow <- struct{}{}:
+	default:
+	}
+}
+
+// WasRegistered reports whether this entry has seen a registration of its own in the store.
+func (e *Enroller) WasRegistered() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.participation.from.IsZero()
+}
+
 // RunRegistration registers this entry and renews the registration until ctx ends.
 func (e *Enroller) RunRegistration(ctx context.Context) {
 	e.awaitList(ctx)
@@ -99,6 +145,12 @@
 	if renewalDue && lease == 0 {
 		lease, e.keptLease = e.keptLease, 0
 	}
+	attempt, cancel := context.WithCancel(ctx)
+	defer cancel()
+	e.cancelAttempt = nil
+	if !e.resumed {
+		e.cancelAttempt = cancel
+	}
 	e.mu.Unlock()
 	if !renewalDue {
 		return
@@ -107,16 +159,20 @@
 	if lease != 0 && !relay && !e.MayBecomeRelay() {
 		delay = passiveRetryDelay
 	}
-	sent, lease, err := e.renewPromptly(ctx, lease)
+	sent, lease, err := e.renewPromptly(attempt, lease)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lease = lease
+	e.lease, e.cancelAttempt = lease, nil
+	if err != nil && attempt.Err() != nil {
+		return
+	}
 	if err != nil {
 		e.contact.failed = true
 		e.nextRenewal = sent.Add(delay)
 		e.o.Log.Warn("Registration not renewed.", "error", err)
 		return
 	}
+	e.o.Start.Reach(startrecorder.Registration)
 	now = time.Now()
 	confirmed := e.contact.confirmed(now)
 	e.nextRenewal, e.nextRelayRenewal = sent.Add(renewInterval), sent.Add(relayRenewInterval)
--- a/entry/reflector/list_watch.go
+++ b/entry/reflector/list_watch.go
@@ -13,6 +13,12 @@
 const (
 	// listTimeout bounds the wait for one list of all keys.
 	listTimeout = 2 * time.Second
+	// minListTimeout is the shortest such bound of an entry that knows no keys, and
+	// listOverdue the time without a response after which it lists again as soon as another
+	// entry reaches the store. Entries that start together in an outage draw different bounds,
+	// so that some of them ask soon after the store answers again.
+	minListTimeout = 500 * time.Millisecond
+	listOverdue    = 250 * time.Millisecond
 	// transferTimeout bounds the arrival of a response of the store. The largest takes
 	// 1.2 s on a link of 10 Mbit/s.
 	transferTimeout = 2 * time.Second
@@ -90,7 +96,13 @@
 // first. An entry that is not among the first relays waits longer, but no longer than until
 // a relay sends heartbeats.
 func (r *Reflector) awaitRetry(ctx context.Context, backoff time.Duration) bool {
-	if !r.Ready() || r.o.MayBecomeRelay() {
+	switch {
+	case !r.Ready():
+		r.wakePeerSync()
+		return r.sleepUntilContact(ctx, rand.N(2*backoff))
+	case r.o.MayBecomeRelay() && !r.storeAnswered():
+		return r.sleepUntilContact(ctx, backoff)
+	case r.o.MayBecomeRelay():
 		return sleep(ctx, backoff)
 	}
 	until := time.Now().Add(minPassiveBackoff + rand.N(maxPassiveBackoff-minPassiveBackoff))
@@ -132,7 +144,7 @@
 	switch {
 	case r.Ready() && r.o.HasRelay() && !r.o.IsRelay():
 		list = r.awaitRelayed
-	case compacted || (r.Ready() && r.o.MayBecomeRelay()):
+	case compacted || (r.storeAnswered() && r.o.MayBecomeRelay()):
 	case r.Ready():
 		list = r.listStale
 	default:
@@ -155,9 +167,15 @@
 
 // list lists all keys.
 func (r *Reflector) list(ctx context.Context) error {
-	listCtx, cancel := storer.WithTransferTimeout(ctx, time.Now().Add(listTimeout), transferTimeout)
+	timeout := listTimeout
+	if !r.Ready() {
+		timeout = minListTimeout + rand.N(listTimeout-minListTimeout)
+	}
+	listCtx, cancel := storer.WithTransferTimeout(ctx, time.Now().Add(timeout), transferTimeout)
 	defer cancel()
-	pairs, at, err := r.o.Store.List(listCtx, r.o.Prefix)
+	r.beginList(time.Now(), cancel)
+	pairs, at, err := r.o.Store.List(storer.WithProgress(listCtx, r.observeListProgress), r.o.Prefix)
+	r.beginList(time.Time{}, nil)
 	if err != nil {
 		return err
 	}
@@ -182,15 +200,19 @@
 // since then, or a watch from there does.
 func (r *Reflector) listStale(ctx context.Context) error { return r.list(storer.WithStaleReads(ctx)) }
 
-// listAtStart lists all keys when this entry knows none. When all entries start together,
-// the first list shows few of them, and each would consider itself the relay. So the keys
-// are listed again after startDelay unless a relay has sent a heartbeat.
+// listAtStart lists all keys when this entry knows none. When all entries start together for
+// the first time, the first list shows few of them, and each would consider itself the relay.
+// So the keys are listed again after startDelay unless a relay has sent a heartbeat. A relay
+// that was registered before knows the others by the first list, and watches at once.
 func (r *Reflector) listAtStart(ctx context.Context) error {
 	if err := r.listStale(ctx); err != nil {
 		return err
 	}
 	for until := time.Now().Add(startDelay); time.Now().Before(until); {
-		if !sleep(ctx, relayCheckInterval) || r.o.HasRelay() {
+		if r.o.HasRelay() || (r.o.WasRegistered != nil && r.o.WasRegistered() && r.o.IsRelay()) {
+			return ctx.Err()
+		}
+		if !sleep(ctx, relayCheckInterval) {
 			return ctx.Err()
 		}
 	}
@@ -281,7 +303,11 @@
 func (r *Reflector) needsPeerSync(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.ready || r.storeLost {
+	if !r.ready {
+		// The state would come twice over the same link.
+		return r.receivingSince.IsZero() || now.Sub(r.receivingSince) >= transferTimeout
+	}
+	if r.storeLost {
 		return true
 	}
 	if len(r.omitted) > 0 || r.behindSince.IsZero() || now.Sub(r.behindSince) < maxWatchLag {
@@ -301,7 +327,7 @@
 func (r *Reflector) RunPeerSync(ctx context.Context) {
 	go r.runReads(ctx)
 	go r.runTimers(ctx)
-	for sleep(ctx, peerSyncInterval) {
+	for r.sleepUntilSync(ctx, peerSyncInterval) {
 		if r.needsPeerSync(time.Now()) {
 			fetchCtx, cancel := context.WithCancel(ctx)
 			r.setFetchCancel(cancel)
--- a/entry/reflector/reflector.go
+++ b/entry/reflector/reflector.go
@@ -75,6 +75,16 @@
 
 func changeSize(c *linkpb.Change) int { return len(c.GetKey()) + len(c.GetValue()) }
 
+// Source is where the first complete copy came from.
+type Source int
+
+const (
+	// FromStore is a list of the store.
+	FromStore Source = iota
+	// FromPeer is the copy of another entry.
+	FromPeer
+)
+
 // Options are the dependencies and settings of a Reflector.
 type Options struct {
 	Store storer.Store
@@ -89,6 +99,9 @@
 	// AwaitsRelay reports whether this entry does not watch the store though it has no relay,
 	// since others find out first whether the store answers. It may be nil.
 	AwaitsRelay func() bool
+	// WasRegistered reports whether the list of the store shows a registration of this entry,
+	// so that it shows those of the others too. It may be nil if that is not known.
+	WasRegistered func() bool
 	// MayBecomeRelay reports whether this entry would be among the first to watch the
 	// store on behalf of others.
 	MayBecomeRelay func() bool
@@ -102,6 +115,9 @@
 	CanWait func(key string) bool
 	// OnChange is called after changes have arrived from the store itself.
 	OnChange func()
+	// OnReady is called once, when the copy is complete for the first time, with the
+	// reflector's lock held. It may be nil.
+	OnReady func(Source)
 	// Sink receives every change of the copy.
 	Sink Sink
 	Log  hclog.Logger
@@ -140,6 +156,8 @@
 	omittedUpTo storer.Revision
 	// wakeReads starts the reads of omitted values.
 	wakeReads chan struct{}
+	// start is the state of the start.
+	start start
 }
 
 // keyState is the newest known state of a key. A deleted one is a tombstone.
@@ -154,7 +172,7 @@
 func New(o Options) *Reflector {
 	return &Reflector{
 		o: o, keys: map[string]*keyState{}, held: map[string]heldChange{},
-		omitted: map[string]omission{}, wakeReads: make(chan struct{}, 1),
+		omitted: map[string]omission{}, wakeReads: make(chan struct{}, 1), start: newStart(),
 	}
 }
 
@@ -234,7 +252,7 @@
 		}
 	}
 	if !r.ready {
-		r.ready = true
+		r.setReady(FromPeer)
 		r.unconfirmedSince = now
 		r.compacted = b.Revision
 		r.o.Log.Info("State taken from another entry.", "revision", b.Revision.Number())
@@ -253,6 +271,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	afterOutage := r.storeLost
+	r.start.answered = true
 	r.storeLost = false
 	switch {
 	case !stale:
@@ -268,13 +287,21 @@
 	r.advance(at)
 	if !r.ready {
 		r.compacted = at
+		r.setReady(FromStore)
 	}
-	r.ready = true
 	if afterOutage {
 		r.o.Log.Info("Store answers again.", "revision", at.Number(), "era", at.Era())
 	}
 }
 
+// setReady records that the copy is complete for the first time. The caller holds the lock.
+func (r *Reflector) setReady(s Source) {
+	r.ready = true
+	if r.o.OnReady != nil {
+		r.o.OnReady(s)
+	}
+}
+
 // applyEvents applies a batch of changes from a watch.
 func (r *Reflector) applyEvents(now time.Time, events []storer.Event, upTo storer.Revision) {
 	r.mu.Lock()
--- a/steer/commander/commander.go
+++ b/steer/commander/commander.go
@@ -62,6 +62,7 @@
 
 // Run runs the entry until SIGINT or SIGTERM and returns the exit code.
 func Run(args []string, out io.Writer) int {
+	began := time.Now()
 	var a arguments
 	if _, code, ends := flagparser.Parse(flagparser.CommandLine{Program: "samphire-steer", Args: args, Out: out, Err: out}, &a); ends {
 		return code
@@ -105,7 +106,7 @@
 	// logger.
 	stdlog.SetOutput(log.Named("http").StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}))
 	signal.Ignore(syscall.SIGPIPE)
-	if err := serve(ctx, a.Settings, s, policy, features{hedgeLimit: a.HedgeLimit, queueing: a.Queue}, log); err != nil {
+	if err := serve(ctx, a.Settings, s, policy, features{hedgeLimit: a.HedgeLimit, queueing: a.Queue}, began, log); err != nil {
 		log.Error("Entry failed; exiting.", "error", err)
 		return exitFailed
 	}
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -26,6 +26,7 @@
 	"samphiremux/entry/roller"
 	"samphiremux/entry/roundtripper"
 	"samphiremux/entry/snapshotter"
+	"samphiremux/entry/startrecorder"
 	"samphiremux/entry/throttler"
 	"samphiremux/entry/tracker"
 	"samphiremux/entry/usagereporter"
@@ -97,6 +98,10 @@
 	uplink   throttler.ByteBudget
 	stopping chan struct{}
 	drainer  *drainer.Drainer
+	// start records the phases of the start.
+	start *startrecorder.Recorder
+	// servable is set once the entry has had a configuration and a backend server.
+	servable atomic.Bool
 }
 
 const (
@@ -122,6 +127,7 @@
 func newEntry(s translator.Settings, policy chooser.Policy, dial dialFunc, log hclog.Logger) *entry {
 	e := &entry{
 		id: s.ID, log: log, metrics: meter.New(), stopping: make(chan struct{}), drainer: drainer.New(), uptime: uptime,
+		start: startrecorder.New(time.Now()),
 		pool: linker.NewPool(func(ctx context.Context, address string) (net.Conn, error) {
 			return dial(ctx, "tcp", address)
 		}),
@@ -165,7 +171,9 @@
 		HasRelay:       func() bool { return e.enroller.HasRelay() },
 		AwaitsRelay:    func() bool { return e.enroller.AwaitsRelay() },
 		MayBecomeRelay: func() bool { return e.enroller.MayBecomeRelay() },
-		OnChange:       func() { e.enroller.HeartbeatNow() },
+		WasRegistered:  func() bool { return e.enroller.WasRegistered() },
+		OnChange:       e.observeStore,
+		OnReady:        e.observeState,
 		CanWait:        func(key string) bool { return key == usageKey },
 	})
 	self := registration(s)
@@ -174,7 +182,7 @@
 		Limits: e.usageLimits, Uptime: func() time.Duration { return e.uptime() }, TimeOfDay: timeOfDay, Send: e.sendUsage(dial), Stopping: e.isStopping, Log: log.Named("usage"),
 	})
 	e.enroller = enroller.New(time.Now(), enroller.Options{
-		Self: self, Usage: e.usage,
+		Self: self, Usage: e.usage, Start: e.start, OnPeer: e.reflector.ObservePeerContact,
 		Store: store, Prefix: entryPrefix, Pool: e.pool, Seeds: func() []string { return e.settings.Load().Peers }, Log: log.Named("enroller"),
 		StoreCache: e.reflector,
 	})
@@ -192,7 +200,7 @@
 	})
 	e.balancer = balancer.New(balancer.Options{
 		Self: s.ID, Delegator: e.delegator, Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, Outdated: e.isOutdated, EntryCount: e.enroller.LimitShares, Rank: e.enroller.Rank, Entries: e.members, FirstEntries: e.enroller.FirstMembers, Settled: e.enroller.Settled, Log: log.Named("steerer"),
-		Bodies: e.bounds.memory, Link: e.gauger,
+		Bodies: e.bounds.memory, Link: e.gauger, OnProbe: func() { e.start.Reach(startrecorder.Probe) }, OnResponse: e.observeResponse,
 		OnAttempt: e.roller.Observe, OnRun: e.usage.Count, MayTake: e.drainer.MayTake,
 		IdleTimeout: func() time.Duration { return e.connectionLimits().Idle },
 		Headers: balancer.Headers{
@@ -207,6 +215,7 @@
 		Rank: e.enroller.Rank, ReachesStore: e.enroller.ReachesStore, Log: log.Named("persister"),
 	})
 	e.addGauges(store)
+	e.addStartGauge()
 	e.addUsageGauges()
 	return e
 }
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -19,6 +19,7 @@
 	"samphiremux/entry/expirer"
 	"samphiremux/entry/hedger"
 	"samphiremux/entry/linkcounter"
+	"samphiremux/entry/startrecorder"
 	"samphiremux/pkg/linker"
 	"samphiremux/platform/translator"
 )
@@ -32,9 +33,11 @@
 }
 
 // serve runs an entry until ctx ends, and then until its last requests are answered or
-// the grace period is over.
-func serve(ctx context.Context, file string, s translator.Settings, policy chooser.Policy, f features, log hclog.Logger) error {
+// the grace period is over. Began is when the process began.
+func serve(ctx context.Context, file string, s translator.Settings, policy chooser.Policy, f features, began time.Time, log hclog.Logger) error {
 	e := newEntry(s, policy, dialer().DialContext, log)
+	e.start.SetBegan(began)
+	e.start.Reach(startrecorder.Settings)
 	if f.hedgeLimit != nil {
 		e.balancer.UseHedger(hedger.New(*f.hedgeLimit))
 	}
@@ -59,6 +62,7 @@
 	go e.usage.RunForwarding(work)
 	go e.watchSettings(work, file)
 	running := e.startServers(work, l)
+	e.start.Reach(startrecorder.Listening)
 	e.serveMetrics(s.CallerAddress)
 	log.Info("Entry runs.", "id", s.ID, "domain", s.Domain, "policy", policy.String())
 	<-ctx.Done()
@@ -205,14 +209,14 @@
 	e.balancer.ServeDelegated(w, r)
 }
 
-// serveReady answers the platform's readiness check: 200 if the entry has a
-// configuration and is not stopping, else 503.
+// serveReady answers the platform's readiness check: 200 if the entry can serve and is not
+// stopping, else 503.
 func (e *entry) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != translator.ReadyPath {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if e.isStopping() || e.snapshots.Snapshot().Table == nil {
+	if e.isStopping() || !e.canServe() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
