--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -82,6 +82,10 @@
 	// send requests to cold servers and to those that state a rate limit. It may be nil if
 	// that is always so.
 	Settled func() bool
+	// Resumed reports whether the others have counted this entry since its previous process,
+	// so that it takes part in a share of the rates of cold servers before it is settled. It
+	// may be nil if that is never so.
+	Resumed func() bool
 	// FirstEntries returns the ids of the first n entries, in the order for a key, of those
 	// that callers may be directed to. It may be nil if there is only this entry.
 	FirstEntries func(key string, n int) []string
@@ -194,6 +198,9 @@
 	if opts.Settled == nil {
 		opts.Settled = func() bool { return true }
 	}
+	if opts.Resumed == nil {
+		opts.Resumed = func() bool { return false }
+	}
 	if opts.FirstEntries == nil {
 		opts.FirstEntries = func(string, int) []string { return []string{opts.Self} }
 	}
--- a/entry/enroller/kept_registration_test.go
+++ b/entry/enroller/kept_registration_test.go
@@ -33,7 +33,8 @@
 
 // TestRegistrationKept guards against two calls of the store for each start of an entry whose
 // registration still holds, and against an entry that relies on a registration that differs,
-// that expires while it starts, or that the previous process removes as it ends.
+// that expires while it starts, or that the previous process removes as it ends: such an entry
+// must not take part in limits before the others know it.
 func TestRegistrationKept(t *testing.T) {
 	const registered = `{"id":"e00","failure-domain":"a","address":"","link-address":"link0","incarnation":"earlier","lease":%d}`
 	for _, c := range []struct {
@@ -84,6 +85,7 @@
 					is.True(e.Settled()) // others count this entry for a while
 				}
 				is.Equal(store.registrations(), c.commits)
+				is.Equal(e.Resumed(), c.name == "kept")
 				is.True(e.ReachesStore())
 				time.Sleep(30 * time.Second)
 				is.Equal(store.registrations(), c.commits)
--- a/entry/enroller/participation.go
+++ b/entry/enroller/participation.go
@@ -14,6 +14,8 @@
 	from time.Time
 	// until is when it ends. It is zero while the entry is registered.
 	until time.Time
+	// resumed is set while the registration of the previous process is kept.
+	resumed bool
 }
 
 // includes reports whether the entry takes part at a time.
@@ -28,10 +30,16 @@
 	case p.from.IsZero(), !p.until.IsZero() && !now.Before(p.until):
 		return participation{from: now.Add(settleTime)}
 	default:
-		return participation{from: p.from}
+		return participation{from: p.from, resumed: p.resumed}
 	}
 }
 
+// withResumption returns the participation of an entry whose registration was kept.
+func (p participation) withResumption() participation {
+	p.resumed = !p.from.IsZero() && p.until.IsZero()
+	return p
+}
+
 // withoutRegistration returns the participation of an entry whose registration was removed.
 // It ends before the others cease to count the entry.
 func (p participation) withoutRegistration(now time.Time) participation {
--- a/entry/enroller/registration.go
+++ b/entry/enroller/registration.go
@@ -141,9 +141,10 @@
 	now := time.Now()
 	e.mu.Lock()
 	renewalDue := !e.stopped && !e.mayPostpone(now, reached) && (!now.Before(e.nextRenewal) || (relay && !now.Before(e.nextRelayRenewal)))
-	lease := e.lease
+	lease, kept := e.lease, storer.LeaseID(0)
 	if renewalDue && lease == 0 {
-		lease, e.keptLease = e.keptLease, 0
+		kept, e.keptLease = e.keptLease, 0
+		lease = kept
 	}
 	attempt, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -173,6 +174,9 @@
 		return
 	}
 	e.o.Start.Reach(startrecorder.Registration)
+	if kept != 0 && lease == kept {
+		e.participation = e.participation.withResumption()
+	}
 	now = time.Now()
 	confirmed := e.contact.confirmed(now)
 	e.nextRenewal, e.nextRelayRenewal = sent.Add(renewInterval), sent.Add(relayRenewInterval)
--- a/entry/enroller/shares.go
+++ b/entry/enroller/shares.go
@@ -86,6 +86,15 @@
 	}
 }
 
+// Resumed reports whether the store has renewed the lease of the previous process of this entry,
+// so that the others have counted this one all along, and the keys of the store have shown it
+// those that registered before.
+func (e *Enroller) Resumed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.participation.resumed
+}
+
 // Settled reports whether the others count this entry in limits for all of them, and this one
 // them. What an earlier process of it has sent no longer counts for a second by then.
 func (e *Enroller) Settled() bool {
--- a/steer/commander/entry.go
+++ b/steer/commander/entry.go
@@ -199,7 +199,7 @@
 		},
 	})
 	e.balancer = balancer.New(balancer.Options{
-		Self: s.ID, Delegator: e.delegator, Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, Outdated: e.isOutdated, EntryCount: e.enroller.LimitShares, Rank: e.enroller.Rank, Entries: e.members, FirstEntries: e.enroller.FirstMembers, Settled: e.enroller.Settled, Log: log.Named("steerer"),
+		Self: s.ID, Delegator: e.delegator, Domain: s.Domain, Policy: policy, Snapshot: e.snapshots.Snapshot, Outdated: e.isOutdated, EntryCount: e.enroller.LimitShares, Rank: e.enroller.Rank, Entries: e.members, FirstEntries: e.enroller.FirstMembers, Settled: e.enroller.Settled, Resumed: e.enroller.Resumed, Log: log.Named("steerer"),
 		Bodies: e.bounds.memory, Link: e.gauger, OnProbe: func() { e.start.Reach(startrecorder.Probe) }, OnResponse: e.observeResponse,
 		OnAttempt: e.roller.Observe, OnRun: e.usage.Count, MayTake: e.drainer.MayTake,
 		IdleTimeout: func() time.Duration { return e.connectionLimits().Idle },
--- a/steer/commander/start_test.go
+++ b/steer/commander/start_test.go
@@ -121,6 +121,7 @@
 		{"store answers", 0, false, false, roundTrip + time.Millisecond},
 		{"store refuses", 2 * time.Second, false, false, 150 * time.Millisecond},
 		{"store is silent", 2 * time.Second, true, false, 400 * time.Millisecond},
+		{"servers are cold", 0, false, true, roundTrip + time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
