--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -84,6 +84,10 @@
 	// send requests to cold servers and to those that state a rate limit. It may be nil if
 	// that is always so.
 	Settled func() bool
+	// Resumed reports whether the others have counted this entry since its previous process,
+	// so that it takes part in a share of the rates of cold servers before it is settled. It
+	// may be nil if that is never so.
+	Resumed func() bool
 	// FirstEntries returns the ids of the first n entries, in the order for a key, of those
 	// that callers may be directed to. It may be nil if there is only this entry.
 	FirstEntries func(key string, n int) []string
@@ -101,6 +105,9 @@
 	// that it returns is called if the request was refused as not run after all, and reports
 	// whether the request is certainly not counted then. It may be nil.
 	OnRun func(workspace string, begun time.Time) (reverse func() (certain bool))
+	// OnProbe is called when a backend server has answered a probe, and OnResponse when its
+	// response has been passed on. They may be nil.
+	OnProbe, OnResponse func()
 	// NotifySuspect notifies the other entries that a backend server crashed while
 	// it ran a request, how many crashes this entry has seen for it, and the attempt at
 	// the last of them. Zero crashes clear the request. It may be nil.
@@ -186,9 +193,18 @@
 	if opts.MayTake == nil {
 		opts.MayTake = func(time.Time) bool { return true }
 	}
+	if opts.OnProbe == nil {
+		opts.OnProbe = func() {}
+	}
+	if opts.OnResponse == nil {
+		opts.OnResponse = func() {}
+	}
 	if opts.Settled == nil {
 		opts.Settled = func() bool { return true }
 	}
+	if opts.Resumed == nil {
+		opts.Resumed = func() bool { return false }
+	}
 	if opts.FirstEntries == nil {
 		opts.FirstEntries = func(string, int) []string { return []string{opts.Self} }
 	}
@@ -244,6 +260,7 @@
 	defer b.endTrial(c)
 	if resp := b.process(ctx, w, r, c); resp != nil {
 		b.writeResponse(w, resp)
+		b.opts.OnResponse()
 	}
 }
 
--- a/entry/balancer/probe.go
+++ b/entry/balancer/probe.go
@@ -193,8 +193,8 @@
 
 // round probes servers concurrently. It returns when all have answered, probeGrace after
 // the first response, or after probeRoundTimeout without a response, which is extended while
-// the own link is saturated. Answers to earlier rounds count as well. Without servers it waits
-// for those until they are too late.
+// the own link is saturated or the process was stalled. Answers to earlier rounds count as
+// well. Without servers it waits for those until they are too late.
 func (p *probes) round(ctx context.Context, batch []candidate) (results []*probeResult) {
 	p.rounds++
 	round, awaited := p.rounds, len(batch)
@@ -210,8 +210,14 @@
 		}()
 	}
 	p.pending += len(batch)
-	limit := time.NewTimer(min(maxRoundStep, timeout.Remaining(time.Now())))
+	limit := time.NewTimer(0)
 	defer limit.Stop()
+	var due time.Time
+	wait := func(d time.Duration) {
+		limit.Reset(d)
+		due = time.Now().Add(d)
+	}
+	wait(min(maxRoundStep, timeout.Remaining(time.Now())))
 	answered := false
 	for awaited > 0 {
 		select {
@@ -223,13 +229,14 @@
 			}
 			if r.err == nil && !answered {
 				answered = true
-				limit.Reset(probeGrace)
+				wait(probeGrace)
 			}
 			continue
 		case <-limit.C:
+			timeout.ObserveTimer(time.Now(), due)
 		}
 		if rest := timeout.Remaining(time.Now()); rest > 0 && !answered && ctx.Err() == nil {
-			limit.Reset(min(maxRoundStep, rest))
+			wait(min(maxRoundStep, rest))
 			continue
 		}
 		break
@@ -275,9 +282,10 @@
 	}
 	b.metrics.probes.With(result).Inc()
 	switch {
-	case failure == probeAtBound, failure == probeOwnLink:
+	case failure == probeAtBound, failure == probeOwnLink, failure == probeOwnProcessor:
 	case r.err == nil:
 		r.State.ObserveProbe(now, sent, r.health)
+		b.opts.OnProbe()
 		b.observeRateLimit(now, r.Backend, r.health.RateLimit)
 		b.observeReached()
 	case isWrongInstance(r.err):
