usagereporter: a test reads the accepted reports under their lock

Cause: TestLateCounts read the fixture's map of accepted reports without its lock while the holder's goroutine may write to it. Change: it reads a copy, as the other tests do. The check is the same.

--- a/entry/usagereporter/reversal_test.go
+++ b/entry/usagereporter/reversal_test.go
@@ -26,6 +26,6 @@
 		time.Sleep(20 * time.Millisecond)
 		is.True(!tooLate())
 		time.Sleep(20 * time.Second)
-		is.Equal(w.accepted[w.window(15*time.Second)].Counts["stock"], int64(3*10+3))
+		is.Equal(w.reports()[w.window(15*time.Second)].Counts["stock"], int64(3*10+3))
 	})
 }
