tallier: a process states that it has ended

Cause: nothing tells whether counts of a process that is gone are complete. An entry that has ended also held back the open window: once half of the entries had stopped and did not start again, no window was reported any more, since the window that is open at half of all known entries no longer changed (four entries of which two stop, in virtual time: no report in the 25 s after). Change: End records that an entry counts no more. Its counts then carry the highest possible up_to, so no field is added, and entries of earlier versions keep and pass on the number like any other. Entries that have ended no longer count for the open window, nor as heard of, and are dropped once their windows are reported. Measured: TestEndedProcesses; it fails when ended entries count for the open window.

--- a/entry/tallier/tallier.go
+++ b/entry/tallier/tallier.go
@@ -25,6 +25,9 @@
 	// cellBlock is the number of cells by which a window grows. Doubling would take a third
 	// more memory on the holder.
 	cellBlock = 8
+	// endOfCounts is the position of counts that never change again, since the process has
+	// ended. Entries of earlier versions keep it and pass it on like any other.
+	endOfCounts = math.MaxUint64
 )
 
 // source identifies whose counts they are.
@@ -56,6 +59,9 @@
 	sequence uint32
 }
 
+// ended reports whether the source has ended and all of its counts have been received.
+func (t *tally) ended() bool { return t.upTo == endOfCounts }
+
 // Tallier holds the counts of this entry, and of others if this entry is a relay or the
 // holder of usage reporting. It is safe for concurrent use.
 type Tallier struct {
@@ -140,12 +146,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	own := t.sources[t.self]
-	if own.openWindow == window {
+	if own.openWindow == window || own.ended() {
 		return
 	}
 	own.openWindow, own.sequence = window, t.nextSequence()
 }
 
+// End records that this entry counts no more, in the window that is open. For entries of
+// earlier versions, it has left that window.
+func (t *Tallier) End(window int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	own := t.sources[t.self]
+	own.openWindow, own.upTo, own.sequence = window+1, endOfCounts, t.nextSequence()
+}
+
 // Query returns what to ask another entry for.
 func (t *Tallier) Query(entry string) *linkpb.UsageQuery {
 	t.mu.Lock()
@@ -164,7 +179,6 @@
 		after = 0
 	}
 	out, _ := t.changes(t.self, after)
-	out.UpTo = t.sequence
 	return out
 }
 
@@ -173,16 +187,10 @@
 func (t *Tallier) Changes(after uint64) (out []*linkpb.UsageCounts, upTo uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for s, tally := range t.sources {
-		u, changed := t.changes(s, after)
-		if !changed {
-			continue
-		}
-		u.UpTo = tally.upTo
-		if s == t.self {
-			u.UpTo = t.sequence
+	for s := range t.sources {
+		if u, changed := t.changes(s, after); changed {
+			out = append(out, u)
 		}
-		out = append(out, u)
 	}
 	return out, t.sequence
 }
@@ -191,7 +199,10 @@
 // holds the lock.
 func (t *Tallier) changes(s source, after uint64) (out *linkpb.UsageCounts, changed bool) {
 	tally := t.sources[s]
-	out = &linkpb.UsageCounts{EntryId: s.entry, Incarnation: s.incarnation, OpenWindow: tally.openWindow}
+	out = &linkpb.UsageCounts{EntryId: s.entry, Incarnation: s.incarnation, UpTo: tally.upTo, OpenWindow: tally.openWindow}
+	if s == t.self && !tally.ended() {
+		out.UpTo = t.sequence
+	}
 	for window, cells := range tally.windows {
 		for _, c := range cells {
 			if t.isAfter(c.sequence, after) {
@@ -245,10 +256,10 @@
 	}
 	// Relays may pass on states of an entry in another order than it had them.
 	if u.GetUpTo() >= from.upTo {
-		from.upTo = u.GetUpTo()
-		if from.openWindow != u.GetOpenWindow() {
+		if from.openWindow != u.GetOpenWindow() || (u.GetUpTo() == endOfCounts && !from.ended()) {
 			from.openWindow, from.sequence = u.GetOpenWindow(), t.nextSequence()
 		}
+		from.upTo = u.GetUpTo()
 	}
 	for _, count := range u.GetCounts() {
 		if count.GetWindow() <= t.reported {
@@ -344,13 +355,38 @@
 	defer t.mu.Unlock()
 	complete := map[string]bool{}
 	for s, tally := range t.sources {
-		if tally.openWindow > window {
+		if tally.openWindow > window && !tally.ended() {
 			complete[s.entry] = true
 		}
 	}
 	return complete
 }
 
+// Awaits reports whether counts of a window may be missing of a process that was heard of last
+// in it and has not ended. It may have been killed, or others may have its last counts.
+func (t *Tallier) Awaits(window int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, tally := range t.sources {
+		if tally.openWindow == window && !tally.ended() {
+			return true
+		}
+	}
+	return false
+}
+
+// HasOthers reports whether this entry has counts of others that are not reported.
+func (t *Tallier) HasOthers() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for s, tally := range t.sources {
+		if s != t.self && len(tally.windows) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // TypicalOpenWindow returns the highest window that is open, or has been, at half of the
 // entries at least. Single clocks that are ahead or behind do not change it.
 func (t *Tallier) TypicalOpenWindow() int64 {
@@ -358,14 +394,16 @@
 	defer t.mu.Unlock()
 	byEntry := map[string]int64{}
 	for s, tally := range t.sources {
-		byEntry[s.entry] = max(byEntry[s.entry], tally.openWindow)
+		if s == t.self || !tally.ended() {
+			byEntry[s.entry] = max(byEntry[s.entry], tally.openWindow)
+		}
 	}
 	open := slices.Sorted(maps.Values(byEntry))
 	return open[(len(open)-1)/2]
 }
 
-// SetReported drops the counts up to a window, and sources that have not been heard of for
-// maxWindows windows.
+// SetReported drops the counts up to a window, and sources that have ended or have not been
+// heard of for maxWindows windows.
 func (t *Tallier) SetReported(reported int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -379,7 +417,7 @@
 				delete(tally.windows, window)
 			}
 		}
-		if s != t.self && len(tally.windows) == 0 && tally.openWindow < reported-maxWindows {
+		if s != t.self && len(tally.windows) == 0 && (tally.ended() || tally.openWindow < reported-maxWindows) {
 			delete(t.sources, s)
 			delete(t.received, s.entry)
 		}
--- a/entry/tallier/tallier_test.go
+++ b/entry/tallier/tallier_test.go
@@ -108,6 +108,27 @@
 	is.Equal(len(counts), 0) // the entry has not been heard of for long
 }
 
+// TestEndedProcesses guards against processes that have ended and hold back the open window, are
+// awaited or are kept after the report, and against older states of them that come later.
+func TestEndedProcesses(t *testing.T) {
+	is := is.New(t)
+	entry, slow, holder := tallier.New("e1", "i1"), tallier.New("r1", "i2"), tallier.New("h", "i9")
+	holder.SetOpenWindow(9)
+	entry.SetOpenWindow(7)
+	exchange(slow, entry, "e1")
+	forward(slow, holder)
+	is.True(holder.Awaits(7))
+	entry.End(7)
+	entry.SetOpenWindow(8) // the clock goes on until the exit
+	forward(entry, holder)
+	forward(slow, holder)
+	is.True(!holder.Awaits(7) && !holder.Awaits(8))
+	is.Equal(holder.TypicalOpenWindow(), int64(9))
+	holder.SetReported(7)
+	counts, _ := holder.Changes(0)
+	is.Equal(len(counts), 1) // its own
+}
+
 // TestReversalLost guards against a count that was taken back and returns, since a relay
 // passes on an older state later, and against a report for a window without requests.
 func TestReversalLost(t *testing.T) {
