--- a/entry/hedger/hedger_test.go
+++ b/entry/hedger/hedger_test.go
@@ -17,34 +17,38 @@
 
 var start = time.Now()
 
-// TestDueAt guards against hedges of ordinary responses, and against hedges that come too
-// late to serve the caller in time.
-func TestDueAt(t *testing.T) {
-	text, err := os.ReadFile("_fixtures/due-at.txt")
+// forEachLine runs a test for each line of a table that is no comment.
+func forEachLine(t *testing.T, file string, test func(is *is.I, line string)) {
+	t.Helper()
+	text, err := os.ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
 	}
 	for line := range strings.Lines(string(text)) {
-		if strings.HasPrefix(line, "#") {
-			continue
+		if !strings.HasPrefix(line, "#") {
+			t.Run(strings.TrimSpace(line), func(t *testing.T) { test(is.New(t), line) })
 		}
-		t.Run(strings.TrimSpace(line), func(t *testing.T) {
-			is := is.New(t)
-			f := strings.Fields(line)
-			after := func(i int) time.Duration {
-				d, err := time.ParseDuration(f[i])
-				is.NoErr(err)
-				return d
-			}
-			a := hedger.Attempt{Service: "s", Route: "r", Sent: start, Expected: after(0), Usual: after(1), Deadline: start.Add(after(3))}
-			if f[2] != "-" {
-				a.Objective = start.Add(after(2))
-			}
-			is.Equal(hedger.New(0.05).DueAt(a).Sub(start), after(5))
-		})
 	}
 }
 
+// TestDueAt guards against hedges of ordinary responses, and against hedges that come too
+// late to serve the caller in time.
+func TestDueAt(t *testing.T) {
+	forEachLine(t, "_fixtures/due-at.txt", func(is *is.I, line string) {
+		f := strings.Fields(line)
+		after := func(i int) time.Duration {
+			d, err := time.ParseDuration(f[i])
+			is.NoErr(err)
+			return d
+		}
+		a := hedger.Attempt{Service: "s", Route: "r", Sent: start, Expected: after(0), Usual: after(1), Deadline: start.Add(after(3))}
+		if f[2] != "-" {
+			a.Objective = start.Add(after(2))
+		}
+		is.Equal(hedger.New(0.05).DueAt(a).Sub(start), after(5))
+	})
+}
+
 // TestLimitOfAllEntries guards against entries that together exceed the operators' limit:
 // each hedges as often as it is allowed to, and the load is divided unevenly.
 func TestLimitOfAllEntries(t *testing.T) {
@@ -216,27 +220,19 @@
 // against evidence without effect.
 func TestDueBy(t *testing.T) {
 	const ms = time.Millisecond
-	text, err := os.ReadFile("_fixtures/due-by.txt")
-	is.New(t).NoErr(err)
-	for line := range strings.Lines(string(text)) {
-		if strings.HasPrefix(line, "#") {
-			continue
+	forEachLine(t, "_fixtures/due-by.txt", func(is *is.I, line string) {
+		var expected, usual, deadline, after time.Duration
+		var slowness, stated float64
+		var due bool
+		_, err := fmt.Sscan(line, &expected, &usual, &deadline, &slowness, &stated, &after, &due)
+		is.NoErr(err)
+		a := hedger.Attempt{Sent: start, Expected: expected * ms, Usual: usual * ms, Deadline: start.Add(deadline * ms), Slowness: slowness}
+		evidence := hedger.Evidence(hedger.Lost{})
+		if stated > 0 {
+			evidence = hedger.Slowed{Slowness: stated}
 		}
-		t.Run(strings.TrimSpace(line), func(t *testing.T) {
-			is := is.New(t)
-			var expected, usual, deadline, after time.Duration
-			var slowness, stated float64
-			var due bool
-			_, err := fmt.Sscan(line, &expected, &usual, &deadline, &slowness, &stated, &after, &due)
-			is.NoErr(err)
-			a := hedger.Attempt{Sent: start, Expected: expected * ms, Usual: usual * ms, Deadline: start.Add(deadline * ms), Slowness: slowness}
-			evidence := hedger.Evidence(hedger.Lost{})
-			if stated > 0 {
-				evidence = hedger.Slowed{Slowness: stated}
-			}
-			is.Equal(a.DueBy(start.Add(after*ms), evidence), due)
-		})
-	}
+		is.Equal(a.DueBy(start.Add(after*ms), evidence), due)
+	})
 }
 
 // playTurns sends requests with an objective of 1.5 times the usual latency, each to a server
