balancer: the reason of a refusal is that of an attempt that may have run

Cause: found by the exact check of TestFleetStops. A slow upload whose server was cut off had 100 ms left; its deadline passed while its hedge looked for a server. The attempt ended as timed out, then the hedge as not sent, and the latter's outcome became the reason: 502 connection-lost in place of 504 no-answer-in-time. Change: an attempt that did not run no longer replaces the outcome of an earlier one that may have run. All tests of the balancer pass, and those of fleets, stops and partitions of steer/commander.

--- a/entry/balancer/hedge_test.go
+++ b/entry/balancer/hedge_test.go
@@ -121,3 +121,19 @@
 		})
 	}
 }
+
+// TestHedgeNotSentAtDeadline guards against the status 502 for a request whose server has not
+// responded in time, since its hedge found no server before the deadline.
+func TestHedgeNotSentAtDeadline(t *testing.T) {
+	all := servers(3, respondOK)
+	all[1].probeDelay, all[2].probeDelay = time.Second, time.Second
+	withFixture(t, all, func(is *is.I, f *fixture) {
+		defer time.Sleep(2 * time.Second)                  // until the servers are idle
+		is.Equal(f.sendPaced(20, 100*time.Millisecond), 0) // until the usual latency is known
+		all[0].work = time.Second
+		before := arrivals(all)
+		w := f.sendWith(http.MethodGet, "/look/1", "r1", http.Header{"Left": {"110ms"}}) // hedged after 100 ms
+		is.Equal(w.Code, http.StatusGatewayTimeout)
+		is.Equal(arrivals(all), before+1)
+	})
+}
--- a/entry/balancer/run.go
+++ b/entry/balancer/run.go
@@ -114,12 +114,15 @@
 		a.sent++
 	}
 	a.mayHaveRun = a.mayHaveRun || retrier.MayHaveRun(o)
-	a.last = o
+	if a.mayHaveRun == retrier.MayHaveRun(o) {
+		// An attempt that did not run says nothing about an earlier one.
+		a.last = o
+	}
 }
 
 // refusal returns a refusal for the reason. It is not-run only if no attempt
 // may have run, and otherwise outcome-unknown with the reason of the last
-// attempt.
+// attempt that may have.
 func (a *attempts) refusal(reason refuser.Reason) *refuser.Refusal {
 	if !a.mayHaveRun {
 		if reason == "" {
