tests: listeners of connections in memory in one place

Change: pkg/pipelistener, used by tests of balancer, forwarder and linker. TestSlowReader takes withFixture.

--- a/entry/balancer/broken_off_test.go
+++ b/entry/balancer/broken_off_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -15,32 +14,18 @@
 
 	"samphiremux/entry/balancer"
 	"samphiremux/entry/chooser"
+	"samphiremux/pkg/pipelistener"
 )
 
-// oneConnListener accepts one connection.
-type oneConnListener struct{ conns chan net.Conn }
-
-func (l *oneConnListener) Accept() (net.Conn, error) {
-	c, ok := <-l.conns
-	if !ok {
-		return nil, net.ErrClosed
-	}
-	return c, nil
-}
-func (l *oneConnListener) Close() error   { return nil }
-func (l *oneConnListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // exchange sends a request to the balancer over a connection. It returns an error if the
 // response is not whole.
 func exchange(b *balancer.Balancer, method, path string) (status int, signed bool, body string, err error) {
-	l := &oneConnListener{conns: make(chan net.Conn, 1)}
+	l := pipelistener.New()
 	server := &http.Server{Handler: b, ErrorLog: hclog.NewNullLogger().StandardLogger(&hclog.StandardLoggerOptions{})}
 	go func() { _ = server.Serve(l) }()
 	defer server.Close()
-	defer close(l.conns)
-	c, serverConn := net.Pipe()
+	c := l.Open()
 	defer c.Close()
-	l.conns <- serverConn
 	if _, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: h\r\nId: r1\r\nLeft: 400ms\r\nContent-Length: 0\r\n\r\n", method, path); err != nil {
 		return 0, false, "", err
 	}
--- a/entry/balancer/delivery_test.go
+++ b/entry/balancer/delivery_test.go
@@ -4,16 +4,14 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
-	"samphiremux/entry/chooser"
+	"samphiremux/pkg/pipelistener"
 )
 
 // TestSlowReader guards against a whole response that is broken off since its caller reads
@@ -30,22 +28,17 @@
 		{"not at all", time.Minute, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				all := servers(1, func(w io.Writer, id string) bool {
-					_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Length: %d\r\n\r\n%s", id, len(large), large)
-					return err == nil
-				})
-				f := newFixture(t, chooser.ExpectedCompletion{}, all...)
+			all := servers(1, func(w io.Writer, id string) bool {
+				_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Length: %d\r\n\r\n%s", id, len(large), large)
+				return err == nil
+			})
+			withFixture(t, all, func(is *is.I, f *fixture) {
 				f.idle = 2 * time.Second
-				l := &oneConnListener{conns: make(chan net.Conn, 1)}
+				l := pipelistener.New()
 				server := &http.Server{Handler: f.balancer}
 				go func() { _ = server.Serve(l) }()
-				caller, serverConn := net.Pipe()
-				l.conns <- serverConn
-				defer f.close()
 				defer server.Close()
-				defer close(l.conns)
+				caller := l.Open()
 				defer caller.Close()
 				_, err := io.WriteString(caller, "GET /look/1 HTTP/1.1\r\nHost: h\r\nId: r1\r\nLeft: 400ms\r\n\r\n")
 				is.NoErr(err)
--- a/entry/forwarder/unread_test.go
+++ b/entry/forwarder/unread_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -16,23 +15,9 @@
 	"samphiremux/entry/forwarder"
 	"samphiremux/entry/reconciler"
 	"samphiremux/entry/tracker"
+	"samphiremux/pkg/pipelistener"
 )
 
-// oneConn is a listener of one connection.
-type oneConn struct {
-	net.Listener
-	conns chan net.Conn
-}
-
-func (l oneConn) Accept() (net.Conn, error) {
-	if c, ok := <-l.conns; ok {
-		return c, nil
-	}
-	return nil, net.ErrClosed
-}
-
-func (l oneConn) Close() error { return nil }
-
 // TestUnreadRefusal guards against connections that callers keep for ever, since they send
 // requests and read none of the refusals: no bound closes a connection in use.
 func TestUnreadRefusal(t *testing.T) {
@@ -42,12 +27,10 @@
 			Self: tracker.Member{ID: "e1"}, Policy: chooser.ExpectedCompletion{}, Now: time.Now, Metrics: collector.New(),
 		})
 		server := &http.Server{Handler: forwarder.New(node, nil, nil, nil, nil, nil, hclog.NewNullLogger())}
-		l := oneConn{conns: make(chan net.Conn, 1)}
-		caller, conn := net.Pipe()
-		l.conns <- conn
+		l := pipelistener.New()
 		go func() { _ = server.Serve(l) }()
 		defer server.Close()
-		defer close(l.conns)
+		caller := l.Open()
 		defer caller.Close()
 		_, err := io.WriteString(caller, "GET /none HTTP/1.1\r\nHost: h\r\n\r\n")
 		is.NoErr(err)
--- a/pkg/linker/fuzz_test.go
+++ b/pkg/linker/fuzz_test.go
@@ -2,27 +2,14 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
 	"samphiremux/pkg/linker"
 	"samphiremux/pkg/linker/linkpb"
+	"samphiremux/pkg/pipelistener"
 )
 
-// oneListener accepts one connection.
-type oneListener struct{ conns chan net.Conn }
-
-func (l *oneListener) Accept() (net.Conn, error) {
-	c, ok := <-l.conns
-	if !ok {
-		return nil, net.ErrClosed
-	}
-	return c, nil
-}
-func (l *oneListener) Close() error   { return nil }
-func (l *oneListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // FuzzServe guards against bytes of a faulty peer that crash or block the link server.
 func FuzzServe(f *testing.F) {
 	// An invocation of Beat with an empty message: frames of kind, stream, message, length.
@@ -30,15 +17,14 @@
 	f.Add([]byte("\x02\x01\x01\x02ab\x03\x01\x01\x00"))
 	f.Add([]byte("\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff"))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		peer, own := net.Pipe()
-		l := &oneListener{conns: make(chan net.Conn, 1)}
-		l.conns <- own
+		l := pipelistener.New()
 		ctx, cancel := context.WithCancel(context.Background())
 		served := make(chan struct{})
 		go func() {
 			defer close(served)
 			_ = linker.Serve(ctx, l, &linkpb.DRPCLinkUnimplementedServer{})
 		}()
+		peer := l.Open()
 		go func() {
 			buffer := make([]byte, 4096)
 			for {
@@ -51,7 +37,7 @@
 		_, _ = peer.Write(text)
 		_ = peer.Close()
 		cancel()
-		close(l.conns)
+		_ = l.Close()
 		select {
 		case <-served:
 		case <-time.After(10 * time.Second):
