enroller: forwarded bytes of secondary relays count changes only

Cause: a secondary relay counted whole heartbeats in ForwardedBytes, a relay the changes in them. Change: both count the changes. Result: TestManySmallChangesLate, which bounds the bytes of a relay, passes as before.

--- a/entry/enroller/fan_out.go
+++ b/entry/enroller/fan_out.go
@@ -7,8 +7,7 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
+	"samphiremux/entry/reflector"
 	"samphiremux/entry/tracker"
 	"samphiremux/pkg/linker/linkpb"
 	"samphiremux/pkg/placer"
@@ -136,7 +135,7 @@
 	forwarded := e.newRequest(e.o.Self, e.newRound(now, false))
 	forwarded.Changes, forwarded.Omitted, forwarded.Whole, forwarded.AboveRevision = r.GetChanges(), r.GetOmitted(), r.GetWhole(), r.GetAboveRevision()
 	forwarded.CoveredRevision, forwarded.DocumentRevision, forwarded.Era = r.GetCoveredRevision(), r.GetDocumentRevision(), r.GetEra()
-	size := int64(proto.Size(forwarded))
+	size := int64(reflector.Batch{Changes: r.GetChanges()}.Size())
 	for _, m := range targets {
 		e.forwardedBytes.Add(size)
 		go e.callBeat(ctx, m, func() *linkpb.BeatRequest { return forwarded })
