usagereporter: counts that are arriving are awaited after an outage of the store

The window had ended in an outage of the store, in which there are no relays, so the holder learned of its end and of the counts of half of the entries at the same moment, took it for 5 s old and reported it without the others. Change: a window is reported without some entries only when no further one has become complete for 1.5 s, or 7 s after its end. Result: TestCountsArriveAfterOutage fails before (reported with two of four entries) and passes.

--- a/entry/usagereporter/decider.go
+++ b/entry/usagereporter/decider.go
@@ -28,6 +28,12 @@
 	// not all entries have sent their state, or counts of a process that is gone may be missing.
 	// It leaves the rest of the 10 s after which a report is late for tries to send it.
 	partialTime = 5 * time.Second
+	// arrivalTime is the time since which no further entry must have become complete before a
+	// window is reported without the others, and latestPartialTime that after the end of a window
+	// from which this no longer matters. After an outage of the store the counts of all entries
+	// arrive within a second: there is no relay during the outage.
+	arrivalTime       = 1500 * time.Millisecond
+	latestPartialTime = 7 * time.Second
 	// minCoverage is the share of the entries whose state the holder must have. One that
 	// has not is cut off, and its sums would be wrong.
 	minCoverage = 0.5
@@ -189,6 +195,9 @@
 	open      int64
 	openSince time.Duration
 
+	// arrivals is how many entries are complete for the oldest window that is due.
+	arrivals arrivals
+
 	// goneSince is since when this entry finds that there is no holder that does its work,
 	// if gone is set.
 	goneSince time.Duration
@@ -200,6 +209,22 @@
 	seen tries
 }
 
+// arrivals is the number of entries whose counts of a window are complete, and since when it has
+// been that number.
+type arrivals struct {
+	window   int64
+	complete int
+	since    time.Duration
+}
+
+// with returns the arrivals at a time.
+func (a arrivals) with(window int64, complete int, now time.Duration) arrivals {
+	if a.window == window && a.complete == complete {
+		return a
+	}
+	return arrivals{window, complete, now}
+}
+
 // tries is what another entry sees of a holder's tries to send a report.
 type tries struct {
 	token    Token
@@ -348,9 +373,10 @@
 func (d *Decider) due(v View, c Counts) (reports []Report) {
 	size := 0
 	for _, window := range c.Windows(d.newest.Reported+1, d.lastEnded(v.Uptime, settleTime)) {
-		covered := coverage(c.CompleteEntries(window), v.Members)
-		incomplete := covered < 1 || c.Awaits(window)
-		if covered < minCoverage || (incomplete && window > d.lastEnded(v.Uptime, partialTime)) {
+		complete := c.CompleteEntries(window)
+		covered := coverage(complete, v.Members)
+		d.arrivals = d.arrivals.with(window, len(complete), v.Uptime)
+		if covered < minCoverage || ((covered < 1 || c.Awaits(window)) && !d.mayBePartial(v.Uptime, window)) {
 			return reports
 		}
 		r := Report{Window: window, Counts: c.Sum(window)}
@@ -365,6 +391,14 @@
 	return reports
 }
 
+// mayBePartial reports whether a window may be reported without the counts that are missing.
+func (d *Decider) mayBePartial(now time.Duration, window int64) bool {
+	if window > d.lastEnded(now, partialTime) {
+		return false
+	}
+	return now-d.arrivals.since >= arrivalTime || window <= d.lastEnded(now, latestPartialTime)
+}
+
 // mustWait reports whether new reports wait for the interval of the windows.
 func (d *Decider) mustWait(v View, reports []Report) bool {
 	return len(reports) == 1 && v.Uptime < d.paceUntil && reports[0].Window > d.lastEnded(v.Uptime, settleTime+paceTime)
--- a/entry/usagereporter/pace_test.go
+++ b/entry/usagereporter/pace_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"samphiremux/entry/usagereporter"
 )
 
@@ -55,3 +57,49 @@
 		t.Errorf("%d of %d transactions come at an uneven interval", uneven, len(writes))
 	}
 }
+
+// arrivingCounts are counts of which some entries are complete.
+type arrivingCounts struct {
+	manyCounts
+	complete []string
+}
+
+func (a arrivingCounts) CompleteEntries(int64) map[string]bool {
+	complete := map[string]bool{}
+	for _, id := range a.complete {
+		complete[id] = true
+	}
+	return complete
+}
+
+// TestCountsArriveAfterOutage guards against a report without the counts that arrive within the
+// second after an outage of the store, in which relays pass none on, and against one that waits
+// for an entry whose counts do not arrive.
+func TestCountsArriveAfterOutage(t *testing.T) {
+	for missing, latest := range []time.Duration{900 * time.Millisecond, 2500 * time.Millisecond} {
+		is := is.New(t)
+		d := usagereporter.NewDecider("e0", limits)
+		v := usagereporter.View{StoreReached: true, Candidate: true, HolderGone: true, Members: []string{"e0", "e1", "e2", "e3"}}
+		counts := arrivingCounts{manyCounts{4, 4}, v.Members}
+		const back = 40 * time.Second // the windows 5 and 6 have ended by then
+		written := time.Duration(0)
+		for ; v.Uptime < back+5*time.Second && written == 0; v.Uptime += 100 * time.Millisecond {
+			if v.Uptime >= back {
+				arrived := 2 + int((v.Uptime-back)/(400*time.Millisecond))
+				counts = arrivingCounts{manyCounts{4, 6}, v.Members[:min(arrived, 4-missing)]}
+			}
+			switch a := d.Next(v, counts).(type) {
+			case usagereporter.Write:
+				d.Wrote(a, v.Uptime, v.Uptime, committed)
+				v.HolderGone = false
+				if a.Record.Reported > 4 {
+					written = v.Uptime - back
+					is.Equal(len(counts.complete), 4-missing)
+				}
+			case usagereporter.Send:
+				d.Sent(a, v.Uptime, usagereporter.Accepted)
+			}
+		}
+		is.True(written > 0 && written <= latest)
+	}
+}
