--- a/standin/overloader/entry_test.go
+++ b/standin/overloader/entry_test.go
@@ -40,7 +40,7 @@
 	t.Helper()
 	store := platformemulator.NewStore()
 	host, storeURL := serveStore(t, store)
-	backend := serveBackend(t, host, size.crowd)
+	backend := serveBackend(t, host+":8100", size.crowd)
 	putConfiguration(store, backend, size.crowd)
 	e := &entry{addresses: map[string]string{}}
 	e.request = func(id string) (*http.Request, error) {
@@ -70,6 +70,10 @@
 		t.Fatal(err)
 	}
 	e.cmd = exec.Command(program, "--log-level", "warn")
+	if size.log != nil {
+		e.cmd = exec.Command(program, "--log-level", "info")
+		e.cmd.Stdout = size.log
+	}
 	e.cmd.Env = append(os.Environ(), translator.SettingsVariable+"="+file)
 	e.start(t, "http://"+e.addresses["ready"]+translator.ReadyPath)
 	return e
@@ -117,9 +121,9 @@
 }
 
 // serveBackend runs a backend server with as many slots as a crowd has connections.
-func serveBackend(t *testing.T, host string, slots int) (address string) {
+func serveBackend(t *testing.T, listen string, slots int) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", host+":8100")
+	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/standin/overloader/overloader_test.go
+++ b/standin/overloader/overloader_test.go
@@ -42,6 +42,8 @@
 	crowd                    int
 	memoryMB, maxDescriptors int
 	maxGrowthKB              int
+	// log is the file for the log of the entry, if it is needed.
+	log *os.File
 }
 
 var smallScale = scale{crowd: crowdSize, memoryMB: memoryMB, maxDescriptors: maxDescriptors, maxGrowthKB: memoryMB << 10 / growthShare}
--- a/standin/overloader/own_entry_test.go
+++ b/standin/overloader/own_entry_test.go
@@ -16,8 +16,11 @@
 	"samphiremux/standin/platformemulator"
 )
 
-// ownDocument is the document of one service with one backend server. Its values are the
-// address, the slots and the connections of the server.
+// ownMaxSlots is the largest number of slots of a backend server in a document.
+const ownMaxSlots = 1024
+
+// ownDocument is the document of one service, and ownServer one of its backend servers. Its
+// values are the name, the address, the slots and the connections of the server.
 const ownDocument = `environment: test
 failure-domains:
 - name: a
@@ -39,7 +42,9 @@
   - name: v1
     share: 100
   backend-servers:
-  - name: orders-1
+`
+
+const ownServer = `  - name: orders-%d
     address: %s
     failure-domain: a
     version: v1
@@ -53,8 +58,11 @@
 	t.Helper()
 	store := platformemulator.NewStore()
 	host, storeAddress := serveStore(t, store)
-	backend := serveBackend(t, host, size.crowd)
-	document := fmt.Sprintf(ownDocument, backend, size.crowd, 2*size.crowd)
+	document, servers := ownDocument, (size.crowd-1)/ownMaxSlots+1
+	slots := size.crowd / servers
+	for n := range servers {
+		document += fmt.Sprintf(ownServer, n+1, serveBackend(t, fmt.Sprintf("%s:%d", host, 8100+n), slots), slots, 2*slots)
+	}
 	if _, err := publisher.Publish(context.Background(), store, 0, publisher.Change{Environment: "test", Document: []byte(document), At: time.Now()}); err != nil {
 		t.Fatal(err)
 	}
