enroller: TestRelaySendsChanges with secondary relays

Cause: TestManySmallChangesLate passes when a relay does not send what its secondary relays have lost, since entries then ask others. Change: the test runs with 40 entries too, and with half of the others lost, in which no entry can ask another one for changes.

--- a/entry/enroller/enroller_test.go
+++ b/entry/enroller/enroller_test.go
@@ -302,24 +302,34 @@
 }
 
 // TestRelaySendsChanges guards against changes that stay at the relay: when its copy is
-// newer, HeartbeatNow must bring every other copy to the same revision at once.
+// newer, HeartbeatNow must bring every other copy to the same revision at once, and soon if
+// half of the others are lost, with secondary relays among them.
 func TestRelaySendsChanges(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFleet("a", "a", "a")
-		time.Sleep(3 * time.Second)
-		for i, e := range f.entries {
-			if e.IsRelay() {
-				f.caches[i].set(9, true)
-				e.HeartbeatNow()
+	for _, c := range []struct {
+		entries int
+		lost    bool
+		within  time.Duration
+	}{{3, false, 50 * time.Millisecond}, {40, false, 50 * time.Millisecond}, {40, true, time.Second}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(domains("a", c.entries)...)
+			time.Sleep(4 * time.Second)
+			relays := f.relays()
+			is.Equal(len(relays), 1)
+			for i := 0; c.lost && i < c.entries; i += 2 {
+				if i != relays[0] {
+					f.cancels[i]()
+				}
 			}
-		}
-		time.Sleep(50 * time.Millisecond)
-		for _, cache := range f.caches {
-			is.Equal(cache.Revision(), storer.Revision(9))
-		}
-		f.close()
-	})
+			f.caches[relays[0]].set(9, true)
+			f.entries[relays[0]].HeartbeatNow()
+			time.Sleep(c.within)
+			for i, cache := range f.caches {
+				is.True((c.lost && i%2 == 0) || cache.Revision() == storer.Revision(9))
+			}
+			f.close()
+		})
+	}
 }
 
 // TestRelayCrashDetected guards against entries that rely on a crashed relay for longer
