steer/commander: TestStartOfAll reads the counts of its store under their lock

Cause: the race detector found that the test read the calls of its stand-in store while its server counted further ones. The product's code has no race in this test.

Change: the counts are copied under their lock, as is whether the store is silent.

Measured: go test -race ./commander -run TestStartOfAll: one race before, none now; three runs without the detector pass.

--- a/steer/commander/start_test.go
+++ b/steer/commander/start_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -24,9 +25,9 @@
 	*memoryStore
 	http.Handler
 	roundTrip time.Duration
-	silent    bool
 
 	mu        sync.Mutex
+	silent    bool
 	downUntil time.Time
 	calls     map[string]int
 }
@@ -34,14 +35,14 @@
 // ServeHTTP implements http.Handler.
 func (s *startStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	down := time.Now().Before(s.downUntil)
+	down, silent := time.Now().Before(s.downUntil), s.silent
 	if !down {
 		s.calls[strings.Split(strings.TrimPrefix(r.URL.Path, "/v1/kv-"), "/")[0]]++
 	}
 	s.mu.Unlock()
 	time.Sleep(s.roundTrip)
 	switch {
-	case down && s.silent:
+	case down && silent:
 		time.Sleep(time.Minute)
 	case down:
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -50,6 +51,13 @@
 	}
 }
 
+// answered returns the calls that the store has answered, by kind.
+func (s *startStore) answered() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.calls)
+}
+
 func (s *startStore) put(key string, value any) {
 	data, _ := json.Marshal(value)
 	s.Commit(context.Background(), storer.Transaction{Puts: []storer.Put{{Key: key, Value: data}}})
@@ -177,8 +185,9 @@
 					}
 					t.Logf("%s: the last entry after %v", phase, last)
 				}
-				if store.calls["lease"] > 0 || store.calls["range"] > entries*21/20 || (c.down == 0 && store.calls["range"] != entries) {
-					t.Errorf("calls of the store: %v", store.calls)
+				calls := store.answered()
+				if calls["lease"] > 0 || calls["range"] > entries*21/20 || (c.down == 0 && calls["range"] != entries) {
+					t.Errorf("calls of the store: %v", calls)
 				}
 				f.restartWithoutStore(ctx, t, store)
 			})
