--- a/entry/tallier/tallier.go
+++ b/entry/tallier/tallier.go
@@ -362,8 +362,9 @@
 	return complete
 }
 
-// Awaits reports whether counts of a window may be missing of a process that was heard of last
-// in it and has not ended. It may have been killed, or others may have its last counts.
+// Awaits reports whether counts of a window may be missing of a process whose last known state is
+// of that window and that has not ended. It may have been killed, or others may have its last
+// counts.
 func (t *Tallier) Awaits(window int64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/standin/measurer/measurer.go
+++ b/standin/measurer/measurer.go
@@ -104,11 +104,11 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// convergenceLimit bounds the time until a document is in force on every entry.
+// convergenceLimit bounds the time until a document has reached every entry.
 const convergenceLimit = 3 * time.Second
 
 // ConfigPropagation publishes documents and prints quantiles of the time until each
-// is in force on every entry. With outage, the store goes down right after each
+// has reached every entry. With outage, the store goes down right after each
 // publication.
 func ConfigPropagation(ctx context.Context, entries, applies int, outage bool, out io.Writer) (err error) {
 	d := simulator.Trust().WithoutDelays()
@@ -133,7 +133,7 @@
 }
 
 // applyOnce publishes the document again and returns the time until the new revision
-// is in force on every entry. With outage, the store is down until then and recovers
+// has reached every entry. With outage, the store is down until then and recovers
 // before the return.
 func applyOnce(ctx context.Context, cluster *simulator.Cluster, outage bool) (took time.Duration, err error) {
 	started := time.Now()
