--- a/entry/reflector/list_watch.go
+++ b/entry/reflector/list_watch.go
@@ -16,9 +16,11 @@
 	// minListTimeout is the shortest such bound of an entry that knows no keys, and
 	// listOverdue the time without a response after which it lists again as soon as another
 	// entry reaches the store. Entries that start together in an outage draw different bounds,
-	// so that some of them ask soon after the store answers again.
-	minListTimeout = 500 * time.Millisecond
-	listOverdue    = 250 * time.Millisecond
+	// so that some of them ask soon after the store answers again. A store that takes 1 s to
+	// respond must not be asked again: with 0.5 and 0.25 s, 116 entries that started had no
+	// configuration for up to 18 s.
+	minListTimeout = 1200 * time.Millisecond
+	listOverdue    = 1200 * time.Millisecond
 	// transferTimeout bounds the arrival of a response of the store. The largest takes
 	// 1.2 s on a link of 10 Mbit/s.
 	transferTimeout = 2 * time.Second
