--- a/review/third/platform/crowd.go
+++ b/review/third/platform/crowd.go
@@ -67,6 +67,10 @@
 // crowd plays callers that send many safe requests ahead and read no answers meanwhile, beside
 // ordinary ones. The platform ends the process if it exceeds the memory of its machine.
 func crowd(w *world, trouble bool) (int, error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Max < 2*crowdSize {
+		return cannotDo, fmt.Errorf("too few file descriptors: %d", limit.Max)
+	}
 	w.configure(defaultRoutes(), map[string]int{"body-bytes": 64 << 20, "idle-timeout-ms": 15000})
 	for _, service := range []string{"catalogue", "booking"} {
 		for range 8 {
--- a/review/third/platform/main.go
+++ b/review/third/platform/main.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -37,8 +39,14 @@
 		os.Exit(cannotDo)
 	}
 	go func() {
-		time.Sleep(110 * time.Second)
-		w.record.log("case took too long")
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+		select {
+		case <-signals:
+			w.record.log("case was ended")
+		case <-time.After(110 * time.Second):
+			w.record.log("case took too long")
+		}
 		w.end()
 		os.Exit(cannotDo)
 	}()
