--- a/review/third/platform/main.go
+++ b/review/third/platform/main.go
@@ -24,8 +24,8 @@
 }
 
 func main() {
-	if len(os.Args) != 4 {
-		fmt.Fprintln(os.Stderr, "usage: third CASE PROGRAM RECORD")
+	if len(os.Args) != 5 {
+		fmt.Fprintln(os.Stderr, "usage: third CASE PROGRAM RECORD TROUBLE")
 		os.Exit(cannotDo)
 	}
 	run, ok := cases[os.Args[1]]
@@ -50,7 +50,7 @@
 		w.end()
 		os.Exit(cannotDo)
 	}()
-	code, err := run(w, os.Getenv("TROUBLE") != "0")
+	code, err := run(w, os.Args[4] != "0")
 	w.end()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
