expirer: a connection that closes behind a response is read on until its caller has the response

Cause: net/http closes the socket right after a response with Connection: close. With bytes of the next request unread, or arriving later, the kernel sends a reset and drops what the caller has not acknowledged. Ruled out: the drainer (the handler has written the response and returned) and the grace period (the reset follows within milliseconds). Change: lingerer closes a connection in two stages (RFC 9112, 9.6): it ends the sending side, reads and drops what still comes, and closes the socket when the caller has closed its side, 0.5 s after it has acknowledged everything, after 1 s without an acknowledgement, after 10 s or 1 MiB. The expirer does so for each connection that its server closes behind a response, counts it as open meanwhile, and closes it first at the bound of connections. A stop waits for these within the grace period, also on the port of requests that entries pass on. Bytes behind the last request are never parsed, so that nothing in them runs. Why it works: the kernel has nothing unread when the socket is closed, and the end of the sending side tells the caller to close. New metric samphire_ended_connections_total.

--- a/entry/assembler/assembler.go
+++ b/entry/assembler/assembler.go
@@ -381,6 +381,7 @@
 func (e *Entry) Kill() {
 	e.cancel()
 	_ = e.http.Close()
+	e.expirer.Abort()
 	_ = e.deps.LinkListener.Close()
 	e.servers.Retain(func(netip.AddrPort) bool { return false })
 	e.probes.Retain(func(netip.AddrPort) bool { return false })
--- a/entry/assembler/bounds.go
+++ b/entry/assembler/bounds.go
@@ -13,6 +13,7 @@
 	"samphiremux/entry/capper"
 	"samphiremux/entry/collector"
 	"samphiremux/entry/expirer"
+	"samphiremux/entry/lingerer"
 	"samphiremux/entry/forwarder"
 	"samphiremux/entry/reserver"
 	"samphiremux/entry/sender"
@@ -89,6 +90,9 @@
 		for _, r := range expirer.Reasons() {
 			m.BoundedConnections.WithLabelValues(listener, string(r))
 		}
+		for _, end := range lingerer.Ends() {
+			m.EndedConnections.WithLabelValues(listener, string(end))
+		}
 	}
 	for _, r := range []capper.Reason{capper.TooManyConnections, capper.MemoryFull} {
 		m.BoundedConnections.WithLabelValues(linkListener, string(r))
@@ -131,12 +135,15 @@
 // of bytes.
 func (e *Entry) newExpirer(listener string, share float64, headBytes int) *expirer.Expirer {
 	conns := expirer.New(e.deps.Now)
+	onEnd := func(end lingerer.End) {
+		e.node.Metrics().EndedConnections.WithLabelValues(listener, string(end)).Inc()
+	}
 	b := e.deps.Bounds
 	if b == nil {
-		return conns
+		return conns.WithBounds(expirer.Bounds{OnEnd: onEnd})
 	}
 	return conns.WithBounds(expirer.Bounds{
-		Connections: b.limits.Connections(share), Memory: b.memory,
+		OnEnd: onEnd, Connections: b.limits.Connections(share), Memory: b.memory,
 		Head:    func() expirer.HeadLimits { return expirer.NewHeadLimits(headBytes) },
 		OnClose: func(r expirer.Reason) { e.countClosed(listener, string(r)) },
 	})
--- a/entry/buffersizer/conn.go
+++ b/entry/buffersizer/conn.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"samphiremux/entry/peeker"
 )
 
 // pieceBytes is the size in bytes of the largest piece of a write.
@@ -70,15 +70,17 @@
 	return c.TCPConn.Close()
 }
 
-// isEmpty reports whether the peer has acknowledged what was sent.
-func (c *conn) isEmpty() (empty bool) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
+// CloseWrite ends the sending side. It fails if the peer is given up: an orderly end could be
+// taken for that of a response without a length.
+func (c *conn) CloseWrite() error {
+	if c.isStalled.Load() {
+		return net.ErrClosed
 	}
-	err = raw.Control(func(fd uintptr) {
-		unsent, queueErr := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-		empty = queueErr == nil && unsent == 0
-	})
-	return err == nil && empty
+	return c.TCPConn.CloseWrite()
+}
+
+// isEmpty reports whether the peer has acknowledged what was sent.
+func (c *conn) isEmpty() bool {
+	unacknowledged, err := peeker.Unacknowledged(c.TCPConn)
+	return err == nil && unacknowledged == 0
 }
--- a/entry/collector/collector.go
+++ b/entry/collector/collector.go
@@ -64,6 +64,9 @@
 	// BoundedConnections counts connections that were closed at a bound of what peers may
 	// hold, by listener and reason.
 	BoundedConnections *prometheus.CounterVec
+	// EndedConnections counts connections that were closed after a response, by listener and by
+	// what ended the wait for their peers to read it.
+	EndedConnections *prometheus.CounterVec
 	// HeldBytes is the memory of heads and bodies of requests, and of responses that
 	// callers read slowly.
 	HeldBytes prometheus.Gauge
@@ -101,6 +104,7 @@
 	m.KeysReplayed = m.counter("keys_replayed_total", "Answers repeated for resent idempotency keys.")
 	m.CutStreams = m.counter("cut_streams_total", "Streamed answers that ended early.")
 	m.BoundedConnections = m.counterVec("bounded_connections_total", "Connections closed at a bound of what peers may hold, by listener and reason.", "listener", "reason")
+	m.EndedConnections = m.counterVec("ended_connections_total", "Connections that were closed after a response, by listener and by what ended the wait for their peers to read it.", "listener", "end")
 	m.HeldBytes = m.gauge("held_bytes", "Bytes of request heads and bodies, and of responses that callers read slowly.")
 	m.SocketBufferRoom = m.gauge("socket_buffer_room_bytes", "Bytes by which the kernel's send buffers of connections may still grow.")
 	m.EvictedMessages = m.gauge("evicted_messages_total", "Heads, bodies and responses given up at the bound of memory, since their callers made no progress.")
--- a/entry/expirer/bounds.go
+++ b/entry/expirer/bounds.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"samphiremux/entry/lingerer"
 	"samphiremux/entry/peeker"
 	"samphiremux/entry/reserver"
 )
@@ -36,6 +37,9 @@
 	Memory *reserver.Reserver
 	// OnClose is called with each connection that is closed at a bound. It may be nil.
 	OnClose func(Reason)
+	// OnEnd is called as the socket of a connection is closed that the server has closed after
+	// a response. It may be nil.
+	OnEnd func(lingerer.End)
 }
 
 // WithBounds sets the bounds of an expirer that has no connections yet, and returns it.
@@ -43,6 +47,9 @@
 	if b.OnClose == nil {
 		b.OnClose = func(Reason) {}
 	}
+	if b.OnEnd == nil {
+		b.OnEnd = func(lingerer.End) {}
+	}
 	e.bounds = b
 	return e
 }
@@ -60,7 +67,7 @@
 	if victim.hasStalled(now) {
 		reset(victim.Conn)
 	}
-	_ = victim.Close()
+	victim.closeAtOnce()
 	return true
 }
 
@@ -106,9 +113,11 @@
 
 // Uses, in the order in which connections are closed.
 const (
+	// ending is a connection whose last response is on its way to the peer.
+	ending use = iota
 	// unused is a connection that has not carried a request in freshTime, or is in the middle
 	// of a head for that time.
-	unused use = iota
+	unused
 	// idle is one between two requests.
 	idle
 	// stalled is one with a request whose peer makes no progress.
@@ -127,6 +136,9 @@
 func (c *conn) claim(now time.Time) claim {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closing.begun {
+		return claim{mayClose: true, use: ending, since: c.closing.since}
+	}
 	if since, ok := c.stalled(now); ok {
 		return claim{mayClose: true, use: stalled, since: since}
 	}
@@ -141,7 +153,7 @@
 func (c *conn) hasRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.awaiting && c.used && !c.headerStarted && (len(c.rest) > 0 || peeker.Peek(c.Conn) == peeker.Unread)
+	return !c.closing.begun && c.awaiting && c.used && !c.headerStarted && (len(c.rest) > 0 || peeker.Peek(c.Conn) == peeker.Unread)
 }
 
 const (
@@ -149,10 +161,8 @@
 	// its end. It cannot have run.
 	tooLargeResponse   = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 	memoryFullResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-	// discardTime and discardBytes bound what is read and dropped behind a refused head, so
-	// that the caller can read the response before the connection is reset.
-	discardTime  = 500 * time.Millisecond
-	discardBytes = 64 << 10
+	// refusalWriteTime bounds the time to write a refusal.
+	refusalWriteTime = 500 * time.Millisecond
 )
 
 // errRefused is the error of reads from a connection whose request was refused in its head.
@@ -177,7 +187,7 @@
 	if c.head == nil {
 		c.head = c.bounds.Memory.HoldUntilEvicted(c.now(), func() {
 			c.bounds.OnClose(HeadMemoryFull)
-			_ = c.Close()
+			_ = c.Conn.Close()
 		})
 	}
 	head, cost, limits := c.head, c.scanner.cost(), c.bounds.Head()
@@ -185,11 +195,11 @@
 	c.mu.Unlock()
 	switch {
 	case isTooLarge:
-		c.refuse(HeadTooLarge, tooLargeResponse, p)
+		c.refuse(HeadTooLarge, tooLargeResponse)
 		return 0, errRefused
 	case !head.ResizeAt(c.now(), cost):
 		if !head.IsEvicted() {
-			c.refuse(HeadMemoryFull, memoryFullResponse, p)
+			c.refuse(HeadMemoryFull, memoryFullResponse)
 		}
 		return 0, errRefused
 	}
@@ -209,22 +219,15 @@
 	return n
 }
 
-// refuse responds to a head that is not read on. It uses a buffer for what it drops.
-func (c *conn) refuse(reason Reason, response string, buffer []byte) {
+// refuse responds to a head that is not read on.
+func (c *conn) refuse(reason Reason, response string) {
 	c.bounds.OnClose(reason)
-	end := c.now().Add(discardTime)
-	_ = c.SetDeadline(end)
-	if _, err := c.Write([]byte(response)); err != nil {
-		return
-	}
-	_ = c.CloseWrite()
-	for dropped := 0; dropped < discardBytes; {
-		n, err := c.Conn.Read(buffer)
-		if err != nil {
-			return
-		}
-		dropped += n
-	}
+	_ = c.SetWriteDeadline(c.now().Add(refusalWriteTime))
+	_, _ = c.Write([]byte(response))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused = true
+	_ = c.close()
 }
 
 // releaseHead gives the memory of the head back. The caller holds c.mu.
--- /dev/null
+++ b/entry/expirer/closing.go
@@ -0,0 +1,103 @@
+package expirer
+
+import (
+	"context"
+	"time"
+
+	"samphiremux/entry/lingerer"
+	"samphiremux/entry/peeker"
+)
+
+// closing is the state of a connection that the process closes.
+type closing struct {
+	// begun is set once the server gets nothing more from the connection.
+	begun bool
+	since time.Time
+	// cancel closes the socket of a connection whose peer has not got the last response. It is
+	// nil for other connections.
+	cancel context.CancelFunc
+}
+
+// Close implements net.Conn. It does not wait until the peer has got the last response, but
+// keeps the socket open until then.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.close()
+}
+
+// CloseWrite ends the sending side of the connection. The server, which reads nothing more,
+// closes the connection some time later.
+func (c *conn) CloseWrite() error { return c.Close() }
+
+// close is as Close. The caller holds c.mu.
+func (c *conn) close() error {
+	if c.closing.cancel != nil {
+		return nil
+	}
+	first := !c.closing.begun
+	c.closing.begun, c.closing.since = true, c.now()
+	socket, ok := c.Conn.(lingerer.Conn)
+	if !first || !ok || !c.mayLoseResponse() {
+		return c.Conn.Close()
+	}
+	ctx, cancel := context.WithCancel(c.owner.lingering)
+	c.closing.cancel = cancel
+	go c.linger(ctx, socket)
+	return nil
+}
+
+// linger closes the socket once the peer has got the last response.
+func (c *conn) linger(ctx context.Context, socket lingerer.Conn) {
+	end := lingerer.Close(ctx, socket)
+	c.mu.Lock()
+	c.closing.cancel()
+	c.closing.cancel = nil
+	c.mu.Unlock()
+	c.owner.remove(c)
+	c.bounds.OnEnd(end)
+}
+
+// mayLoseResponse reports whether a response is possibly lost if the socket is closed now. A
+// connection that awaits a request has carried its last response some time before. The caller
+// holds c.mu.
+func (c *conn) mayLoseResponse() bool {
+	if !c.written {
+		return false
+	}
+	switch peeker.Peek(c.Conn) {
+	case peeker.Ended, peeker.Unknown:
+		return false
+	case peeker.Empty, peeker.Unread:
+	}
+	if !c.awaiting || c.refused {
+		return true
+	}
+	unacknowledged, err := peeker.Unacknowledged(c.Conn)
+	return err != nil || unacknowledged > 0
+}
+
+// closeAtOnce closes the socket of a connection.
+func (c *conn) closeAtOnce() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing.begun = true
+	if c.closing.cancel != nil {
+		c.closing.cancel()
+	}
+	_ = c.Conn.Close()
+}
+
+// isClosing reports whether the server gets nothing more from the connection.
+func (c *conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing.begun
+}
+
+// isLingering reports whether the socket is open until the peer has got the last response.
+func (c *conn) isLingering() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing.cancel != nil
+}
--- a/entry/expirer/expirer.go
+++ b/entry/expirer/expirer.go
@@ -3,10 +3,12 @@
 // that are idle as a process stops, and those beyond the bounds of connections and heads:
 // of those beyond the bound, idle ones first, and then those whose peers have stalled. It
 // replaces the timeouts of net/http, which cannot change while a server runs, and its
-// shutdown, which closes connections from which a request is being read.
+// shutdown, which closes connections from which a request is being read. A connection that the
+// server closes after a response is open until its peer has got the response.
 package expirer
 
 import (
+	"context"
 	"errors"
 	"maps"
 	"net"
@@ -43,6 +45,10 @@
 	now    func() time.Time
 	bounds Bounds
 
+	// lingering ends when the sockets of closed connections are no longer to be kept open.
+	lingering context.Context
+	abort     context.CancelFunc
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 	// accepting is the number of listeners that may still return a connection.
@@ -51,9 +57,14 @@
 
 // New returns an expirer that tracks no connections yet.
 func New(now func() time.Time) *Expirer {
-	return &Expirer{now: now, conns: map[*conn]struct{}{}}
+	e := &Expirer{now: now, conns: map[*conn]struct{}{}}
+	e.lingering, e.abort = context.WithCancel(context.Background())
+	return e.WithBounds(Bounds{})
 }
 
+// Abort closes the sockets of connections whose peers have not got the last response.
+func (e *Expirer) Abort() { e.abort() }
+
 // WrapListener returns a listener whose connections the expirer can track. A server has to
 // accept from it until it is closed.
 func (e *Expirer) WrapListener(l net.Listener) net.Listener {
@@ -80,13 +91,19 @@
 	case http.StateIdle:
 		tracked.await(e.now())
 	case http.StateClosed, http.StateHijacked:
-		e.mu.Lock()
-		delete(e.conns, tracked)
-		e.mu.Unlock()
+		if !tracked.isLingering() {
+			e.remove(tracked)
+		}
 		tracked.end()
 	}
 }
 
+func (e *Expirer) remove(c *conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.conns, c)
+}
+
 // Open returns the number of connections that are open.
 func (e *Expirer) Open() int {
 	e.mu.Lock()
@@ -149,7 +166,7 @@
 		}
 		now := l.owner.now()
 		if l.owner.admit(now) {
-			return &conn{Conn: c, now: l.owner.now, bounds: &l.owner.bounds, awaiting: true, since: now}, nil
+			return &conn{Conn: c, owner: l.owner, now: l.owner.now, bounds: &l.owner.bounds, awaiting: true, since: now}, nil
 		}
 		_ = c.Close()
 	}
@@ -166,6 +183,7 @@
 // conn is a connection that records since when it awaits a request.
 type conn struct {
 	net.Conn
+	owner  *Expirer
 	now    func() time.Time
 	bounds *Bounds
 
@@ -187,6 +205,9 @@
 	rest []byte
 	// reading and writing record the waits of the current request.
 	reading, writing wait
+	// written is set once something was sent, and refused once that was a refusal of a head.
+	written, refused bool
+	closing          closing
 }
 
 // Read records the first byte of a request. It closes the connection if it has expired while
@@ -195,6 +216,9 @@
 	if n = c.takeRest(p); n == 0 {
 		n, err = c.read(p)
 	}
+	if c.isClosing() {
+		return 0, net.ErrClosed
+	}
 	if n > 0 {
 		c.startHeader()
 		return c.boundHead(p, n)
@@ -209,18 +233,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.awaiting && c.expired {
-		_ = c.Close()
-	}
-}
-
-// CloseWrite shuts down the writing side of the connection, so that a caller
-// that is still sending can read the response before the connection ends.
-// Without this method net/http resets the connection.
-func (c *conn) CloseWrite() error {
-	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return w.CloseWrite()
+		_ = c.close()
 	}
-	return nil
 }
 
 func (c *conn) startHeader() {
@@ -268,6 +282,9 @@
 func (c *conn) expire(check func() expiry) expiry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closing.begun {
+		return notExpired
+	}
 	expired := check()
 	if expired == notExpired || len(c.rest) > 0 || peeker.Peek(c.Conn) == peeker.Unread {
 		// Bytes that the server has not read yet came in time.
--- a/entry/expirer/stall.go
+++ b/entry/expirer/stall.go
@@ -71,6 +71,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w.end(c.now(), n)
+	c.written = c.written || w == &c.writing
 	return n, err
 }
 
--- a/entry/peeker/peeker.go
+++ b/entry/peeker/peeker.go
@@ -1,10 +1,13 @@
-// Package peeker tells what has arrived on a connection without reading it.
+// Package peeker tells what has arrived on a connection without reading it, and what is on its
+// way to the peer.
 package peeker
 
 import (
 	"errors"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is what a connection holds that has not been read.
@@ -48,3 +51,20 @@
 	}
 	return s
 }
+
+// Unacknowledged returns the number of bytes that were written to a connection and that its
+// peer has not acknowledged. The end of the sending side counts as a byte. It fails for a
+// connection without a socket.
+func Unacknowledged(c net.Conn) (bytes int, err error) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, errors.ErrUnsupported
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var queueErr error
+	err = raw.Control(func(fd uintptr) { bytes, queueErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return bytes, errors.Join(err, queueErr)
+}
--- a/steer/commander/bounds.go
+++ b/steer/commander/bounds.go
@@ -10,6 +10,7 @@
 	"samphiremux/entry/buffersizer"
 	"samphiremux/entry/capper"
 	"samphiremux/entry/expirer"
+	"samphiremux/entry/lingerer"
 	"samphiremux/entry/linkcounter"
 	"samphiremux/entry/meter"
 	"samphiremux/entry/reserver"
@@ -38,6 +39,8 @@
 	// sockets bounds the kernel's send buffers of all connections.
 	sockets *buffersizer.Sizer
 	refused *meter.CounterVec
+	// ended counts the sockets of connections that the entry closed after a response.
+	ended *meter.CounterVec
 	// loggedAt is when the last line was logged, and logged the counts then.
 	loggedAt time.Time
 	logged   map[[2]string]int64
@@ -70,12 +73,19 @@
 	b := &bounds{
 		limits: limits, memory: limits.Requests(), link: limits.Link(), sockets: limits.Sockets(),
 		refused: metrics.CounterVec("bounded_connections_total", "Connections closed at a bound of what peers may hold, by listener and reason.", "listener", "reason"),
+		ended:   metrics.CounterVec("ended_connections_total", "Connections that were closed after a response, by listener and by what ended the wait for their peers to read it.", "listener", "end"),
 		logged:  map[[2]string]int64{},
 	}
 	for listener, reasons := range boundReasons {
 		for _, reason := range reasons {
 			b.refused.With(listener, reason)
 		}
+		if listener == linkListener {
+			continue
+		}
+		for _, end := range lingerer.Ends() {
+			b.ended.With(listener, string(end))
+		}
 	}
 	metrics.Gauge("held_bytes", "Bytes of request heads and bodies, and of responses that callers read slowly.", func() float64 { return float64(b.memory.Used()) })
 	metrics.Gauge("socket_buffer_room_bytes", "Bytes by which the kernel's send buffers of connections may still grow.", func() float64 { return float64(b.sockets.Room()) })
@@ -102,6 +112,7 @@
 	return expirer.New(time.Now).WithBounds(expirer.Bounds{
 		Connections: b.limits.Connections(share), Head: head, Memory: b.memory,
 		OnClose: func(r expirer.Reason) { b.refused.With(listener, string(r)).Inc() },
+		OnEnd:   func(end lingerer.End) { b.ended.With(listener, string(end)).Inc() },
 	})
 }
 
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -73,8 +73,15 @@
 type servers struct {
 	callers, delegated *http.Server
 	listener           net.Listener
+	// delegatedConns tracks the connections of the delegated server. It is nil if that has no
+	// listener.
+	delegatedConns *expirer.Expirer
 }
 
+// delegatedEnded reports whether other entries have got the last responses to requests that
+// they passed on.
+func (s servers) delegatedEnded() bool { return s.delegatedConns == nil || s.delegatedConns.Ended() }
+
 // startServers serves callers, the platform and other entries.
 func (e *entry) startServers(ctx context.Context, l listeners) servers {
 	go func() { _ = linker.Serve(ctx, e.boundLink(l.link), &link{entry: e}) }()
@@ -86,12 +93,13 @@
 	go func() { _ = locate.Serve(locateConns) }()
 	delegated := e.server(http.HandlerFunc(e.serveDelegated))
 	delegated.BaseContext = callers.BaseContext
+	var delegatedConns *expirer.Expirer
 	if l.delegated != nil {
-		tracker := e.bounds.expirer(delegatedListener, allotter.DelegatedShare, e.delegatedHeadLimits)
-		delegated.ConnState = tracker.ConnState
-		go func() { _ = delegated.Serve(tracker.WrapListener(e.boundRequests(l.delegated))) }()
+		delegatedConns = e.bounds.expirer(delegatedListener, allotter.DelegatedShare, e.delegatedHeadLimits)
+		delegated.ConnState = delegatedConns.ConnState
+		go func() { _ = delegated.Serve(delegatedConns.WrapListener(e.boundRequests(l.delegated))) }()
 	}
-	return servers{callers: callers, delegated: delegated, listener: l.callers}
+	return servers{callers: callers, delegated: delegated, listener: l.callers, delegatedConns: delegatedConns}
 }
 
 // metricsPort is the port of the metrics endpoint, on the address that serves callers.
@@ -179,6 +187,7 @@
 	if err := errors.Join(s.callers.Shutdown(grace), s.delegated.Shutdown(grace)); err != nil {
 		e.log.Warn("Grace period ended with open connections.", "connections", e.expirer.Open(), "error", err)
 	}
+	drainer.AwaitClosed(grace, func() {}, s.delegatedEnded)
 	e.usage.HandOver(grace)
 	select {
 	case <-deregistered:
