roller: log writes of move records whose outcome is unknown, and when it is learned

What operators saw: the warning "Move not advanced; will retry" for a write without a response, and nothing when the store carried it out seconds later. Change: one line for a write whose outcome is unknown and one when it is known, each with the record's step and the revision (that on which the write depends, or that which the store holds now); "Move changed" has both too. samphirectl explain lists the lines.

--- a/ctl/explainer/explainer.go
+++ b/ctl/explainer/explainer.go
@@ -48,6 +48,7 @@
 // letter as entries log them.
 var stateMessages = []string{
 	"Configuration in force.", "Configuration refused.", "Failure domain changed.", "Move changed.", "Move taken back.",
+	"Outcome of writing a move record is unknown.", "Outcome of writing a move record is known.",
 	"Store does not answer; asking other entries.", "Store answers again.", "State taken from another entry.",
 	"Settings changed.", "Entry runs.", "Entry stops.", "Registered.", "Registration not renewed.",
 	"Backend server died under a request.", "Backend server is leaving by its own response.",
--- a/entry/roller/rewrite_test.go
+++ b/entry/roller/rewrite_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -54,6 +55,12 @@
 
 // newRoller returns a roller of an entry that knows an order and may know a record.
 func newRoller(id string, members []tracker.Member, store *recordStore, o describer.MoveOrder, known *snapshotter.MoveRecord) *roller.Roller {
+	return newRollerAt(id, members, store, recordCache{store}, o, known)
+}
+
+// newRollerAt is as newRoller, for a roller that writes to another store than the one of which
+// the entries learn.
+func newRollerAt(id string, members []tracker.Member, store *recordStore, written storer.Store, o describer.MoveOrder, known *snapshotter.MoveRecord) *roller.Roller {
 	snapshots := snapshotter.New(func(describer.Server) *snapshotter.ServerState { return nil })
 	snapshots.SetOrder(o)
 	store.snapshots = append(store.snapshots, snapshots)
@@ -62,8 +69,8 @@
 	}
 	all := func(time.Time) []tracker.Member { return members }
 	return roller.New(roller.Options{
-		Self: id, Store: recordCache{store}, StoreCache: store, Prefix: "moves/", Snapshots: snapshots, Members: all, LeaderCandidates: all,
-		OnStoreFailure: func() {}, Pool: linker.NewPool(nil),
+		Self: id, Store: written, StoreCache: store, Prefix: "moves/", Snapshots: snapshots, Members: all, LeaderCandidates: all,
+		OnStoreFailure: func() {}, Pool: linker.NewPool(refuseDial),
 		Exposure: func() roller.ExposureLimit { return roller.ExposureLimit{Share: 0.1, Slack: 50} },
 		EncodeStatus: func(describer.MoveOrder, describer.MoveState) (string, []byte, error) {
 			return "status", nil, nil
@@ -123,3 +130,6 @@
 		})
 	}
 }
+
+// refuseDial opens no connection to another entry.
+func refuseDial(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed }
--- a/entry/roller/roller.go
+++ b/entry/roller/roller.go
@@ -87,6 +87,9 @@
 	// rewriteAt is when this entry writes the record of a service again that the store
 	// has lost. Only reconcile uses it.
 	rewriteAt map[string]time.Time
+	// unknown holds the writes of each service whose outcomes are unknown. Only reconcile uses
+	// it.
+	unknown map[string][]unknownWrite
 }
 
 // peerReport is the newest tally of one entry for one service.
@@ -102,6 +105,7 @@
 	return &Roller{
 		opts: o, local: tallies{byService: map[string]*tally{}}, peerReports: map[string]map[string]peerReport{},
 		leaderSince: map[string]time.Time{}, advanceFrom: time.Now().Add(restartDelay), rewriteAt: map[string]time.Time{},
+		unknown: map[string][]unknownWrite{},
 	}
 }
 
@@ -133,6 +137,7 @@
 // each other move. Moves whose final record is stored are skipped.
 func (r *Roller) reconcile(ctx context.Context) {
 	for _, o := range r.opts.Snapshots.Orders() {
+		r.logLearned(o.Service)
 		rec, ok := r.opts.Snapshots.MoveRecord(o.Service)
 		if ok && rec.BelongsTo(o) && rec.Phase.Final() && r.isStored(o.Service, rec) {
 			continue
@@ -360,8 +365,8 @@
 	switch out := outcome.(type) {
 	case storer.Committed:
 		r.opts.Snapshots.SetMoveRecord(o.Service, rec)
-		r.opts.Log.Info("Move changed.", "service", o.Service, "target", rec.Target, "phase", rec.Phase, "share", rec.Share,
-			"reason", rec.Reason, "servers", r.countEligible(o.Service))
+		r.opts.Log.Info("Move changed.", "service", o.Service, "target", rec.Target, "phase", rec.Phase, "step", rec.Step, "share", rec.Share,
+			"revision", out.Revision.Number(), "reason", rec.Reason, "servers", r.countEligible(o.Service))
 		return nil
 	case storer.NotCommitted:
 		var conflict storer.ErrConflict
@@ -371,6 +376,7 @@
 		return fmt.Errorf("move record not written: %w", out.Cause)
 	case storer.Unknown:
 		r.opts.OnStoreFailure()
+		r.addUnknown(o.Service, unknownWrite{record: rec, guard: revision})
 		return fmt.Errorf("outcome of writing the move record is unknown: %w", out.Cause)
 	default:
 		return errors.New("unexpected outcome of the store transaction")
