roller: the end of a move that the store holds is not replaced by another one

What callers saw: a roll-out became succeeded and then rolled_back. Cause: while the write of done has no response, the leader detects a regression and holds a rollback of the same step as final. When the store then tells done, the record in memory is not older and stays, and the leader writes its own final record again, under the condition that the record is as it was left by done. Nothing checked that this one was an end already. Ruled out: two leaders (the case has one), and the late writes (the store rejects the second with 412). Change: the roller writes no end over another end of the same move. The snapshotter tells announced rollbacks from records that the store holds, and an announced one gives way to the end that the store holds, at the leader and at all entries, with a log line. A rollback is announced before it is stored, as before. Why it works: every write depends on the revision of the record that was checked, so the first end in the store is the only one, and status, operators and entries follow it.

--- a/ctl/explainer/explainer.go
+++ b/ctl/explainer/explainer.go
@@ -49,6 +49,7 @@
 var stateMessages = []string{
 	"Configuration in force.", "Configuration refused.", "Failure domain changed.", "Move changed.", "Move taken back.",
 	"Outcome of writing a move record is unknown.", "Outcome of writing a move record is known.",
+	"Announced rollback dropped; the store holds another end of the move.",
 	"Store does not answer; asking other entries.", "Store answers again.", "State taken from another entry.",
 	"Settings changed.", "Entry runs.", "Entry stops.", "Registered.", "Registration not renewed.",
 	"Backend server died under a request.", "Backend server is leaving by its own response.",
--- a/entry/roller/roller.go
+++ b/entry/roller/roller.go
@@ -289,7 +289,9 @@
 	routes := r.gather(o.Service, rec.Order)
 	if reason, found := findRegression(routes); found {
 		rec = rec.WithPhase(snapshotter.RolledBack, reason)
-		r.opts.Snapshots.SetMoveRecord(o.Service, rec)
+		if !r.opts.Snapshots.AnnounceRollback(o.Service, rec) {
+			return nil // the store has told the end of the move since
+		}
 		r.broadcastVerdict(ctx, o.Service, rec)
 		return r.commit(ctx, o, rec)
 	}
@@ -336,13 +338,25 @@
 	delete(r.leaderSince, service)
 }
 
+// errMoveEnded reports that the store holds another end of a move than the one to be written.
+// Operators have acted on it.
+type errMoveEnded struct{ stored snapshotter.MoveRecord }
+
+func (e errMoveEnded) Error() string {
+	return fmt.Sprintf("the store holds the end %q of the move, step %d", e.stored.Phase, e.stored.Step)
+}
+
 // commit writes a record, and the state that operators read, in one transaction. It is
-// guarded by the revision of the record in the local copy of the store.
+// guarded by the revision of the record in the local copy of the store, which must not be
+// another end of the same move.
 func (r *Roller) commit(ctx context.Context, o describer.MoveOrder, rec snapshotter.MoveRecord) (err error) {
-	_, revision, err := r.storedRecord(o.Service)
+	stored, revision, err := r.storedRecord(o.Service)
 	if err != nil {
 		return err
 	}
+	if stored.BelongsTo(o) && stored.Phase.Final() && stored.Phase != rec.Phase {
+		return errMoveEnded{stored}
+	}
 	data, err := rec.Encode(time.Now())
 	if err != nil {
 		return err
@@ -427,6 +441,7 @@
 	if !ok || rec.Order != order || rec.Phase.Final() {
 		return
 	}
-	r.opts.Snapshots.SetMoveRecord(v.GetService(), rec.WithPhase(snapshotter.RolledBack, v.GetReason()))
-	r.opts.Log.Info("Move taken back.", "service", v.GetService(), "reason", v.GetReason())
+	if r.opts.Snapshots.AnnounceRollback(v.GetService(), rec.WithPhase(snapshotter.RolledBack, v.GetReason())) {
+		r.opts.Log.Info("Move taken back.", "service", v.GetService(), "reason", v.GetReason())
+	}
 }
--- a/entry/snapshotter/snapshotter.go
+++ b/entry/snapshotter/snapshotter.go
@@ -47,6 +47,9 @@
 	excludedDomains map[string]bool
 	orders          map[string]describer.MoveOrder
 	records         map[string]MoveRecord
+	// announced holds the services whose records are rollbacks that the store is not known to
+	// hold.
+	announced map[string]bool
 	// changed holds the services that differ from current, each with the ids of its servers that
 	// do.
 	changed map[string]map[string]bool
@@ -70,7 +73,7 @@
 func New(connect Connect) *Snapshotter {
 	s := &Snapshotter{
 		connect: connect, backends: map[string]Backend{}, departed: map[string]departed{}, excludedDomains: map[string]bool{},
-		orders: map[string]describer.MoveOrder{}, records: map[string]MoveRecord{}, changed: map[string]map[string]bool{},
+		orders: map[string]describer.MoveOrder{}, records: map[string]MoveRecord{}, announced: map[string]bool{}, changed: map[string]map[string]bool{},
 	}
 	s.current.Store(&Snapshot{Services: map[string][]Backend{}, Splits: map[string]TrafficSplit{}})
 	return s
@@ -186,16 +189,45 @@
 	s.markChanged(service)
 }
 
-// SetMoveRecord records the state of a version move. A record that is not newer than
-// the known one is ignored.
-func (s *Snapshotter) SetMoveRecord(service string, r MoveRecord) {
+// SetMoveRecord records the state of a version move that the store holds. A record that is
+// not newer than the known one is ignored, unless it ends the move for which a rollback was
+// announced: what the store holds is final. It reports whether it has dropped such a rollback
+// for another end.
+func (s *Snapshotter) SetMoveRecord(service string, r MoveRecord) (dropped bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if known, ok := s.records[service]; ok && !known.Precedes(r) {
-		return
+	known, ok := s.records[service]
+	endsAnnounced := s.announced[service] && known.Order == r.Order && r.Phase.Final()
+	if ok && !known.Precedes(r) && !endsAnnounced {
+		return false
+	}
+	s.records[service] = r
+	delete(s.announced, service)
+	s.markChanged(service)
+	return endsAnnounced && r.Phase != RolledBack
+}
+
+// AnnounceRollback records the rollback of a move before the store holds it, so that the target
+// gets no further requests. It reports false if the move has ended or a newer one has begun.
+func (s *Snapshotter) AnnounceRollback(service string, r MoveRecord) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, ok := s.records[service]
+	if !ok || !known.Precedes(r) || (known.Order == r.Order && known.Phase.Final()) {
+		return false
 	}
 	s.records[service] = r
+	s.announced[service] = true
 	s.markChanged(service)
+	return true
+}
+
+// IsAnnounced reports whether the record of a service's move is a rollback that the store is not
+// known to hold.
+func (s *Snapshotter) IsAnnounced(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.announced[service]
 }
 
 // CloseIdle closes the connections to backend servers that have been idle for too
--- a/steer/commander/apply.go
+++ b/steer/commander/apply.go
@@ -93,5 +93,8 @@
 		e.log.Error("Move record is invalid; ignored.", "service", service, "error", err)
 		return
 	}
-	e.snapshots.SetMoveRecord(service, r)
+	if e.snapshots.SetMoveRecord(service, r) {
+		e.log.Warn("Announced rollback dropped; the store holds another end of the move.", "service", service, "phase", r.Phase,
+			"step", r.Step, "revision", c.Revision.Number())
+	}
 }
