roller: an announced rollback is stored whatever steps cross it

A version that was rolled back gets requests again. Cause: a rollback is announced with the number after the leader's step. If a step that was written without a response is executed later, the store holds the same number or a later one. Then entries that know the rollback go back to the later step (two late steps), or entries that know the late step ignore the stored rollback, since it is not newer (one late step). If the leader is lost after the announcement, no other entry writes the rollback, since it does not seem newer than the stored step. Evidence: TestAnnouncedRollback on: six of six runs of the cases "crosses one late step" and "crosses two late steps" fail; done instead of taken-back in the store, or moving at an entry. Change: an announced rollback gives way to the end of its move alone. Any entry that knows one writes it, the leader at once and others after 0.5 to 1.5 s, as for records that a restore has lost, with a number after that of the stored step. Other records are written only as later steps than the stored one. Why it works: the number of a stored record always rises, so that every entry takes the newest; and the condition on the revision lets one of the writers win. Measured: TestAnnouncedRollback, TestFinalRecordReplaced and the other tests of the package pass, three runs each.

--- a/entry/roller/rewrite.go
+++ b/entry/roller/rewrite.go
@@ -19,12 +19,13 @@
 	rewriteSpread = time.Second
 )
 
-// rewriteDue reports whether this entry is to write a record again, since the store was
-// restored from a copy without it. Every entry may do so: the leader may have started
-// after the restore, without knowing the record.
+// rewriteDue reports whether this entry is to write a record that the store lacks, since it was
+// restored from a copy without it, or its leader was lost after it announced a rollback. Every
+// entry may do so: the leader may not know the record.
 func (r *Roller) rewriteDue(service string, rec snapshotter.MoveRecord, leader bool) bool {
 	stored, _, err := r.storedRecord(service)
-	if err != nil || !stored.Precedes(rec) || !r.reachesStore() {
+	isUnknownToStore := stored.Precedes(rec) || (r.opts.Snapshots.IsAnnounced(service) && !stored.Phase.Final())
+	if err != nil || !isUnknownToStore || !r.reachesStore() {
 		delete(r.rewriteAt, service)
 		return false
 	}
--- a/entry/roller/roller.go
+++ b/entry/roller/roller.go
@@ -346,6 +346,13 @@
 	return fmt.Sprintf("the store holds the end %q of the move, step %d", e.stored.Phase, e.stored.Step)
 }
 
+// errStaleStep reports that the store holds a newer step than the one to be written.
+type errStaleStep struct{ stored snapshotter.MoveRecord }
+
+func (e errStaleStep) Error() string {
+	return fmt.Sprintf("the store holds step %d of the move already", e.stored.Step)
+}
+
 // commit writes a record, and the state that operators read, in one transaction. It is
 // guarded by the revision of the record in the local copy of the store, which must not be
 // another end of the same move.
@@ -354,8 +361,14 @@
 	if err != nil {
 		return err
 	}
-	if stored.BelongsTo(o) && stored.Phase.Final() && stored.Phase != rec.Phase {
+	switch {
+	case stored.BelongsTo(o) && stored.Phase.Final() && stored.Phase != rec.Phase:
 		return errMoveEnded{stored}
+	case rec.Phase == snapshotter.RolledBack:
+		// A step that was on its way at the announcement may have the same number.
+		rec = rec.WithStepAfter(stored)
+	case !stored.Precedes(rec):
+		return errStaleStep{stored}
 	}
 	data, err := rec.Encode(time.Now())
 	if err != nil {
--- a/entry/snapshotter/move.go
+++ b/entry/snapshotter/move.go
@@ -82,6 +82,14 @@
 	return r
 }
 
+// WithStepAfter returns the record as a later step than another one of the same move.
+func (r MoveRecord) WithStepAfter(other MoveRecord) MoveRecord {
+	if r.Order == other.Order && r.Step <= other.Step {
+		r.Step = other.Step + 1
+	}
+	return r
+}
+
 // WithStart returns the record with the given start, if that is earlier than the known one.
 func (r MoveRecord) WithStart(at time.Time) MoveRecord {
 	if at.Before(r.Started) {
--- a/entry/snapshotter/snapshotter.go
+++ b/entry/snapshotter/snapshotter.go
@@ -190,21 +190,22 @@
 }
 
 // SetMoveRecord records the state of a version move that the store holds. A record that is
-// not newer than the known one is ignored, unless it ends the move for which a rollback was
-// announced: what the store holds is final. It reports whether it has dropped such a rollback
-// for another end.
+// not newer than the known one is ignored. An announced rollback gives way to each end of its
+// move, whatever its step, and to nothing else of it. It reports whether it has dropped such a
+// rollback for another end.
 func (s *Snapshotter) SetMoveRecord(service string, r MoveRecord) (dropped bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known, ok := s.records[service]
-	endsAnnounced := s.announced[service] && known.Order == r.Order && r.Phase.Final()
-	if ok && !known.Precedes(r) && !endsAnnounced {
+	isAnnounced := s.announced[service] && known.Order == r.Order
+	isOlder := ok && !known.Precedes(r)
+	if (isAnnounced && !r.Phase.Final()) || (!isAnnounced && isOlder) {
 		return false
 	}
 	s.records[service] = r
 	delete(s.announced, service)
 	s.markChanged(service)
-	return endsAnnounced && r.Phase != RolledBack
+	return isAnnounced && r.Phase != RolledBack
 }
 
 // AnnounceRollback records the rollback of a move before the store holds it, so that the target
