roller: after a restore, an announced rollback does not overtake the end that others know

A move that succeeded could become rolled back. Cause: after a restore of the store from a copy without the end of a move, entries write the newest record that they know again, the leader at once. One that was cut off and knows only an announced rollback of the same step wrote that, although the store had held done and the operators had acted on it. Evidence: TestAnnouncedRollback on the code before: "the move was done before a restore" ends with taken-back in 2 of 3 runs, if an entry with the announced rollback leads.

--- a/entry/roller/roller.go
+++ b/entry/roller/roller.go
@@ -143,7 +143,7 @@
 			continue
 		}
 		leader, found := r.leader(o.Service)
-		if ok && rec.BelongsTo(o) && r.rewriteDue(o.Service, rec, leader.ID == r.opts.Self) {
+		if ok && rec.BelongsTo(o) && r.rewriteDue(o, rec, leader.ID == r.opts.Self) {
 			if err := r.commit(ctx, o, rec); err != nil {
 				r.opts.Log.Warn("Lost record of a move not written again.", "service", o.Service, "error", err)
 			}
@@ -284,6 +284,9 @@
 		return r.commit(ctx, o, rec)
 	}
 	if rec.Phase.Final() {
+		if r.mayHaveEnded(o, rec) {
+			return nil // written when rewriteDue tells
+		}
 		return r.commit(ctx, o, rec)
 	}
 	routes := r.gather(o.Service, rec.Order)
