coordinator: a move that is recorded as done is not rolled back

A coordinator that knows a rollback replaced every other stored phase, done included, which a write without a response may have stored since; and entries kept the rollback in memory. Change: the coordinator stores a rollback only while the stored move has not ended, and entries adopt each end that the store holds. Why it works: the record is replaced by compare-and-swap, so that the first end in the store is the only one.

--- a/entry/coordinator/coordinator.go
+++ b/entry/coordinator/coordinator.go
@@ -103,8 +103,8 @@
 }
 
 // advance brings the stored record of a service's move up to date. It creates
-// the record of a new move, stores a rollback that this entry knows of,
-// announces a move that has ended, and otherwise takes the next step if the
+// the record of a new move, stores a rollback that this entry knows of unless the
+// store holds the end of the move already, announces a move that has ended, and otherwise takes the next step if the
 // evidence allows it.
 func (c *Coordinator) advance(ctx context.Context, s parser.Service) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
@@ -124,7 +124,7 @@
 		return c.write(ctx, s.Name, current, known.WithCoordinator(c.node.Self().ID))
 	case current.record.Move != id:
 		return c.write(ctx, s.Name, current, mover.NewRecord(*s.Move, now, c.node.Self().ID))
-	case hasKnown && known.Move == id && known.Phase == mover.RolledBack && current.record.Phase != mover.RolledBack:
+	case hasKnown && known.Move == id && known.Phase == mover.RolledBack && !current.record.Phase.Final():
 		return c.write(ctx, s.Name, current, current.record.WithRollback(known.Reason, now))
 	case current.record.Phase.Final():
 		return c.announceEnd(ctx, s.Name, current)
--- a/entry/reconciler/moves.go
+++ b/entry/reconciler/moves.go
@@ -167,11 +167,12 @@
 }
 
 // SetMoveRecord applies the stored record of a move. A rollback that this entry
-// knows of is never undone by a stored record of the same move.
+// knows of is undone only by another end of the same move: the operators have been
+// notified of the end that the store holds.
 func (n *Node) SetMoveRecord(service string, r mover.Record) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if current, ok := n.records[service]; ok && current.Move == r.Move && current.Phase == mover.RolledBack && r.Phase != mover.RolledBack {
+	if current, ok := n.records[service]; ok && current.Move == r.Move && current.Phase == mover.RolledBack && !r.Phase.Final() {
 		return
 	}
 	n.records[service] = r
