publisher: a publication is unknown, not refused, while the store may still carry it out

Cause: after a write without a response, the history key is read back once. An absent key counted as "not committed", although the store may carry the write out as long as its condition holds. Change: ResolveUnknown reads the key of the condition first. While that is unchanged, an absent write stays unknown, with the key and the revision in the error; once it has changed, the write can no longer be executed and is a conflict. Why it works: the condition can only change once the write is executed or replaced; read in this order, no write between the two reads is missed.

--- a/pkg/publisher/publisher.go
+++ b/pkg/publisher/publisher.go
@@ -136,7 +136,7 @@
 }
 
 // ErrOutcomeUnknown reports that the response of the store was lost, and that reading
-// back did not show whether the change was applied.
+// back did not show whether the change was applied. The store may still apply it.
 type ErrOutcomeUnknown struct{ Cause error }
 
 func (e ErrOutcomeUnknown) Error() string {
@@ -146,7 +146,8 @@
 
 // Publish stores a document if base is still the current revision, and returns
 // ErrStaleRevision otherwise. If the response is lost, Publish reads the document back;
-// if that fails too, it returns the envelope with ErrOutcomeUnknown.
+// if that fails too, or the store may apply the change later, it returns the envelope with
+// ErrOutcomeUnknown.
 func Publish(ctx context.Context, s storer.Store, base Revision, c Change) (e Envelope, err error) {
 	current, guard, err := Current(ctx, s, c.Environment)
 	if err != nil {
@@ -175,7 +176,7 @@
 	outcome := storer.CompareAndSwap(commitCtx, s, storer.Guard{Key: key, ModRevision: guard},
 		storer.Put{Key: key, Value: data}, storer.Put{Key: historyKey(c.Environment, e.Revision), Value: data})
 	if unknown, ok := outcome.(storer.Unknown); ok {
-		outcome = resolve(ctx, s, e, unknown)
+		outcome = resolve(ctx, s, storer.Guard{Key: key, ModRevision: guard}, e, unknown)
 	}
 	switch o := outcome.(type) {
 	case storer.Committed:
@@ -191,8 +192,8 @@
 
 // resolve determines an unknown outcome from the history key of the change, which
 // remains even if a later document has replaced the current one.
-func resolve(ctx context.Context, s storer.Store, e Envelope, unknown storer.Unknown) storer.Outcome {
-	outcome := storer.ResolveUnknown(ctx, s, historyKey(e.Environment, e.Revision), func(data []byte) bool {
+func resolve(ctx context.Context, s storer.Store, guard storer.Guard, e Envelope, unknown storer.Unknown) storer.Outcome {
+	outcome := storer.ResolveUnknown(ctx, s, guard, historyKey(e.Environment, e.Revision), func(data []byte) bool {
 		got, err := Decode(data)
 		return err == nil && got.ChangeID == e.ChangeID
 	})
--- a/pkg/storer/storer.go
+++ b/pkg/storer/storer.go
@@ -136,19 +136,43 @@
 	return s.Commit(ctx, Transaction{Guards: []Guard{guard}, Puts: puts})
 }
 
+// ErrPending reports that a transaction without a response has not been executed yet, and may be as
+// long as its guard holds.
+type ErrPending struct{ Guard Guard }
+
+func (e ErrPending) Error() string {
+	return fmt.Sprintf("not executed yet; the store may do so while key %q is at revision %d", e.Guard.Key, e.Guard.ModRevision.Number())
+}
+
 // ResolveUnknown determines the outcome of a transaction whose response was lost, by
-// reading back a key that it wrote. Matches reports whether a value is the one written.
-func ResolveUnknown(ctx context.Context, s Store, key string, matches func([]byte) bool) Outcome {
-	pair, err := s.Get(ctx, key)
-	var noKey ErrNoSuchKey
+// reading back a key that it wrote. Matches reports whether a value is the one written. While
+// the guard of the transaction holds, a transaction that has not been executed remains Unknown.
+func ResolveUnknown(ctx context.Context, s Store, guard Guard, key string, matches func([]byte) bool) Outcome {
+	// The guard is read first: if it has changed by then, a transaction that the second read
+	// does not show can no longer be executed.
+	before, err := get(ctx, s, guard.Key)
+	if err != nil {
+		return Unknown{Cause: err}
+	}
+	written, err := get(ctx, s, key)
 	switch {
-	case errors.As(err, &noKey):
-		return NotCommitted{Cause: err}
 	case err != nil:
 		return Unknown{Cause: err}
-	case matches(pair.Value):
-		return Committed{Revision: pair.ModRevision}
+	case written.ModRevision != 0 && matches(written.Value):
+		return Committed{Revision: written.ModRevision}
+	case before.ModRevision == guard.ModRevision:
+		return Unknown{Cause: ErrPending{Guard: guard}}
 	default:
-		return NotCommitted{Cause: ErrConflict{Key: key}}
+		return NotCommitted{Cause: ErrConflict{Key: guard.Key}}
+	}
+}
+
+// get reads a key. One that does not exist has the revision zero.
+func get(ctx context.Context, s Store, key string) (pair KeyValue, err error) {
+	pair, err = s.Get(ctx, key)
+	var noKey ErrNoSuchKey
+	if errors.As(err, &noKey) {
+		return KeyValue{Key: key}, nil
 	}
+	return pair, err
 }
