soaker: some callers send the next request before the previous one is answered

Change: one of five callers that keep their connections sends a safe request while the previous one is in progress, through a receive buffer of 4 KiB. A request that was sent behind a response that closes the connection must not have run (UNASKED).

--- a/standin/soaker/caller_test.go
+++ b/standin/soaker/caller_test.go
@@ -26,9 +26,12 @@
 	work time.Duration
 	size int
 	// kept is set if the connection has carried a request before.
-	kept    bool
-	process *process
-	began   time.Time
+	kept bool
+	// ahead is set if it was sent before the previous request was answered, and unread if the
+	// response to that one closed the connection.
+	ahead, unread bool
+	process       *process
+	began         time.Time
 	// sent is when the last byte was sent, zero if it was not.
 	sent     time.Time
 	ended    time.Time
@@ -58,7 +61,11 @@
 	keeps bool
 	// hurries is set if it sends small requests one right after another.
 	hurries bool
-	sent    int
+	// sendsAhead is set if it sends some requests before the previous ones are answered.
+	sendsAhead bool
+	// next is a request that was sent ahead, or nil.
+	next *request
+	sent int
 
 	conn    net.Conn
 	reader  *bufio.Reader
@@ -69,7 +76,7 @@
 
 // call runs the caller until ctx ends.
 func (c *caller) call(ctx context.Context) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil || c.next != nil {
 		if c.conn == nil && !c.connect() {
 			time.Sleep(20 * time.Millisecond)
 			continue
@@ -79,6 +86,7 @@
 		if !keep || !c.keeps {
 			_ = c.conn.Close()
 			c.conn = nil
+			c.dropAhead(r.status != 0)
 		}
 		pause := time.Duration(c.rand.IntN(80)) * time.Millisecond
 		if c.hurries {
@@ -109,7 +117,15 @@
 		c.entry = c.fleet.entries[c.rand.IntN(len(c.fleet.entries))]
 	}
 	p := c.entry.current()
-	conn, err := net.DialTimeout("tcp", c.entry.callerAddress(), time.Second)
+	dialer := net.Dialer{Timeout: time.Second}
+	if c.sendsAhead {
+		// Most of a response is on its way when the entry has written it.
+		dialer.Control = func(_, _ string, raw syscall.RawConn) (err error) {
+			_ = raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+			return err
+		}
+	}
+	conn, err := dialer.Dial("tcp", c.entry.callerAddress())
 	// A restart between the two would count the request at the wrong process.
 	if err != nil || p == nil || c.entry.current() != p {
 		if err == nil {
@@ -177,10 +193,43 @@
 	return lines
 }
 
+// sendAhead draws the next request, and sends it if it is safe.
+func (c *caller) sendAhead() {
+	q := c.draw()
+	if q.method != http.MethodGet || len(q.pieces) > 1 {
+		return
+	}
+	if _, err := io.WriteString(c.conn, q.pieces[0]); err == nil {
+		q.ahead, q.kept, q.sent = true, true, time.Now()
+		c.next = &q
+	}
+}
+
+// dropAhead records a request that was sent ahead on a connection that has ended. Answered is set
+// if the previous one got the response that closed it.
+func (c *caller) dropAhead(answered bool) {
+	if c.next == nil {
+		return
+	}
+	r := c.next.record
+	r.unread, r.ended, r.err = answered, time.Now(), io.EOF
+	c.fleet.checks.add(r)
+	c.next = nil
+}
+
+// takeNext returns the request to send or, if it was sent ahead, to await.
+func (c *caller) takeNext() (q request) {
+	if c.next == nil {
+		return c.draw()
+	}
+	q, c.next = *c.next, nil
+	return q
+}
+
 // send sends a request and waits for its response or the end of the connection. Keep is set
 // if the connection may be used on.
 func (c *caller) send() (r record, keep bool) {
-	q := c.draw()
+	q := c.takeNext()
 	c.used++
 	type response struct {
 		*http.Response
@@ -201,7 +250,11 @@
 	}()
 	var got response
 	answered := false
-	for i, piece := range q.pieces {
+	pieces := q.pieces
+	if q.ahead {
+		pieces = nil
+	}
+	for i, piece := range pieces {
 		if i > 0 {
 			select {
 			case got = <-responses:
@@ -222,6 +275,9 @@
 		}
 	}
 	if !answered {
+		if c.sendsAhead && !q.sent.IsZero() && q.method == http.MethodGet {
+			c.sendAhead()
+		}
 		got = <-responses
 	}
 	r = q.record
--- a/standin/soaker/checker_test.go
+++ b/standin/soaker/checker_test.go
@@ -140,7 +140,11 @@
 	case r.status >= 300 && r.status < 500 && !isPromise(r.status):
 		return "DENIED", "it is allowed by all configurations"
 	}
-	if r.process.excuses(r.began, r.ended) || isPromise(r.status) {
+	if r.unread && len(runs) > 0 {
+		return "UNASKED", "it was sent behind a response that closed the connection, and ran"
+	}
+	// A request that was sent ahead is read once the previous one is answered.
+	if r.process.excuses(r.began, r.ended) || isPromise(r.status) || (r.ahead && len(runs) == 0) {
 		return "", ""
 	}
 	switch {
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -126,7 +126,7 @@
 	calls, endCalls := context.WithCancel(ctx)
 	defer endCalls()
 	for n := range min(callersPerEntry*s.entries, 120) {
-		c := &caller{name: "c" + strconv.Itoa(n), fleet: f, rand: rand.New(rand.NewPCG(s.seed, uint64(n))), keyRand: rand.New(rand.NewPCG(s.seed, 1<<32+uint64(n))), keeps: n%3 != 0, hurries: n%10 == 1}
+		c := &caller{name: "c" + strconv.Itoa(n), fleet: f, rand: rand.New(rand.NewPCG(s.seed, uint64(n))), keyRand: rand.New(rand.NewPCG(s.seed, 1<<32+uint64(n))), keeps: n%3 != 0, hurries: n%10 == 1, sendsAhead: n%5 == 2 && n%3 != 0}
 		calling.Go(func() { c.call(calls) })
 	}
 	start := time.Now()
