--- a/entry/expirer/closing.go
+++ b/entry/expirer/closing.go
@@ -13,21 +13,21 @@
 	// begun is set once the server gets nothing more from the connection.
 	begun bool
 	since time.Time
-	// cancel closes the socket of a connection whose peer has not got the last response. It is
-	// nil for other connections.
+	// cancel closes the socket of a connection whose peer may not have received the last
+	// response. It is nil for other connections.
 	cancel context.CancelFunc
 }
 
-// Close implements net.Conn. It does not wait until the peer has got the last response, but
-// keeps the socket open until then.
+// Close implements net.Conn. It returns at once, but the socket stays open until the peer has
+// received the last response.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.close()
 }
 
-// CloseWrite ends the sending side of the connection. The server, which reads nothing more,
-// closes the connection some time later.
+// CloseWrite is as Close: net/http calls it once it reads nothing more, waits for some time and
+// closes the connection.
 func (c *conn) CloseWrite() error { return c.Close() }
 
 // close is as Close. The caller holds c.mu.
@@ -47,7 +47,7 @@
 	return nil
 }
 
-// linger closes the socket once the peer has got the last response.
+// linger closes the socket once the peer has received the last response.
 func (c *conn) linger(ctx context.Context, socket lingerer.Conn) {
 	end := lingerer.Close(ctx, socket)
 	c.mu.Lock()
@@ -58,9 +58,8 @@
 	c.bounds.OnEnd(end)
 }
 
-// mayLoseResponse reports whether a response is possibly lost if the socket is closed now. A
-// connection that awaits a request has carried its last response some time before. The caller
-// holds c.mu.
+// mayLoseResponse reports whether a response is possibly lost if the socket is closed now. The
+// caller holds c.mu.
 func (c *conn) mayLoseResponse() bool {
 	if !c.written {
 		return false
@@ -73,11 +72,13 @@
 	if !c.awaiting || c.refused {
 		return true
 	}
+	// The connection is idle: its last response was written some time before.
 	unacknowledged, err := peeker.Unacknowledged(c.Conn)
 	return err != nil || unacknowledged > 0
 }
 
-// closeAtOnce closes the socket of a connection.
+// closeAtOnce closes the socket of a connection, whether or not its peer has received the last
+// response.
 func (c *conn) closeAtOnce() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -95,7 +96,8 @@
 	return c.closing.begun
 }
 
-// isLingering reports whether the socket is open until the peer has got the last response.
+// isLingering reports whether the socket stays open until the peer has received the last
+// response.
 func (c *conn) isLingering() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/expirer/expirer.go
+++ b/entry/expirer/expirer.go
@@ -4,7 +4,7 @@
 // of those beyond the bound, idle ones first, and then those whose peers have stalled. It
 // replaces the timeouts of net/http, which cannot change while a server runs, and its
 // shutdown, which closes connections from which a request is being read. A connection that the
-// server closes after a response is open until its peer has got the response.
+// server closes after a response stays open until its peer has received the response.
 package expirer
 
 import (
@@ -45,7 +45,8 @@
 	now    func() time.Time
 	bounds Bounds
 
-	// lingering ends when the sockets of closed connections are no longer to be kept open.
+	// lingering is the context of connections that the server has closed and whose sockets stay
+	// open.
 	lingering context.Context
 	abort     context.CancelFunc
 
@@ -62,7 +63,7 @@
 	return e.WithBounds(Bounds{})
 }
 
-// Abort closes the sockets of connections whose peers have not got the last response.
+// Abort closes the sockets that stay open until their peers have received the last response.
 func (e *Expirer) Abort() { e.abort() }
 
 // WrapListener returns a listener whose connections the expirer can track. A server has to
--- a/entry/lingerer/lingerer.go
+++ b/entry/lingerer/lingerer.go
@@ -1,5 +1,5 @@
 // Package lingerer closes connections in two stages (RFC 9112, section 9.6): it ends the
-// sending side, and closes the socket once the peer has the rest of what was sent. The kernel
+// sending side, and closes the socket once the peer has received the rest of what was sent. The kernel
 // resets a connection that is closed with unread bytes, or that gets further ones, and drops
 // what it has not delivered.
 package lingerer
@@ -43,7 +43,8 @@
 
 // Reasons for which sockets are closed.
 const (
-	// PeerClosed means that the peer has closed its side or the connection.
+	// PeerClosed means that the peer has closed its side or the connection, or that the
+	// response was given up.
 	PeerClosed End = "peer-closed"
 	// Acknowledged means that the peer has acknowledged all bytes, but keeps its side open.
 	Acknowledged End = "acknowledged"
@@ -59,7 +60,7 @@
 func Ends() []End { return []End{PeerClosed, Acknowledged, Stalled, Flooded, Canceled} }
 
 // Close ends the sending side of a connection, drops what the peer sends, and closes the socket
-// once the peer has got what was sent, does not read it, or ctx ends. It takes 10 s at most.
+// once the peer has received what was sent, does not read it, or ctx ends. It takes 10 s at most.
 func Close(ctx context.Context, c Conn) End {
 	defer c.Close()
 	if c.CloseWrite() != nil {
--- a/entry/roller/roller.go
+++ b/entry/roller/roller.go
@@ -285,7 +285,7 @@
 	}
 	if rec.Phase.Final() {
 		if r.mayHaveEnded(o, rec) {
-			return nil // written when rewriteDue tells
+			return nil // written once rewriteDue reports true
 		}
 		return r.commit(ctx, o, rec)
 	}
@@ -293,7 +293,7 @@
 	if reason, found := findRegression(routes); found {
 		rec = rec.WithPhase(snapshotter.RolledBack, reason)
 		if !r.opts.Snapshots.AnnounceRollback(o.Service, rec) {
-			return nil // the store has told the end of the move since
+			return nil // the move has ended since
 		}
 		r.broadcastVerdict(ctx, o.Service, rec)
 		return r.commit(ctx, o, rec)
--- a/steer/commander/serve.go
+++ b/steer/commander/serve.go
@@ -78,8 +78,8 @@
 	delegatedConns *expirer.Expirer
 }
 
-// delegatedEnded reports whether other entries have got the last responses to requests that
-// they passed on.
+// delegatedEnded reports whether other entries have received the last responses to requests
+// that they passed on.
 func (s servers) delegatedEnded() bool { return s.delegatedConns == nil || s.delegatedConns.Ended() }
 
 // startServers serves callers, the platform and other entries.
